--- /dev/null
+++ b/bench/zz_hold_test.go
@@ -0,0 +1,26 @@
+package main_test
+
+import (
+	_ "github.com/BurntSushi/toml"
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/dghubble/sling"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/google/uuid"
+	_ "github.com/integrii/flaggy"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/openai/openai-go/v3/option"
+	_ "github.com/rs/zerolog"
+	_ "github.com/zeebo/errs"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgimg"
+	_ "gonum.org/v1/plot/vg/vgsvg"
+	_ "gotest.tools/v3/assert"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/library/doc.go
@@ -0,0 +1,3 @@
+// Package library holds nothing itself: its folders are what two or more of
+// the programs share.
+package library
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is started by hand or by the platform.
+package main
+
+func main() {}
