--- a/library/checker/manifest.go
+++ b/library/checker/manifest.go
@@ -32,6 +32,12 @@
 	Seats int `toml:"seats"`
 	// Window is how long the key of a call is known after its first use.
 	Window Duration `toml:"window"`
+	// Keep is how long the platform's log keeps a record at least. Checkpoints
+	// and the keys of calls rest on it; it is longer than Window.
+	Keep Duration `toml:"keep"`
+	// Zones lists the availability zones. Where it is empty, any zone that an
+	// upstream names is one.
+	Zones []string `toml:"zones"`
 	// Classes bound the time of work by prompt length, keyed by name.
 	Classes map[string]Class `toml:"classes"`
 	// Models are what callers may ask for, keyed by name.
@@ -61,6 +67,7 @@
 	// Context is the longest prompt plus answer in tokens, over a group.
 	Context int `toml:"context"`
 	// Output is the longest answer in tokens, and the default of max_tokens.
+	// Zero means 4,096, or Context where that is less.
 	Output int `toml:"output"`
 	// Bytes is how many bytes of prompt are counted as one token.
 	Bytes int `toml:"bytes"`
@@ -87,7 +94,7 @@
 	// Model or Service names what it serves; exactly one is set.
 	Model   string `toml:"model"`
 	Service string `toml:"service"`
-	// Address is its host:port for HTTP.
+	// Address is its IP number and port for HTTP.
 	Address string `toml:"address"`
 	// Zone is its availability zone.
 	Zone string `toml:"zone"`
--- /dev/null
+++ b/library/checker/preset.go
@@ -0,0 +1,70 @@
+package checker
+
+import "time"
+
+// Defaults of a manifest. Limits of time suit an assistant that answers in
+// seconds; operators with longer work write their own.
+const (
+	defaultSeats  = 9 // the largest number of entry VMs in use today
+	defaultWindow = 10 * time.Minute
+	defaultKeep   = time.Hour
+	defaultOutput = 4096
+	defaultBytes  = 4
+)
+
+func preset() Manifest {
+	return Manifest{
+		Seats:  defaultSeats,
+		Window: Duration(defaultWindow),
+		Keep:   Duration(defaultKeep),
+	}
+}
+
+// Preset fills in the limits of a class that names none.
+func (c *Class) Preset() {
+	c.Limit, c.Least, c.Most = Duration(time.Minute), Duration(time.Second), Duration(10*time.Minute)
+}
+
+// Preset fills in the defaults of a model.
+func (m *Model) Preset() {
+	m.Bytes, m.Version = defaultBytes, "1"
+}
+
+// Preset fills in the defaults of a service.
+func (s *Service) Preset() {
+	s.Keys = KeysDated
+	s.Limit, s.Least, s.Most = Duration(10*time.Second), Duration(100*time.Millisecond), Duration(time.Minute)
+}
+
+// Preset fills in the defaults of an upstream: one request while it is cold.
+func (u *Upstream) Preset() { u.Cold = 1 }
+
+// Preset fills in the defaults of a team.
+func (t *Team) Preset() { t.Share = 1 }
+
+// fill sets what depends on other values, after reading.
+func (m *Manifest) fill() {
+	if len(m.Classes) == 0 {
+		m.Classes = map[string]Class{
+			"short": classOf(8_000, time.Minute),
+			"long":  classOf(100_000, 5*time.Minute),
+			"huge":  classOf(2_000_000, 30*time.Minute),
+		}
+	}
+	for name, model := range m.Models {
+		if model.Output == 0 {
+			model.Output = min(defaultOutput, model.Context)
+		}
+		m.Models[name] = model
+	}
+	for name, s := range m.Services {
+		if len(s.Repeatable) == 0 {
+			s.Repeatable = []string{"GET", "HEAD", "OPTIONS"}
+		}
+		m.Services[name] = s
+	}
+}
+
+func classOf(prompt int, limit time.Duration) Class {
+	return Class{Prompt: prompt, Limit: Duration(limit), Least: Duration(time.Second), Most: Duration(2 * limit)}
+}
