--- a/entry/process/setter/checks.go
+++ b/entry/process/setter/checks.go
@@ -1,7 +1,6 @@
 package setter
 
 import (
-	"fmt"
 	"maps"
 	"net/netip"
 	"net/url"
@@ -126,11 +125,8 @@
 	for _, a := range allowed {
 		words = append(words, string(a))
 	}
-	c.found = append(c.found, finder.Finding{
-		Place: place,
-		Text:  fmt.Sprintf("is %q, none of %s", decoder.Shown(string(value)), strings.Join(words, ", ")),
-		Hint:  finder.Nearest(string(value), words),
-	})
+	c.found.Hintf(place, string(value), words,
+		"is %q, none of %s", decoder.Shown(string(value)), strings.Join(words, ", "))
 }
 
 // files reports the files that the settings name and that can't be read.
--- a/library/decoder/decoder.go
+++ b/library/decoder/decoder.go
@@ -77,10 +77,7 @@
 		at := Join(place, key)
 		f, ok := fields[key]
 		if !ok {
-			w.found = append(w.found, finder.Finding{
-				Place: at, Text: "unknown key",
-				Hint: finder.Nearest(strings.ToLower(key), slices.Sorted(maps.Keys(fields))),
-			})
+			w.found.Hintf(at, strings.ToLower(key), slices.Sorted(maps.Keys(fields)), "unknown key")
 			continue
 		}
 		w.value(at, raw[key], f)
--- a/library/finder/nearest.go
+++ b/library/finder/nearest.go
@@ -1,9 +1,15 @@
 package finder
 
+// maxWord is the longest word, in bytes, for which a nearest one is sought.
+const maxWord = 64
+
 // Nearest returns the candidate that differs least from a word, or "" where
 // none is near enough to have been meant. Near enough is one edit for every
 // three letters, and at least one.
 func Nearest(word string, candidates []string) string {
+	if len(word) > maxWord {
+		return ""
+	}
 	best, least := "", allowed(len(word))+1
 	for _, c := range candidates {
 		if abs(len(c)-len(word)) >= least {
