--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,51 @@
-// Command bench is started by hand or by the platform.
+// Command bench shows and measures a whole fleet as separate processes on
+// loopback: demo sends one request of each kind, run plays an experiment, and
+// compare sets two runs side by side. It is no part of what serves callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/zeebo/errs"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx, os.Args[1:])
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+// run reads the command line and runs the subcommand that it names.
+func run(ctx context.Context, args []string) error {
+	parser := flaggy.NewParser("bench")
+	parser.Description = "Show and measure a heathervane fleet on loopback"
+	var d demo
+	commands := []struct {
+		command *flaggy.Subcommand
+		run     func(context.Context) error
+	}{
+		{d.command(), d.run},
+	}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.command, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return errs.Wrap(err)
+	}
+	for _, c := range commands {
+		if c.command.Used {
+			return c.run(ctx)
+		}
+	}
+	parser.ShowHelp()
+	return errs.New("name a subcommand: demo, run or compare")
+}
