--- a/bench/starter/control.go
+++ b/bench/starter/control.go
@@ -39,16 +39,27 @@
 	VM     string `json:"vm"`
 	Kind   string `json:"kind"`
 	Memory int    `json:"memory"`
+	// Age is how long ago it began, in milliseconds.
+	Age int64 `json:"age_ms"`
 }
 
-// A Peak is what a cold upstream counted itself, without lag.
+// A Peak is what an upstream counted itself while it was cold, without lag.
 type Peak struct {
-	// Cold is the most requests that ran at once while it was cold, and Bears
-	// how many it can bear.
-	Cold  int `json:"cold"`
+	// Bears is how many requests at once it can bear while cold.
 	Bears int `json:"bears"`
 	// Falls counts how often it fell over.
 	Falls int `json:"falls"`
+	// Peaks is the most requests at once while cold, by boot number.
+	Peaks map[string]int `json:"peaks"`
+}
+
+// Most is the highest peak over all boots.
+func (p Peak) Most() int {
+	most := 0
+	for _, n := range p.Peaks {
+		most = max(most, n)
+	}
+	return most
 }
 
 // SetFaults replaces the faults of a stand-in.
--- a/bench/starter/fleet.go
+++ b/bench/starter/fleet.go
@@ -226,3 +226,15 @@
 
 // Upstreams are the engines and the processes of the plain service.
 func (f *Fleet) Upstreams() []*Process { return slices.Concat(f.Engines, f.Services) }
+
+// Find returns the process with a name.
+func (f *Fleet) Find(name string) (*Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.all {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return nil, errs.New("the fleet has no process %q", name)
+}
