--- a/library/appender/appender.go
+++ b/library/appender/appender.go
@@ -5,6 +5,7 @@
 package appender
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -83,15 +84,12 @@
 	if err := ctx.Err(); err != nil {
 		return 0, ErrRefused.Wrap(err)
 	}
-	req, err := l.request(stream).Post("").Body(bodyOf(data)).Request()
+	req, err := l.request(stream).Post("").Body(bytes.NewReader(data)).Request()
 	if err != nil {
 		return 0, ErrRefused.Wrap(err)
 	}
-	// net/http repeats a request on a fresh connection where the old one was
-	// closed under it, if it takes the request for idempotent. Without GetBody
-	// it can't, so one call here is one append at most.
-	req.GetBody = nil
-	req.ContentLength = int64(len(data))
+	// net/http sends a POST again only where the old connection was closed
+	// before a byte was written, so one call here is one append at most.
 	res, err := l.client.Do(req.WithContext(ctx))
 	if err != nil {
 		if neverSent(err) {
