--- /dev/null
+++ b/entry/process/dispatcher/candidate.go
@@ -0,0 +1,103 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/router"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+)
+
+// candidates are the upstreams that a request may go to, as the router sees
+// them. The slice is used again by the next call.
+func (p *pool) candidates(now time.Time, k admitter.Ask, avoid []string) []router.Candidate {
+	cs := p.scratch[:0]
+	held := now.Before(p.hold.until) && !p.needsGroup(k)
+	for _, u := range p.upstreams {
+		if slices.Contains(avoid, u.Name) {
+			continue
+		}
+		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
+			continue
+		}
+		cs = append(cs, p.candidate(now, u))
+	}
+	p.scratch = cs
+	return cs
+}
+
+// long tells whether a prompt would take a large part of an engine's memory.
+func (p *pool) long(k admitter.Ask, u viewer.Upstream) bool {
+	const part = 4
+	return u.Memory > 0 && k.Tokens > u.Memory/part
+}
+
+func (p *pool) candidate(now time.Time, u viewer.Upstream) router.Candidate {
+	s := p.dispatcher.supplier.Supply(u.Name)
+	sent, tokens := p.sentSince(u.Name, now, s.Age)
+	memory := s.Memory
+	if memory == 0 {
+		memory = u.Memory
+	}
+	return router.Candidate{
+		Name:        u.Name,
+		Zone:        u.Zone,
+		Near:        u.Zone == p.dispatcher.config.Zone,
+		Free:        s.Free,
+		Slots:       u.Slots,
+		Mine:        s.Mine,
+		Sent:        sent,
+		SentTokens:  tokens,
+		Running:     s.Running,
+		Waiting:     s.Waiting,
+		Used:        s.Used,
+		Memory:      memory,
+		PrefillLeft: s.PrefillLeft,
+		Age:         s.Age,
+		Prefill:     float64(u.Prefill),
+		Decode:      float64(u.Decode),
+		Speed:       p.dispatcher.gauger.Speed(u.Name),
+		Cold:        s.Cold,
+	}
+}
+
+// sentSince sums what went to an upstream after its last report was made. The
+// report lags: without this a burst within one report's life would all go to
+// the upstream that looked idle.
+func (p *pool) sentSince(name string, now time.Time, age time.Duration) (int, int) {
+	list := p.sent[name]
+	kept := list[:0]
+	n, tokens := 0, 0
+	for _, s := range list {
+		if now.Sub(s.at) > sentKept {
+			continue
+		}
+		kept = append(kept, s)
+		if now.Sub(s.at) < age {
+			n++
+			tokens += s.tokens
+		}
+	}
+	p.sent[name] = kept
+	return n, tokens
+}
+
+// pace is what the pool's upstreams can do for this VM.
+func (p *pool) pace() admitter.Pace {
+	var c admitter.Pace
+	for _, u := range p.upstreams {
+		s := p.dispatcher.supplier.Supply(u.Name)
+		if u.Slots == 0 {
+			continue
+		}
+		speed := p.dispatcher.gauger.Speed(u.Name)
+		share := float64(s.Slots) / float64(u.Slots)
+		c.Slots += s.Slots
+		c.Running += s.Mine
+		c.Prefill += float64(u.Prefill) * share * speed
+		c.Decode = max(c.Decode, float64(u.Decode))
+		c.PrefillLeft += float64(s.PrefillLeft) * share
+	}
+	return c
+}
--- /dev/null
+++ b/entry/process/dispatcher/pool.go
@@ -0,0 +1,306 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/grouper"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/request/router"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+)
+
+const (
+	// groupShare is the part of an engine's memory that one part of a group
+	// may take: the rest is for the work already there.
+	groupShare = 0.9
+	// holdTime is how long engines that a group waits for get no new long
+	// work from this VM. Without it a stream of middling prompts takes each
+	// engine's memory as soon as it is free, and no group ever finds all of
+	// its engines free at once; without an end a group that cannot be placed
+	// would keep engines idle.
+	holdTime = 2 * time.Second
+	// sentKept is how long a sending is remembered at most: reports are never
+	// older while their holder lives.
+	sentKept = 5 * time.Second
+)
+
+// A pool is the waiting requests and the upstreams of one model or service.
+type pool struct {
+	dispatcher *Dispatcher
+	admitter   *admitter.Admitter
+	picker     router.Picker
+
+	mu        sync.Mutex
+	closed    bool
+	upstreams []viewer.Upstream
+	waiting   map[uint64]*waiter
+	sent      map[string][]sending
+	hold      hold
+	scratch   []router.Candidate
+}
+
+// A waiter is a request that waits; answer gets exactly one value.
+type waiter struct {
+	call   Call
+	answer chan reply
+}
+
+type reply struct {
+	grant   *Grant
+	refusal *refuser.Refusal
+}
+
+// A sending is work sent to an upstream that its last report cannot show yet.
+type sending struct {
+	at     time.Time
+	tokens int
+}
+
+// hold keeps long work from engines that a group waits for.
+type hold struct {
+	names []string
+	until time.Time
+}
+
+func (p *pool) configure(vp *viewer.Pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams = p.upstreams[:0:0]
+	for _, u := range vp.Upstreams {
+		if !u.Out {
+			p.upstreams = append(p.upstreams, u)
+		}
+	}
+	p.fill(p.dispatcher.now())
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for id, w := range p.waiting {
+		p.admitter.Remove(id)
+		p.reply(id, w, reply{refusal: gone()})
+	}
+}
+
+func gone() *refuser.Refusal {
+	return refuser.New(http.StatusNotFound, "gone", "it is no longer served")
+}
+
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting)
+}
+
+func (p *pool) acquire(ctx context.Context, c Call) (*Grant, *refuser.Refusal) {
+	w, refusal := p.offer(c)
+	if refusal != nil {
+		return nil, refusal
+	}
+	select {
+	case r := <-w.answer:
+		return r.grant, r.refusal
+	case <-ctx.Done():
+		return p.leave(c.Ask.ID, w)
+	}
+}
+
+func (p *pool) offer(c Call) (*waiter, *refuser.Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.dispatcher.now()
+	if p.closed {
+		return nil, gone()
+	}
+	if err := p.fits(c.Ask); err != nil {
+		return nil, refuser.New(http.StatusUnprocessableEntity, "too_large", "%s", err)
+	}
+	if r := p.admitter.Offer(now, c.Ask, p.pace()); r != nil {
+		return nil, turnedAway(r)
+	}
+	w := &waiter{call: c, answer: make(chan reply, 1)}
+	p.waiting[c.Ask.ID] = w
+	p.fill(now)
+	return w, nil
+}
+
+// fits refuses a prompt that no group of the pool's engines can ever hold: it
+// would wait to its limit for nothing.
+func (p *pool) fits(k admitter.Ask) error {
+	if k.Tokens == 0 || len(p.upstreams) == 0 {
+		return nil
+	}
+	all := make([]router.Candidate, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		if u.Memory >= k.Tokens+k.Output {
+			return nil
+		}
+		all = append(all, router.Candidate{Name: u.Name, Memory: u.Memory, Free: 1, Slots: 1})
+	}
+	_, err := grouper.Plan(k.Tokens, k.Output, all, groupShare)
+	return err
+}
+
+func turnedAway(r *admitter.Refusal) *refuser.Refusal {
+	return refuser.New(http.StatusTooManyRequests, r.Code, "%s", r).Back(r.After)
+}
+
+// leave takes a request out that its caller has left, or whose limit is over.
+func (p *pool) leave(id uint64, w *waiter) (*Grant, *refuser.Refusal) {
+	p.mu.Lock()
+	_, still := p.waiting[id]
+	if still {
+		delete(p.waiting, id)
+		p.admitter.Remove(id)
+	}
+	p.mu.Unlock()
+	if !still {
+		// It was answered in the moment it left: the place goes back.
+		if r := <-w.answer; r.grant != nil {
+			r.grant.Done(Cancelled)
+		}
+	}
+	return nil, late()
+}
+
+func late() *refuser.Refusal {
+	return refuser.New(http.StatusGatewayTimeout, "late", "it could not be begun within its time limit").Back(time.Second)
+}
+
+func (p *pool) pump() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.dispatcher.now()
+	for _, k := range p.admitter.Expire(now, p.pace()) {
+		if w, ok := p.waiting[k.ID]; ok {
+			p.reply(k.ID, w, reply{refusal: late()})
+		}
+	}
+	p.fill(now)
+}
+
+// fill places waiting requests until no more can be placed.
+func (p *pool) fill(now time.Time) {
+	for {
+		var grant *Grant
+		k, ok := p.admitter.Next(now, func(k admitter.Ask) bool {
+			grant = p.place(now, k)
+			return grant != nil
+		})
+		if !ok {
+			break
+		}
+		w, waits := p.waiting[k.ID]
+		if !waits {
+			grant.Done(Cancelled)
+			continue
+		}
+		p.reply(k.ID, w, reply{grant: grant})
+	}
+	p.ask()
+}
+
+func (p *pool) reply(id uint64, w *waiter, r reply) {
+	delete(p.waiting, id)
+	w.answer <- r
+}
+
+// ask tells the supplier what this pool could use more of.
+func (p *pool) ask() {
+	n := p.admitter.Len()
+	if len(p.upstreams) == 0 {
+		return
+	}
+	each := (n + len(p.upstreams) - 1) / len(p.upstreams)
+	for _, u := range p.upstreams {
+		p.dispatcher.supplier.Want(u.Name, each)
+	}
+}
+
+func (p *pool) place(now time.Time, k admitter.Ask) *Grant {
+	w, ok := p.waiting[k.ID]
+	if !ok {
+		// Its caller has left: taking it here drops it.
+		return &Grant{}
+	}
+	cs := p.candidates(now, k, w.call.Avoid)
+	if p.needsGroup(k) {
+		return p.placeGroup(now, k, cs)
+	}
+	i, ok := p.picker.Pick(now, k, cs)
+	if !ok {
+		return nil
+	}
+	part, ok := p.take(now, cs[i].Name, k.Tokens, k.Tokens+k.Output)
+	if !ok {
+		return nil
+	}
+	return &Grant{Parts: []Part{part}}
+}
+
+func (p *pool) needsGroup(k admitter.Ask) bool {
+	if k.Tokens == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(p.upstreams, func(u viewer.Upstream) bool {
+		return u.Memory >= k.Tokens+k.Output
+	})
+}
+
+// placeGroup takes all places of a group or none. The order is that of the
+// names on every VM, so that of two groups that want the same engines one gets
+// its first engine first and the other waits there with nothing in hand.
+func (p *pool) placeGroup(now time.Time, k admitter.Ask, cs []router.Candidate) *Grant {
+	plan, err := grouper.Plan(k.Tokens, k.Output, cs, groupShare)
+	if err != nil {
+		p.holdBack(now, cs)
+		return nil
+	}
+	g := &Grant{}
+	for i, part := range plan {
+		memory := part.Tokens
+		if i == len(plan)-1 {
+			memory += k.Output
+		}
+		taken, ok := p.take(now, part.Name, part.Tokens, memory)
+		if !ok {
+			g.Done(Cancelled)
+			p.holdBack(now, cs)
+			return nil
+		}
+		g.Parts = append(g.Parts, taken)
+	}
+	p.hold = hold{}
+	return g
+}
+
+func (p *pool) holdBack(now time.Time, cs []router.Candidate) {
+	if now.Before(p.hold.until) {
+		return
+	}
+	p.hold = hold{until: now.Add(holdTime)}
+	for _, c := range cs {
+		p.hold.names = append(p.hold.names, c.Name)
+	}
+}
+
+func (p *pool) take(now time.Time, name string, prompt, memory int) (Part, bool) {
+	i := slices.IndexFunc(p.upstreams, func(u viewer.Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return Part{}, false
+	}
+	slot, ok := p.dispatcher.supplier.Take(name, memory)
+	if !ok {
+		return Part{}, false
+	}
+	p.sent[name] = append(p.sent[name], sending{at: now, tokens: prompt})
+	boot := p.dispatcher.supplier.Supply(name).Boot
+	return Part{Upstream: p.upstreams[i], Boot: boot, Tokens: prompt, Slot: slot}, true
+}
--- /dev/null
+++ b/entry/request/chatter/chatter.go
@@ -0,0 +1,226 @@
+// Package chatter answers requests for chat completions in the OpenAI format:
+// it reads and checks a request, gets a place for it, has an engine run it, and
+// passes the answer on as it comes. Every request ends with a whole answer or a
+// truthful failure by its time limit.
+package chatter
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heathervane/heathervane/entry/connection/streamer"
+	"github.com/heathervane/heathervane/entry/process/dispatcher"
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/gater"
+	"github.com/heathervane/heathervane/entry/request/parser"
+	"github.com/heathervane/heathervane/entry/request/reader"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/request/retrier"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+)
+
+// headSize is how much of a prompt's start names its prefix, in bytes.
+const headSize = 4096
+
+// An Acquirer gives places at upstreams.
+type Acquirer interface {
+	Acquire(ctx context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal)
+}
+
+// A Canceller cancels streams at engines until the engine confirms, and calls
+// done then.
+type Canceller interface {
+	Cancel(address, id string, done func())
+}
+
+// A Watcher hears what requests meet at upstreams.
+type Watcher interface {
+	// Turned hears evidence that an upstream has turned cold.
+	Turned(upstream string, boot uint64, cause string)
+	// Begun hears that work was sent, First that its first token came after a
+	// time that should have been the promised one.
+	Begun(upstream, id string, promised time.Duration)
+	First(upstream, id string, took, promised time.Duration)
+	// Ended hears that work is over, with or without a first token.
+	Ended(upstream, id string)
+}
+
+// A Retrier decides whether work is sent again.
+type Retrier interface {
+	Decide(now time.Time, a retrier.Attempt) (again bool, after time.Duration)
+	Completed(now time.Time)
+}
+
+// A Meter counts.
+type Meter interface {
+	Count(name string, n int64)
+	Time(name string, d time.Duration)
+}
+
+// Config is who this VM is.
+type Config struct {
+	VM   string
+	Boot uint64
+}
+
+// A Chatter answers requests for chat completions.
+type Chatter struct {
+	config    Config
+	views     func() *viewer.View
+	reader    *reader.Reader
+	acquirer  Acquirer
+	streamer  *streamer.Streamer
+	canceller Canceller
+	watcher   Watcher
+	retrier   Retrier
+	meter     Meter
+	now       func() time.Time
+	sequence  atomic.Uint64
+	running   *registry
+}
+
+// Deps are what a Chatter works with.
+type Deps struct {
+	Views     func() *viewer.View
+	Reader    *reader.Reader
+	Acquirer  Acquirer
+	Streamer  *streamer.Streamer
+	Canceller Canceller
+	Watcher   Watcher
+	Retrier   Retrier
+	Meter     Meter
+	Now       func() time.Time
+}
+
+// New returns a Chatter.
+func New(c Config, d Deps) *Chatter {
+	return &Chatter{
+		config: c, views: d.Views, reader: d.Reader, acquirer: d.Acquirer, streamer: d.Streamer,
+		canceller: d.Canceller, watcher: d.Watcher, retrier: d.Retrier, meter: d.Meter, now: d.Now,
+		running: newRegistry(),
+	}
+}
+
+// Known tells whether a stream or part at an engine belongs to a request in
+// progress here.
+func (c *Chatter) Known(id string) bool { return c.running.has(id) }
+
+// A job is one request on its way.
+type job struct {
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	view     *viewer.View
+	team     viewer.Team
+	chat     *parser.Chat
+	pool     *viewer.Pool
+	model    string
+	tokens   int
+	output   int
+	bytes    int
+	priority int
+	body     *reader.Body
+	tries    int
+	avoid    []string
+}
+
+// ServeHTTP answers one request.
+func (c *Chatter) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	arrived := c.now()
+	w.Header().Set(refuser.VMHeader, c.config.VM)
+	c.meter.Count("chat.requests", 1)
+	j, refusal := c.accept(w, q, arrived)
+	if refusal != nil {
+		c.refuse(w, refusal)
+		return
+	}
+	defer j.body.Release()
+	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
+	defer cancel()
+	c.run(ctx, w, j)
+}
+
+func (c *Chatter) refuse(w http.ResponseWriter, r *refuser.Refusal) {
+	c.meter.Count("chat.refused."+r.Code, 1)
+	r.Write(w)
+}
+
+// accept reads and checks a request.
+func (c *Chatter) accept(w http.ResponseWriter, q *http.Request, arrived time.Time) (*job, *refuser.Refusal) {
+	v := c.views()
+	if v == nil {
+		return nil, gater.NotReady()
+	}
+	team, refusal := gater.Team(v, q)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := c.reader.Read(w, q)
+	if refusal != nil {
+		return nil, refusal
+	}
+	chat, refusal := parser.Parse(body.Data)
+	if refusal != nil {
+		body.Release()
+		return nil, refusal
+	}
+	// The prompt has been taken out of it: the memory of the body as read can
+	// go while the request waits.
+	body.Data = nil
+	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body}
+	if refusal := j.measure(v, q); refusal != nil {
+		body.Release()
+		return nil, refusal
+	}
+	return j, nil
+}
+
+func (c *Chatter) id() string {
+	n := c.sequence.Add(1)
+	return c.config.VM + "-" + strconv.FormatUint(c.config.Boot, 36) + "-" + strconv.FormatUint(n, 36)
+}
+
+// measure finds a request's model, length, class and time limit.
+func (j *job) measure(v *viewer.View, q *http.Request) *refuser.Refusal {
+	pool, ok := v.Model(j.chat.Model)
+	if !ok {
+		r := refuser.At("model", "model_not_found", "there is no model %.60q", j.chat.Model)
+		r.Status = http.StatusNotFound
+		return r
+	}
+	m := v.Manifest.Models[j.chat.Model]
+	j.pool, j.model, j.bytes = pool, j.chat.Model, m.Bytes
+	j.tokens = max(1, (len(j.chat.Prompt)+m.Bytes-1)/m.Bytes)
+	j.output = m.Output
+	if j.chat.Output > 0 {
+		j.output = min(j.chat.Output, m.Output)
+	}
+	if j.tokens+j.output > m.Context {
+		return refuser.At("messages", "context_length_exceeded",
+			"the prompt's %d tokens and %d of answer are over the model's %d", j.tokens, j.output, m.Context)
+	}
+	class, ok := v.Class(j.tokens)
+	if !ok {
+		return refuser.At("messages", "context_length_exceeded", "no class of work takes a prompt of %d tokens", j.tokens)
+	}
+	limit, refusal := gater.Limit(q, class.Limit, class.Least, class.Most)
+	if refusal != nil {
+		return refusal
+	}
+	j.deadline = j.arrived.Add(limit)
+	j.priority = v.Priority(class)
+	return nil
+}
+
+func (j *job) ask() admitter.Ask {
+	head := j.chat.Prompt[:min(headSize, len(j.chat.Prompt))]
+	return admitter.Ask{
+		Team: j.team.Name, Share: j.team.Share, Tokens: j.tokens, Output: j.output,
+		Arrived: j.arrived, Deadline: j.deadline, Head: xxhash.Sum64String(head),
+	}
+}
--- /dev/null
+++ b/entry/request/chatter/run.go
@@ -0,0 +1,277 @@
+package chatter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/connection/streamer"
+	"github.com/heathervane/heathervane/entry/process/dispatcher"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/request/retrier"
+)
+
+// run has the work done, at another upstream where one has failed before the
+// first token and nothing can run twice unseen.
+func (c *Chatter) run(ctx context.Context, w http.ResponseWriter, j *job) {
+	for {
+		grant, refusal := c.acquirer.Acquire(ctx, dispatcher.Call{Pool: j.pool, Ask: j.ask(), Avoid: j.avoid})
+		if refusal != nil {
+			c.refuse(w, j.truthful(refusal))
+			return
+		}
+		j.tries++
+		a := c.attempt(j, grant)
+		failure := a.serve(ctx, w)
+		if failure == nil {
+			c.retrier.Completed(c.now())
+			return
+		}
+		if !c.again(ctx, w, j, a, failure) {
+			return
+		}
+	}
+}
+
+// truthful keeps a refusal from saying "not run" after an earlier upstream may
+// have run the work.
+func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
+	if j.tries > 0 {
+		return r.Having(refuser.Unknown)
+	}
+	return r
+}
+
+// again decides whether the work is sent to another upstream; where it is not,
+// it ends the request with the failure.
+func (c *Chatter) again(ctx context.Context, w http.ResponseWriter, j *job, a *attempt, f *failure) bool {
+	j.avoid = append(j.avoid, a.grant.Names()...)
+	if len(j.avoid) >= len(j.pool.Upstreams) {
+		j.avoid = nil
+	}
+	again, after := c.retrier.Decide(c.now(), retrier.Attempt{
+		Repeatable: true, Sent: f.sent, FirstByte: a.started, Tries: j.tries, Deadline: j.deadline,
+	})
+	if again && ctx.Err() == nil && wait(ctx, after) {
+		c.meter.Count("chat.retries", 1)
+		return true
+	}
+	c.meter.Count("chat.failed", 1)
+	a.fail(w, f.refusal(ctx, j))
+	return false
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// A failure is an attempt that brought no whole answer.
+type failure struct {
+	err error
+	// sent says that an engine may have begun the work.
+	sent bool
+}
+
+// refusal is what the caller is told.
+func (f *failure) refusal(ctx context.Context, j *job) *refuser.Refusal {
+	ran := refuser.Yes
+	if !f.sent {
+		ran = refuser.No
+	}
+	if j.tries > 1 && !f.sent {
+		ran = refuser.Unknown
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(ran)
+	}
+	var r *streamer.Refused
+	if errors.As(f.err, &r) && !f.sent {
+		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", r).Having(ran).Back(time.Second)
+	}
+	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(ran)
+}
+
+// An attempt is one sending of a job to the upstreams of a grant.
+type attempt struct {
+	chatter *Chatter
+	job     *job
+	grant   *dispatcher.Grant
+	id      string
+	begun   time.Time
+	// started says that the caller has had the first byte of its answer.
+	started bool
+	writer  answerer
+	// held are what was sent to the grant's parts, in their order.
+	held []holding
+}
+
+// A holding is what may stand at an engine under an id.
+type holding struct {
+	id string
+	// clear says that the engine has told that it has nothing.
+	clear bool
+}
+
+func (c *Chatter) attempt(j *job, g *dispatcher.Grant) *attempt {
+	a := &attempt{chatter: c, job: j, grant: g, id: j.id, begun: c.now()}
+	if j.tries > 1 {
+		a.id += "." + strconv.Itoa(j.tries)
+	}
+	a.writer = newAnswerer(j, c.now())
+	return a
+}
+
+// serve runs the attempt and passes its answer on.
+func (a *attempt) serve(ctx context.Context, w http.ResponseWriter) *failure {
+	header := w.Header()
+	header.Set(refuser.UpstreamHeader, strings.Join(a.grant.Names(), ","))
+	if a.job.tries > 1 {
+		header.Set(refuser.TriesHeader, strconv.Itoa(a.job.tries))
+	}
+	last := a.grant.Parts[len(a.grant.Parts)-1]
+	promised := a.promised()
+	c := a.chatter
+	c.watcher.Begun(last.Upstream.Name, a.id, promised)
+	defer c.watcher.Ended(last.Upstream.Name, a.id)
+	stream, f := a.open(ctx)
+	if f != nil {
+		a.release(dispatcher.Refused)
+		return f
+	}
+	defer stream.Close()
+	if err := a.relay(ctx, w, stream, promised); err != nil {
+		a.release(outcome(ctx))
+		return &failure{err: err, sent: true}
+	}
+	a.release(dispatcher.Completed)
+	return nil
+}
+
+func outcome(ctx context.Context) dispatcher.Outcome {
+	if ctx.Err() != nil {
+		return dispatcher.Cancelled
+	}
+	return dispatcher.Cut
+}
+
+// promised is the time to the first token of an idle engine.
+func (a *attempt) promised() time.Duration {
+	var d time.Duration
+	for _, p := range a.grant.Parts {
+		if p.Upstream.Prefill > 0 {
+			d += time.Duration(float64(p.Tokens) / float64(p.Upstream.Prefill) * float64(time.Second))
+		}
+	}
+	last := a.grant.Parts[len(a.grant.Parts)-1].Upstream
+	if last.Decode > 0 {
+		d += time.Second / time.Duration(last.Decode)
+	}
+	return d
+}
+
+// open reads the parts of a group in their order, each on the engine that will
+// keep it, and opens the stream on the last. A single engine is a group of one.
+func (a *attempt) open(ctx context.Context) (*streamer.Stream, *failure) {
+	prompt := a.job.chat.Prompt
+	var imports []streamer.Import
+	sent := false
+	for i, part := range a.grant.Parts {
+		last := i == len(a.grant.Parts)-1
+		text := prompt
+		if !last {
+			text = prompt[:min(len(prompt), part.Tokens*a.job.bytes)]
+			prompt = prompt[len(text):]
+		}
+		job := a.wire(i, part, text, imports)
+		a.hold(job.ID)
+		if last {
+			stream, err := a.chatter.streamer.Open(ctx, part.Upstream.Address, job)
+			return stream, a.failed(part, err, sent)
+		}
+		handle, err := a.chatter.streamer.Part(ctx, part.Upstream.Address, job)
+		if f := a.failed(part, err, sent); f != nil {
+			return nil, f
+		}
+		sent = true
+		imports = append(imports, streamer.Import{Address: part.Upstream.Address, Handle: handle})
+	}
+	return nil, &failure{err: fmt.Errorf("a grant without parts")}
+}
+
+func (a *attempt) wire(i int, part dispatcher.Part, text string, imports []streamer.Import) streamer.Job {
+	c := a.chatter.config
+	j := streamer.Job{
+		ID: a.id, VM: c.VM, Boot: c.Boot, Expect: part.Boot, Model: a.job.model,
+		Prompt: text, Output: a.job.output, Priority: a.job.priority, Imports: imports,
+	}
+	if i < len(a.grant.Parts)-1 {
+		j.ID += "-p" + strconv.Itoa(i)
+		j.Output = 0
+	}
+	return j
+}
+
+func (a *attempt) hold(id string) {
+	a.held = append(a.held, holding{id: id})
+	a.chatter.running.add(id)
+}
+
+// failed sorts an engine's error, and tells of evidence that it turned cold.
+func (a *attempt) failed(part dispatcher.Part, err error, sent bool) *failure {
+	if err == nil {
+		return nil
+	}
+	var r *streamer.Refused
+	if !errors.As(err, &r) {
+		a.chatter.watcher.Turned(part.Upstream.Name, 0, "reset")
+		return &failure{err: err, sent: true}
+	}
+	a.held[len(a.held)-1].clear = !r.Ran
+	switch r.Code {
+	case "boot", "down", "unreached":
+		a.chatter.watcher.Turned(part.Upstream.Name, r.Boot, r.Code)
+	}
+	return &failure{err: err, sent: sent || r.Ran}
+}
+
+// release gives the places back. Where something still stands at an engine, its
+// place goes back only when the engine has confirmed that it is gone: until
+// then the engine's memory is in use, and lending it again would overfill it.
+func (a *attempt) release(o dispatcher.Outcome) {
+	for i, p := range a.grant.Parts {
+		if i >= len(a.held) {
+			p.Slot.Done(dispatcher.Cancelled)
+			continue
+		}
+		h := a.held[i]
+		if h.clear {
+			a.chatter.running.remove(h.id)
+			p.Slot.Done(dispatcher.Refused)
+			continue
+		}
+		done := func() {
+			a.chatter.running.remove(h.id)
+			p.Slot.Done(o)
+		}
+		// A whole answer frees its stream by itself; a group's parts do not.
+		if o == dispatcher.Completed && i == len(a.grant.Parts)-1 {
+			done()
+			continue
+		}
+		a.chatter.canceller.Cancel(p.Upstream.Address, h.id, done)
+	}
+}
--- /dev/null
+++ b/entry/request/passer/passer.go
@@ -0,0 +1,208 @@
+// Package passer passes calls through to plain services. A call that may not be
+// repeated is sent at most once, whatever happens, and "not run" is said only
+// where no byte of it can have left: the caller who is told so may safely try
+// again, and a booking made twice charges a member twice.
+package passer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/dispatcher"
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/gater"
+	"github.com/heathervane/heathervane/entry/request/reader"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/request/retrier"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+)
+
+// Prefix is where calls of services stand.
+const Prefix = "/services/"
+
+// Headers that a call carries to its service.
+const (
+	keyHeader  = "Idempotency-Key"
+	callHeader = "Call"
+	teamHeader = "Heathervane-Team"
+	ranHeader  = "Ran"
+)
+
+// An Acquirer gives places at upstreams.
+type Acquirer interface {
+	Acquire(ctx context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal)
+}
+
+// A Watcher hears evidence that an upstream has turned cold.
+type Watcher interface {
+	Turned(upstream string, boot uint64, cause string)
+}
+
+// A Retrier decides whether a call is sent again.
+type Retrier interface {
+	Decide(now time.Time, a retrier.Attempt) (again bool, after time.Duration)
+	Completed(now time.Time)
+}
+
+// A Meter counts.
+type Meter interface {
+	Count(name string, n int64)
+	Time(name string, d time.Duration)
+}
+
+// Deps are what a Passer works with.
+type Deps struct {
+	Views    func() *viewer.View
+	Reader   *reader.Reader
+	Acquirer Acquirer
+	Watcher  Watcher
+	Retrier  Retrier
+	Keeper   Keeper
+	Meter    Meter
+	Now      func() time.Time
+}
+
+// A Passer passes calls through.
+type Passer struct {
+	vm       string
+	boot     uint64
+	deps     Deps
+	again    *http.Client
+	once     *http.Client
+	sequence atomic.Uint64
+}
+
+// New returns a Passer for a VM's process.
+func New(vm string, boot uint64, d Deps) *Passer {
+	return &Passer{vm: vm, boot: boot, deps: d, again: newClient(true), once: newClient(false)}
+}
+
+// newClient returns a client of services. One for calls that may not be
+// repeated never uses a connection twice: net/http sends a request again on its
+// own when a kept connection turns out to be dead and the request has an empty
+// body and an Idempotency-Key, or may be replayed otherwise. Nobody would see
+// that but the member who is charged twice.
+func newClient(reuse bool) *http.Client {
+	t := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+		DisableKeepAlives:   !reuse,
+		DisableCompression:  true,
+	}
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: t, CheckRedirect: stay}
+}
+
+// A call is one call on its way.
+type call struct {
+	id       string
+	method   string
+	path     string
+	service  string
+	team     viewer.Team
+	pool     *viewer.Pool
+	view     *viewer.View
+	header   http.Header
+	body     *reader.Body
+	arrived  time.Time
+	deadline time.Time
+	// repeatable says that it may be sent more than once.
+	repeatable bool
+	tries      int
+	avoid      []string
+}
+
+// ServeHTTP answers one call.
+func (p *Passer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	arrived := p.deps.Now()
+	w.Header().Set(refuser.VMHeader, p.vm)
+	p.deps.Meter.Count("service.calls", 1)
+	c, refusal := p.accept(w, q, arrived)
+	if refusal != nil {
+		p.refuse(w, refusal)
+		return
+	}
+	defer c.body.Release()
+	ctx, cancel := context.WithDeadline(q.Context(), c.deadline)
+	defer cancel()
+	if key := q.Header.Get(keyHeader); key != "" && !c.repeatable {
+		p.keyed(ctx, w, c, key)
+		return
+	}
+	outcome := p.run(ctx, c, nil)
+	p.answer(w, outcome)
+}
+
+func (p *Passer) refuse(w http.ResponseWriter, r *refuser.Refusal) {
+	p.deps.Meter.Count("service.refused."+r.Code, 1)
+	r.Write(w)
+}
+
+func (p *Passer) accept(w http.ResponseWriter, q *http.Request, arrived time.Time) (*call, *refuser.Refusal) {
+	v := p.deps.Views()
+	if v == nil {
+		return nil, gater.NotReady()
+	}
+	team, refusal := gater.Team(v, q)
+	if refusal != nil {
+		return nil, refusal
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(q.URL.EscapedPath(), Prefix), "/")
+	pool, ok := v.Service(name)
+	if !ok {
+		return nil, refuser.New(http.StatusNotFound, "service_not_found", "there is no service %.60q", name)
+	}
+	if q.Header.Get("Upgrade") != "" {
+		return nil, refuser.At("Upgrade", "unsupported", "calls cannot change their protocol")
+	}
+	s := v.Manifest.Services[name]
+	limit, refusal := gater.Limit(q, s.Limit, s.Least, s.Most)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := p.deps.Reader.Read(w, q)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c := &call{
+		id: p.id(), method: q.Method, path: "/" + path, service: name, team: team, pool: pool, view: v,
+		header: onward(q.Header), body: body, arrived: arrived, deadline: arrived.Add(limit),
+		repeatable: v.Repeatable(name, q.Method, q.URL.Path[min(len(q.URL.Path), len(Prefix)+len(name)):]),
+	}
+	if q.URL.RawQuery != "" {
+		c.path += "?" + q.URL.RawQuery
+	}
+	return c, nil
+}
+
+func (p *Passer) id() string {
+	n := p.sequence.Add(1)
+	return p.vm + "-" + strconv.FormatUint(p.boot, 36) + "-c" + strconv.FormatUint(n, 36)
+}
+
+func (c *call) ask() admitter.Ask {
+	return admitter.Ask{Team: c.team.Name, Share: c.team.Share, Arrived: c.arrived, Deadline: c.deadline}
+}
+
+// hop are the headers that belong to one connection, by RFC 9110, section 7.6.1.
+var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// onward are the headers that go on to the other side.
+func onward(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		out.Del(name)
+	}
+	// The bearer token is between the caller and this system.
+	out.Del("Authorization")
+	return out
+}
