--- /dev/null
+++ b/entry/process/splitter/splitter.go
@@ -0,0 +1,157 @@
+// Package splitter decides how many engines are set apart for long prompts. It
+// answers a mix of short and long prompts that changes over the day. Without
+// it long prompts stand on every engine, and a short question meets one
+// wherever it goes; with a fixed number, engines idle on one side while the
+// other side is full.
+//
+// The number follows the offered tokens, smoothed, with hysteresis: an engine
+// that changes sides must first finish what it runs, so that a number that
+// swings costs more than one that is a little off.
+package splitter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Config sets a Splitter. A zero field takes the default named with it.
+type Config struct {
+	// Smooth is the time constant over which the load is averaged; 5 s by
+	// default, several long prompts' arrivals at the brief's rates.
+	Smooth time.Duration
+	// Up is how many engines too few there must be before one is added, and
+	// Down how many too many before one is given back; 0.25 and 1.25 by
+	// default. The band of 1.5 engines is wider than one step, so that a step
+	// never calls for its own reversal.
+	Up, Down float64
+	// Rise and Fall are how long that must have lasted; 2 s and 20 s by
+	// default. A long prompt holds an engine for tens of seconds: giving one
+	// back sooner would mean to take it again.
+	Rise, Fall time.Duration
+}
+
+// A Load is what is offered.
+type Load struct {
+	// ShortTokens and LongTokens are prompt tokens offered per second.
+	ShortTokens, LongTokens float64
+	// Engines is how many there are.
+	Engines int
+}
+
+// A Splitter keeps the number for one model. It is not safe for use by several
+// goroutines.
+type Splitter struct {
+	conf  Config
+	last  time.Time
+	short float64
+	long  float64
+	n     int
+	// above and below are since when there were too few or too many.
+	above, below time.Time
+}
+
+// New returns a Splitter that sets no engine apart yet.
+func New(c Config) *Splitter {
+	if c.Smooth == 0 {
+		c.Smooth = 5 * time.Second
+	}
+	if c.Up == 0 {
+		c.Up = 0.25
+	}
+	if c.Down == 0 {
+		c.Down = 1.25
+	}
+	if c.Rise == 0 {
+		c.Rise = 2 * time.Second
+	}
+	if c.Fall == 0 {
+		c.Fall = 20 * time.Second
+	}
+	return &Splitter{conf: c}
+}
+
+// Step takes the load as of now and gives how many engines are set apart.
+func (s *Splitter) Step(now time.Time, l Load) int {
+	s.average(now, l)
+	most := max(0, l.Engines-1)
+	want := s.want(l.Engines)
+	s.above = since(s.above, now, want > float64(s.n)+s.conf.Up)
+	s.below = since(s.below, now, want < float64(s.n)-s.conf.Down || (s.long == 0 && s.n > 0))
+	switch {
+	case !s.above.IsZero() && now.Sub(s.above) >= s.conf.Rise:
+		s.n += step(want - float64(s.n))
+		s.above = time.Time{}
+	case !s.below.IsZero() && now.Sub(s.below) >= s.conf.Fall:
+		s.n -= step(float64(s.n) - want)
+		s.below = time.Time{}
+	}
+	s.n = min(s.n, most)
+	return s.n
+}
+
+// want is the long prompts' part of the engines, not rounded.
+func (s *Splitter) want(engines int) float64 {
+	sum := s.short + s.long
+	if sum <= 0 {
+		return 0
+	}
+	return float64(engines) * s.long / sum
+}
+
+// average smooths the load with the time constant.
+func (s *Splitter) average(now time.Time, l Load) {
+	weight := 1.0
+	if !s.last.IsZero() {
+		weight = 1 - math.Exp(-now.Sub(s.last).Seconds()/s.conf.Smooth.Seconds())
+	}
+	s.last = now
+	s.short += weight * (l.ShortTokens - s.short)
+	s.long += weight * (l.LongTokens - s.long)
+	if s.long < 1 {
+		s.long = 0
+	}
+}
+
+// step moves half of the way and at least one engine.
+func step(gap float64) int {
+	return max(1, int(gap/2))
+}
+
+func since(was, now time.Time, holds bool) time.Time {
+	switch {
+	case !holds:
+		return time.Time{}
+	case was.IsZero():
+		return now
+	}
+	return was
+}
+
+// Long chooses which n engines are set apart, by a hash of their names alone:
+// every VM that has the same n chooses the same ones, and another n or another
+// engine moves no more of them than it must.
+func Long(names []string, n int) map[string]bool {
+	if n <= 0 {
+		return map[string]bool{}
+	}
+	type scored struct {
+		score uint64
+		name  string
+	}
+	all := make([]scored, 0, len(names))
+	for _, name := range names {
+		all = append(all, scored{xxhash.Sum64String(name), name})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	long := make(map[string]bool, n)
+	for _, s := range all[:min(n, len(all))] {
+		long[s.name] = true
+	}
+	return long
+}
--- /dev/null
+++ b/entry/request/admitter/admitter.go
@@ -0,0 +1,408 @@
+// Package admitter decides what is let in to wait, in which order it waits and
+// what is turned away at once. It answers saturation (three times the load that
+// fits), bursts, one team that sends most of the load, and million-token
+// prompts among short ones. Without it a queue grows until everything in it is
+// late, one team's backlog stands before everybody's, and a short question
+// waits behind a document that takes a minute to read.
+//
+// Each ask is in a band by prompt length. Bands share the upstreams by weight,
+// counted in tokens; in a band, teams take turns by deficit round robin,
+// counted in tokens; within a team the earliest deadline goes first. An ask
+// that cannot be done in time, given what is ahead of it in that order, is
+// refused when it comes and not when its time is over.
+//
+// The package does not choose upstreams, reads no clock, and is not safe for
+// use by several goroutines.
+package admitter
+
+import (
+	"time"
+)
+
+// An Ask is a request that wants to be let in.
+type Ask struct {
+	// ID is unique among the asks of one Admitter.
+	ID uint64
+	// Team names whose it is.
+	Team string
+	// Share is the team's weight beside the other teams; below 1 reads as 1.
+	Share int
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Output is the most answer tokens that may come.
+	Output int
+	// Arrived is when the request's time limit began to run.
+	Arrived time.Time
+	// Deadline is when the whole answer must be out.
+	Deadline time.Time
+	// Head is the hash of the prompt's first 4 KiB, by which cached prefixes
+	// are known.
+	Head uint64
+}
+
+// A Pace is what this VM may expect of a model's upstreams.
+type Pace struct {
+	// Slots is how many requests this VM may have in progress.
+	Slots int
+	// Prefill is the prompt tokens per second that this VM's share of all
+	// upstreams reads.
+	Prefill float64
+	// Alone is the prompt tokens per second of a single upstream, which bounds
+	// how soon one prompt can be read; 0 reads as Prefill.
+	Alone float64
+	// Decode is the answer tokens per second of one stream.
+	Decode float64
+	// Running is how many of the slots are taken.
+	Running int
+	// PrefillLeft is how many prompt tokens of work already placed are unread,
+	// on this VM's share.
+	PrefillLeft float64
+}
+
+// Codes of a Refusal.
+const (
+	// Saturated says that the upstreams have more to do than they can in time.
+	Saturated = "saturated"
+	// Late says that the ask could not end in time even with nothing ahead.
+	Late = "late"
+	// Share says that the team's own backlog is what stands before the ask.
+	Share = "share"
+)
+
+// A Refusal is the error that turns an ask away. Nothing of it has run.
+type Refusal struct { //nolint:errname // the word that callers meet
+	// Code is Saturated, Late or Share.
+	Code string
+	// After is when coming back helps; 0 where it does not.
+	After time.Duration
+}
+
+// Error gives the code and the time to come back.
+func (r *Refusal) Error() string {
+	if r.After == 0 {
+		return "refused as " + r.Code
+	}
+	return "refused as " + r.Code + ", come back after " + r.After.String()
+}
+
+// Values of Config.Queue.
+const (
+	// Fair is the queue that the package's comment describes.
+	Fair = "fair"
+	// First is the baseline: one queue, first come first served, that refuses
+	// only when it is full and whose head blocks all behind it.
+	First = "first"
+)
+
+// A Config sets an Admitter. A zero field takes the default named with it.
+type Config struct {
+	// Queue is Fair (the default) or First.
+	Queue string
+	// Requests bounds the queue's length; 4,096 by default, at which a team
+	// of 2,700 still finds room for its first ask.
+	Requests int
+	// Tokens bounds the prompts that wait; 16 Mi tokens by default, about
+	// 64 MiB of bodies, which a small VM can hold.
+	Tokens int
+	// Bounds are the longest prompts of all bands but the last, ascending:
+	// 16 Ki, 64 Ki and 256 Ki tokens by default. In a band of this width the
+	// longest takes four times as long as the shortest, and so delays it by
+	// little; each band more would add one call of place to each Next.
+	Bounds []int
+	// Weights are the bands' parts of the tokens when all bands wait: 8, 4, 2
+	// and 2 by default. The short band has half, because its callers feel
+	// each second; the long ones keep an eighth each and are never starved.
+	Weights []int
+	// Answer is how many prompt tokens one answer token counts for in teams'
+	// turns; 8 by default, as an engine reads about that many prompt tokens in
+	// the time that it makes one answer token over all its streams.
+	Answer int
+	// Length is the part of Output that estimates reckon with; 1 by default,
+	// so that an ask that uses all it asked for still ends in time.
+	Length float64
+	// Margin is the part of an ask's time kept free for what estimates leave
+	// out, such as lagging reports; 0.1 by default.
+	Margin float64
+	// Tries bounds the calls of place per band in one Next; 2 by default.
+	Tries int
+	// Patience is the part of an ask's time for which others of its band may
+	// be placed before it when it finds no place itself; 0.125 by default.
+	Patience float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Queue == "" {
+		c.Queue = Fair
+	}
+	if c.Requests == 0 {
+		c.Requests = 4096
+	}
+	if c.Tokens == 0 {
+		c.Tokens = 16 << 20
+	}
+	if c.Bounds == nil {
+		c.Bounds = []int{16 << 10, 64 << 10, 256 << 10}
+	}
+	if c.Weights == nil {
+		c.Weights = []int{8, 4, 2, 2}
+	}
+	if c.Answer == 0 {
+		c.Answer = 8
+	}
+	if c.Length == 0 {
+		c.Length = 1
+	}
+	if c.Margin == 0 {
+		c.Margin = 0.1
+	}
+	if c.Tries == 0 {
+		c.Tries = 2
+	}
+	if c.Patience == 0 {
+		c.Patience = 0.125
+	}
+	return c
+}
+
+// An Admitter is one model's queue on one VM.
+type Admitter struct {
+	conf Config
+	// items holds every waiting ask.
+	items map[uint64]*item
+	// teams counts what each team has waiting, over all bands.
+	teams  map[string]load
+	total  load
+	bands  []*band
+	latest latestHeap
+	// gone are asks that Next found too late, until Expire hands them out.
+	gone []Ask
+	// clock is the virtual time of the bands: the finish tag of the last
+	// band served.
+	clock float64
+	pace  Pace
+	line  []uint64
+}
+
+// A load sums waiting asks.
+type load struct {
+	asks, tokens, output int
+	cost                 int64
+}
+
+func (l *load) add(a Ask, cost int64, sign int) {
+	l.asks += sign
+	l.tokens += sign * a.Tokens
+	l.output += sign * a.Output
+	l.cost += int64(sign) * cost
+}
+
+// An item is a waiting ask.
+type item struct {
+	ask  Ask
+	cost int64
+	band *band
+	turn *turn
+	// start is the latest moment at which it can be placed and end in time.
+	start time.Time
+	// refused is when place first found no place for it.
+	refused time.Time
+	// index is its place in the heap of latest starts.
+	index int
+	// left, right, rank and sum are its team's tree, in deadline order.
+	left, right *item
+	rank        uint64
+	sum         int64
+}
+
+// New returns an empty Admitter.
+func New(c Config) *Admitter {
+	c = c.withDefaults()
+	a := &Admitter{conf: c, items: map[uint64]*item{}, teams: map[string]load{}}
+	n := len(c.Bounds) + 1
+	if c.Queue == First {
+		n = 1
+	}
+	for i := range n {
+		weight := 1
+		if i < len(c.Weights) {
+			weight = max(1, c.Weights[i])
+		}
+		a.bands = append(a.bands, newBand(float64(weight)))
+	}
+	return a
+}
+
+// Len is how many asks wait.
+func (a *Admitter) Len() int { return len(a.items) }
+
+// Tokens is the sum of the waiting prompts.
+func (a *Admitter) Tokens() int { return a.total.tokens }
+
+// Offer queues the ask, or says why not and when to come back.
+func (a *Admitter) Offer(now time.Time, k Ask, p Pace) *Refusal {
+	if k.Share < 1 {
+		k.Share = 1
+	}
+	it := &item{ask: k, cost: a.cost(k), band: a.band(k.Tokens)}
+	it.start = k.Deadline.Add(-a.service(k, p))
+	if r := a.refuse(now, it, p); r != nil {
+		return r
+	}
+	if _, ok := a.items[k.ID]; ok {
+		return &Refusal{Code: Saturated}
+	}
+	a.pace = p
+	a.insert(it)
+	return nil
+}
+
+// Remove takes an ask out, as when its caller has gone.
+func (a *Admitter) Remove(id uint64) bool {
+	it, ok := a.items[id]
+	if ok {
+		a.delete(it)
+	}
+	return ok
+}
+
+// Expire takes out the asks that can no longer be done in time, at the pace
+// given, so that their callers learn it now.
+func (a *Admitter) Expire(now time.Time, p Pace) []Ask {
+	if a.conf.Queue == Fair && slower(p, a.pace) {
+		a.rebuild(p)
+	}
+	for a.latest.Len() > 0 && !now.Before(a.latest[0].start) {
+		it := a.latest[0]
+		a.delete(it)
+		a.gone = append(a.gone, it.ask)
+	}
+	gone := a.gone
+	a.gone = nil
+	return gone
+}
+
+// Next gives the next ask in order that place takes, and takes it out. It
+// calls place at most Config.Tries times for each band, so that one call's
+// cost does not grow with the queue. An ask that finds no place holds back
+// nobody of another band, and nobody of its own for Config.Patience.
+func (a *Admitter) Next(now time.Time, place func(Ask) bool) (Ask, bool) {
+	if a.conf.Queue == First {
+		return a.nextFirst(now, place)
+	}
+	for _, b := range a.order() {
+		for _, t := range b.first(a.conf.Tries) {
+			it := a.head(now, t)
+			if it == nil {
+				continue
+			}
+			if place(it.ask) {
+				a.serve(it)
+				return it.ask, true
+			}
+			if it.refused.IsZero() {
+				it.refused = now
+			}
+			limit := it.ask.Deadline.Sub(it.ask.Arrived)
+			if now.Sub(it.refused) > time.Duration(a.conf.Patience*float64(limit)) {
+				break
+			}
+		}
+	}
+	return Ask{}, false
+}
+
+// head gives the team's first ask that can still be done in time. One that
+// cannot would take an upstream's time for an answer nobody gets.
+func (a *Admitter) head(now time.Time, t *turn) *item {
+	for it := t.queue.first(); it != nil; it = t.queue.first() {
+		if now.Before(it.start) {
+			return it
+		}
+		a.delete(it)
+		a.gone = append(a.gone, it.ask)
+	}
+	return nil
+}
+
+func (a *Admitter) nextFirst(now time.Time, place func(Ask) bool) (Ask, bool) {
+	for len(a.line) > 0 {
+		it, ok := a.items[a.line[0]]
+		if ok && now.Before(it.start) {
+			if !place(it.ask) {
+				return Ask{}, false
+			}
+			a.delete(it)
+		}
+		a.line = a.line[1:]
+		if ok && now.Before(it.start) {
+			return it.ask, true
+		}
+	}
+	return Ask{}, false
+}
+
+// serve takes out an ask that found a place, and charges its team and band.
+func (a *Admitter) serve(it *item) {
+	b := it.band
+	b.spent = b.finish(it.cost)
+	a.clock = max(a.clock, b.spent)
+	b.serve(it)
+	a.drop(it)
+}
+
+func (a *Admitter) insert(it *item) {
+	k := it.ask
+	a.items[k.ID] = it
+	l := a.teams[k.Team]
+	l.add(k, it.cost, 1)
+	a.teams[k.Team] = l
+	a.total.add(k, it.cost, 1)
+	a.latest.push(it)
+	if a.conf.Queue == First {
+		a.line = append(a.line, k.ID)
+		return
+	}
+	if it.band.load.asks == 0 {
+		// A band that was idle starts where the others are: it has saved up
+		// no claim from the time in which it wanted nothing.
+		it.band.spent = max(it.band.spent, a.clock)
+	}
+	it.band.insert(it)
+}
+
+func (a *Admitter) delete(it *item) {
+	if a.conf.Queue == Fair {
+		it.band.delete(it)
+	}
+	a.drop(it)
+}
+
+// drop forgets an ask that has left its band.
+func (a *Admitter) drop(it *item) {
+	k := it.ask
+	delete(a.items, k.ID)
+	l := a.teams[k.Team]
+	l.add(k, it.cost, -1)
+	a.teams[k.Team] = l
+	if l.asks == 0 {
+		delete(a.teams, k.Team)
+	}
+	a.total.add(k, it.cost, -1)
+	a.latest.remove(it)
+}
+
+func (a *Admitter) cost(k Ask) int64 {
+	return int64(max(1, k.Tokens+a.conf.Answer*k.Output))
+}
+
+func (a *Admitter) band(tokens int) *band {
+	if a.conf.Queue == First {
+		return a.bands[0]
+	}
+	for i, most := range a.conf.Bounds {
+		if tokens <= most {
+			return a.bands[i]
+		}
+	}
+	return a.bands[len(a.bands)-1]
+}
--- /dev/null
+++ b/entry/request/admitter/band.go
@@ -0,0 +1,167 @@
+package admitter
+
+import (
+	"container/heap"
+	"math/bits"
+)
+
+// quantum is the tokens that a team of share 1 is given in each round. It is
+// small against any prompt, so that turns follow the shares closely; rounds in
+// which nobody can pay are skipped, so that it costs nothing to be small.
+const quantum = 256
+
+// A band is the asks of similar length, and their teams' turns.
+type band struct {
+	weight float64
+	// spent is the tokens served over the weight: the band's virtual time.
+	spent float64
+	load  load
+	turns map[string]*turn
+	heap  turnHeap
+	// round is that of the last ask served, and seq counts turns given.
+	round, seq int64
+	// sizes groups the teams by the binary logarithm of cost over share.
+	sizes [64]size
+	tries []*turn
+}
+
+// A size sums the teams whose backlog over share is within a factor of two.
+type size struct {
+	cost, share int64
+}
+
+// A turn is one team's place in a band.
+type turn struct {
+	team  string
+	share int64
+	queue queue
+	cost  int64
+	// deficit is what the team may spend as of round since.
+	deficit, since int64
+	// round is when its first ask can be paid.
+	round, seq int64
+	index      int
+}
+
+func newBand(weight float64) *band {
+	return &band{weight: weight, turns: map[string]*turn{}}
+}
+
+// finish is the virtual time at which an ask of this cost would end.
+func (b *band) finish(cost int64) float64 {
+	return b.spent + float64(cost)/b.weight
+}
+
+// first gives up to n teams in the order of their turns.
+func (b *band) first(n int) []*turn {
+	b.tries = b.tries[:0]
+	for len(b.tries) < n && len(b.heap) > 0 {
+		b.tries = append(b.tries, heap.Pop(&b.heap).(*turn)) //nolint:forcetypeassert // only turns are pushed
+	}
+	for _, t := range b.tries {
+		heap.Push(&b.heap, t)
+	}
+	return b.tries
+}
+
+func (b *band) insert(it *item) {
+	k := it.ask
+	b.load.add(k, it.cost, 1)
+	t := b.turns[k.Team]
+	if t == nil {
+		b.seq++
+		t = &turn{team: k.Team, share: int64(k.Share), since: b.round, seq: b.seq}
+		b.turns[k.Team] = t
+		heap.Push(&b.heap, t)
+	}
+	it.turn = t
+	t.queue.insert(it)
+	b.resize(t, it.cost)
+	b.settle(t)
+}
+
+// delete takes out an ask that was not served.
+func (b *band) delete(it *item) {
+	t := it.turn
+	b.load.add(it.ask, it.cost, -1)
+	t.queue.delete(it)
+	b.resize(t, -it.cost)
+	if t.cost == 0 {
+		b.forget(t)
+		return
+	}
+	b.settle(t)
+}
+
+// serve takes out the first ask of a team and charges the team for it.
+func (b *band) serve(it *item) {
+	t := it.turn
+	b.round = max(b.round, t.round)
+	t.deficit += (t.round-t.since)*quantum*t.share - it.cost
+	t.since = t.round
+	b.seq++
+	t.seq = b.seq
+	b.delete(it)
+}
+
+// settle finds the round in which the team can pay for its first ask.
+func (b *band) settle(t *turn) {
+	t.round = t.since
+	each := quantum * t.share
+	if lack := t.queue.first().cost - t.deficit; lack > 0 {
+		t.round += (lack + each - 1) / each
+	}
+	t.round = max(t.round, b.round)
+	heap.Fix(&b.heap, t.index)
+}
+
+// forget drops a team with nothing waiting. Its deficit goes with it: nobody
+// saves up turns for a burst while it wants nothing.
+func (b *band) forget(t *turn) {
+	heap.Remove(&b.heap, t.index)
+	delete(b.turns, t.team)
+}
+
+func (b *band) resize(t *turn, cost int64) {
+	if t.cost > 0 {
+		s := &b.sizes[bits.Len64(uint64(t.cost/t.share))]
+		s.cost -= t.cost
+		s.share -= t.share
+	}
+	t.cost += cost
+	if t.cost > 0 {
+		s := &b.sizes[bits.Len64(uint64(t.cost/t.share))]
+		s.cost += t.cost
+		s.share += t.share
+	}
+}
+
+// ahead estimates the cost that is served before an ask: what its team has
+// with earlier deadlines, and of each other team no more than its share of
+// that. Teams are read by size and not one by one, so that the cost does not
+// grow with their number.
+func (b *band) ahead(it *item) (all, own int64) {
+	t := b.turns[it.ask.Team]
+	share := int64(it.ask.Share)
+	var mine, backlog int64
+	if t != nil {
+		share = t.share
+		mine = t.queue.ahead(it)
+		backlog = t.cost
+	}
+	// turns is how much each share is given until the ask is paid.
+	turns := (mine + it.cost + share - 1) / share
+	others := int64(0)
+	for i, s := range b.sizes {
+		if s.share == 0 {
+			continue
+		}
+		cost, sum := s.cost, s.share
+		if t != nil && i == bits.Len64(uint64(backlog/share)) {
+			cost -= backlog
+			sum -= share
+		}
+		others += min(cost, turns*sum)
+	}
+	return others + mine, mine
+}
--- /dev/null
+++ b/entry/request/admitter/estimate.go
@@ -0,0 +1,163 @@
+package admitter
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+)
+
+// slowdown is the part by which the pace must have fallen before waiting asks
+// are reckoned again; smaller changes are within the margin.
+const slowdown = 0.9
+
+// order gives the bands with asks, the one whose first ask ends earliest in
+// virtual time first. Short asks so go before long ones until they have had
+// their weight's worth of tokens.
+func (a *Admitter) order() []*band {
+	tags := make([]struct {
+		band *band
+		tag  float64
+	}, 0, 8)
+	for _, b := range a.bands {
+		if len(b.heap) == 0 {
+			continue
+		}
+		tags = append(tags, struct {
+			band *band
+			tag  float64
+		}{b, b.finish(b.heap[0].queue.first().cost)})
+	}
+	slices.SortStableFunc(tags, func(x, y struct {
+		band *band
+		tag  float64
+	},
+	) int {
+		return cmp.Compare(x.tag, y.tag)
+	})
+	bands := make([]*band, 0, len(tags))
+	for _, t := range tags {
+		bands = append(bands, t.band)
+	}
+	return bands
+}
+
+// service is how long an ask takes with nothing ahead of it.
+func (a *Admitter) service(k Ask, p Pace) time.Duration {
+	if a.conf.Queue == First {
+		return 0
+	}
+	return seconds(float64(k.Tokens)/p.alone() + a.conf.Length*float64(k.Output)/p.decode())
+}
+
+// refuse says why an ask cannot be let in, or nil.
+func (a *Admitter) refuse(now time.Time, it *item, p Pace) *Refusal {
+	if a.conf.Queue == First {
+		if a.Len() >= a.conf.Requests || a.total.tokens+it.ask.Tokens > a.conf.Tokens {
+			return &Refusal{Code: Saturated, After: time.Second}
+		}
+		return nil
+	}
+	limit := it.ask.Deadline.Sub(now)
+	spare := it.start.Sub(now) - time.Duration(a.conf.Margin*float64(limit))
+	if spare <= 0 {
+		return &Refusal{Code: Late}
+	}
+	all, own := it.band.ahead(it)
+	total := all + a.others(it, all+it.cost)
+	rate := a.rate(it, p)
+	placed := a.placed(p)
+	wait := placed + seconds(float64(total)/rate)
+	code := a.full(it)
+	if code == "" && wait <= spare {
+		return nil
+	}
+	if code == "" {
+		code = Saturated
+		if 2*own > all {
+			code = Share
+		}
+	}
+	// The honest hour is when what is ahead has gone. Asks that are refused
+	// together would come back together, so each has its own part of a
+	// quarter more.
+	spread := 1 + float64(it.ask.ID*0x9e3779b97f4a7c15>>56)/1024
+	after := time.Duration(float64(max(wait-spare, wait/2, time.Second/4)) * spread)
+	return &Refusal{Code: code, After: after}
+}
+
+// full says by which code an ask is refused for want of room. A team may hold
+// no more than what is free, so that the queue of one team that sends most of
+// the load leaves half of the room to the others.
+func (a *Admitter) full(it *item) string {
+	l := a.teams[it.ask.Team]
+	asks := a.conf.Requests - a.total.asks
+	tokens := a.conf.Tokens - a.total.tokens
+	switch {
+	case asks < 1 || tokens < it.ask.Tokens:
+		return Saturated
+	case l.asks > 0 && (l.asks >= asks || l.tokens+it.ask.Tokens > tokens):
+		return Share
+	}
+	return ""
+}
+
+// others is what the other bands are served while this one is served cost.
+func (a *Admitter) others(it *item, cost int64) int64 {
+	var sum int64
+	for _, b := range a.bands {
+		if b != it.band {
+			part := float64(cost) * b.weight / it.band.weight
+			sum += min(b.load.cost, int64(part))
+		}
+	}
+	return sum
+}
+
+// placed is how long work that is already placed delays the next.
+func (a *Admitter) placed(p Pace) time.Duration {
+	return seconds(p.PrefillLeft / p.prefill())
+}
+
+// rate is the cost served per second, given the mix that waits: the prompts
+// are bound by prefill, the answers by slots, and the slower of the two counts.
+func (a *Admitter) rate(it *item, p Pace) float64 {
+	l := a.total
+	l.add(it.ask, it.cost, 1)
+	read := float64(l.tokens) / p.prefill()
+	held := (float64(l.tokens)/p.alone() + a.conf.Length*float64(l.output)/p.decode()) / float64(max(1, p.Slots))
+	return float64(l.cost) / max(read, held, 1e-9)
+}
+
+// rebuild reckons again when each waiting ask must start, at a slower pace.
+func (a *Admitter) rebuild(p Pace) {
+	a.pace = p
+	for _, it := range a.latest {
+		it.start = it.ask.Deadline.Add(-a.service(it.ask, p))
+	}
+	heap.Init(&a.latest)
+}
+
+func slower(p, than Pace) bool {
+	return p.alone() < slowdown*than.alone() || p.decode() < slowdown*than.decode()
+}
+
+// A pace of zero is that of a fleet that does nothing: all is late.
+func (p Pace) prefill() float64 { return max(p.Prefill, 1e-3) }
+
+func (p Pace) decode() float64 { return max(p.Decode, 1e-3) }
+
+func (p Pace) alone() float64 {
+	if p.Alone > 0 {
+		return p.Alone
+	}
+	return p.prefill()
+}
+
+// longest bounds estimates, so that no sum of times overflows.
+const longest = 1000 * time.Hour
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s*float64(time.Second), float64(longest)))
+}
