--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -57,7 +57,7 @@
 		Age:         s.Age,
 		Prefill:     float64(u.Prefill),
 		Decode:      float64(u.Decode),
-		Speed:       p.dispatcher.gauger.Speed(u.Name),
+		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
 	}
 }
@@ -91,11 +91,12 @@
 		if u.Slots == 0 {
 			continue
 		}
-		speed := p.dispatcher.gauger.Speed(u.Name)
+		speed := p.dispatcher.speeds.Speed(u.Name)
 		share := float64(s.Slots) / float64(u.Slots)
 		c.Slots += s.Slots
 		c.Running += s.Mine
 		c.Prefill += float64(u.Prefill) * share * speed
+		c.Alone = max(c.Alone, float64(u.Prefill)*speed)
 		c.Decode = max(c.Decode, float64(u.Decode))
 		c.PrefillLeft += float64(s.PrefillLeft) * share
 	}
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/gauger"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/router"
@@ -45,10 +44,10 @@
 	Boot uint64
 	// Running, Waiting, Used, Memory and PrefillLeft are its last report,
 	// and Age is how old that is.
-	Running, Waiting  int
-	Used, Memory      int
-	PrefillLeft       int
-	Age               time.Duration
+	Running, Waiting int
+	Used, Memory     int
+	PrefillLeft      int
+	Age              time.Duration
 }
 
 // A Slot is one place at an upstream, in use until Done.
@@ -63,6 +62,11 @@
 	Want(upstream string, n int)
 }
 
+// Speeds tells how fast upstreams are: 1 as promised.
+type Speeds interface {
+	Speed(upstream string) float64
+}
+
 // Config are the choices of a Dispatcher.
 type Config struct {
 	// Zone is this VM's availability zone.
@@ -79,7 +83,7 @@
 type Dispatcher struct {
 	config   Config
 	supplier Supplier
-	gauger   *gauger.Gauger
+	speeds   Speeds
 	now      func() time.Time
 	ids      atomic.Uint64
 
@@ -88,8 +92,8 @@
 }
 
 // New returns a Dispatcher without pools; Configure brings them.
-func New(c Config, s Supplier, g *gauger.Gauger, now func() time.Time) *Dispatcher {
-	return &Dispatcher{config: c, supplier: s, gauger: g, now: now, pools: make(map[string]*pool)}
+func New(c Config, s Supplier, v Speeds, now func() time.Time) *Dispatcher {
+	return &Dispatcher{config: c, supplier: s, speeds: v, now: now, pools: make(map[string]*pool)}
 }
 
 // Configure puts a version of the configuration in force. Requests that wait
@@ -162,9 +166,10 @@
 	Upstream viewer.Upstream
 	// Boot is the boot number that the place was lent under, 0 if unknown.
 	Boot uint64
-	// Tokens is how much of the prompt this part is.
-	Tokens int
-	Slot   Slot
+	// Tokens is how much of the prompt this part is, and Ahead how many tokens
+	// of other prompts the upstream had left to read before it.
+	Tokens, Ahead int
+	Slot          Slot
 }
 
 // Done gives all places back.
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -242,6 +242,7 @@
 	if !ok {
 		return nil
 	}
+	part.Ahead = cs[i].PrefillLeft + cs[i].SentTokens
 	return &Grant{Parts: []Part{part}}
 }
 
--- /dev/null
+++ b/entry/process/watcher/watcher.go
@@ -0,0 +1,86 @@
+// Package watcher serves what operators and the platform's balancer watch a
+// process by: whether it lives, whether it is ready and why not, its metrics,
+// and its status. It changes nothing.
+package watcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+)
+
+// A Check tells whether a part of the process is ready, and why not.
+type Check func() (ready bool, reason string)
+
+// Status is what /status shows.
+type Status struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Boot    uint64 `json:"boot"`
+	Version uint64 `json:"version"`
+	Ready   bool   `json:"ready"`
+	Reason  string `json:"reason,omitempty"`
+	// Seat is the number of this VM's fixed share, -1 where it has none.
+	Seat int `json:"seat"`
+	// Holds are the upstreams that this VM holds.
+	Holds []string `json:"holds"`
+	// Running and Waiting are requests in progress here.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Cancels are streams whose engines have not confirmed their end.
+	Cancels int `json:"cancels"`
+}
+
+// A Watcher serves the watch address.
+type Watcher struct {
+	checks []Check
+	status func() Status
+	mux    *http.ServeMux
+}
+
+// New returns a Watcher. All checks must be ready for the process to be.
+func New(metrics http.Handler, status func() Status, checks ...Check) *Watcher {
+	w := &Watcher{checks: checks, status: status, mux: http.NewServeMux()}
+	w.mux.HandleFunc("GET /livez", w.live)
+	w.mux.HandleFunc("GET /readyz", w.ready)
+	w.mux.HandleFunc("GET /status", w.show)
+	w.mux.Handle("GET /metrics", metrics)
+	return w
+}
+
+// ServeHTTP serves one request.
+func (w *Watcher) ServeHTTP(rw http.ResponseWriter, q *http.Request) { w.mux.ServeHTTP(rw, q) }
+
+// Ready tells whether all parts are ready, with every reason why not.
+func (w *Watcher) Ready() (bool, string) {
+	var reasons []string
+	for _, check := range w.checks {
+		if ok, reason := check(); !ok {
+			reasons = append(reasons, reason)
+		}
+	}
+	return len(reasons) == 0, strings.Join(reasons, "; ")
+}
+
+func (w *Watcher) live(rw http.ResponseWriter, _ *http.Request) {
+	rw.Write([]byte("live\n"))
+}
+
+func (w *Watcher) ready(rw http.ResponseWriter, _ *http.Request) {
+	ok, reason := w.Ready()
+	if !ok {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		rw.Write([]byte(reason + "\n"))
+		return
+	}
+	rw.Write([]byte("ready\n"))
+}
+
+func (w *Watcher) show(rw http.ResponseWriter, _ *http.Request) {
+	s := w.status()
+	s.Ready, s.Reason = w.Ready()
+	rw.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(rw).Encode(s); err != nil {
+		return
+	}
+}
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -42,18 +42,19 @@
 type Watcher interface {
 	// Turned hears evidence that an upstream has turned cold.
 	Turned(upstream string, boot uint64, cause string)
-	// Begun hears that work was sent, First that its first token came after a
-	// time that should have been the promised one.
-	Begun(upstream, id string, promised time.Duration)
-	First(upstream, id string, took, promised time.Duration)
+	// Begun hears that work was sent: until the first token the upstream has so
+	// many prompt tokens to read, and promised that many a second.
+	Begun(upstream, id string, tokens int, rate float64)
+	// First hears that the first token came.
+	First(id string)
 	// Ended hears that work is over, with or without a first token.
-	Ended(upstream, id string)
+	Ended(id string)
 }
 
 // A Retrier decides whether work is sent again.
 type Retrier interface {
-	Decide(now time.Time, a retrier.Attempt) (again bool, after time.Duration)
-	Completed(now time.Time)
+	Decide(now time.Time, a retrier.Attempt) retrier.Decision
+	Completed(n int)
 }
 
 // A Meter counts.
--- a/entry/request/chatter/relay.go
+++ b/entry/request/chatter/relay.go
@@ -23,7 +23,7 @@
 )
 
 // relay passes tokens on as they come, until the answer is whole.
-func (a *attempt) relay(ctx context.Context, w http.ResponseWriter, s *streamer.Stream, promised time.Duration) error {
+func (a *attempt) relay(ctx context.Context, w http.ResponseWriter, s *streamer.Stream) error {
 	control := http.NewResponseController(w)
 	// A caller that stops reading would else keep its place at the engine for
 	// ever: its window fills, the write blocks, and nothing ends it.
@@ -35,7 +35,7 @@
 		t, err := s.Next()
 		switch {
 		case err == nil:
-			if err := a.pass(w, control, s, t, promised); err != nil {
+			if err := a.pass(w, control, s, t); err != nil {
 				return err
 			}
 		case errors.Is(err, io.EOF):
@@ -73,11 +73,10 @@
 	}
 }
 
-func (a *attempt) pass(w http.ResponseWriter, control *http.ResponseController, s *streamer.Stream, t streamer.Token, promised time.Duration) error {
+func (a *attempt) pass(w http.ResponseWriter, control *http.ResponseController, s *streamer.Stream, t streamer.Token) error {
 	if t.Number == 1 {
 		c := a.chatter
-		took := c.now().Sub(a.begun)
-		c.watcher.First(a.grant.Parts[len(a.grant.Parts)-1].Upstream.Name, a.id, took, promised)
+		c.watcher.First(a.id)
 		c.meter.Time("chat.first", c.now().Sub(a.job.arrived))
 	}
 	if err := a.writer.token(w, t); err != nil {
@@ -124,6 +123,6 @@
 	}
 	io.WriteString(w, "event: error\ndata: ") //nolint:errcheck // a caller that has left hears nothing
 	w.Write(r.Body())
-	io.WriteString(w, "\n\n")                   //nolint:errcheck // as above
+	io.WriteString(w, "\n\n")            //nolint:errcheck // as above
 	flush(http.NewResponseController(w)) //nolint:errcheck // as above
 }
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -28,7 +28,7 @@
 		a := c.attempt(j, grant)
 		failure := a.serve(ctx, w)
 		if failure == nil {
-			c.retrier.Completed(c.now())
+			c.retrier.Completed(1)
 			return
 		}
 		if !c.again(ctx, w, j, a, failure) {
@@ -53,10 +53,10 @@
 	if len(j.avoid) >= len(j.pool.Upstreams) {
 		j.avoid = nil
 	}
-	again, after := c.retrier.Decide(c.now(), retrier.Attempt{
+	decision := c.retrier.Decide(c.now(), retrier.Attempt{
 		Repeatable: true, Sent: f.sent, FirstByte: a.started, Tries: j.tries, Deadline: j.deadline,
 	})
-	if again && ctx.Err() == nil && wait(ctx, after) {
+	if decision.Again && ctx.Err() == nil && wait(ctx, decision.After) {
 		c.meter.Count("chat.retries", 1)
 		return true
 	}
@@ -143,17 +143,15 @@
 		header.Set(refuser.TriesHeader, strconv.Itoa(a.job.tries))
 	}
 	last := a.grant.Parts[len(a.grant.Parts)-1]
-	promised := a.promised()
-	c := a.chatter
-	c.watcher.Begun(last.Upstream.Name, a.id, promised)
-	defer c.watcher.Ended(last.Upstream.Name, a.id)
+	a.chatter.watcher.Begun(last.Upstream.Name, a.id, last.Tokens+last.Ahead, float64(last.Upstream.Prefill))
+	defer a.chatter.watcher.Ended(a.id)
 	stream, f := a.open(ctx)
 	if f != nil {
 		a.release(dispatcher.Refused)
 		return f
 	}
 	defer stream.Close()
-	if err := a.relay(ctx, w, stream, promised); err != nil {
+	if err := a.relay(ctx, w, stream); err != nil {
 		a.release(outcome(ctx))
 		return &failure{err: err, sent: true}
 	}
@@ -168,21 +166,6 @@
 	return dispatcher.Cut
 }
 
-// promised is the time to the first token of an idle engine.
-func (a *attempt) promised() time.Duration {
-	var d time.Duration
-	for _, p := range a.grant.Parts {
-		if p.Upstream.Prefill > 0 {
-			d += time.Duration(float64(p.Tokens) / float64(p.Upstream.Prefill) * float64(time.Second))
-		}
-	}
-	last := a.grant.Parts[len(a.grant.Parts)-1].Upstream
-	if last.Decode > 0 {
-		d += time.Second / time.Duration(last.Decode)
-	}
-	return d
-}
-
 // open reads the parts of a group in their order, each on the engine that will
 // keep it, and opens the stream on the last. A single engine is a group of one.
 func (a *attempt) open(ctx context.Context) (*streamer.Stream, *failure) {
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -44,8 +44,8 @@
 
 // A Retrier decides whether a call is sent again.
 type Retrier interface {
-	Decide(now time.Time, a retrier.Attempt) (again bool, after time.Duration)
-	Completed(now time.Time)
+	Decide(now time.Time, a retrier.Attempt) retrier.Decision
+	Completed(n int)
 }
 
 // A Meter counts.
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -57,7 +57,7 @@
 		c.tries++
 		a, f := p.send(ctx, c, grant)
 		if f == nil {
-			p.deps.Retrier.Completed(p.deps.Now())
+			p.deps.Retrier.Completed(1)
 			return outcome{answer: a}
 		}
 		sent = sent || f.sent
@@ -79,13 +79,13 @@
 	if len(c.avoid) >= len(c.pool.Upstreams) {
 		c.avoid = nil
 	}
-	again, after := p.deps.Retrier.Decide(p.deps.Now(), retrier.Attempt{
+	decision := p.deps.Retrier.Decide(p.deps.Now(), retrier.Attempt{
 		Repeatable: c.repeatable, Sent: f.sent, Tries: c.tries, Deadline: c.deadline,
 	})
-	if !again {
+	if !decision.Again {
 		return false
 	}
-	t := time.NewTimer(after)
+	t := time.NewTimer(decision.After)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -210,7 +210,10 @@
 			h[name] = values
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if len(a.body) > 0 || h.Get("Content-Length") == "" {
+		// An answer to HEAD keeps the length of the body that it stands for.
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	h.Set(refuser.RanHeader, string(a.ran))
 	h.Set(refuser.UpstreamHeader, a.upstream)
 	if a.tries > 1 {
