Tell truthfully whether work ran, over several attempts

Cause: a failing test of refusals showed 'unknown' where every engine had refused as not run, and 'run' where a connection had only broken. Change: a request keeps what can be said of it over its attempts.

--- /dev/null
+++ b/entry/process/server/configure.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"github.com/heathervane/heathervane/entry/process/coordinator"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+	"github.com/heathervane/heathervane/library/folder"
+)
+
+// configure puts a state of the configuration in force.
+func (v *Server) configure(s folder.State) {
+	if s.Version == 0 {
+		return
+	}
+	view := viewer.New(s.Version, s.Manifest, s.Out)
+	if was := v.view.Swap(view); was == nil || was.Version != view.Version {
+		v.log.Info().Uint64("version", view.Version).Msg("configuration in force")
+	}
+	v.meter.Count("configuration.changes", 1)
+	v.coordinator.Configure(upstreams(view), view.Manifest.Seats)
+	if err := v.dispatcher.Configure(view); err != nil {
+		v.log.Error().Err(err).Msg("the configuration could not be put in force")
+	}
+}
+
+// upstreams are those in service and those out: what still runs at one that is
+// out must be counted until it has ended.
+func upstreams(v *viewer.View) []coordinator.Upstream {
+	var us []coordinator.Upstream
+	for _, u := range v.Upstreams() {
+		us = append(us, coordinator.Upstream{
+			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Cold: u.Cold, Memory: u.Memory,
+		})
+	}
+	return us
+}
+
+// isOut tells whether operators have taken this VM or its zone out.
+func (v *Server) isOut() bool {
+	view := v.view.Load()
+	if view == nil {
+		return false
+	}
+	return view.Out(viewer.KindVM, v.settings.ID) || view.Out(viewer.KindZone, v.settings.Zone)
+}
+
+// configured is the readiness of the configuration.
+func (v *Server) configured() (bool, string) { return v.follower.Ready() }
+
+// coordinated is the readiness of lending.
+func (v *Server) coordinated() (bool, string) {
+	if v.view.Load() == nil {
+		return true, ""
+	}
+	return v.coordinator.Ready()
+}
+
+// serving is the readiness to take work.
+func (v *Server) serving() (bool, string) {
+	if v.leaving.Load() {
+		return false, "leaving"
+	}
+	if v.isOut() {
+		return false, "out of service"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/entry/process/server/sides.go
@@ -0,0 +1,79 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/setter"
+)
+
+// watchTime bounds each request at the watch address.
+const watchTime = 10 * time.Second
+
+// sides are the three addresses that a process listens on.
+type sides struct {
+	callers, peers, watch net.Listener
+	servers               []*http.Server
+}
+
+// open listens on all three, so that a taken port ends the start and not the
+// first request.
+func (s *sides) open(c setter.Settings) error {
+	var err error
+	if s.callers, err = net.Listen("tcp", c.Callers.Address); err != nil {
+		return err
+	}
+	if s.peers, err = net.Listen("tcp", c.Peers.Address); err != nil {
+		return err
+	}
+	s.watch, err = net.Listen("tcp", c.Watch.Address)
+	return err
+}
+
+// serve starts the three servers; the channel tells of one that ended early.
+func (v *Server) serve(parts *sync.WaitGroup) <-chan error {
+	callers := &http.Server{
+		Handler: v.drainer, ReadHeaderTimeout: patience, IdleTimeout: idle,
+		MaxHeaderBytes: int(v.settings.Limits.Header), TLSConfig: v.callersTLS, ErrorLog: nil,
+	}
+	peers := &http.Server{Handler: v.linker, ReadHeaderTimeout: patience, TLSConfig: v.peersTLS}
+	watch := &http.Server{Handler: v.watcher, ReadTimeout: watchTime, WriteTimeout: watchTime}
+	v.sides.servers = []*http.Server{callers, peers, watch}
+	failed := make(chan error, len(v.sides.servers))
+	for i, l := range []net.Listener{v.sides.callers, v.sides.peers, v.sides.watch} {
+		server := v.sides.servers[i]
+		server.ErrorLog = v.quiet()
+		parts.Go(func() {
+			if err := serveOn(server, l); err != nil {
+				failed <- err
+			}
+		})
+	}
+	return failed
+}
+
+func serveOn(s *http.Server, l net.Listener) error {
+	if s.TLSConfig != nil {
+		l = tls.NewListener(l, s.TLSConfig)
+	}
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// close ends the servers: callers' connections without a request at once, and
+// the others when theirs has ended.
+func (v *Server) close(ctx context.Context) {
+	for _, s := range v.sides.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			s.Close()
+		}
+	}
+}
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -128,6 +128,8 @@
 	body     *reader.Body
 	tries    int
 	avoid    []string
+	// ran is what can truthfully be said of the work so far.
+	ran refuser.Ran
 }
 
 // ServeHTTP answers one request.
@@ -173,7 +175,7 @@
 	// The prompt has been taken out of it: the memory of the body as read can
 	// go while the request waits.
 	body.Data = nil
-	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body}
+	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body, ran: refuser.No}
 	if refusal := j.measure(v, q); refusal != nil {
 		body.Release()
 		return nil, refusal
--- a/entry/request/chatter/relay.go
+++ b/entry/request/chatter/relay.go
@@ -76,6 +76,7 @@
 func (a *attempt) pass(w http.ResponseWriter, control *http.ResponseController, s *streamer.Stream, t streamer.Token) error {
 	if t.Number == 1 {
 		c := a.chatter
+		a.first = true
 		c.watcher.First(a.id)
 		c.meter.Time("chat.first", c.now().Sub(a.job.arrived))
 	}
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -27,6 +27,7 @@
 		j.tries++
 		a := c.attempt(j, grant)
 		failure := a.serve(ctx, w)
+		j.note(a, failure)
 		if failure == nil {
 			c.retrier.Completed(1)
 			return
@@ -37,13 +38,20 @@
 	}
 }
 
-// truthful keeps a refusal from saying "not run" after an earlier upstream may
-// have run the work.
-func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
-	if j.tries > 0 {
-		return r.Having(refuser.Unknown)
+// note keeps what can be said of the work: "not run" only while no attempt can
+// have been begun by an engine, "run" only when a token has come.
+func (j *job) note(a *attempt, f *failure) {
+	if a.first {
+		j.ran = refuser.Yes
+	} else if f != nil && f.sent && j.ran == refuser.No {
+		j.ran = refuser.Unknown
 	}
-	return r
+}
+
+// truthful keeps a refusal from saying "not run" after an earlier attempt that
+// may have run.
+func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
+	return r.Having(j.ran)
 }
 
 // again decides whether the work is sent to another upstream; where it is not,
@@ -88,21 +96,14 @@
 
 // refusal is what the caller is told.
 func (f *failure) refusal(ctx context.Context, j *job) *refuser.Refusal {
-	ran := refuser.Yes
-	if !f.sent {
-		ran = refuser.No
-	}
-	if j.tries > 1 && !f.sent {
-		ran = refuser.Unknown
-	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(ran)
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(j.ran)
 	}
 	var r *streamer.Refused
 	if errors.As(f.err, &r) && !f.sent {
-		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", r).Having(ran).Back(time.Second)
+		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", r).Having(j.ran).Back(time.Second)
 	}
-	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(ran)
+	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(j.ran)
 }
 
 // An attempt is one sending of a job to the upstreams of a grant.
@@ -111,10 +112,10 @@
 	job     *job
 	grant   *dispatcher.Grant
 	id      string
-	begun   time.Time
-	// started says that the caller has had the first byte of its answer.
-	started bool
-	writer  answerer
+	// first says that the first token has come, started that the caller has
+	// had the first byte of its answer.
+	first, started bool
+	writer         answerer
 	// held are what was sent to the grant's parts, in their order.
 	held []holding
 }
@@ -127,7 +128,7 @@
 }
 
 func (c *Chatter) attempt(j *job, g *dispatcher.Grant) *attempt {
-	a := &attempt{chatter: c, job: j, grant: g, id: j.id, begun: c.now()}
+	a := &attempt{chatter: c, job: j, grant: g, id: j.id}
 	if j.tries > 1 {
 		a.id += "." + strconv.Itoa(j.tries)
 	}
