--- a/standin/generator/report.go
+++ b/standin/generator/report.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"math"
 	"time"
 )
 
@@ -34,7 +35,7 @@
 	}
 	return report{
 		Boot: g.warm.Boot(), Running: len(g.running), Waiting: len(g.waiting),
-		Slots: g.config.Slots, Used: g.used, Memory: g.config.Memory, Left: int(left),
+		Slots: g.config.Slots, Used: g.used, Memory: g.config.Memory, Left: int(math.Round(left)),
 		Model: g.model.name, Version: g.model.version, Role: g.model.role, Cold: g.warm.Cold(),
 	}
 }
