--- /dev/null
+++ b/entry/process/lender/target.go
@@ -0,0 +1,92 @@
+package lender
+
+import "time"
+
+// targets divides what can be lent: wants first, in turns of one slot, then
+// what is left, so that the next caller at any VM finds a slot without asking.
+func (l *Lender) targets(whos []Who, now time.Time) map[Who]int {
+	left := l.limit.Limit() - l.unknown
+	targets := make(map[Who]int, len(whos))
+	var open []Who
+	for _, w := range whos {
+		b := l.borrowers[w]
+		reserved := l.reserved(w, b)
+		if b.echo == 0 || b.ended || b.silent(now, l.long(l.c.Life)) {
+			left -= b.charge(reserved)
+			continue
+		}
+		left -= reserved
+		open = append(open, w)
+	}
+	left = l.deal(open, targets, left, func(w Who, b *borrower) bool {
+		return targets[w]+l.reserved(w, b) < b.want
+	})
+	l.deal(open, targets, left, func(w Who, _ *borrower) bool {
+		return targets[w] < l.limit.Limit()
+	})
+	return targets
+}
+
+// deal gives out slots one at a time in turns while anyone qualifies.
+func (l *Lender) deal(open []Who, targets map[Who]int, left int, more func(Who, *borrower) bool) int {
+	for left > 0 {
+		given := false
+		for _, w := range open {
+			if left > 0 && more(w, l.borrowers[w]) {
+				targets[w]++
+				left--
+				given = true
+			}
+		}
+		if !given {
+			return left
+		}
+	}
+	return 0
+}
+
+// tokens is the memory lent to a borrower. A reservation is given whole or not
+// at all: half of a long prompt's memory serves nobody.
+func (l *Lender) tokens(b *borrower) int {
+	if !l.known {
+		return 0
+	}
+	if b.need <= b.memory() {
+		return b.need
+	}
+	free := l.c.Memory - l.c.Memory*headroom/10
+	for _, o := range l.borrowers {
+		if o != b {
+			free -= o.memory()
+		}
+	}
+	if b.need > free {
+		return min(b.held, free)
+	}
+	return b.need
+}
+
+// Export gives the table for a successor. The lender must not lend after it.
+func (l *Lender) Export() Table {
+	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.limit.Cold(), Done: l.limit.Limit(), Unknown: l.unknown}
+	for _, w := range l.sorted() {
+		b := l.borrowers[w]
+		if n, m := b.charge(l.reserved(w, b)), b.memory(); n+m > 0 {
+			t.Entries = append(t.Entries, Entry{VM: w.VM, Boot: w.Boot, Slots: n, Tokens: m})
+		}
+	}
+	return t
+}
+
+// Import takes over a table. Each borrower keeps what it may have running until
+// it has taken in a loan under the new fence, or its loans have lapsed and the
+// upstream tells what it runs.
+func (l *Lender) Import(now time.Time, t Table) {
+	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, true
+	for _, e := range t.Entries {
+		b := l.borrower(Who{VM: e.VM, Boot: e.Boot})
+		b.active = true
+		b.heard = now
+		b.out = append(b.out, loan{ceiling: e.Slots, tokens: e.Tokens, share: true, until: now.Add(l.long(l.c.Life))})
+	}
+}
