Give an engine's answer a digest that does not depend on the split

A caller of a prompt that went to a group of engines does not know where it was split, and so could not tell whether the answer was its own. Joining the parts' hashes made the answer depend on the split; a header that tells the split was ruled out, because a caller should not see it. The digest is now FNV-1a, whose state is its value: an engine goes on from the last import's digest.

--- a/bench/starter/fleet.go
+++ b/bench/starter/fleet.go
@@ -118,7 +118,8 @@
 		p, err := f.standin(fmt.Sprintf("engine%d", i+1), "engine",
 			"--bytes", strconv.Itoa(s.Bytes), "--slots", strconv.Itoa(s.Slots), "--cold", strconv.Itoa(s.Cold),
 			"--memory", strconv.Itoa(s.Memory), "--prefill", strconv.Itoa(s.Prefill), "--decode", strconv.Itoa(s.Decode),
-			"--warm", strconv.Itoa(s.Warm), "--lag", milliseconds(s.Lag))
+			"--warm", strconv.Itoa(s.Warm), "--lag", milliseconds(s.Lag),
+			"--model", s.Model, "--version", version)
 		if err != nil {
 			return err
 		}
--- a/bench/starter/manifest.go
+++ b/bench/starter/manifest.go
@@ -17,7 +17,10 @@
 )
 
 // window is how long a call's key is known in the bench's fleets.
-const window = time.Hour
+const window = 10 * time.Minute
+
+// version is the model's version, which engines have loaded at the start.
+const version = "1"
 
 // Manifest describes the fleet as it runs.
 func (f *Fleet) Manifest() checker.Manifest {
@@ -31,7 +34,7 @@
 			"whole": class(s.Context, 2*time.Minute),
 		},
 		Models: map[string]checker.Model{
-			s.Model: {Context: s.Context, Output: s.Output, Bytes: s.Bytes, Version: "1"},
+			s.Model: {Context: s.Context, Output: s.Output, Bytes: s.Bytes, Version: version},
 		},
 		Services: map[string]checker.Service{
 			s.Service: {Limit: seconds(10), Least: checker.Duration(100 * time.Millisecond), Most: seconds(60)},
--- a/bench/verifier/verifier.go
+++ b/bench/verifier/verifier.go
@@ -6,11 +6,12 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/heathervane/heathervane/bench/caller"
@@ -33,9 +34,11 @@
 	return text[:max(size, len(title))]
 }
 
-// Answer is the whole answer of one engine to a prompt, in tokens tokens.
+// Answer is the whole answer to a prompt, in tokens tokens.
 func Answer(prompt string, tokens int) string {
-	return text(xxhash.Sum64String(prompt), tokens)
+	digest := fnv.New64a()
+	_, _ = io.WriteString(digest, prompt)
+	return text(digest.Sum64(), tokens)
 }
 
 // text is tokens tokens of the answer to a prompt with this digest.
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -50,13 +50,12 @@
 	if !ok {
 		return nil
 	}
-	p := newPrompt(q.Prompt, g.config.Bytes)
 	digests, err := g.parts(r.Context(), q.Imports)
 	if err != nil {
 		answerer.Refuse(w, http.StatusConflict, "import", err.Error())
 		return nil
 	}
-	p.digest = join(p.digest, digests)
+	p := newPrompt(q.Prompt, g.config.Bytes, digests)
 	q.ID = strings.Clone(q.ID) // not to keep the whole body
 	q.VM = strings.Clone(q.VM)
 	s, f := g.enter(q, kind, p)
--- a/standin/generator/prompt.go
+++ b/standin/generator/prompt.go
@@ -19,39 +19,41 @@
 	chain  []uint64 // hash of the first block, of the first two, and so on
 }
 
-// newPrompt reads a prompt once.
-func newPrompt(text string, bytes int) prompt {
-	p := prompt{tokens: (len(text) + bytes - 1) / bytes}
+// newPrompt reads a prompt, which follows parts with the given digests.
+func newPrompt(text string, bytes int, parts []string) prompt {
+	p := prompt{tokens: (len(text) + bytes - 1) / bytes, digest: Digest(text, parts...)}
 	p.head = fmt.Sprintf("%016x", xxhash.Sum64String(text[:min(block, len(text))]))
 	d := xxhash.New()
 	for len(text) >= block {
-		_, _ = d.WriteString(text[:block]) // never fails
+		_, _ = d.WriteString(text[:block])
 		p.chain = append(p.chain, d.Sum64())
 		text = text[block:]
 	}
-	_, _ = d.WriteString(text)
-	p.digest = d.Sum64()
 	return p
 }
 
-// Digest is the number that the answer's text follows from: the xxhash64 of the
-// prompt; with parts before it, the xxhash64 of all parts' digests and then its
-// own, each as 16 hex digits.
-func Digest(prompt string, parts ...string) uint64 {
-	return join(xxhash.Sum64String(prompt), parts)
-}
+// The constants of FNV-1a with 64 bits.
+const (
+	offsetBasis = 14695981039346656037
+	prime       = 1099511628211
+)
 
-// join takes the parts' digests as hex.
-func join(own uint64, parts []string) uint64 {
-	if len(parts) == 0 {
-		return own
+// Digest is the number that the answer's text follows from: the FNV-1a hash of
+// the prompt with 64 bits. With parts before it, given by their digests as 16
+// hex digits, the hash goes on from the last one's. Its state is its value, so
+// the digest of a prompt is the same wherever it was split: a caller who does
+// not know the split can still tell its own answer.
+func Digest(prompt string, parts ...string) uint64 {
+	digest := uint64(offsetBasis)
+	if len(parts) > 0 {
+		// The form of a handle was checked before; a broken one gives 0 and so
+		// an answer that is nobody's.
+		digest, _ = strconv.ParseUint(parts[len(parts)-1], 16, 64)
 	}
-	d := xxhash.New()
-	for _, p := range parts {
-		_, _ = d.WriteString(p)
+	for i := range len(prompt) {
+		digest = (digest ^ uint64(prompt[i])) * prime
 	}
-	_, _ = fmt.Fprintf(d, "%016x", own)
-	return d.Sum64()
+	return digest
 }
 
 // Text is token n, from 1 up, of the answer to a prompt with this digest.
