Test that calls of services are sent at most once

Cause: net/http repeats a request without a body on a kept connection that died when it carries an Idempotency-Key. Ruled out: a body type without GetBody, which does not stop the repeat of an empty body.

--- /dev/null
+++ b/entry/request/passer/passer_test.go
@@ -0,0 +1,293 @@
+package passer_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/bounder"
+	"github.com/heathervane/heathervane/entry/process/dispatcher"
+	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/request/passer"
+	"github.com/heathervane/heathervane/entry/request/reader"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/request/retrier"
+	"github.com/heathervane/heathervane/entry/version/viewer"
+	"github.com/heathervane/heathervane/library/checker"
+)
+
+const bearer = "steward"
+
+// A service counts the calls that reach it and answers each by a script.
+type service struct {
+	mu     sync.Mutex
+	calls  []*http.Request
+	bodies []string
+	script func(w http.ResponseWriter, n int)
+}
+
+func (s *service) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	data, err := io.ReadAll(q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	n := len(s.calls)
+	s.calls = append(s.calls, q)
+	s.bodies = append(s.bodies, string(data))
+	s.mu.Unlock()
+	s.script(w, n)
+}
+
+// seen is the calls so far.
+func (s *service) seen() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+type slot struct{}
+
+func (slot) Done(dispatcher.Outcome) {}
+
+// places always gives the first upstream.
+type places struct{}
+
+func (places) Acquire(_ context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal) {
+	return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: c.Pool.Upstreams[0], Slot: slot{}}}}, nil
+}
+
+type deaf struct{}
+
+func (deaf) Turned(string, uint64, string) {}
+
+func newPasser(t *testing.T, address string) *httptest.Server {
+	t.Helper()
+	sum := sha256.Sum256([]byte(bearer))
+	view := viewer.New(1, checker.Manifest{
+		Services: map[string]checker.Service{"booking": {
+			Repeatable: []string{"GET", "POST /search"}, Limit: checker.Duration(time.Second),
+			Least: checker.Duration(50 * time.Millisecond), Most: checker.Duration(10 * time.Second),
+		}},
+		Teams:     map[string]checker.Team{"hanbit": {Share: 1, Tokens: []string{"sha256:" + hex.EncodeToString(sum[:])}}},
+		Upstreams: map[string]checker.Upstream{"b1": {Service: "booking", Address: address, Slots: 4}},
+	}, func(string, string) bool { return false })
+	p := passer.New("vm1", 3, passer.Deps{
+		Views:    func() *viewer.View { return view },
+		Reader:   &reader.Reader{Most: 4096, Budget: bounder.New(1 << 20), Patience: time.Second},
+		Acquirer: places{}, Watcher: deaf{}, Meter: meter.New(), Now: time.Now,
+		Retrier: retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
+	})
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	return s
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func send(t *testing.T, s *httptest.Server, method, path, body string, headers ...string) reply {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), method, s.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	q.Header.Set("Authorization", "Bearer "+bearer)
+	for i := 0; i < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+	a, err := s.Client().Do(q)
+	assert.NilError(t, err)
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	return reply{a.StatusCode, a.Header, string(data)}
+}
+
+func TestACallPassesThrough(t *testing.T) {
+	b := &service{script: func(w http.ResponseWriter, _ int) {
+		w.Header().Set("X-Seat", "12")
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, "booked")
+	}}
+	upstream := httptest.NewServer(b)
+	defer upstream.Close()
+	s := newPasser(t, strings.TrimPrefix(upstream.URL, "http://"))
+	got := send(t, s, http.MethodPost, "/services/booking/seats/7%2F8?day=sunday", "two", "X-Note", "n", "Connection", "X-Hop", "X-Hop", "h")
+	assert.Equal(t, got.status, http.StatusCreated)
+	assert.Equal(t, got.body, "booked")
+	assert.Equal(t, got.header.Get("X-Seat"), "12")
+	assert.Equal(t, got.header.Get("Heathervane-Ran"), "yes")
+	assert.Equal(t, got.header.Get("Heathervane-Upstream"), "b1")
+	q := b.seen()[0]
+	assert.Equal(t, q.RequestURI, "/seats/7%2F8?day=sunday")
+	assert.Equal(t, b.bodies[0], "two")
+	assert.Equal(t, q.Header.Get("X-Note"), "n")
+	assert.Equal(t, q.Header.Get("X-Hop"), "")
+	assert.Equal(t, q.Header.Get("Authorization"), "")
+	assert.Equal(t, q.Header.Get("Heathervane-Team"), "hanbit")
+}
+
+// The service takes a booking and its connection dies before the answer. Sent
+// again, the member is charged twice. A look-up may be sent again, and the
+// caller sees that it was.
+func TestOnlyRepeatableCallsAreSentAgain(t *testing.T) {
+	reset := func(w http.ResponseWriter, n int) {
+		if n == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		io.WriteString(w, "found")
+	}
+	tests := []struct {
+		name, method, path string
+		calls, status      int
+		ran                string
+	}{
+		{"a booking", http.MethodPost, "/services/booking/seats", 1, http.StatusBadGateway, "unknown"},
+		{"a booking beside search", http.MethodPost, "/services/booking/search/../seats", 1, http.StatusBadGateway, "unknown"},
+		{"a booking under a like name", http.MethodPost, "/services/booking/searches", 1, http.StatusBadGateway, "unknown"},
+		{"a change", http.MethodPut, "/services/booking/seats", 1, http.StatusBadGateway, "unknown"},
+		{"a look-up", http.MethodGet, "/services/booking/seats", 2, http.StatusOK, "yes"},
+		{"a search", http.MethodPost, "/services/booking/search/all", 2, http.StatusOK, "yes"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := &service{script: reset}
+			upstream := httptest.NewServer(b)
+			defer upstream.Close()
+			s := newPasser(t, strings.TrimPrefix(upstream.URL, "http://"))
+			got := send(t, s, test.method, test.path, "")
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Equal(t, got.header.Get("Heathervane-Ran"), test.ran)
+			assert.Equal(t, len(b.seen()), test.calls)
+		})
+	}
+}
+
+// A service answers one call and then takes a second one on the same connection
+// and dies. net/http would send a request without a body again by itself,
+// because an Idempotency-Key makes it think that this is safe.
+func TestTheTransportRepeatsNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var mu sync.Mutex
+	heads := 0
+	go serveOnce(l, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		heads++
+	})
+	s := newPasser(t, l.Addr().String())
+	first := send(t, s, http.MethodDelete, "/services/booking/seats/1", "")
+	assert.Equal(t, first.status, http.StatusOK, first.body)
+	for range 3 {
+		got := send(t, s, http.MethodDelete, "/services/booking/seats/2", "", "X-Idempotency-Key", "k")
+		assert.Assert(t, got.header.Get("Heathervane-Ran") != "no" || got.status == http.StatusOK)
+	}
+	l.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, heads, 4)
+}
+
+// serveOnce answers the first request of each connection, and closes it at the
+// second without an answer.
+func serveOnce(l net.Listener, seen func()) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			buffer := make([]byte, 4096)
+			for n := 0; ; n++ {
+				if _, err := c.Read(buffer); err != nil {
+					return
+				}
+				seen()
+				if n > 0 {
+					return
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+	}
+}
+
+// "Not run" is said where the service says so itself or could not be reached,
+// and never where a byte may have left.
+func TestNotRunIsSaidOnlyWhereItIsTrue(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ int) {
+		w.Header().Set("Ran", "no")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	tests := []struct {
+		name, ran string
+		status    int
+		script    func(http.ResponseWriter, int)
+	}{
+		{"refused by the service", "no", 503, refuse},
+		{"a gateway's word", "unknown", 502, func(w http.ResponseWriter, _ int) { w.WriteHeader(http.StatusBadGateway) }},
+		{"an error of the service", "yes", 500, func(w http.ResponseWriter, _ int) { w.WriteHeader(http.StatusInternalServerError) }},
+		{"half an answer", "unknown", 502, func(w http.ResponseWriter, _ int) {
+			w.Header().Set("Content-Length", "100")
+			io.WriteString(w, "half")
+		}},
+		{"no answer in time", "unknown", 504, func(http.ResponseWriter, int) { time.Sleep(300 * time.Millisecond) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := &service{script: test.script}
+			upstream := httptest.NewServer(b)
+			defer upstream.Close()
+			s := newPasser(t, strings.TrimPrefix(upstream.URL, "http://"))
+			got := send(t, s, http.MethodPost, "/services/booking/seats", "x", "Request-Timeout", "0.2")
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Equal(t, got.header.Get("Heathervane-Ran"), test.ran)
+		})
+	}
+	s := newPasser(t, "127.0.0.1:1")
+	got := send(t, s, http.MethodPost, "/services/booking/seats", "x")
+	assert.Equal(t, got.header.Get("Heathervane-Ran"), "no")
+	assert.Equal(t, got.header.Get("Retry-After"), "1")
+}
+
+func TestBadCalls(t *testing.T) {
+	tests := []struct {
+		name, path, code string
+		status           int
+		headers          []string
+	}{
+		{"no such service", "/services/nothing/x", "service_not_found", 404, nil},
+		{"no token", "/services/booking/x", "unknown_token", 401, []string{"Authorization", ""}},
+		{"a bad timeout", "/services/booking/x", "bad_timeout", 400, []string{"Request-Timeout", "-1"}},
+		{"another protocol", "/services/booking/x", "unsupported", 400, []string{"Upgrade", "websocket", "Connection", "upgrade"}},
+		{"a long body", "/services/booking/x", "body_too_large", 413, []string{"X-Body", "long"}},
+	}
+	s := newPasser(t, "127.0.0.1:1")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			body := "x"
+			if len(test.headers) > 0 && test.headers[0] == "X-Body" {
+				body = strings.Repeat("x", 5000)
+			}
+			got := send(t, s, http.MethodPost, test.path, body, test.headers...)
+			assert.Equal(t, got.status, test.status, got.body)
+			assert.Assert(t, strings.Contains(got.body, test.code), got.body)
+			assert.Equal(t, got.header.Get("Heathervane-Ran"), "no")
+		})
+	}
+}
