Remember which engine has read which prompt's beginning

Cause: many questions about one document each paid its whole prefill. Change: a bounded memory of this VM's own sendings makes an engine look nearer. Ruled out for now: sharing the engines' cache events between VMs, which costs control bytes on every VM; a measurement must show the need. Not yet measured.

--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -21,7 +21,7 @@
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
 			continue
 		}
-		cs = append(cs, p.candidate(now, u))
+		cs = append(cs, p.candidate(now, k, u))
 	}
 	p.scratch = cs
 	return cs
@@ -33,7 +33,7 @@
 	return u.Memory > 0 && k.Tokens > u.Memory/part
 }
 
-func (p *pool) candidate(now time.Time, u viewer.Upstream) router.Candidate {
+func (p *pool) candidate(now time.Time, k admitter.Ask, u viewer.Upstream) router.Candidate {
 	s := p.dispatcher.supplier.Supply(u.Name)
 	sent, tokens := p.sentSince(u.Name, now, s.Age)
 	memory := s.Memory
@@ -59,6 +59,7 @@
 		Decode:      float64(u.Decode),
 		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
+		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
 	}
 }
 
@@ -108,3 +109,11 @@
 	}
 	return c
 }
+
+func (p *pool) prefixed(k admitter.Ask, part Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k.Tokens >= hintTokens {
+		p.hinter.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
+	}
+}
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/hinter"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/router"
@@ -135,6 +136,7 @@
 		picker:     picker,
 		waiting:    make(map[uint64]*waiter),
 		sent:       make(map[string][]sending),
+		hinter:     hinter.New(mostHints),
 	}
 	return p, nil
 }
@@ -191,9 +193,7 @@
 // Acquire waits for a place. It returns at once with a refusal where the work
 // cannot be done in time, and as soon as that becomes so while it waits.
 func (d *Dispatcher) Acquire(ctx context.Context, c Call) (*Grant, *refuser.Refusal) {
-	d.mu.Lock()
-	p, ok := d.pools[poolKey(c.Pool)]
-	d.mu.Unlock()
+	p, ok := d.pool(c.Pool)
 	if !ok {
 		return nil, refuser.New(404, "gone", "%s is no longer served", c.Pool.Name)
 	}
@@ -215,6 +215,21 @@
 	}
 }
 
+// Prefixed notes that the upstreams of a grant have read the beginning of a
+// prompt.
+func (d *Dispatcher) Prefixed(c Call, g *Grant) {
+	if p, ok := d.pool(c.Pool); ok && len(g.Parts) == 1 {
+		p.prefixed(c.Ask, g.Parts[0])
+	}
+}
+
+func (d *Dispatcher) pool(p *viewer.Pool) (*pool, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found, ok := d.pools[poolKey(p)]
+	return found, ok
+}
+
 // Waiting is how many requests wait in all pools.
 func (d *Dispatcher) Waiting() int {
 	d.mu.Lock()
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/hinter"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/grouper"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -32,6 +33,11 @@
 	// at 28,000 requests a second over 330 VMs one has 85 a second, which 64
 	// upstreams carry many times over.
 	mostKnown = 64
+	// hintTokens is the shortest prompt worth a hint: below it a detour costs
+	// more than reading it anew.
+	hintTokens = 1000
+	// mostHints bounds the hints of a pool, at some 150 bytes each.
+	mostHints = 4096
 )
 
 // A pool is the waiting requests and the upstreams of one model or service.
@@ -46,6 +52,7 @@
 	waiting   map[uint64]*waiter
 	sent      map[string][]sending
 	hold      hold
+	hinter    *hinter.Hinter
 	scratch   []router.Candidate
 }
 
--- /dev/null
+++ b/entry/process/hinter/hinter_test.go
@@ -0,0 +1,45 @@
+package hinter_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/hinter"
+)
+
+func TestHints(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name string
+		do   func(h *hinter.Hinter)
+		head uint64
+		boot uint64
+		at   time.Duration
+		want bool
+	}{
+		{"read there", func(*hinter.Hinter) {}, 1, 7, time.Second, true},
+		{"another prompt", func(*hinter.Hinter) {}, 2, 7, time.Second, false},
+		{"started anew", func(*hinter.Hinter) {}, 1, 8, time.Second, false},
+		{"boot unknown", func(*hinter.Hinter) {}, 1, 0, time.Second, true},
+		{"long ago", func(*hinter.Hinter) {}, 1, 7, time.Hour, false},
+		{"pushed out", func(h *hinter.Hinter) {
+			h.Note(now, 5, "e1", 7)
+			h.Note(now, 6, "e1", 7)
+		}, 1, 7, time.Second, false},
+		{"read again", func(h *hinter.Hinter) {
+			h.Note(now, 5, "e1", 7)
+			h.Note(now, 1, "e1", 7)
+			h.Note(now, 6, "e1", 7)
+		}, 1, 7, time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := hinter.New(2)
+			h.Note(now, 1, "e1", 7)
+			test.do(h)
+			assert.Equal(t, h.Has(now.Add(test.at), test.head, "e1", test.boot), test.want)
+		})
+	}
+}
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -19,13 +19,14 @@
 // first token and nothing can run twice unseen.
 func (c *Chatter) run(ctx context.Context, w http.ResponseWriter, j *job) {
 	for {
-		grant, refusal := c.acquirer.Acquire(ctx, dispatcher.Call{Pool: j.pool, Ask: j.ask(), Avoid: j.avoid})
+		call := dispatcher.Call{Pool: j.pool, Ask: j.ask(), Avoid: j.avoid}
+		grant, refusal := c.acquirer.Acquire(ctx, call)
 		if refusal != nil {
 			c.refuse(w, j.truthful(refusal))
 			return
 		}
 		j.tries++
-		a := c.attempt(j, grant)
+		a := c.attempt(j, call, grant)
 		failure := a.serve(ctx, w)
 		j.note(a, failure)
 		if failure == nil {
@@ -110,6 +111,7 @@
 type attempt struct {
 	chatter *Chatter
 	job     *job
+	call    dispatcher.Call
 	grant   *dispatcher.Grant
 	id      string
 	// first says that the first token has come, started that the caller has
@@ -127,8 +129,8 @@
 	clear bool
 }
 
-func (c *Chatter) attempt(j *job, g *dispatcher.Grant) *attempt {
-	a := &attempt{chatter: c, job: j, grant: g, id: j.id}
+func (c *Chatter) attempt(j *job, call dispatcher.Call, g *dispatcher.Grant) *attempt {
+	a := &attempt{chatter: c, job: j, call: call, grant: g, id: j.id}
 	if j.tries > 1 {
 		a.id += "." + strconv.Itoa(j.tries)
 	}
