--- a/entry/connection/linker/link.go
+++ b/entry/connection/linker/link.go
@@ -19,12 +19,6 @@
 	conn  *websocket.Conn
 	queue *queue
 	stop  context.CancelFunc
-	why   string
-}
-
-func (k *link) close(why string) {
-	k.why = why
-	k.stop()
 }
 
 // dial opens a link from this side. The VM with the greater name waits first,
@@ -135,9 +129,9 @@
 	stop()
 	writer.Wait()
 	l.leave(k)
-	conn.CloseNow()
-	if err != nil && l.ctx.Err() == nil {
-		l.log.Info().Str("peer", peer.VM).Err(err).Str("why", k.why).Msg("link ended")
+	_ = conn.CloseNow() // it has ended already
+	if !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) {
+		l.log.Info().Str("peer", peer.VM).Err(err).Msg("link ended")
 	}
 }
 
@@ -154,7 +148,7 @@
 	l.peers[k.peer.VM] = k
 	l.links.Update(int64(len(l.peers)))
 	if old != nil {
-		old.close("replaced by a newer link")
+		old.stop()
 	}
 	return true
 }
@@ -190,9 +184,6 @@
 		limited, cancel := context.WithTimeout(ctx, idle)
 		kind, data, err := k.conn.Read(limited)
 		cancel()
-		if errors.Is(err, io.EOF) || ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
 			return err
 		}
--- a/entry/connection/linker/linker.go
+++ b/entry/connection/linker/linker.go
@@ -187,7 +187,7 @@
 	k := l.peers[vm]
 	l.mu.Unlock()
 	if k != nil {
-		k.close("no longer needed")
+		k.stop()
 	}
 }
 
--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -68,10 +68,10 @@
 	Cold  bool
 	// Boot is the upstream's boot number as last heard.
 	Boot uint64
-	// Running, Waiting, Used, Memory and Left are the upstream's last report,
+	// Running, Waiting, Used, Memory and PrefillLeft are the upstream's last report,
 	// the latter three in tokens; Age is how old it is.
-	Running, Waiting, Used, Memory, Left int
-	Age                                  time.Duration
+	Running, Waiting, Used, Memory, PrefillLeft int
+	Age                                         time.Duration
 	// Held says that a holder has answered within a loan's life.
 	Held bool
 	// Fence is the highest fence heard.
@@ -103,8 +103,7 @@
 	tokens     int
 
 	share  int
-	active bool // a holder let the share be used, under warmBoot
-	warmBy uint64
+	active bool      // a holder let the share be used, under warmBoot
 	warm   time.Time // last word that the upstream is warm
 	warmed uint64    // boot under which the share was let
 
@@ -348,7 +347,7 @@
 	return View{
 		Free: max(0, b.ceiling(now)-b.used), Mine: b.used,
 		Slots: l.Limit, Cold: l.Cold || b.cold, Boot: b.boot,
-		Running: l.Running, Waiting: l.Waiting, Used: l.Used, Memory: l.Memory, Left: l.Left,
+		Running: l.Running, Waiting: l.Waiting, Used: l.Used, Memory: l.Memory, PrefillLeft: l.Left,
 		Age: now.Sub(b.heard), Held: now.Before(b.until), Fence: b.fence,
 	}
 }
--- a/entry/process/claimer/claimer.go
+++ b/entry/process/claimer/claimer.go
@@ -84,6 +84,7 @@
 	seatTry time.Time
 	hands   map[string]*hand
 	better  map[string]since
+	tables  map[string]uint64 // fences that a table was received for
 }
 
 // A tenure is what this process knows of its own claim.
@@ -115,6 +116,7 @@
 		waits:     map[string]time.Time{},
 		hands:     map[string]*hand{},
 		better:    map[string]since{},
+		tables:    map[string]uint64{},
 	}
 }
 
@@ -195,6 +197,7 @@
 func (m *Machine) landed(now time.Time, name string, c Claim) {
 	delete(m.waits, name)
 	delete(m.hands, name)
+	defer delete(m.tables, name)
 	if !c.is(m.c.VM, m.c.Boot) {
 		delete(m.held, name)
 		return
@@ -203,7 +206,7 @@
 	t, had := m.held[name]
 	if !had {
 		t.known = now
-		t.ready = c.Handed || stored.First
+		t.ready = stored.First || c.Handed && m.tables[name] == c.replaces && c.replaces != 0
 	}
 	t.fence, t.notBefore = c.Offset, m.began
 	m.held[name] = t
@@ -237,8 +240,7 @@
 }
 
 // Hold says whether this process may lend an upstream's slots now, and under
-// which fence. ready is false for a holder that must not assume that it knows
-// all loans, because the one before did not hand over.
+// which fence.
 func (m *Machine) Hold(name string, now time.Time) (fence uint64, ok bool) {
 	t, held := m.held[name]
 	if !held || m.hands[name] != nil || !m.Fresh(now) || m.expired(t, now) {
@@ -270,17 +272,14 @@
 	return c, ok
 }
 
-// Handed says whether this process got an upstream by a planned hand-over.
-func (m *Machine) Handed(name string) bool {
-	c := m.upstreams.entries[name]
-	return c.is(m.c.VM, m.c.Boot) && c.Handed
-}
+// Tabled says that the holder under a fence has sent its table to this process.
+// A hand-over takes effect at once only where the table has come: the claim
+// alone does not tell what was lent.
+func (m *Machine) Tabled(name string, fence uint64) { m.tables[name] = fence }
 
-// First says whether this process holds an upstream that nobody held before.
-func (m *Machine) First(name string) bool {
-	t, held := m.held[name]
-	return held && t.ready && !m.Handed(name)
-}
+// Ready says whether this process knows all that was lent before it became the
+// holder: it is the first ever, or got the table.
+func (m *Machine) Ready(name string) bool { return m.held[name].ready }
 
 // Seat is the seat of this process. It outlives an outage of the log for as
 // long as the log keeps its record.
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -25,12 +25,12 @@
 type Limiter interface {
 	// Limit is how many requests it bears now.
 	Limit() int
-	// Cold says whether that is less than all of its slots.
-	Cold() bool
 	// Completed reports n requests completed under the current boot.
 	Completed(n int)
 	// Turned says that the upstream is cold under a boot number.
 	Turned(boot uint64)
+	// Reported takes in what the upstream says of itself.
+	Reported(boot uint64, cold bool)
 }
 
 // A Config describes one upstream.
@@ -73,7 +73,9 @@
 	Boot                                 uint64
 	Running, Waiting, Used, Memory, Left int
 	Cold                                 bool
-	// Taken is the earliest time that the report may speak of.
+	// Age is how old the report was when it was sent, Taken the earliest time
+	// that it may speak of.
+	Age   time.Duration
 	Taken time.Time
 }
 
@@ -172,6 +174,7 @@
 	if load.Boot != l.boot && load.Boot != 0 {
 		l.reboot(now, load.Boot, load.Cold || l.loaded)
 	}
+	l.limit.Reported(load.Boot, load.Cold)
 	l.load, l.loaded = load, true
 	l.guess(now)
 }
@@ -404,8 +407,7 @@
 	b.out = append(b.out, b.last)
 	return Out{To: w, Loan: Loan{
 		Name: l.c.Name, Fence: l.fence, Seq: l.seq, Echo: b.echo, Life: int(l.c.Life.Milliseconds()),
-		Boot: l.boot, Slots: slots, Tokens: tokens, Share: share,
-		Limit: l.bound(), Cold: l.cold(),
+		Boot: l.boot, Slots: slots, Tokens: tokens, Share: share, Limit: l.bound(), Cold: l.cold(),
 		Running: l.load.Running, Waiting: l.load.Waiting, Used: l.load.Used, Memory: l.load.Memory,
 		Left: l.load.Left, Age: int(now.Sub(l.load.Taken).Milliseconds()),
 	}}, true
@@ -454,7 +456,7 @@
 // itself that it is cold, completed work doesn't raise the limit: it may count
 // otherwise than the limiter does.
 func (l *Lender) cold() bool {
-	return l.limit.Cold() || l.load.Cold && l.load.Boot == l.boot
+	return l.limit.Limit() < l.c.Slots || l.load.Cold && l.load.Boot == l.boot
 }
 
 // bound is what the upstream bears now.
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -68,7 +68,7 @@
 
 // Export gives the table for a successor. The lender must not lend after it.
 func (l *Lender) Export() Table {
-	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.limit.Cold(), Done: l.limit.Limit(), Unknown: l.unknown}
+	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.cold(), Unknown: l.unknown}
 	for _, w := range l.sorted() {
 		b := l.borrowers[w]
 		if n, m := b.charge(l.reserved(w, b)), b.memory(); n+m > 0 {
@@ -78,11 +78,18 @@
 	return t
 }
 
+// enough times its slots is the completed work that an upstream handed over as
+// warm has behind it.
+const enough = 8
+
 // Import takes over a table. Each borrower keeps what it may have running until
 // it has taken in a loan under the new fence, or its loans have lapsed and the
 // upstream tells what it runs.
 func (l *Lender) Import(now time.Time, t Table) {
 	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, true
+	if t.Full {
+		l.limit.Completed(enough * l.c.Slots)
+	}
 	for _, e := range t.Entries {
 		b := l.borrower(Who{VM: e.VM, Boot: e.Boot})
 		b.active = true
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -66,9 +66,9 @@
 	_     struct{} `cbor:",toarray"`
 	Name  string
 	Fence uint64
-	// Boot is the upstream's, Done the completed work that its limit rests on.
+	// Boot is the upstream's, Full whether it bore all its slots, and Unknown
+	// its work that no borrower reports.
 	Boot    uint64
-	Done    int
 	Full    bool
 	Unknown int
 	Entries []Entry
