Run experiments under all policies and report them side by side

bench run plays a file under each policy on fresh processes and writes a report, plots, JSON and histograms; bench compare sets runs side by side. Run only on made-up records so far: the entry program does not serve yet.

--- a/bench/driver/driver.go
+++ b/bench/driver/driver.go
@@ -55,6 +55,8 @@
 
 // A Record is all that one run gave.
 type Record struct {
+	// Start is the time that arrivals count from.
+	Start   time.Time
 	Samples []Sample
 	// Works are the pieces of work that engines began, as they listed them.
 	Works []Work
@@ -94,15 +96,16 @@
 const prepare = 300 * time.Millisecond
 
 // Drive plays the arrivals and the events to the end of the last answer.
-func (d *Driver) Drive(ctx context.Context, plan []planner.Arrival, events []planner.Event) (Record, error) {
+func (d *Driver) Drive(ctx context.Context, plan []planner.Arrival, events []planner.Event) (*Record, error) {
 	if err := d.number(plan); err != nil {
-		return Record{}, err
+		return nil, err
 	}
 	background, stop := context.WithCancel(ctx)
 	defer stop()
 	d.balancer = newBalancer(d.fleet.VMs)
 	d.observer = newObserver(d.fleet.Engines)
 	d.start = time.Now().Add(prepare)
+	d.record.Start = d.start
 	var watching sync.WaitGroup
 	watching.Go(func() { d.balancer.run(background) })
 	watching.Go(func() { d.observer.run(background) })
@@ -115,9 +118,9 @@
 	stop()
 	watching.Wait()
 	if err := errs.Combine(failed, errs.Wrap(ctx.Err())); err != nil {
-		return Record{}, err
+		return nil, err
 	}
-	return d.record, d.gather(ctx)
+	return &d.record, d.gather(ctx)
 }
 
 // number gives each booking its key before the start: drawing one takes time.
--- a/bench/main.go
+++ b/bench/main.go
@@ -29,21 +29,25 @@
 	parser := flaggy.NewParser("bench")
 	parser.Description = "Show and measure a heathervane fleet on loopback"
 	var d demo
+	var p play
+	var c comparison
 	commands := []struct {
 		command *flaggy.Subcommand
 		run     func(context.Context) error
 	}{
 		{d.command(), d.run},
+		{p.command(), p.run},
+		{c.command(), c.run},
 	}
-	for _, c := range commands {
-		parser.AttachSubcommand(c.command, 1)
+	for _, one := range commands {
+		parser.AttachSubcommand(one.command, 1)
 	}
 	if err := parser.ParseArgs(args); err != nil {
 		return errs.Wrap(err)
 	}
-	for _, c := range commands {
-		if c.command.Used {
-			return c.run(ctx)
+	for _, one := range commands {
+		if one.command.Used {
+			return one.run(ctx)
 		}
 	}
 	parser.ShowHelp()
--- a/bench/planner/experiment.go
+++ b/bench/planner/experiment.go
@@ -50,13 +50,16 @@
 	Name string `toml:"name"`
 	// Kind is "question" or "booking".
 	Kind string `toml:"kind"`
-	// Rate is the mean of arrivals a second.
+	// Rate is the mean of arrivals a second for each engine of the fleet, so
+	// that one file loads fleets of different sizes alike.
 	Rate float64 `toml:"rate"`
 	// From and Till bound it in time; a Till of 0 means the end.
 	From checker.Duration `toml:"from"`
 	Till checker.Duration `toml:"till"`
-	// Team sends it all; where it is empty, teams send by their shares.
-	Team string `toml:"team"`
+	// Team sends it all; where it is empty, teams send by their shares, all
+	// of them but Except.
+	Team   string `toml:"team"`
+	Except string `toml:"except"`
 	// Least and Most bound the prompt in tokens, log-uniform between.
 	Least int `toml:"least"`
 	Most  int `toml:"most"`
@@ -80,7 +83,7 @@
 	At checker.Duration `toml:"at"`
 	// What is one of the words of Actions.
 	What string `toml:"what"`
-	// On is the process or the zone.
+	// On is the process, or the zone as zone1 for the fleet's first.
 	On string `toml:"on"`
 	// By is the factor of slower.
 	By float64 `toml:"by"`
@@ -140,6 +143,14 @@
 	return e, f.Err()
 }
 
+// Check checks an experiment that was changed after it was read. The error
+// lists all findings.
+func Check(e *Experiment) error {
+	var f finder.Findings
+	e.check(&f)
+	return f.Err()
+}
+
 func (e *Experiment) check(f *finder.Findings) {
 	if e.Name == "" {
 		f.Addf("name", "is missing")
--- a/bench/planner/plan.go
+++ b/bench/planner/plan.go
@@ -51,7 +51,7 @@
 	name := fnv.New64a()
 	_, _ = name.Write([]byte(l.Name))
 	r := rand.New(rand.NewPCG(e.Seed, name.Sum64())) //nolint:gosec // A load must be the same each time.
-	teams := spread(shares)
+	teams := spread(shares, l.Except)
 	till := e.Span()
 	if l.Till > 0 {
 		till = min(till, time.Duration(l.Till))
@@ -84,10 +84,13 @@
 }
 
 // spread lists each team as often as its share, so that an even choice from
-// the list is one by shares.
-func spread(shares map[string]int) []string {
+// the list is one by shares; one team may be left out.
+func spread(shares map[string]int, except string) []string {
 	var list []string
 	for _, team := range slices.Sorted(maps.Keys(shares)) {
+		if team == except {
+			continue
+		}
 		for range shares[team] {
 			list = append(list, team)
 		}
--- a/bench/starter/fleet.go
+++ b/bench/starter/fleet.go
@@ -239,3 +239,10 @@
 	}
 	return nil, errs.New("the fleet has no process %q", name)
 }
+
+// Count is how many processes the fleet has started.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.all)
+}
--- a/bench/starter/size.go
+++ b/bench/starter/size.go
@@ -75,11 +75,11 @@
 	return Size{
 		Zones: []string{"seoul-a", "seoul-b", "seoul-c"}, VMs: 8, Engines: 24, Services: 3,
 		Service: "booking", Model: "assistant", Bytes: 1,
-		Slots: 16, Cold: 2, Memory: 480_000, Prefill: 160_000, Decode: 100,
+		Slots: 16, Cold: 2, Memory: 480_000, Prefill: 80_000, Decode: 100,
 		Context: 1_100_000, Output: 256,
 		ServiceSlots: 32, ServiceCold: 4, Work: 20 * time.Millisecond,
 		Warm: 8, Lag: 500 * time.Millisecond,
-		Teams: tenTeams("branch", 3),
+		Teams: tenTeams(3),
 	}
 }
 
@@ -88,19 +88,19 @@
 	s.Zones = []string{"bavaria-a", "bavaria-b", "bavaria-c"}
 	s.Engines = 15
 	s.Service, s.Model = "rota", "rota"
-	s.Teams = tenTeams("parish", 2)
+	s.Teams = tenTeams(2)
 	return s
 }
 
-// tenTeams are ten teams of which the first few have four times the share.
-func tenTeams(prefix string, large int) map[string]int {
+// tenTeams are team1 to team10, of which the first few have four times the share.
+func tenTeams(large int) map[string]int {
 	teams := make(map[string]int)
 	for i := range 10 {
 		share := 1
 		if i < large {
 			share = 4
 		}
-		teams[fmt.Sprintf("%s%d", prefix, i+1)] = share
+		teams[fmt.Sprintf("team%d", i+1)] = share
 	}
 	return teams
 }
