Fold the configuration in force from the log's records

Cause: operators race, appends are lost and doubled, the log drops old records, and VMs start from any offset; all must hold one configuration. Ruled out: the last publish wins (a slow pipeline would undo a newer manifest), wall-clock order (writers' clocks differ), and founding a state on any checkpoint (a VM would refuse what all others accept). The offset order decides by the base that a publish names, checkpoints found a state only where no record is lost, and a publish anew heals a stream of which the configuration has been lost.

--- a/library/checker/checker.go
+++ b/library/checker/checker.go
@@ -14,8 +14,9 @@
 	"github.com/heathervane/heathervane/library/finder"
 )
 
-// MaxBytes is the longest manifest in bytes.
-const MaxBytes = 1 << 20
+// MaxBytes is the longest manifest in bytes. A record of the log holds 1 MiB, and
+// a checkpoint carries the orders and the audit trail beside the manifest.
+const MaxBytes = 768 << 10
 
 // The two values of Service.Keys.
 const (
@@ -51,6 +52,10 @@
 func Parse(data []byte) (Manifest, finder.Findings) {
 	m := preset()
 	found := decoder.Decode(data, &m, MaxBytes)
+	if len(data) == 0 {
+		// The file of a pipeline that failed. In force, it would stop the fleet.
+		found.Addf("line 1", "is empty")
+	}
 	m.fill()
 	c := checker{
 		m: &m, found: found,
--- /dev/null
+++ b/library/folder/fleet_test.go
@@ -0,0 +1,180 @@
+package folder_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/library/folder"
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// fleet is a log that drops old records and VMs that read it, each from where
+// it started. A witness has read every record from the first on.
+type fleet struct {
+	start   uint64
+	records []folder.Record // of offset 1 and up, dropped ones too
+	vms     []*vm
+
+	states   map[uint64]folder.State // of the witness, by Read
+	verdicts map[uint64]folder.Verdict
+	ids      int
+}
+
+// vm is one reader. It searches for a state where it has none or has a gap.
+type vm struct {
+	state  *folder.State
+	search uint64 // next offset to search from
+}
+
+func (f *fleet) end() uint64 { return uint64(len(f.records)) + 1 }
+
+func (f *fleet) append(data []byte) {
+	r := folder.Record{Offset: f.end(), At: time.UnixMilli(int64(f.end())), Data: data}
+	f.records = append(f.records, r)
+	s, v := folder.Apply(f.states[r.Offset-1], r)
+	f.states[r.Offset], f.verdicts[r.Offset] = s, v
+}
+
+// step has a VM read one record, as the follower does.
+func (f *fleet) step(t *rapid.T, m *vm) {
+	if m.state == nil && f.start <= 1 {
+		m.state = &folder.State{}
+	}
+	if m.state == nil || f.start > m.state.Read+1 {
+		f.seek(t, m)
+		return
+	}
+	if m.state.Read+1 >= f.end() {
+		return
+	}
+	r := f.records[m.state.Read]
+	s, v := folder.Apply(*m.state, r)
+	assert.DeepEqual(t, v, f.verdicts[r.Offset])
+	f.move(t, m, s)
+}
+
+func (f *fleet) seek(t *rapid.T, m *vm) {
+	m.search = max(m.search, f.start)
+	if m.search >= f.end() {
+		return
+	}
+	s, ok := folder.Found(m.state, f.start, f.records[m.search-1])
+	m.search++
+	if ok {
+		assert.Assert(t, s.Read+1 >= f.start, "records are lost between the state and the log")
+		f.move(t, m, s)
+	}
+}
+
+// move checks what every step must keep: the state is the witness's at the
+// same offset, and neither the version nor the reading goes back.
+func (f *fleet) move(t *rapid.T, m *vm, s folder.State) {
+	assert.DeepEqual(t, s, f.states[s.Read])
+	if m.state != nil {
+		assert.Assert(t, s.Version >= m.state.Version, "version %d after %d", s.Version, m.state.Version)
+		assert.Assert(t, s.Read > m.state.Read)
+	}
+	m.state, m.search = &s, 0
+}
+
+func (f *fleet) id() string {
+	f.ids++
+	return fmt.Sprint("id-", f.ids)
+}
+
+// publish has operators publish on the version in force, on one before it, or
+// anew; some with a manifest that has findings.
+func (f *fleet) publish(t *rapid.T) {
+	now := f.states[f.end()-1]
+	p := recorder.Publish{Base: now.Version, Manifest: manifest(rapid.IntRange(0, 5).Draw(t, "seats")), Who: "kim", ID: f.id()}
+	switch rapid.IntRange(0, 5).Draw(t, "base") {
+	case 0:
+		p.Base = rapid.Uint64Range(0, f.end()).Draw(t, "other")
+	case 1:
+		p.Anew, p.Base = true, f.end()-min(f.end(), rapid.Uint64Range(0, 2).Draw(t, "behind"))
+	}
+	f.append(wrap(t, recorder.KindPublish, p))
+}
+
+func (f *fleet) order(t *rapid.T) {
+	kind := rapid.SampledFrom([]recorder.Target{recorder.TargetVM, recorder.TargetZone, recorder.TargetUpstream}).Draw(t, "kind")
+	name := rapid.SampledFrom([]string{"a", "b", "u", "entry-1"}).Draw(t, "name")
+	f.append(order(t, kind, name, rapid.Bool().Draw(t, "out"), f.id()))
+}
+
+// again appends a record that an operator or a VM has appended before.
+func (f *fleet) again(t *rapid.T) {
+	if len(f.records) > 0 {
+		f.append(rapid.SampledFrom(f.records).Draw(t, "record").Data)
+	}
+}
+
+func (f *fleet) hostile(t *rapid.T) {
+	data := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "bytes")
+	if rapid.Bool().Draw(t, "wrapped") {
+		kind := rapid.SampledFrom([]string{recorder.KindPublish, recorder.KindOrder, recorder.KindCheckpoint}).Draw(t, "kind")
+		data = wrap(t, kind, data)
+	}
+	f.append(data)
+}
+
+// checkpoint has any VM write one, also one that has read little or was frozen
+// for long, and several of them at once.
+func (f *fleet) checkpoint(t *rapid.T) {
+	m := rapid.SampledFrom(f.vms).Draw(t, "writer")
+	if m.state != nil {
+		f.append(wrap(t, recorder.KindCheckpoint, folder.Store(*m.state)))
+	}
+}
+
+// Operators race, records repeat or are broken, the log drops old ones, and VMs
+// freeze and are replaced at any moment. A user notices when two VMs hold
+// different manifests for good, or one goes back to an older one.
+func TestFleetHoldsOneConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{start: 1, states: map[uint64]folder.State{0: {}}, verdicts: map[uint64]folder.Verdict{}}
+		for range 4 {
+			f.vms = append(f.vms, &vm{})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish":    f.publish,
+			"order":      f.order,
+			"again":      f.again,
+			"hostile":    f.hostile,
+			"checkpoint": f.checkpoint,
+			"expire": func(t *rapid.T) {
+				f.start = min(f.end(), f.start+rapid.Uint64Range(1, 5).Draw(t, "records"))
+			},
+			"replace": func(t *rapid.T) {
+				f.vms[rapid.IntRange(0, 3).Draw(t, "vm")] = &vm{}
+			},
+			"read": func(t *rapid.T) {
+				m := rapid.SampledFrom(f.vms).Draw(t, "vm")
+				for range rapid.IntRange(1, 10).Draw(t, "records") {
+					f.step(t, m)
+				}
+			},
+			"": func(*rapid.T) {},
+		})
+		f.settle(t)
+	})
+}
+
+// settle ends the faults: an operator publishes anew, as the pages tell them to
+// where no checkpoint is left, and every VM must then reach one state.
+func (f *fleet) settle(t *rapid.T) {
+	p := recorder.Publish{Base: f.end(), Anew: true, Manifest: manifest(7), Who: "kim", ID: f.id()}
+	f.append(wrap(t, recorder.KindPublish, p))
+	f.append(order(t, recorder.TargetZone, "b", true, f.id()))
+	for _, m := range f.vms {
+		for range 2 * len(f.records) {
+			f.step(t, m)
+		}
+		assert.Equal(t, m.state.Read, f.end()-1)
+		assert.Assert(t, m.state.Out(recorder.TargetZone, "b"))
+	}
+}
--- /dev/null
+++ b/library/folder/found.go
@@ -0,0 +1,126 @@
+package folder
+
+import (
+	"math"
+
+	"github.com/zeebo/errs"
+
+	"github.com/heathervane/heathervane/library/checker"
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// ErrRestore is the class of checkpoints that can't be a state.
+var ErrRestore = errs.Class("checkpoint")
+
+// Store returns the checkpoint of a state.
+func Store(s State) recorder.Checkpoint {
+	return recorder.Checkpoint{
+		Version: s.Version, Manifest: s.Source, Outs: s.Outs, Read: s.Read, Audit: s.Audit,
+	}
+}
+
+// Restore returns the state of a checkpoint. It reads the manifest again and
+// checks every bound, because the checkpoint may come from a broken writer.
+func Restore(c recorder.Checkpoint) (State, error) {
+	s := State{Outs: c.Outs, Read: c.Read, Audit: c.Audit}
+	if c.Version > c.Read || c.Read == math.MaxUint64 {
+		return State{}, ErrRestore.New("version %d, read up to %d", c.Version, c.Read)
+	}
+	if (c.Version == 0) != (len(c.Manifest) == 0) {
+		return State{}, ErrRestore.New("version %d with a manifest of %d bytes", c.Version, len(c.Manifest))
+	}
+	for _, kind := range []recorder.Target{recorder.TargetVM, recorder.TargetZone, recorder.TargetUpstream} {
+		names := outsOf(&s.Outs, kind)
+		if err := restorable(names, c.Read); err != nil {
+			return State{}, err
+		}
+		if len(names) == 0 {
+			setOuts(&s.Outs, kind, nil)
+		}
+	}
+	if err := trail(c); err != nil {
+		return State{}, err
+	}
+	if c.Version == 0 {
+		return s, nil
+	}
+	m, found := checker.Parse(c.Manifest)
+	if err := found.Err(); err != nil {
+		return State{}, ErrRestore.Wrap(err)
+	}
+	return s.manifested(c.Version, m, c.Manifest), nil
+}
+
+func restorable(names map[string]uint64, read uint64) error {
+	if len(names) > MaxOuts {
+		return ErrRestore.New("%d names out, at most %d", len(names), MaxOuts)
+	}
+	for name, offset := range names {
+		if !checker.ValidName(name) || offset == 0 || offset > read {
+			return ErrRestore.New("%q out by offset %d, read up to %d", cut(name, maxWhat), offset, read)
+		}
+	}
+	return nil
+}
+
+func trail(c recorder.Checkpoint) error {
+	if len(c.Audit) > MaxAudit {
+		return ErrRestore.New("%d changes, at most %d", len(c.Audit), MaxAudit)
+	}
+	var last uint64
+	for _, a := range c.Audit {
+		if a.Offset <= last || a.Offset > c.Read {
+			return ErrRestore.New("change of offset %d after %d, read up to %d", a.Offset, last, c.Read)
+		}
+		last = a.Offset
+		if !plain(a.Who, maxWho) || !plain(a.What, maxWhat) || !id(a.ID) ||
+			!plainOrEmpty(a.Why, maxWhy) || !plainOrEmpty(a.Reason, maxReason) {
+			return ErrRestore.New("change of offset %d can't be shown", a.Offset)
+		}
+	}
+	return nil
+}
+
+// Found tries to found a state on one record, for a reader that can't go on
+// from its own: it has none, or the log has dropped records that it has not
+// read. Start is the first offset that the log still keeps. The reader goes on
+// after the Read of the state returned, which is often before the record.
+//
+// A checkpoint serves where the log still keeps every record after its Read. A
+// reader that took an older one would miss a publish or an order in between,
+// and would refuse what all others accept. A publish anew serves on the same
+// terms, so that a second copy of it is told from the first.
+//
+// A reader that has a state passes it as old, and only ever moves forward.
+func Found(old *State, start uint64, r Record) (State, bool) {
+	s, ok := founded(start, r)
+	if !ok || (old != nil && (s.Read <= old.Read || s.Version < old.Version)) {
+		return State{}, false
+	}
+	return s, true
+}
+
+func founded(start uint64, r Record) (State, bool) {
+	kind, err := recorder.Kind(r.Data)
+	if err != nil {
+		return State{}, false
+	}
+	switch kind {
+	case recorder.KindCheckpoint:
+		c, err := recorder.Unwrap[recorder.Checkpoint](r.Data)
+		if err != nil || c.Read+1 < start || c.Read >= r.Offset {
+			return State{}, false
+		}
+		s, err := Restore(c)
+		return s, err == nil
+	case recorder.KindPublish:
+		p, err := recorder.Unwrap[recorder.Publish](r.Data)
+		if err != nil || !p.Anew || p.Base < start {
+			return State{}, false
+		}
+		s, v := Apply(State{Read: r.Offset - 1}, r)
+		return s, v.Outcome == Accepted
+	default:
+		return State{}, false
+	}
+}
