--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -53,6 +53,12 @@
 
 // A Slot is one place at an upstream, in use until Done.
 type Slot interface {
+	// Boot is the upstream's boot number that it was lent under.
+	Boot() uint64
+	// Live tells whether work may still be sent on it. Whoever sends asks just
+	// before: a process that was frozen in between wakes with slots that the
+	// others have long counted as unused.
+	Live() bool
 	Done(o Outcome)
 }
 
--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -37,6 +37,9 @@
 	name   string
 }
 
+func (place) Boot() uint64 { return 9 }
+func (place) Live() bool   { return true }
+
 func (p place) Done(dispatcher.Outcome) {
 	p.lender.mu.Lock()
 	defer p.lender.mu.Unlock()
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -328,6 +328,5 @@
 		return Part{}, false
 	}
 	p.note(name, sending{at: now, tokens: prompt})
-	boot := p.dispatcher.supplier.Supply(name).Boot
-	return Part{Upstream: p.upstreams[i], Boot: boot, Tokens: prompt, Slot: slot}, true
+	return Part{Upstream: p.upstreams[i], Boot: slot.Boot(), Tokens: prompt, Slot: slot}, true
 }
--- /dev/null
+++ b/entry/process/server/coordination.go
@@ -0,0 +1,82 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/connection/linker"
+	"github.com/heathervane/heathervane/entry/process/canceller"
+	"github.com/heathervane/heathervane/entry/process/coordinator"
+	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/library/lister"
+)
+
+const (
+	// sweepEvery is how often a holder looks through its engines' lists for
+	// what processes that are gone have left there.
+	sweepEvery = 2 * time.Second
+	// sweepTime bounds one look.
+	sweepTime = time.Second
+)
+
+// newCoordination joins the parts that act together with other VMs.
+func (v *Server) newCoordination(list *lister.List) error {
+	s := v.settings
+	address := v.sides.peers.Addr().String()
+	v.linker = linker.New(linker.Config{
+		VM: s.ID, Zone: s.Zone, Address: address, Boot: v.boot, Secret: []byte(s.Peers.Secret), TLS: v.linksTLS,
+	}, v.log, v.meter.Registry())
+	v.linker.Serve(v.snapshot)
+	v.coordinator = coordinator.New(coordinator.Config{
+		VM: s.ID, Zone: s.Zone, Address: address, Boot: v.boot, Timings: coordinator.Today(),
+		Version: v.version, Heard: v.heard,
+	}, coordinator.Deps{
+		Log: v.records, List: list, Links: coordinator.Over(v.linker), Prober: coordinator.NewHTTP(v.upstream),
+		Ticker: v.ticker, Registry: v.meter.Registry(), Logger: v.log,
+	})
+	v.canceller = canceller.New(v.upstream, v.ticker, v.meter.Registry())
+	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot}, v.records, v.ticker, v.coordinator.Gone, v.meter)
+	return nil
+}
+
+// version is the configuration in force, for heartbeats.
+func (v *Server) version() uint64 {
+	if view := v.view.Load(); view != nil {
+		return view.Version
+	}
+	return 0
+}
+
+// sweep looks through the lists of the engines that this VM holds, and cancels
+// what stands there for nobody: a VM that died can cancel nothing itself, and
+// without this its streams keep their memory for ever.
+func (v *Server) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			v.sweepHeld(ctx)
+		}
+	}
+}
+
+func (v *Server) sweepHeld(ctx context.Context) {
+	view := v.view.Load()
+	if view == nil {
+		return
+	}
+	for _, u := range view.Upstreams() {
+		if u.Model == "" || !v.coordinator.Holds(u.Name) {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, sweepTime)
+		err := v.canceller.Sweep(limited, u.Address, v.chatter.Known, v.coordinator.Gone)
+		cancel()
+		if err != nil {
+			v.meter.Count("sweeps.failed", 1)
+		}
+	}
+}
--- a/entry/request/chatter/failure_test.go
+++ b/entry/request/chatter/failure_test.go
@@ -79,6 +79,17 @@
 	assert.DeepEqual(t, r.cancels.ids, []string{"vm1-3-1"})
 }
 
+// A process is frozen between the moment it took a place and the sending. When
+// it wakes, others use the place: sending would overfill the engine.
+func TestALapsedPlaceIsNotUsed(t *testing.T) {
+	e := newEngine(t, say("no"))
+	r := newRig(t, manifest(e.address()))
+	r.places.lapsed = true
+	got := r.post(t, question)
+	assert.Equal(t, got.header.Get("Heathervane-Ran"), "no", got.body)
+	assert.Equal(t, e.begun, 0)
+}
+
 // All engines refuse. "Not run" is true, and the caller is told when to come
 // back; where one may have run it, it is not said.
 func TestNotRunIsSaidOnlyWhereItIsTrue(t *testing.T) {
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -101,10 +101,15 @@
 	mu    sync.Mutex
 	given []string
 	done  []dispatcher.Outcome
+	// lapsed makes the places be lapsed by the time of the sending.
+	lapsed bool
 }
 
 type place struct{ places *places }
 
+func (place) Boot() uint64 { return 7 }
+func (p place) Live() bool { return !p.places.lapsed }
+
 func (p place) Done(o dispatcher.Outcome) {
 	p.places.mu.Lock()
 	defer p.places.mu.Unlock()
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -3,18 +3,27 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
 )
 
+// Error is the class of what goes wrong within an attempt.
+var Error = errs.Class("attempt")
+
+var (
+	errLapsed  = Error.New("its place lapsed before it was used")
+	errNoParts = Error.New("a grant without parts")
+)
+
 // run has the work done, at another upstream where one has failed before the
 // first token and nothing can run twice unseen.
 func (c *Chatter) run(ctx context.Context, w http.ResponseWriter, j *job) {
@@ -100,9 +109,8 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(j.ran)
 	}
-	var r *streamer.Refused
-	if errors.As(f.err, &r) && !f.sent {
-		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", r).Having(j.ran).Back(time.Second)
+	if !f.sent {
+		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", f.err).Having(j.ran).Back(time.Second)
 	}
 	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(j.ran)
 }
@@ -182,6 +190,9 @@
 			text = prompt[:min(len(prompt), part.Tokens*a.job.bytes)]
 			prompt = prompt[len(text):]
 		}
+		if !part.Slot.Live() {
+			return nil, &failure{err: errLapsed, sent: sent}
+		}
 		job := a.wire(i, part, text, imports)
 		a.hold(job.ID)
 		if last {
@@ -195,7 +206,7 @@
 		sent = true
 		imports = append(imports, streamer.Import{Address: part.Upstream.Address, Handle: handle})
 	}
-	return nil, &failure{err: fmt.Errorf("a grant without parts")}
+	return nil, &failure{err: errNoParts}
 }
 
 func (a *attempt) wire(i int, part dispatcher.Part, text string, imports []streamer.Import) streamer.Job {
--- a/entry/request/passer/passer_test.go
+++ b/entry/request/passer/passer_test.go
@@ -57,15 +57,21 @@
 	return s.calls
 }
 
-type slot struct{}
+type slot struct {
+	lapsed bool
+}
 
+func (slot) Boot() uint64            { return 7 }
+func (s slot) Live() bool            { return !s.lapsed }
 func (slot) Done(dispatcher.Outcome) {}
 
 // places always gives the first upstream.
-type places struct{}
+type places struct {
+	lapsed bool
+}
 
-func (places) Acquire(_ context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal) {
-	return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: c.Pool.Upstreams[0], Slot: slot{}}}}, nil
+func (p places) Acquire(_ context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal) {
+	return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: c.Pool.Upstreams[0], Slot: slot{p.lapsed}}}}, nil
 }
 
 type deaf struct{}
@@ -73,6 +79,11 @@
 func (deaf) Turned(string, uint64, string) {}
 
 func newPasser(t *testing.T, address string) *httptest.Server {
+	t.Helper()
+	return newPasserOver(t, address, places{})
+}
+
+func newPasserOver(t *testing.T, address string, p places) *httptest.Server {
 	t.Helper()
 	sum := sha256.Sum256([]byte(bearer))
 	view := viewer.New(1, checker.Manifest{
@@ -83,13 +94,13 @@
 		Teams:     map[string]checker.Team{"hanbit": {Share: 1, Tokens: []string{"sha256:" + hex.EncodeToString(sum[:])}}},
 		Upstreams: map[string]checker.Upstream{"b1": {Service: "booking", Address: address, Slots: 4}},
 	}, func(string, string) bool { return false })
-	p := passer.New("vm1", 3, passer.Deps{
+	handler := passer.New("vm1", 3, passer.Deps{
 		Views:    func() *viewer.View { return view },
 		Reader:   &reader.Reader{Most: 4096, Budget: bounder.New(1 << 20), Patience: time.Second},
-		Acquirer: places{}, Watcher: deaf{}, Meter: meter.New(), Now: time.Now,
+		Acquirer: p, Watcher: deaf{}, Meter: meter.New(), Now: time.Now,
 		Retrier: retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
 	})
-	s := httptest.NewServer(p)
+	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
 	return s
 }
@@ -265,6 +276,19 @@
 	assert.Equal(t, got.header.Get("Retry-After"), "1")
 }
 
+// A process is frozen between the moment it took a place and the sending. When
+// it wakes, others use the place; sending would overfill the service, and the
+// caller has long been told something else.
+func TestALapsedPlaceIsNotUsed(t *testing.T) {
+	b := &service{script: func(http.ResponseWriter, int) {}}
+	upstream := httptest.NewServer(b)
+	defer upstream.Close()
+	s := newPasserOver(t, strings.TrimPrefix(upstream.URL, "http://"), places{lapsed: true})
+	got := send(t, s, http.MethodPost, "/services/booking/seats", "x")
+	assert.Equal(t, got.header.Get("Heathervane-Ran"), "no")
+	assert.Equal(t, len(b.seen()), 0)
+}
+
 func TestBadCalls(t *testing.T) {
 	tests := []struct {
 		name, path, code string
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -124,6 +124,10 @@
 // send sends a call once.
 func (p *Passer) send(ctx context.Context, c *call, g *dispatcher.Grant) (*answer, *failure) {
 	part := g.Parts[0]
+	if !part.Slot.Live() {
+		g.Done(dispatcher.Cancelled)
+		return nil, &failure{}
+	}
 	// From the moment a connection is there, a byte may have left, whatever
 	// error follows: a write that fails here may have arrived there.
 	var connected atomic.Bool
