--- a/bench/run.go
+++ b/bench/run.go
@@ -29,7 +29,7 @@
 	c := flaggy.NewSubcommand("run")
 	c.Description = "Play an experiment under each of its policies and write report, plots and JSON"
 	c.AddPositionalValue(&p.file, "file", 1, true, "the experiment's TOML file")
-	c.String(&p.out, "", "out", "folder for the results (default: results/NAME-FLEET)")
+	c.String(&p.out, "", "out", "folder for the results (default: runs/NAME-FLEET)")
 	c.String(&p.policies, "", "policies", "policies instead of the file's, with commas between")
 	c.String(&p.fleet, "", "fleet", "fleet instead of the file's")
 	return c
@@ -64,7 +64,7 @@
 	}
 	out := p.out
 	if out == "" {
-		out = filepath.Join("results", e.Name+"-"+e.Fleet)
+		out = filepath.Join("runs", e.Name+"-"+e.Fleet)
 	}
 	if err := reporter.Save(out, e, outcomes); err != nil {
 		return err
