--- a/bench/runner/runner.go
+++ b/bench/runner/runner.go
@@ -79,15 +79,18 @@
 		"(at most %.0f ms are tolerable); run it on a less busy machine or with lower rates", lag.P99, tolerable)
 }
 
-// PolicyOf gives the settings of a policy by its name in experiments.
+// PolicyOf gives the settings of a policy by its name in experiments. The three
+// baselines that choose an upstream at random or by requests in progress have a
+// queue that is first come, first served; first has that queue alone.
 func PolicyOf(name string) starter.Policy {
+	const queue = "first"
 	switch name {
 	case "own":
 		return starter.Policy{}
 	case "first":
-		return starter.Policy{Router: "least", Queue: "first"}
+		return starter.Policy{Queue: queue}
 	default:
-		return starter.Policy{Router: name, Queue: "first"}
+		return starter.Policy{Router: name, Queue: queue}
 	}
 }
 
