--- a/bench/config_test.go
+++ b/bench/config_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -34,7 +35,7 @@
 	before := b.version(b.VMs[0])
 	for _, path := range paths {
 		go func() {
-			out, code, err := b.Operate(b.ctx, "publish", path, "--on", before)
+			out, code, err := b.Operate(b.ctx, "publish", path, "--on", strconv.FormatUint(before, 10))
 			results <- published{out, code, err}
 		}()
 	}
@@ -60,10 +61,10 @@
 }
 
 // version is the configuration's version in force on a VM.
-func (b *bench) version(vm *starter.Process) string {
+func (b *bench) version(vm *starter.Process) uint64 {
 	b.t.Helper()
 	var status struct {
-		Version string `json:"version"`
+		Version uint64 `json:"version"`
 	}
 	assert.NilError(b.t, starter.Status(b.ctx, vm, &status))
 	return status.Version
--- a/bench/starter/manifest.go
+++ b/bench/starter/manifest.go
@@ -16,8 +16,12 @@
 	"github.com/heathervane/heathervane/library/checker"
 )
 
-// window is how long a call's key is known in the bench's fleets.
-const window = 10 * time.Minute
+// In the bench's fleets a call's key is known for window, and the log keeps
+// records for keep.
+const (
+	window = 10 * time.Minute
+	keep   = time.Hour
+)
 
 // version is the model's version, which engines have loaded at the start.
 const version = "1"
@@ -28,6 +32,8 @@
 	m := checker.Manifest{
 		Seats:  max(9, s.VMs),
 		Window: checker.Duration(window),
+		Keep:   checker.Duration(keep),
+		Zones:  s.Zones,
 		Classes: map[string]checker.Class{
 			"short": class(4_000, 20*time.Second),
 			"long":  class(100_000, time.Minute),
@@ -37,7 +43,7 @@
 			s.Model: {Context: s.Context, Output: s.Output, Bytes: s.Bytes, Version: version},
 		},
 		Services: map[string]checker.Service{
-			s.Service: {Limit: seconds(10), Least: checker.Duration(100 * time.Millisecond), Most: seconds(60)},
+			s.Service: {Keys: checker.KeysDated, Limit: seconds(10), Least: checker.Duration(100 * time.Millisecond), Most: seconds(60)},
 		},
 		Upstreams: make(map[string]checker.Upstream),
 		Teams:     make(map[string]checker.Team),
