--- a/bench/harness_test.go
+++ b/bench/harness_test.go
@@ -45,14 +45,14 @@
 // A bench is a running fleet and a caller in one test.
 type bench struct {
 	*starter.Fleet
-	t      *testing.T
+	t      testing.TB
 	ctx    context.Context
 	caller *caller.Caller
 }
 
 // start brings up the small fleet, changed as the test needs it, and ends it
 // with the test.
-func start(t *testing.T, changes ...func(*starter.Size)) *bench {
+func start(t testing.TB, changes ...func(*starter.Size)) *bench {
 	t.Helper()
 	p, err := programs()
 	assert.NilError(t, err)
