--- a/entry/process/splitter/splitter.go
+++ b/entry/process/splitter/splitter.go
@@ -56,21 +56,11 @@
 
 // New returns a Splitter that sets no engine apart yet.
 func New(c Config) *Splitter {
-	if c.Smooth == 0 {
-		c.Smooth = 5 * time.Second
-	}
-	if c.Up == 0 {
-		c.Up = 0.25
-	}
-	if c.Down == 0 {
-		c.Down = 1.25
-	}
-	if c.Rise == 0 {
-		c.Rise = 2 * time.Second
-	}
-	if c.Fall == 0 {
-		c.Fall = 20 * time.Second
-	}
+	c.Smooth = cmp.Or(c.Smooth, 5*time.Second)
+	c.Up = cmp.Or(c.Up, 0.25)
+	c.Down = cmp.Or(c.Down, 1.25)
+	c.Rise = cmp.Or(c.Rise, 2*time.Second)
+	c.Fall = cmp.Or(c.Fall, 20*time.Second)
 	return &Splitter{conf: c}
 }
 
--- a/entry/request/admitter/admitter.go
+++ b/entry/request/admitter/admitter.go
@@ -7,7 +7,8 @@
 //
 // Each ask is in a band by prompt length. Bands share the upstreams by weight,
 // counted in tokens; in a band, teams take turns by deficit round robin,
-// counted in tokens; within a team the earliest deadline goes first. An ask
+// counted in tokens, in a form in which a team may overdraw and then waits
+// until it has paid; within a team the earliest deadline goes first. An ask
 // that cannot be done in time, given what is ahead of it in that order, is
 // refused when it comes and not when its time is over.
 //
@@ -85,85 +86,6 @@
 	return "refused as " + r.Code + ", come back after " + r.After.String()
 }
 
-// Values of Config.Queue.
-const (
-	// Fair is the queue that the package's comment describes.
-	Fair = "fair"
-	// First is the baseline: one queue, first come first served, that refuses
-	// only when it is full and whose head blocks all behind it.
-	First = "first"
-)
-
-// A Config sets an Admitter. A zero field takes the default named with it.
-type Config struct {
-	// Queue is Fair (the default) or First.
-	Queue string
-	// Requests bounds the queue's length; 4,096 by default, at which a team
-	// of 2,700 still finds room for its first ask.
-	Requests int
-	// Tokens bounds the prompts that wait; 16 Mi tokens by default, about
-	// 64 MiB of bodies, which a small VM can hold.
-	Tokens int
-	// Bounds are the longest prompts of all bands but the last, ascending:
-	// 16 Ki, 64 Ki and 256 Ki tokens by default. In a band of this width the
-	// longest takes four times as long as the shortest, and so delays it by
-	// little; each band more would add one call of place to each Next.
-	Bounds []int
-	// Weights are the bands' parts of the tokens when all bands wait: 8, 4, 2
-	// and 2 by default. The short band has half, because its callers feel
-	// each second; the long ones keep an eighth each and are never starved.
-	Weights []int
-	// Answer is how many prompt tokens one answer token counts for in teams'
-	// turns; 8 by default, as an engine reads about that many prompt tokens in
-	// the time that it makes one answer token over all its streams.
-	Answer int
-	// Length is the part of Output that estimates reckon with; 1 by default,
-	// so that an ask that uses all it asked for still ends in time.
-	Length float64
-	// Margin is the part of an ask's time kept free for what estimates leave
-	// out, such as lagging reports; 0.1 by default.
-	Margin float64
-	// Tries bounds the calls of place per band in one Next; 2 by default.
-	Tries int
-	// Patience is the part of an ask's time for which others of its band may
-	// be placed before it when it finds no place itself; 0.125 by default.
-	Patience float64
-}
-
-func (c Config) withDefaults() Config {
-	if c.Queue == "" {
-		c.Queue = Fair
-	}
-	if c.Requests == 0 {
-		c.Requests = 4096
-	}
-	if c.Tokens == 0 {
-		c.Tokens = 16 << 20
-	}
-	if c.Bounds == nil {
-		c.Bounds = []int{16 << 10, 64 << 10, 256 << 10}
-	}
-	if c.Weights == nil {
-		c.Weights = []int{8, 4, 2, 2}
-	}
-	if c.Answer == 0 {
-		c.Answer = 8
-	}
-	if c.Length == 0 {
-		c.Length = 1
-	}
-	if c.Margin == 0 {
-		c.Margin = 0.1
-	}
-	if c.Tries == 0 {
-		c.Tries = 2
-	}
-	if c.Patience == 0 {
-		c.Patience = 0.125
-	}
-	return c
-}
-
 // An Admitter is one model's queue on one VM.
 type Admitter struct {
 	conf Config
@@ -173,14 +95,16 @@
 	teams  map[string]load
 	total  load
 	bands  []*band
-	latest latestHeap
+	latest pile[*item]
 	// gone are asks that Next found too late, until Expire hands them out.
 	gone []Ask
 	// clock is the virtual time of the bands: the finish tag of the last
 	// band served.
 	clock float64
 	pace  Pace
+	// line is the queue of the baseline, tries the bands that Next tries.
 	line  []uint64
+	tries []*band
 }
 
 // A load sums waiting asks.
@@ -214,6 +138,11 @@
 	sum         int64
 }
 
+// before orders asks by the latest moment of their start.
+func (it *item) before(other *item) bool { return it.start.Before(other.start) }
+
+func (it *item) place() *int { return &it.index }
+
 // New returns an empty Admitter.
 func New(c Config) *Admitter {
 	c = c.withDefaults()
@@ -244,7 +173,7 @@
 		k.Share = 1
 	}
 	it := &item{ask: k, cost: a.cost(k), band: a.band(k.Tokens)}
-	it.start = k.Deadline.Add(-a.service(k, p))
+	it.start = a.start(k, p)
 	if r := a.refuse(now, it, p); r != nil {
 		return r
 	}
@@ -324,23 +253,6 @@
 	return nil
 }
 
-func (a *Admitter) nextFirst(now time.Time, place func(Ask) bool) (Ask, bool) {
-	for len(a.line) > 0 {
-		it, ok := a.items[a.line[0]]
-		if ok && now.Before(it.start) {
-			if !place(it.ask) {
-				return Ask{}, false
-			}
-			a.delete(it)
-		}
-		a.line = a.line[1:]
-		if ok && now.Before(it.start) {
-			return it.ask, true
-		}
-	}
-	return Ask{}, false
-}
-
 // serve takes out an ask that found a place, and charges its team and band.
 func (a *Admitter) serve(it *item) {
 	b := it.band
--- a/entry/request/admitter/band.go
+++ b/entry/request/admitter/band.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"container/heap"
 	"math/bits"
 )
 
@@ -15,9 +14,13 @@
 	weight float64
 	// spent is the tokens served over the weight: the band's virtual time.
 	spent float64
+	// tag is the virtual time at which its first ask would end.
+	tag   float64
 	load  load
 	turns map[string]*turn
-	heap  turnHeap
+	heap  pile[*turn]
+	// debtors are the teams that want nothing and have not paid yet.
+	debtors pile[*turn]
 	// round is that of the last ask served, and seq counts turns given.
 	round, seq int64
 	// sizes groups the teams by the binary logarithm of cost over share.
@@ -36,13 +39,21 @@
 	share int64
 	queue queue
 	cost  int64
-	// deficit is what the team may spend as of round since.
-	deficit, since int64
-	// round is when its first ask can be paid.
+	// round is when it may be served: when all it was served before is paid.
 	round, seq int64
 	index      int
 }
 
+// before orders teams by round, and within a round by who waited longer.
+func (t *turn) before(other *turn) bool {
+	if t.round != other.round {
+		return t.round < other.round
+	}
+	return t.seq < other.seq
+}
+
+func (t *turn) place() *int { return &t.index }
+
 func newBand(weight float64) *band {
 	return &band{weight: weight, turns: map[string]*turn{}}
 }
@@ -56,10 +67,10 @@
 func (b *band) first(n int) []*turn {
 	b.tries = b.tries[:0]
 	for len(b.tries) < n && len(b.heap) > 0 {
-		b.tries = append(b.tries, heap.Pop(&b.heap).(*turn)) //nolint:forcetypeassert // only turns are pushed
+		b.tries = append(b.tries, b.heap.pop())
 	}
 	for _, t := range b.tries {
-		heap.Push(&b.heap, t)
+		b.heap.push(t)
 	}
 	return b.tries
 }
@@ -69,15 +80,28 @@
 	b.load.add(k, it.cost, 1)
 	t := b.turns[k.Team]
 	if t == nil {
-		b.seq++
-		t = &turn{team: k.Team, share: int64(k.Share), since: b.round, seq: b.seq}
+		t = &turn{team: k.Team}
 		b.turns[k.Team] = t
-		heap.Push(&b.heap, t)
+	}
+	if t.cost == 0 {
+		b.enter(t, int64(k.Share))
 	}
 	it.turn = t
 	t.queue.insert(it)
 	b.resize(t, it.cost)
-	b.settle(t)
+}
+
+// enter gives a team with nothing waiting its turn: now, or when it has paid.
+// It has saved up nothing from the time in which it wanted nothing.
+func (b *band) enter(t *turn, share int64) {
+	if t.round > b.round {
+		b.debtors.remove(t)
+	}
+	t.share = share
+	t.round = max(t.round, b.round)
+	b.seq++
+	t.seq = b.seq
+	b.heap.push(t)
 }
 
 // delete takes out an ask that was not served.
@@ -87,39 +111,35 @@
 	t.queue.delete(it)
 	b.resize(t, -it.cost)
 	if t.cost == 0 {
-		b.forget(t)
-		return
+		b.heap.remove(t)
+		b.leave(t)
 	}
-	b.settle(t)
 }
 
 // serve takes out the first ask of a team and charges the team for it.
 func (b *band) serve(it *item) {
 	t := it.turn
 	b.round = max(b.round, t.round)
-	t.deficit += (t.round-t.since)*quantum*t.share - it.cost
-	t.since = t.round
+	each := quantum * t.share
+	t.round += (it.cost + each - 1) / each
 	b.seq++
 	t.seq = b.seq
+	b.heap.fix(t)
 	b.delete(it)
-}
-
-// settle finds the round in which the team can pay for its first ask.
-func (b *band) settle(t *turn) {
-	t.round = t.since
-	each := quantum * t.share
-	if lack := t.queue.first().cost - t.deficit; lack > 0 {
-		t.round += (lack + each - 1) / each
+	for len(b.debtors) > 0 && b.debtors[0].round <= b.round {
+		t := b.debtors.pop()
+		delete(b.turns, t.team)
 	}
-	t.round = max(t.round, b.round)
-	heap.Fix(&b.heap, t.index)
 }
 
-// forget drops a team with nothing waiting. Its deficit goes with it: nobody
-// saves up turns for a burst while it wants nothing.
-func (b *band) forget(t *turn) {
-	heap.Remove(&b.heap, t.index)
-	delete(b.turns, t.team)
+// leave keeps a team that has not paid yet, or it would come back with its
+// debt forgotten each time that its queue runs empty.
+func (b *band) leave(t *turn) {
+	if t.round <= b.round {
+		delete(b.turns, t.team)
+		return
+	}
+	b.debtors.push(t)
 }
 
 func (b *band) resize(t *turn, cost int64) {
--- a/entry/request/admitter/estimate.go
+++ b/entry/request/admitter/estimate.go
@@ -12,42 +12,36 @@
 // are reckoned again; smaller changes are within the margin.
 const slowdown = 0.9
 
+// soonest is the shortest time after which coming back is worth a caller's
+// while.
+const soonest = 250 * time.Millisecond
+
 // order gives the bands with asks, the one whose first ask ends earliest in
 // virtual time first. Short asks so go before long ones until they have had
 // their weight's worth of tokens.
 func (a *Admitter) order() []*band {
-	tags := make([]struct {
-		band *band
-		tag  float64
-	}, 0, 8)
+	a.tries = a.tries[:0]
 	for _, b := range a.bands {
-		if len(b.heap) == 0 {
-			continue
+		if len(b.heap) > 0 {
+			b.tag = b.finish(b.heap[0].queue.first().cost)
+			a.tries = append(a.tries, b)
 		}
-		tags = append(tags, struct {
-			band *band
-			tag  float64
-		}{b, b.finish(b.heap[0].queue.first().cost)})
 	}
-	slices.SortStableFunc(tags, func(x, y struct {
-		band *band
-		tag  float64
-	},
-	) int {
-		return cmp.Compare(x.tag, y.tag)
-	})
-	bands := make([]*band, 0, len(tags))
-	for _, t := range tags {
-		bands = append(bands, t.band)
+	slices.SortStableFunc(a.tries, func(x, y *band) int { return cmp.Compare(x.tag, y.tag) })
+	return a.tries
+}
+
+// start is the latest moment at which an ask can be placed and end in time.
+func (a *Admitter) start(k Ask, p Pace) time.Time {
+	if a.conf.Queue == First {
+		return k.Deadline
 	}
-	return bands
+	limit := k.Deadline.Sub(k.Arrived)
+	return k.Deadline.Add(-a.service(k, p) - time.Duration(a.conf.Margin*float64(limit)))
 }
 
 // service is how long an ask takes with nothing ahead of it.
 func (a *Admitter) service(k Ask, p Pace) time.Duration {
-	if a.conf.Queue == First {
-		return 0
-	}
 	return seconds(float64(k.Tokens)/p.alone() + a.conf.Length*float64(k.Output)/p.decode())
 }
 
@@ -59,8 +53,7 @@
 		}
 		return nil
 	}
-	limit := it.ask.Deadline.Sub(now)
-	spare := it.start.Sub(now) - time.Duration(a.conf.Margin*float64(limit))
+	spare := time.Duration(a.conf.Wait * float64(it.start.Sub(now)))
 	if spare <= 0 {
 		return &Refusal{Code: Late}
 	}
@@ -83,8 +76,7 @@
 	// together would come back together, so each has its own part of a
 	// quarter more.
 	spread := 1 + float64(it.ask.ID*0x9e3779b97f4a7c15>>56)/1024
-	after := time.Duration(float64(max(wait-spare, wait/2, time.Second/4)) * spread)
-	return &Refusal{Code: code, After: after}
+	return &Refusal{Code: code, After: time.Duration(float64(max(wait, soonest)) * spread)}
 }
 
 // full says by which code an ask is refused for want of room. A team may hold
@@ -123,7 +115,7 @@
 // rate is the cost served per second, given the mix that waits: the prompts
 // are bound by prefill, the answers by slots, and the slower of the two counts.
 func (a *Admitter) rate(it *item, p Pace) float64 {
-	l := a.total
+	l := it.band.load
 	l.add(it.ask, it.cost, 1)
 	read := float64(l.tokens) / p.prefill()
 	held := (float64(l.tokens)/p.alone() + a.conf.Length*float64(l.output)/p.decode()) / float64(max(1, p.Slots))
@@ -134,7 +126,7 @@
 func (a *Admitter) rebuild(p Pace) {
 	a.pace = p
 	for _, it := range a.latest {
-		it.start = it.ask.Deadline.Add(-a.service(it.ask, p))
+		it.start = a.start(it.ask, p)
 	}
 	heap.Init(&a.latest)
 }
--- a/entry/request/admitter/heap.go
+++ b/entry/request/admitter/heap.go
@@ -4,73 +4,53 @@
 	"container/heap"
 )
 
-// A latestHeap orders waiting asks by the latest moment of their start.
-type latestHeap []*item
-
-func (h *latestHeap) push(it *item) { heap.Push(h, it) }
-
-func (h *latestHeap) remove(it *item) { heap.Remove(h, it.index) }
+// A pile is a heap of entries that know their own places in it, so that any of
+// them can be taken out or moved in logarithmic time.
+type pile[E entry[E]] []E
+
+// An entry is what a pile holds.
+type entry[E any] interface {
+	// before says whether it comes out ahead of the other.
+	before(other E) bool
+	// place is where its index in the pile is kept.
+	place() *int
+}
 
 // Len is how many there are.
-func (h latestHeap) Len() int { return len(h) }
+func (p pile[E]) Len() int { return len(p) }
 
-// Less orders by start.
-func (h latestHeap) Less(i, j int) bool { return h[i].start.Before(h[j].start) }
+// Less orders the pile.
+func (p pile[E]) Less(i, j int) bool { return p[i].before(p[j]) }
 
-// Swap keeps the items' own places right.
-func (h latestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+// Swap keeps the entries' own places right.
+func (p pile[E]) Swap(i, j int) {
+	p[i], p[j] = p[j], p[i]
+	*p[i].place(), *p[j].place() = i, j
 }
 
 // Push appends for package heap.
-func (h *latestHeap) Push(x any) {
-	it := x.(*item) //nolint:forcetypeassert // only push calls it
-	it.index = len(*h)
-	*h = append(*h, it)
+func (p *pile[E]) Push(x any) {
+	e := x.(E) //nolint:forcetypeassert // only push calls it
+	*e.place() = len(*p)
+	*p = append(*p, e)
 }
 
 // Pop removes the last for package heap.
-func (h *latestHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
+func (p *pile[E]) Pop() any {
+	old := *p
+	last := len(old) - 1
+	e := old[last]
+	clear(old[last:])
+	*p = old[:last]
+	return e
 }
 
-// A turnHeap orders the teams of a band by their next turn.
-type turnHeap []*turn
+func (p *pile[E]) push(e E) { heap.Push(p, e) }
 
-// Len is how many there are.
-func (h turnHeap) Len() int { return len(h) }
+func (p *pile[E]) remove(e E) { heap.Remove(p, *e.place()) }
 
-// Less orders by round, and within a round by who waited longer for it.
-func (h turnHeap) Less(i, j int) bool {
-	if h[i].round != h[j].round {
-		return h[i].round < h[j].round
-	}
-	return h[i].seq < h[j].seq
-}
+func (p *pile[E]) fix(e E) { heap.Fix(p, *e.place()) }
 
-// Swap keeps the turns' own places right.
-func (h turnHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push appends for package heap.
-func (h *turnHeap) Push(x any) {
-	t := x.(*turn) //nolint:forcetypeassert // only bands push
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop removes the last for package heap.
-func (h *turnHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return t
+func (p *pile[E]) pop() E {
+	return heap.Pop(p).(E) //nolint:forcetypeassert // only entries are pushed
 }
--- a/entry/request/admitter/queue.go
+++ b/entry/request/admitter/queue.go
@@ -20,7 +20,7 @@
 func (q *queue) ahead(of *item) int64 {
 	var sum int64
 	for it := q.root; it != nil; {
-		if before(it, of) {
+		if earlier(it, of) {
 			sum += it.cost + total(it.left)
 			it = it.right
 		} else {
@@ -54,7 +54,7 @@
 		it.update()
 		return it
 	}
-	if before(it, at) {
+	if earlier(it, at) {
 		at.left = insert(at.left, it)
 	} else {
 		at.right = insert(at.right, it)
@@ -70,7 +70,7 @@
 	if at == it {
 		return merge(at.left, at.right)
 	}
-	if before(it, at) {
+	if earlier(it, at) {
 		at.left = remove(at.left, it)
 	} else {
 		at.right = remove(at.right, it)
@@ -84,7 +84,7 @@
 	if at == nil {
 		return nil, nil
 	}
-	if before(at, key) {
+	if earlier(at, key) {
 		at.right, right = split(at.right, key)
 		left = at
 	} else {
@@ -123,7 +123,7 @@
 	return it.sum
 }
 
-func before(i, j *item) bool {
+func earlier(i, j *item) bool {
 	if !i.ask.Deadline.Equal(j.ask.Deadline) {
 		return i.ask.Deadline.Before(j.ask.Deadline)
 	}
--- a/entry/request/retrier/retrier.go
+++ b/entry/request/retrier/retrier.go
@@ -9,6 +9,7 @@
 package retrier
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -61,18 +62,10 @@
 
 // New returns a Retrier with a full budget, which draws its waits from r.
 func New(c Config, r *rand.Rand) *Retrier {
-	if c.Ratio == 0 {
-		c.Ratio = 0.1
-	}
-	if c.Burst == 0 {
-		c.Burst = 10
-	}
-	if c.Tries == 0 {
-		c.Tries = 3
-	}
-	if c.Base == 0 {
-		c.Base = 25 * time.Millisecond
-	}
+	c.Ratio = cmp.Or(c.Ratio, 0.1)
+	c.Burst = cmp.Or(c.Burst, 10)
+	c.Tries = cmp.Or(c.Tries, 3)
+	c.Base = cmp.Or(c.Base, 25*time.Millisecond)
 	return &Retrier{conf: c, rand: r, budget: c.Burst}
 }
 
--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -9,34 +9,39 @@
 
 const (
 	// longPrompt is the prompt length in tokens from which a prompt counts as
-	// long: the brief's one in fifty is over a hundred thousand, and a prompt
-	// of this length already holds an engine for seconds.
+	// long: one of this length already holds an engine for seconds.
 	longPrompt = 64 << 10
-	// hold is the most work in seconds that an engine may have unread when it
-	// is sent more. Work beyond that is better kept here, where it can still
-	// go elsewhere; it must exceed a report's usual lag, or engines run dry.
+	// holdHome is the most seconds of this VM's own work that a home engine
+	// may have unread when it is sent more. It covers the way there, so that
+	// the engine does not idle, and little else: what waits here can still go
+	// elsewhere, and in the order of the queue.
+	holdHome = 0.02
+	// hold is the same by an engine's report, for a VM without a home engine.
+	// It exceeds a report's usual lag, or the engines would run dry.
 	hold = 0.5
-	// holdLong is the same for a long prompt, which gains less from waiting.
-	holdLong = 2.0
+	// patience is how long an ask waits for a home engine before it may go to
+	// another VM's: about the time an engine takes to read a short prompt.
+	// Sooner, it would mostly meet another VM's work there.
+	patience = 200 * time.Millisecond
+	// away is the seconds by which an engine is disliked that is another VM's
+	// home: the work that others may have sent there and that no report shows
+	// yet, about a report's age.
+	away = 0.2
 	// far is the seconds there and back to another availability zone: 3 ms
 	// by the brief's figures, counted twice for the connection's own delay.
 	far = 0.006
 	// cold is the seconds by which an engine in cold start is disliked.
 	cold = 0.25
-	// apart is the seconds by which a short prompt dislikes an engine that is
-	// set apart for long ones.
-	apart = 0.25
 	// cachedPart is what is thought to be left to read of a prompt whose
 	// prefix is cached.
 	cachedPart = 0.3
 	// detour is the most seconds that a cache hint may be worth. A hint can be
 	// wrong, so that it never makes up for a queue.
 	detour = 0.25
-	// near is the difference in seconds below which estimates count as equal,
-	// and nearPart the same as a part of the best. VMs that see the same
-	// reports spread over the near-equal instead of herding onto one.
-	near     = 0.02
-	nearPart = 0.25
+	// near is the difference in seconds below which estimates count as equal.
+	// VMs that see the same reports spread over the near-equal instead of
+	// herding onto one; a wider band was measured to cost more than it saves.
+	near = 0.02
 	// slow is the measured speed below which an engine is probed only.
 	slow = 0.5
 	// probe is one in how many picks of short prompts tries a slow engine
@@ -47,9 +52,18 @@
 	// early is how many answer tokens are counted beside the first, so that
 	// an engine slow in decoding is disliked also where nothing waits.
 	early = 32
+	// full is the seconds by which an upstream without token rates, such as a
+	// plain service, is disliked when all its slots are taken.
+	full = 0.1
 )
 
 // best estimates for each candidate the time to the first token.
+//
+// A VM knows without lag only what it sent itself. Each engine is therefore
+// the home of one VM, which is nearly its only sender. An ask for which no
+// home engine is free waits here for a moment, and then goes to an engine that
+// its last report shows idle and of which this VM is the present guest, so
+// that no two VMs take the same idle engine for theirs.
 type best struct {
 	rand *rand.Rand
 	fits []fit
@@ -61,18 +75,37 @@
 	cost  float64
 }
 
+// A need is an ask as one Pick sees it.
+type need struct {
+	ask *admitter.Ask
+	// left is the seconds to the deadline.
+	left float64
+	// long says that the prompt is long, split that some engines are set
+	// apart for such.
+	long, split bool
+	// homes says that a home engine is among those that may take it, and
+	// patient that it has waited for one for long enough.
+	homes, patient bool
+}
+
 // Pick takes one of those with nearly the least estimated time.
-func (p *best) Pick(_ time.Time, a admitter.Ask, cs []Candidate) (int, bool) {
-	long := a.Tokens > longPrompt
-	apart := long && anyLong(cs)
+func (p *best) Pick(now time.Time, a admitter.Ask, cs []Candidate) (int, bool) {
+	n := need{
+		ask:     &a,
+		left:    a.Deadline.Sub(now).Seconds(),
+		long:    a.Tokens > longPrompt,
+		split:   split(cs),
+		patient: now.Sub(a.Arrived) >= patience,
+	}
+	n.homes = n.anyHome(cs)
 	p.fits = p.fits[:0]
 	least := 0.0
 	for i := range cs {
 		c := &cs[i]
-		if !c.takes(&a) || (apart && !c.Long) || (c.slow() && c.Mine+c.Sent > 0) {
+		if !c.may(&n) {
 			continue
 		}
-		cost, ok := c.cost(&a, long)
+		cost, ok := c.cost(&n)
 		if !ok {
 			continue
 		}
@@ -87,7 +120,7 @@
 	if i, ok := p.probe(&a, cs); ok {
 		return i, true
 	}
-	return p.among(least + max(near, nearPart*least)), true
+	return p.among(least + near), true
 }
 
 // among chooses at random among those up to a bound.
@@ -125,35 +158,94 @@
 	return index, seen > 0
 }
 
+// split says that some engines are set apart and some are not. Where all are of
+// one kind, that kind takes everything.
+func split(cs []Candidate) bool {
+	for i := range cs {
+		if cs[i].Long != cs[0].Long {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *need) anyHome(cs []Candidate) bool {
+	for i := range cs {
+		if cs[i].Home && n.kind(&cs[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// kind keeps short prompts from the engines of the long ones and the reverse.
+// A short prompt that finds such an engine idle could still meet there a long
+// one that another VM sent a moment ago, and wait for it for a minute.
+func (n *need) kind(c *Candidate) bool {
+	return !n.split || c.Long == n.long
+}
+
+// may says whether the candidate may take the ask at all.
+func (c *Candidate) may(n *need) bool {
+	if !c.takes(n.ask) || !n.kind(c) || (c.slow() && c.Mine+c.Sent > 0) {
+		return false
+	}
+	return c.Home || !n.homes || (c.Guest && n.patient)
+}
+
 func (c *Candidate) slow() bool { return c.Speed > 0 && c.Speed < slow }
 
-// cost is the estimated seconds to the first token, or false where the engine
-// has so much unread that the ask had better wait.
-func (c *Candidate) cost(a *admitter.Ask, long bool) (float64, bool) {
+// cost is the estimated seconds to the first token, or false where the ask had
+// better wait: the engine has work unread, or could not end it in time.
+func (c *Candidate) cost(n *need) (float64, bool) {
+	if c.Prefill <= 0 {
+		return c.plain(), true
+	}
 	speed := c.Speed
 	if speed <= 0 {
 		speed = 1
 	}
-	rate := max(c.Prefill, 1) * speed
-	backlog := c.backlog(rate) / rate
-	bound := hold
-	if long {
-		bound = holdLong
-	}
-	if backlog > bound {
+	rate := c.Prefill * speed
+	decode := max(c.Decode, 1) * speed
+	if !c.idle(n, rate) {
 		return 0, false
 	}
-	read := float64(a.Tokens) / rate
+	read := float64(n.ask.Tokens) / rate
 	if c.Cached {
 		read -= min(read*(1-cachedPart), detour)
 	}
-	cost := backlog + read
-	decode := max(c.Decode, 1) * speed
-	cost += float64(min(a.Output, early)) / decode
+	cost := c.backlog(rate)/rate + read
+	if cost+float64(n.ask.Output)/decode > n.left {
+		return 0, false
+	}
+	cost += float64(min(n.ask.Output, early)) / decode
 	if over := c.progress() + 1 - c.Slots; over > 0 && c.Slots > 0 {
 		// Its slots are full by its own account: the ask waits there for one
 		// of the streams to end.
-		cost += float64(over) * float64(a.Output) / decode / float64(c.Slots)
+		cost += float64(over) * float64(n.ask.Output) / decode / float64(c.Slots)
+	}
+	return cost + c.dislike(n), true
+}
+
+// idle says that the engine has so little unread that more may be sent. What a
+// guest goes by is the report as it was made: all that others have sent since
+// is hidden, so that no time is taken off for what must have been read.
+func (c *Candidate) idle(n *need, rate float64) bool {
+	switch {
+	case !n.homes:
+		return c.backlog(rate) <= hold*rate
+	case c.Home:
+		return float64(c.Unread) <= holdHome*rate
+	default:
+		return c.PrefillLeft+c.SentTokens == 0
+	}
+}
+
+// dislike is what counts against the engine beside its work, in seconds.
+func (c *Candidate) dislike(n *need) float64 {
+	cost := 0.0
+	if n.homes && !c.Home {
+		cost += away
 	}
 	if !c.Near {
 		cost += far
@@ -161,24 +253,26 @@
 	if c.Cold {
 		cost += cold
 	}
-	if c.Long && !long {
-		cost += apart
+	return cost
+}
+
+// plain is the cost of an upstream without token rates: its part of slots
+// taken.
+func (c *Candidate) plain() float64 {
+	cost := full * float64(c.progress()+1) / float64(max(1, c.Slots))
+	if !c.Near {
+		cost += far
+	}
+	if c.Cold {
+		cost += cold
 	}
-	return cost, true
+	return cost
 }
 
 // backlog is the prompt tokens that the engine has yet to read: what it
-// reported, less what it will have read since, and what was sent since.
+// reported, less what it will have read since, and what was sent since; and
+// never less than what this VM knows to be unread.
 func (c *Candidate) backlog(rate float64) float64 {
 	left := max(0, float64(c.PrefillLeft)-rate*c.Age.Seconds())
-	return left + float64(c.SentTokens)
-}
-
-func anyLong(cs []Candidate) bool {
-	for i := range cs {
-		if cs[i].Long {
-			return true
-		}
-	}
-	return false
+	return max(left+float64(c.SentTokens), float64(c.Unread))
 }
--- /dev/null
+++ b/entry/request/router/fleet_test.go
@@ -0,0 +1,475 @@
+package router_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/gauger"
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/router"
+)
+
+// This file plays the decisions against a few engines and VMs in simulated
+// time: engines read prompts one after another and decode all streams at one
+// rate, reports lag, and each VM has a fixed part of each engine's slots.
+
+const (
+	prefill = 20_000.0 // prompt tokens per second of one engine
+	decode  = 50.0     // answer tokens per second of one stream
+	slots   = 64
+	memory  = 1_500_000
+	lag     = 250 * time.Millisecond // of reports
+	tick    = 50 * time.Millisecond
+	hop     = time.Millisecond
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) } //nolint:forcetypeassert // only events
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// A call is one request and what became of it.
+type call struct {
+	ask     admitter.Ask
+	at      time.Duration
+	first   time.Duration // first token; 0 if none came
+	end     time.Duration // whole answer
+	refused *admitter.Refusal
+	refusal time.Duration
+	engine  int
+	sent    time.Duration
+	backlog float64
+	placed  bool
+	vm      *vm
+	again   uint64 // the call that was refused before
+}
+
+type report struct {
+	at                     time.Duration
+	running, waiting, used int
+	left                   float64
+}
+
+type engine struct {
+	name    string
+	slower  float64
+	running int
+	used    int
+	queue   []*call // without a slot
+	unread  []*call
+	left    float64 // tokens of unread[0] still to read
+	since   time.Duration
+	turn    int // invalidates a planned end of prefill
+	reports []report
+	sent    []time.Duration // when requests came
+	most    int
+}
+
+type vm struct {
+	name  string
+	adm   *admitter.Admitter
+	pick  router.Picker
+	gauge *gauger.Gauger
+	mine  []mine // by engine
+	cands []router.Candidate
+}
+
+// mine is what a VM has on one engine.
+type mine struct {
+	calls  []*call
+	unread int
+	recent []*call // sent, and perhaps not in a report yet
+}
+
+type play struct {
+	policy  string
+	queue   string
+	engines int
+	vms     int
+	long    int // engines set apart
+	span    time.Duration
+	seed    uint64
+	loads   []load
+	change  map[time.Duration]func(*fleet)
+	back    bool // refused calls come back
+	conf    admitter.Config
+}
+
+// A load is an open loop of arrivals.
+type load struct {
+	team        string
+	share       int
+	rate        float64 // requests per second
+	least, most int     // prompt tokens, log-uniform
+	output      int     // at most; uniform from a quarter of it
+	limit       time.Duration
+	from, to    time.Duration // 0: the whole play
+}
+
+// tokens is the mean length of its prompts.
+func (l load) tokens() float64 {
+	return float64(l.most-l.least) / math.Log(float64(l.most)/float64(l.least))
+}
+
+type fleet struct {
+	play
+	now     time.Duration
+	seq     int
+	events  events
+	rand    *rand.Rand
+	engs    []*engine
+	vms     []*vm
+	calls   []*call
+	pending map[uint64]*call
+	names   []string          // of the VMs
+	homes   map[string]string // VMs by engine
+	guests  []string          // by engine, as of turn
+	turn    int64
+}
+
+func run(p play) *fleet {
+	f := &fleet{play: p, rand: rand.New(rand.NewPCG(p.seed, 1)), pending: map[uint64]*call{}}
+	var names []string
+	for i := range p.engines {
+		f.engs = append(f.engs, &engine{name: fmt.Sprintf("e%02d", i), slower: 1})
+		names = append(names, f.engs[i].name)
+	}
+	for i := range p.vms {
+		picker, err := router.New(p.policy, rand.New(rand.NewPCG(p.seed, uint64(i)+2)))
+		if err != nil {
+			panic(err)
+		}
+		conf := p.conf
+		conf.Queue = p.queue
+		v := &vm{name: fmt.Sprint("v", i), adm: admitter.New(conf), pick: picker, gauge: gauger.New()}
+		v.mine = make([]mine, len(names))
+		f.vms = append(f.vms, v)
+		f.names = append(f.names, v.name)
+	}
+	f.homes = router.Homes(f.names, names[:min(p.long, len(names))])
+	maps.Copy(f.homes, router.Homes(f.names, names[min(p.long, len(names)):]))
+	f.guests = make([]string, len(names))
+	f.turn = -1
+	for i, l := range p.loads {
+		f.arrivals(l, rand.New(rand.NewPCG(p.seed, uint64(i)+100)))
+	}
+	for at, change := range p.change {
+		f.at(at, func() { change(f) })
+	}
+	f.at(0, f.tick)
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(event) //nolint:forcetypeassert // only events
+		f.now = e.at
+		e.run()
+	}
+	return f
+}
+
+func (f *fleet) at(t time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.events, event{t, f.seq, run})
+}
+
+func (f *fleet) clock() time.Time { return epoch.Add(f.now) }
+
+func (f *fleet) arrivals(l load, r *rand.Rand) {
+	to := f.span
+	if l.to > 0 {
+		to = l.to
+	}
+	t := l.from
+	for {
+		t += time.Duration(r.ExpFloat64() / l.rate * float64(time.Second))
+		if t >= to {
+			return
+		}
+		c := &call{at: t}
+		v := f.vms[r.IntN(len(f.vms))]
+		c.ask = admitter.Ask{
+			ID: uint64(len(f.calls) + 1), Team: l.team, Share: max(1, l.share),
+			Tokens:  int(float64(l.least) * math.Pow(float64(l.most)/float64(l.least), r.Float64())),
+			Output:  l.output/4 + r.IntN(l.output*3/4+1),
+			Arrived: epoch.Add(t), Deadline: epoch.Add(t + l.limit),
+		}
+		f.calls = append(f.calls, c)
+		f.at(t, func() { f.offer(v, c) })
+	}
+}
+
+func (f *fleet) offer(v *vm, c *call) {
+	if r := v.adm.Offer(f.clock(), c.ask, f.pace(v, c.ask.Tokens)); r != nil {
+		c.refused, c.refusal = r, f.now
+		if f.back && r.After > 0 && c.again == 0 {
+			f.comeBack(v, c)
+		}
+		return
+	}
+	f.pending[c.ask.ID] = c
+	f.dispatch(v)
+}
+
+// comeBack offers a refused call once more, when it was told to come back.
+func (f *fleet) comeBack(v *vm, c *call) {
+	again := &call{at: f.now + c.refused.After, again: c.ask.ID, ask: c.ask}
+	again.ask.ID = uint64(len(f.calls) + 1)
+	again.ask.Arrived = c.ask.Arrived.Add(c.refused.After)
+	again.ask.Deadline = c.ask.Deadline.Add(c.refused.After)
+	f.calls = append(f.calls, again)
+	f.at(again.at, func() { f.offer(v, again) })
+}
+
+// pace is that of the engines which may take a prompt of this length.
+func (f *fleet) pace(v *vm, tokens int) admitter.Pace {
+	p := admitter.Pace{Alone: prefill, Decode: decode}
+	for i, e := range f.engs {
+		if f.long > 0 && (i < f.long) != (tokens > 64<<10) {
+			continue
+		}
+		speed := v.gauge.Speed(e.name)
+		p.Slots += slots / f.play.vms
+		p.Prefill += prefill * speed / float64(f.play.vms)
+		p.Running += len(v.mine[i].calls)
+		p.PrefillLeft += float64(v.mine[i].unread)
+	}
+	return p
+}
+
+func (f *fleet) dispatch(v *vm) {
+	for _, a := range v.adm.Expire(f.clock(), f.pace(v, 0)) {
+		f.pending[a.ID].refused = &admitter.Refusal{Code: "expired"}
+		f.pending[a.ID].refusal = f.now
+	}
+	cands := f.candidates(v)
+	for {
+		index := 0
+		a, ok := v.adm.Next(f.clock(), func(a admitter.Ask) bool {
+			var ok bool
+			index, ok = v.pick.Pick(f.clock(), a, cands)
+			return ok
+		})
+		if !ok {
+			return
+		}
+		c := f.pending[a.ID]
+		if c.placed {
+			panic("an ask was given twice")
+		}
+		c.placed, c.engine, c.sent = true, index, f.now
+		k := &cands[index]
+		c.backlog = max(0, float64(k.PrefillLeft)-prefill*k.Age.Seconds()) + float64(k.SentTokens+a.Tokens)
+		k.Free--
+		k.Mine++
+		k.Sent++
+		k.SentTokens += a.Tokens
+		k.Unread += a.Tokens
+		m := &v.mine[index]
+		m.calls = append(m.calls, c)
+		m.recent = append(m.recent, c)
+		m.unread += a.Tokens
+		c.vm = v
+		f.at(f.now+hop, func() { f.arrive(f.engs[index], c) })
+	}
+}
+
+func (f *fleet) candidates(v *vm) []router.Candidate {
+	long := min(f.long, len(f.engs))
+	v.cands = v.cands[:0]
+	for i, e := range f.engs {
+		r := e.seen(f.now)
+		m := &v.mine[i]
+		k := router.Candidate{
+			Name: e.name, Near: true, Free: slots/f.play.vms - len(m.calls), Slots: slots, Mine: len(m.calls), Unread: m.unread,
+			Running: r.running, Waiting: r.waiting, Used: r.used, Memory: memory, PrefillLeft: int(r.left),
+			Age: f.now - r.at, Prefill: prefill, Decode: decode, Speed: v.gauge.Speed(e.name), Long: i < long,
+		}
+		k.Home = f.homes[e.name] == v.name
+		k.Guest = f.guest(i) == v.name
+		for len(m.recent) > 0 && m.recent[0].sent < r.at-hop {
+			m.recent = m.recent[1:]
+		}
+		for _, c := range m.recent {
+			k.Sent++
+			k.SentTokens += c.ask.Tokens
+		}
+		v.cands = append(v.cands, k)
+	}
+	return v.cands
+}
+
+// guest gives the engine's guest VM, reckoned once a turn.
+func (f *fleet) guest(i int) string {
+	if turn := int64(f.now / router.Turn); turn != f.turn {
+		f.turn = turn
+		for i, e := range f.engs {
+			f.guests[i] = router.Guest(f.clock(), f.names, e.name, f.homes[e.name])
+		}
+	}
+	return f.guests[i]
+}
+
+// tick makes reports, gauges and dispatches.
+func (f *fleet) tick() {
+	for _, e := range f.engs {
+		e.advance(f.now)
+		r := report{at: f.now, running: e.running, waiting: len(e.queue), used: e.used, left: e.left}
+		for _, c := range e.unread[min(1, len(e.unread)):] {
+			r.left += float64(c.ask.Tokens)
+		}
+		e.reports = append(e.reports, r)
+	}
+	for _, v := range f.vms {
+		f.measure(v)
+		f.dispatch(v)
+	}
+	if f.now < f.span+10*time.Minute && (f.now < f.span || len(f.events) > 0) {
+		f.at(f.now+tick, f.tick)
+	}
+}
+
+func (f *fleet) measure(v *vm) {
+	for i, e := range f.engs {
+		for _, c := range v.mine[i].calls {
+			if c.first == 0 || c.first > f.now {
+				v.gauge.Waiting(f.clock(), e.name, int(c.backlog), f.now-c.sent, prefill)
+			} else if f.now-c.first >= tick {
+				got := tick.Seconds() * decode / e.slower
+				v.gauge.Observe(f.clock(), e.name, 1, time.Duration(float64(tick)/got), decode)
+			}
+		}
+	}
+}
+
+func (f *fleet) arrive(e *engine, c *call) {
+	e.sent = append(e.sent, f.now)
+	need := c.ask.Tokens + c.ask.Output
+	if e.running >= slots || e.used+need > memory {
+		e.queue = append(e.queue, c)
+		return
+	}
+	e.running++
+	e.most = max(e.most, e.running)
+	e.used += need
+	e.advance(f.now)
+	e.unread = append(e.unread, c)
+	if len(e.unread) == 1 {
+		e.left = float64(c.ask.Tokens)
+		f.plan(e)
+	}
+}
+
+func (f *fleet) plan(e *engine) {
+	e.turn++
+	turn := e.turn
+	c := e.unread[0]
+	took := time.Duration(e.left * e.slower / prefill * float64(time.Second))
+	f.at(f.now+took, func() {
+		if e.turn != turn {
+			return
+		}
+		e.since = f.now
+		e.unread = e.unread[1:]
+		e.left = 0
+		if len(e.unread) > 0 {
+			e.left = float64(e.unread[0].ask.Tokens)
+			f.plan(e)
+		}
+		c.first = f.now + hop // told to its VM then
+		f.at(c.first, func() {
+			c.vm.mine[c.engine].unread -= c.ask.Tokens
+			f.dispatch(c.vm)
+		})
+		f.at(c.first+time.Duration(float64(c.ask.Output)/decode*e.slower*float64(time.Second)), func() { f.finish(e, c) })
+	})
+}
+
+func (f *fleet) finish(e *engine, c *call) {
+	c.end = f.now
+	m := &c.vm.mine[c.engine]
+	m.calls = slices.DeleteFunc(m.calls, func(o *call) bool { return o == c })
+	e.running--
+	e.used -= c.ask.Tokens + c.ask.Output
+	if len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		f.arrive(e, next)
+	}
+	f.dispatch(c.vm)
+}
+
+// advance reads prompts up to now.
+func (e *engine) advance(now time.Duration) {
+	if len(e.unread) > 0 {
+		e.left = max(0, e.left-(now-e.since).Seconds()*prefill/e.slower)
+	}
+	e.since = now
+}
+
+// slow changes an engine's true speed; its reports and promises stay.
+func (f *fleet) slow(e *engine, factor float64) {
+	e.advance(f.now)
+	e.slower = factor
+	if len(e.unread) > 0 {
+		f.plan(e)
+	}
+}
+
+// seen is the newest report that has come by now.
+func (e *engine) seen(now time.Duration) report {
+	for i := len(e.reports) - 1; i >= 0; i-- {
+		if e.reports[i].at <= now-lag {
+			e.reports = e.reports[max(0, i-1):]
+			return e.reports[min(i, 1)]
+		}
+	}
+	return report{at: now}
+}
+
+// firsts are the seconds to the first token of the calls that pass.
+func (f *fleet) firsts(pass func(*call) bool) []float64 {
+	var s []float64
+	for _, c := range f.calls {
+		if c.first > 0 && pass(c) {
+			s = append(s, (c.first - c.at).Seconds())
+		}
+	}
+	return s
+}
+
+func quantile(s []float64, q float64) float64 {
+	if len(s) == 0 {
+		return math.NaN()
+	}
+	s = slices.Sorted(slices.Values(s))
+	return s[int(q*float64(len(s)-1))]
+}
+
+func short(c *call) bool { return c.ask.Tokens <= 16<<10 }
+
+func isLong(c *call) bool { return c.ask.Tokens >= 100_000 }
+
+func after(t time.Duration, pass func(*call) bool) func(*call) bool {
+	return func(c *call) bool { return c.at >= t && pass(c) }
+}
--- /dev/null
+++ b/entry/request/router/load_test.go
@@ -0,0 +1,254 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	engines = 16
+	vms     = 4
+	// fits is the prompt tokens per second that all engines read.
+	fits = engines * prefill
+	// apart is the engines set apart where there are long prompts.
+	apart = 7
+)
+
+// A way is a choice of policies. The first is the one that is built; the
+// others are baselines with the same slots, memory and reports.
+type way struct{ policy, queue string }
+
+var ways = []way{{"best", "fair"}, {"random", "first"}, {"least", "first"}, {"two", "first"}}
+
+func (w way) play(long int, span time.Duration, seed uint64, loads ...[]load) *fleet {
+	p := play{policy: w.policy, queue: w.queue, engines: engines, vms: vms, long: long, span: span, seed: seed}
+	for _, l := range loads {
+		p.loads = append(p.loads, l...)
+	}
+	return run(p)
+}
+
+// shorts is a load of short prompts that takes a part of what fits, from ten
+// teams.
+func shorts(part float64) []load {
+	var ls []load
+	for i := range 10 {
+		l := load{team: fmt.Sprint("t", i), least: 1000, most: 8000, output: 100, limit: 20 * time.Second}
+		l.rate = part * fits / 10 / l.tokens()
+		ls = append(ls, l)
+	}
+	return ls
+}
+
+// hot is a load of short prompts from one team.
+func hot(part float64) []load {
+	l := shorts(10 * part)[0]
+	l.team = "hot"
+	return []load{l}
+}
+
+// longs is a load of long prompts that takes a part of what fits.
+func longs(part float64) []load {
+	l := load{team: "docs", least: 100_000, most: 1_000_000, output: 400, limit: 5 * time.Minute}
+	l.rate = part * fits / l.tokens()
+	return []load{l}
+}
+
+// An outcome is what callers got over several seeds.
+type outcome struct {
+	short, long, others []float64 // seconds to first token
+	calls, refused      int
+	given               int     // given up after they were let in
+	late, lost          int     // ended past their limit, or not at all
+	good, longGood      float64 // tokens of whole answers in time, over what fits
+}
+
+func (w way) outcome(long int, span time.Duration, loads ...[]load) outcome {
+	seeds := 3
+	if w != ways[0] {
+		seeds = 1 // baselines only for comparison
+	}
+	warm := span / 6
+	var o outcome
+	for seed := range uint64(seeds) {
+		f := w.play(long, span, seed+1, loads...)
+		o.short = append(o.short, f.firsts(after(warm, short))...)
+		o.long = append(o.long, f.firsts(after(warm, isLong))...)
+		o.others = append(o.others, f.firsts(after(warm, func(c *call) bool { return c.ask.Team != "hot" }))...)
+		for _, c := range f.calls {
+			o.count(c, warm, span)
+		}
+	}
+	per := float64(seeds) * (span - warm).Seconds() * fits
+	o.good /= per
+	o.longGood /= per
+	return o
+}
+
+func (o *outcome) count(c *call, from, to time.Duration) {
+	o.calls++
+	late := c.end > c.ask.Deadline.Sub(epoch)
+	switch {
+	case c.refused != nil && c.refused.Code == "expired":
+		o.given++
+	case c.refused != nil:
+		o.refused++
+	case c.end == 0:
+		o.lost++
+	case late:
+		o.late++
+	case c.end >= from && c.end < to:
+		o.good += float64(c.ask.Tokens)
+		if isLong(c) {
+			o.longGood += float64(c.ask.Tokens)
+		}
+	}
+}
+
+func (o outcome) String() string {
+	return fmt.Sprintf("calls %d, refused %d, given up %d, past limit %d, goodput %.2f (long %.2f), short first token p50 %.3f p95 %.3f p99 %.3f s, long p50 %.1f p95 %.1f s",
+		o.calls, o.refused, o.given, o.late, o.good, o.longGood,
+		quantile(o.short, .5), quantile(o.short, .95), quantile(o.short, .99), quantile(o.long, .5), quantile(o.long, .95))
+}
+
+// Documents of up to a million tokens arrive beside short questions, and each
+// holds an engine for up to fifty seconds. A caller with a short question
+// notices when it comes to an engine that reads one of them.
+func TestLongBesideShort(t *testing.T) {
+	const span = 2 * time.Minute
+	for i, w := range ways {
+		alone := w.outcome(0, span, shorts(0.3))
+		with := w.outcome(apart, span, shorts(0.3), longs(0.4))
+		ratio := quantile(with.short, .95) / quantile(alone.short, .95)
+		t.Logf("%v: p95 with over alone %.2f\n  alone: %v\n  with:  %v", w, ratio, alone, with)
+		if i == 0 {
+			assert.Assert(t, ratio <= 1.25, "ratio %.2f", ratio)
+			assert.Equal(t, with.refused+with.given+with.late+with.lost, 0)
+		}
+	}
+}
+
+// One team starts a batch job and sends four fifths of all requests, so that
+// together they are more than fits. The callers of the other teams notice when
+// their questions stand behind the batch.
+func TestHotTeam(t *testing.T) {
+	const span = time.Minute
+	for i, w := range ways {
+		alone := w.outcome(0, span, shorts(0.2))
+		for _, part := range []float64{0.8, 1.6} {
+			with := w.outcome(0, span, shorts(0.2), hot(part))
+			ratio := quantile(with.others, .95) / quantile(alone.others, .95)
+			t.Logf("%v: hot team %.1f of what fits beside 0.2: others' p95 %.3f s over %.3f s alone: %.2f\n  with: %v",
+				w, part, quantile(with.others, .95), quantile(alone.others, .95), ratio, with)
+			if i == 0 {
+				assert.Assert(t, ratio <= 1.25, "ratio %.2f", ratio)
+				assert.Equal(t, with.late+with.lost, 0)
+			}
+		}
+	}
+}
+
+// Three times the load that fits arrives and goes on. Callers notice when the
+// fleet spends itself on answers that come too late for anybody, and those
+// with long documents when none of theirs is ever begun.
+func TestSaturation(t *testing.T) {
+	const span = 2 * time.Minute
+	for i, w := range ways {
+		best := 0.0
+		for _, load := range []float64{0.4, 0.5, 1.5} {
+			o := w.outcome(apart, span, shorts(load), longs(load))
+			best = max(best, o.good)
+			t.Logf("%v at %.1f of what fits: %v", w, 2*load, o)
+			if i > 0 || load < 1.5 {
+				continue
+			}
+			assert.Assert(t, o.good >= 0.9*best, "goodput %.2f of %.2f", o.good, best)
+			assert.Equal(t, o.late+o.lost, 0)
+			assert.Assert(t, o.given*1000 <= o.calls, "%d given up", o.given)
+			assert.Assert(t, o.longGood >= 0.2, "long goodput %.2f", o.longGood)
+		}
+	}
+}
+
+// An engine becomes ten times slower and goes on reporting that little runs
+// there, then recovers. Callers sent there wait ten times as long; when all
+// VMs return to it at once, they wait again.
+func TestSlowEngine(t *testing.T) {
+	const slowAt, fastAt, span = 30 * time.Second, 60 * time.Second, 100 * time.Second
+	for i, w := range ways {
+		p := play{policy: w.policy, queue: w.queue, engines: engines, vms: vms, span: span, seed: 1, loads: shorts(0.5)}
+		p.change = map[time.Duration]func(*fleet){
+			slowAt: func(f *fleet) { f.slow(f.engs[5], 10) },
+			fastAt: func(f *fleet) { f.slow(f.engs[5], 1) },
+		}
+		f := run(p)
+		share := func(from, to time.Duration) float64 {
+			n := 0
+			for _, at := range f.engs[5].sent {
+				if at >= from && at < to {
+					n++
+				}
+			}
+			return float64(n) / (to - from).Seconds()
+		}
+		before := share(10*time.Second, slowAt)
+		slow := share(slowAt+2*time.Second, fastAt)
+		peak := 0.0
+		for at := fastAt; at < span-time.Second; at += time.Second / 2 {
+			peak = max(peak, share(at, at+time.Second))
+		}
+		back := share(fastAt+15*time.Second, span)
+		during := quantile(f.firsts(func(c *call) bool { return c.at >= slowAt && c.at < fastAt }), .99)
+		t.Logf("%v: requests a second sent there: %.2f before, %.2f while slow (after 2 s), at most %.1f in a second after, %.2f from 15 s after; all callers' p99 meanwhile %.2f s",
+			w, before, slow, peak, back, during)
+		if i == 0 {
+			assert.Assert(t, slow <= before/5, "%.2f of %.2f", slow, before)
+			assert.Assert(t, peak <= 4*before, "flood of %.1f", peak)
+			assert.Assert(t, back >= before/2, "%.2f of %.2f", back, before)
+		}
+	}
+}
+
+// Five times what fits arrives within three seconds, as when a meeting ends.
+// Callers notice when they wait for an answer that never comes in time, and
+// when they come back as told and are refused again.
+func TestBurst(t *testing.T) {
+	const span = 90 * time.Second
+	burst := shorts(5)
+	for i := range burst {
+		burst[i].from, burst[i].to = 30*time.Second, 33*time.Second
+	}
+	for i, w := range ways {
+		p := play{policy: w.policy, queue: w.queue, engines: engines, vms: vms, span: span, seed: 1, back: true, loads: append(shorts(0.4), burst...)}
+		f := run(p)
+		var o outcome
+		var back, turned int
+		var waits []float64
+		for _, c := range f.calls {
+			o.count(c, 0, span)
+			if c.refused != nil && c.refused.After > 0 && c.again == 0 {
+				waits = append(waits, c.refused.After.Seconds())
+			}
+			if c.again > 0 {
+				back++
+				if c.refused != nil {
+					turned++
+				}
+			}
+		}
+		o.short = f.firsts(short)
+		o.good /= span.Seconds() * fits
+		later := quantile(f.firsts(after(55*time.Second, short)), .95)
+		earlier := quantile(f.firsts(func(c *call) bool { return c.at < 30*time.Second }), .95)
+		t.Logf("%v: %v; told to come back after p50 %.1f p95 %.1f s, %d came back, %d of them refused again; p95 before %.3f s, from 22 s after %.3f s",
+			w, o, quantile(waits, .5), quantile(waits, .95), back, turned, earlier, later)
+		if i == 0 {
+			assert.Equal(t, o.late+o.lost+o.given, 0)
+			assert.Assert(t, back > 0 && turned*10 <= back, "%d of %d refused again", turned, back)
+			assert.Assert(t, later <= 1.25*earlier, "%.3f after %.3f", later, earlier)
+		}
+	}
+}
--- a/entry/request/router/router.go
+++ b/entry/request/router/router.go
@@ -31,6 +31,12 @@
 	// Sent and SentTokens are the requests and prompt tokens that this VM has
 	// sent since the last report was made.
 	Sent, SentTokens int
+	// Unread is the prompt tokens that this VM has sent and had no first
+	// token for: known without lag, but of this VM's requests only.
+	Unread int
+	// Home says that this VM is the upstream's home, and Guest that this VM may
+	// use it now when its own home upstreams are taken; see Homes and Guest. A VM without any home upstream goes by reports alone.
+	Home, Guest bool
 	// Running and Waiting are its requests by its last report.
 	Running, Waiting int
 	// Used and Memory are its KV cache in tokens.
--- a/entry/request/router/subset.go
+++ b/entry/request/router/subset.go
@@ -15,26 +15,36 @@
 	if n >= len(upstreams) {
 		return slices.Sorted(slices.Values(upstreams))
 	}
+	names := ranked(vm, upstreams)[:max(n, 0)]
+	slices.Sort(names)
+	return names
+}
+
+// ranked gives the names by their scores for a key, the highest first.
+func ranked(key string, names []string) []string {
 	type scored struct {
 		score uint64
 		name  string
 	}
-	all := make([]scored, 0, len(upstreams))
-	d := xxhash.New()
-	for _, u := range upstreams {
-		d.Reset()
-		_, _ = d.WriteString(vm)
-		_, _ = d.WriteString("\x00")
-		_, _ = d.WriteString(u)
-		all = append(all, scored{d.Sum64(), u})
+	all := make([]scored, 0, len(names))
+	for _, name := range names {
+		all = append(all, scored{score(key, name), name})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 	})
-	names := make([]string, 0, n)
-	for _, s := range all[:max(n, 0)] {
-		names = append(names, s.name)
+	sorted := make([]string, 0, len(names))
+	for _, s := range all {
+		sorted = append(sorted, s.name)
 	}
-	slices.Sort(names)
-	return names
+	return sorted
+}
+
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
 }
