--- /dev/null
+++ b/entry/process/coordinator/faults_test.go
@@ -0,0 +1,81 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// play runs a fleet through faults drawn by chance and says what broke.
+func play(seed uint64, vms int, faults []int) string {
+	w := newWorld(seed, vms, 4, engine("e1"), engine("e2"))
+	w.loss, w.double = 0.02, 0.05
+	w.run(4 * time.Second)
+	for _, f := range faults {
+		w.fault(f)
+		w.run(time.Duration(w.rand.Int64N(int64(5 * time.Second))))
+		if w.failure != "" {
+			return w.failure
+		}
+	}
+	return ""
+}
+
+const faultKinds = 12
+
+// fault brings about one fault.
+func (w *world) fault(kind int) {
+	v := w.vms[w.rand.IntN(len(w.vms))]
+	o := w.vms[w.rand.IntN(len(w.vms))]
+	u := w.upstreams[w.rand.IntN(len(w.upstreams))]
+	some := time.Duration(w.rand.Int64N(int64(8 * time.Second)))
+	switch kind {
+	case 0:
+		w.kill(v)
+	case 1: // a new process of the same VM
+		if v.dead {
+			w.start(v.id)
+		}
+	case 2:
+		w.start(fmt.Sprintf("n%d", len(w.vms)))
+	case 3:
+		w.freeze(v, some)
+	case 4: // one way
+		w.cut[[2]string{v.id, o.id}] = true
+		w.after(some, func() { delete(w.cut, [2]string{v.id, o.id}) })
+	case 5:
+		w.logDown = true
+		w.after(some, func() { w.logDown = false })
+	case 6:
+		w.fall(u)
+	case 7:
+		v.node.Leave()
+	case 8:
+		w.delay = 200 * time.Millisecond
+		w.after(some, func() { w.delay = 20 * time.Millisecond })
+	case 9:
+		w.listDown = true
+		w.after(some, func() { w.listDown = false })
+	case 10:
+		w.loss = 0.3
+		w.after(some, func() { w.loss = 0.02 })
+	case 11:
+		w.load = 0.8 - w.load
+	}
+}
+
+// Whatever fails, in whatever order and together, no upstream ever gets more
+// work than it bears, and what VMs may start never adds up to more. A user
+// would notice otherwise that an engine falls over and cuts all answers.
+func TestBoundHoldsThroughFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		vms := rapid.IntRange(1, 5).Draw(t, "vms")
+		faults := rapid.SliceOfN(rapid.IntRange(0, faultKinds-1), 1, 6).Draw(t, "faults")
+		if failure := play(seed, vms, faults); failure != "" {
+			t.Fatal(failure)
+		}
+	})
+}
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -24,6 +24,8 @@
 	for _, vms := range []int{1, 3, 8} {
 		w := newWorld(1, vms, 8, engine("e1"), engine("e2"))
 		w.run(20 * time.Second)
+		w.load = 0
+		w.run(3 * time.Second)
 		assert.Equal(t, w.failure, "")
 		for _, u := range w.upstreams {
 			assert.Equal(t, w.free(u), u.Slots, "%s with %d VMs", u.Name, vms)
--- a/entry/process/coordinator/tick.go
+++ b/entry/process/coordinator/tick.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/claimer"
@@ -47,8 +49,8 @@
 	n.notes(out)
 	n.beats(now, members, out)
 	s.Open = n.open(members, out)
-	for vm, m := range out {
-		s.Sends = append(s.Sends, Send{To: vm, Message: *m})
+	for _, vm := range slices.Sorted(maps.Keys(out)) {
+		s.Sends = append(s.Sends, Send{To: vm, Message: *out[vm]})
 	}
 	return s
 }
--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -54,7 +54,6 @@
 	read   time.Time
 	probe  time.Time
 	list   time.Time
-	work   int
 	inbox  []func()
 	busy   bool
 }
@@ -66,6 +65,7 @@
 	done    int
 	warm    int
 	running map[*request]bool
+	flying  map[*request]bool // taken and not yet arrived
 	down    bool
 }
 
@@ -86,7 +86,7 @@
 	for _, u := range upstreams {
 		w.boots++
 		w.upstreams = append(w.upstreams, &upstream{
-			Upstream: u, boot: w.boots, cold: true, warm: 10, running: map[*request]bool{},
+			Upstream: u, boot: w.boots, cold: true, warm: 10, running: map[*request]bool{}, flying: map[*request]bool{},
 		})
 	}
 	for i := range vms {
@@ -245,20 +245,23 @@
 	if !ok {
 		return
 	}
-	v.work++
 	taken := w.now
+	r := &request{vm: v, boot: boot}
+	u.flying[r] = true
 	w.after(w.short(), func() {
 		w.at(v, func() {
 			if w.now.Sub(taken) >= w.timings.Settle {
+				delete(u.flying, r)
 				w.finish(v, u, boot, coordinator.Refused)
 				return
 			}
-			w.after(w.short(), func() { w.arrive(&request{vm: v, boot: boot}, u) })
+			w.after(w.short(), func() { w.arrive(r, u) })
 		})
 	})
 }
 
 func (w *world) arrive(r *request, u *upstream) {
+	delete(u.flying, r)
 	if r.boot != u.boot || u.down {
 		boot := u.boot
 		w.at(r.vm, func() {
@@ -283,7 +286,6 @@
 }
 
 func (w *world) finish(v *vm, u *upstream, boot uint64, o coordinator.Outcome) {
-	v.work--
 	v.node.Done(u.Name, boot, 0, o)
 }
 
@@ -360,22 +362,22 @@
 	}
 }
 
-// possible is what runs or may still be started: work and free slots of all
-// VMs, frozen ones too, and what stopped ones left running.
+// possible is what runs or may still be started: work on its way or at the
+// upstream, whoever sent it, and free slots of all VMs, frozen ones too.
 func (w *world) possible(u *upstream) int {
-	sum := 0
+	sum := len(u.running)
+	for r := range u.flying {
+		if r.boot == u.boot && !r.vm.dead {
+			sum++
+		}
+	}
 	for _, v := range w.vms {
 		if v.dead {
 			continue
 		}
 		// What is for an earlier boot of the upstream can't run.
 		if view := v.node.View(w.now, u.Name); view.Boot == u.boot {
-			sum += view.Mine + view.Free
-		}
-	}
-	for r := range u.running {
-		if r.vm.dead {
-			sum++
+			sum += view.Free
 		}
 	}
 	return sum
--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -20,7 +20,8 @@
 	floor       int
 	floorMemory int
 	quiet       time.Time // it may have started work until then
-	active      bool      // it may use its share
+	active      bool      // it may be using its share
+	using       bool      // it was told that it may, or says so
 	stale       bool      // active dates from an earlier boot of the upstream
 	dirty       bool
 	ended       bool // a later process of the same VM has been heard
@@ -92,6 +93,7 @@
 	}
 	if len(b.out) > 0 && b.out[0].seq == a.Ack {
 		b.floor, b.floorMemory, b.stale = 0, 0, false
+		b.using = b.out[len(b.out)-1].share
 		if !b.out[0].share && len(b.out) == 1 {
 			b.active = false
 		}
@@ -104,6 +106,6 @@
 func (b *borrower) reboot(now time.Time) {
 	b.used, b.floor, b.held, b.floorMemory = 0, 0, 0, 0
 	b.done = 0
-	b.stale = b.active
+	b.stale, b.using = b.active, false
 	b.quiet = later(b.quiet, now)
 }
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -98,6 +98,7 @@
 	booted  time.Time // when boot was first seen
 	load    Load
 	loaded  bool
+	warm    bool // by its own report under boot, or the holder's before
 	began   time.Time
 	past    []uint64
 	known   bool // nothing can run that is not accounted for
@@ -175,7 +176,7 @@
 		l.reboot(now, load.Boot, load.Cold || l.loaded)
 	}
 	l.limit.Reported(load.Boot, load.Cold)
-	l.load, l.loaded = load, true
+	l.load, l.loaded, l.warm = load, true, !load.Cold
 	l.guess(now)
 }
 
@@ -206,6 +207,7 @@
 	}
 	if cold {
 		l.limit.Turned(boot)
+		l.warm = false
 	}
 	l.boot = boot
 	l.dirty()
@@ -320,6 +322,7 @@
 	if a.Boot != l.boot || a.Boot == 0 || a.Cold {
 		return
 	}
+	b.using = b.using || a.Warm
 	if a.Done > b.done {
 		l.limit.Completed(int(min(a.Done-b.done, 1<<20)))
 		b.done = a.Done
@@ -383,7 +386,7 @@
 	if l.shares[w] == 0 || l.cold() || !l.known {
 		return false
 	}
-	return b.active || l.charged() <= l.bound()
+	return b.using || l.charged() <= l.bound()
 }
 
 func (l *Lender) lend(now time.Time, w Who, b *borrower, slots int) (Out, bool) {
@@ -398,7 +401,7 @@
 	ceiling := slots
 	if share {
 		ceiling += l.shares[w]
-		b.active, b.stale = true, b.stale && b.active
+		b.using, b.active, b.stale = true, true, b.stale && b.active
 	}
 	b.last = loan{
 		seq: l.seq, slots: slots, tokens: tokens, share: share, ceiling: ceiling,
@@ -452,16 +455,16 @@
 	return sum
 }
 
-// cold says whether the upstream bears less than its slots. While it reports
-// itself that it is cold, completed work doesn't raise the limit: it may count
+// cold says whether the upstream bears less than its slots. Until it reports
+// itself that it is warm, completed work doesn't raise the limit: it may count
 // otherwise than the limiter does.
 func (l *Lender) cold() bool {
-	return l.limit.Limit() < l.c.Slots || l.load.Cold && l.load.Boot == l.boot
+	return !l.warm || l.limit.Limit() < l.c.Slots
 }
 
 // bound is what the upstream bears now.
 func (l *Lender) bound() int {
-	if l.load.Cold && l.load.Boot == l.boot {
+	if !l.warm {
 		return min(l.limit.Limit(), l.c.Cold)
 	}
 	return l.limit.Limit()
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -71,8 +71,12 @@
 	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.cold(), Unknown: l.unknown}
 	for _, w := range l.sorted() {
 		b := l.borrowers[w]
-		if n, m := b.charge(l.reserved(w, b)), b.memory(); n+m > 0 {
-			t.Entries = append(t.Entries, Entry{VM: w.VM, Boot: w.Boot, Slots: n, Tokens: m})
+		share := 0
+		if b.active {
+			share = l.shares[w]
+		}
+		if n, m := b.charge(share), b.memory(); n+m > 0 {
+			t.Entries = append(t.Entries, Entry{VM: w.VM, Boot: w.Boot, Slots: n, Tokens: m, Share: b.active})
 		}
 	}
 	return t
@@ -88,12 +92,13 @@
 func (l *Lender) Import(now time.Time, t Table) {
 	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, true
 	if t.Full {
+		l.warm = true
 		l.limit.Completed(enough * l.c.Slots)
 	}
 	for _, e := range t.Entries {
 		b := l.borrower(Who{VM: e.VM, Boot: e.Boot})
-		b.active = true
+		b.active = e.Share
 		b.heard = now
-		b.out = append(b.out, loan{ceiling: e.Slots, tokens: e.Tokens, share: true, until: now.Add(l.long(l.c.Life))})
+		b.out = append(b.out, loan{ceiling: e.Slots, tokens: e.Tokens, share: e.Share, until: now.Add(l.long(l.c.Life))})
 	}
 }
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -59,6 +59,8 @@
 	Boot   uint64
 	Slots  int
 	Tokens int
+	// Share says that it may be using its fixed share.
+	Share bool
 }
 
 // A Table is what a holder hands to its successor.
--- a/entry/process/member/member.go
+++ b/entry/process/member/member.go
@@ -187,7 +187,9 @@
 			b.Heard = append(b.Heard, Heard{VM: id, Boot: v.boot, Age: int(now.Sub(v.heard).Milliseconds())})
 		}
 	}
-	slices.SortFunc(b.Heard, func(x, y Heard) int { return cmp.Compare(x.Age, y.Age) })
+	slices.SortFunc(b.Heard, func(x, y Heard) int {
+		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.VM, y.VM))
+	})
 	b.Heard = b.Heard[:min(len(b.Heard), maxHeard)]
 	return b
 }
