Join the parts of the entry VM's process

Cause: the parts stood apart. Change: the server joins configuration, coordination, keyed calls, handlers, watch address and the planned stop; keyed calls go on when their caller leaves, so that its repetition gets the outcome.

--- a/entry/process/server/configure.go
+++ b/entry/process/server/configure.go
@@ -1,9 +1,13 @@
 package server
 
 import (
+	"time"
+
 	"github.com/heathervane/heathervane/entry/process/coordinator"
+	"github.com/heathervane/heathervane/entry/process/keeper"
 	"github.com/heathervane/heathervane/entry/version/viewer"
 	"github.com/heathervane/heathervane/library/folder"
+	"github.com/heathervane/heathervane/library/recorder"
 )
 
 // configure puts a state of the configuration in force.
@@ -11,11 +15,12 @@
 	if s.Version == 0 {
 		return
 	}
-	view := viewer.New(s.Version, s.Manifest, s.Out)
+	view := viewer.New(s.Version, s.Manifest, func(kind, name string) bool { return s.Out(recorder.Target(kind), name) })
 	if was := v.view.Swap(view); was == nil || was.Version != view.Version {
 		v.log.Info().Uint64("version", view.Version).Msg("configuration in force")
 	}
 	v.meter.Count("configuration.changes", 1)
+	v.keeper.Limit(keeper.Limits{Window: time.Duration(view.Manifest.Window), Margin: keeper.DefaultMargin})
 	v.coordinator.Configure(upstreams(view), view.Manifest.Seats)
 	if err := v.dispatcher.Configure(view); err != nil {
 		v.log.Error().Err(err).Msg("the configuration could not be put in force")
--- a/entry/process/server/coordination.go
+++ b/entry/process/server/coordination.go
@@ -17,10 +17,12 @@
 	sweepEvery = 2 * time.Second
 	// sweepTime bounds one look.
 	sweepTime = time.Second
+	// firstWindow is how long keys are known until a manifest says so.
+	firstWindow = 10 * time.Minute
 )
 
 // newCoordination joins the parts that act together with other VMs.
-func (v *Server) newCoordination(list *lister.List) error {
+func (v *Server) newCoordination(list *lister.List) {
 	s := v.settings
 	address := v.sides.peers.Addr().String()
 	v.linker = linker.New(linker.Config{
@@ -29,20 +31,19 @@
 	v.linker.Serve(v.snapshot)
 	v.coordinator = coordinator.New(coordinator.Config{
 		VM: s.ID, Zone: s.Zone, Address: address, Boot: v.boot, Timings: coordinator.Today(),
-		Version: v.version, Heard: v.heard,
+		Version: v.read, Heard: v.heard,
 	}, coordinator.Deps{
 		Log: v.records, List: list, Links: coordinator.Over(v.linker), Prober: coordinator.NewHTTP(v.upstream),
 		Ticker: v.ticker, Registry: v.meter.Registry(), Logger: v.log,
 	})
 	v.canceller = canceller.New(v.upstream, v.ticker, v.meter.Registry())
-	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot}, v.records, v.ticker, v.coordinator.Gone, v.meter)
-	return nil
+	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot, Limits: keeper.Limits{Window: firstWindow, Margin: keeper.DefaultMargin}}, v.records, v.ticker, v.coordinator.Gone, v.meter)
 }
 
-// version is the configuration in force, for heartbeats.
-func (v *Server) version() uint64 {
-	if view := v.view.Load(); view != nil {
-		return view.Version
+// read is how far this VM has read the configuration, for heartbeats.
+func (v *Server) read() uint64 {
+	if s := v.follower.State(); s != nil {
+		return s.Read
 	}
 	return 0
 }
@@ -73,10 +74,26 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, sweepTime)
-		err := v.canceller.Sweep(limited, u.Address, v.chatter.Known, v.coordinator.Gone)
+		err := v.canceller.Sweep(limited, u.Address, owner{v})
 		cancel()
 		if err != nil {
 			v.meter.Count("sweeps.failed", 1)
 		}
 	}
 }
+
+// owner tells the sweep whose streams an engine has.
+type owner struct {
+	server *Server
+}
+
+// Own tells whether a process is this one.
+func (o owner) Own(vm string, boot uint64) bool {
+	return vm == o.server.settings.ID && boot == o.server.boot
+}
+
+// Known tells whether a stream of this process is in progress.
+func (o owner) Known(id string) bool { return o.server.chatter.Known(id) }
+
+// Gone tells that a process has certainly been stopped.
+func (o owner) Gone(vm string, boot uint64) bool { return o.server.coordinator.Gone(vm, boot) }
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -83,8 +84,11 @@
 	watcher     *watcher.Watcher
 	bodies      *bounder.Bounder
 
+	callersTLS, peersTLS, linksTLS *tls.Config
+
 	view     atomic.Pointer[viewer.View]
 	leaving  atomic.Bool
+	fetching atomic.Bool
 	out      outs
 	upstream *http.Client
 	sides    sides
@@ -103,10 +107,8 @@
 	}
 	platform := &http.Client{Transport: transport()}
 	v.records = appender.New(s.Platform.Log, platform)
-	v.follower = v.newFollower()
-	if err := v.newCoordination(lister.New(s.Platform.List, platform)); err != nil {
-		return nil, err
-	}
+	v.follower = follower.New(v.records, v.ticker, v.meter.Registry(), log)
+	v.newCoordination(lister.New(s.Platform.List, platform))
 	v.newHandlers()
 	if err := v.gauges(); err != nil {
 		return nil, err
@@ -190,10 +192,19 @@
 	v.ticker.Subscribe(watchEvery, v.observer.Tick)
 	v.subscribeOut()
 	for _, run := range []func(context.Context){
-		v.ticker.Run, v.follower.Run, v.coordinator.Run, v.keeper.Run, v.pumpOnChange, v.sweep,
+		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.sweep, v.checkpoints,
 	} {
 		parts.Go(func() { run(ctx) })
 	}
+	for name, run := range map[string]func(context.Context) error{
+		"coordinator": v.coordinator.Run, "keeper": v.keeper.Run,
+	} {
+		parts.Go(func() {
+			if err := run(ctx); err != nil && ctx.Err() == nil {
+				v.log.Error().Err(err).Str("part", name).Msg("a part ended early")
+			}
+		})
+	}
 }
 
 // pumpOnChange places waiting requests when lent slots arrive.
--- a/entry/process/server/sides.go
+++ b/entry/process/server/sides.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -39,7 +41,7 @@
 func (v *Server) serve(parts *sync.WaitGroup) <-chan error {
 	callers := &http.Server{
 		Handler: v.drainer, ReadHeaderTimeout: patience, IdleTimeout: idle,
-		MaxHeaderBytes: int(v.settings.Limits.Header), TLSConfig: v.callersTLS, ErrorLog: nil,
+		MaxHeaderBytes: int(v.settings.Limits.Header), TLSConfig: v.callersTLS,
 	}
 	peers := &http.Server{Handler: v.linker, ReadHeaderTimeout: patience, TLSConfig: v.peersTLS}
 	watch := &http.Server{Handler: v.watcher, ReadTimeout: watchTime, WriteTimeout: watchTime}
@@ -47,7 +49,9 @@
 	failed := make(chan error, len(v.sides.servers))
 	for i, l := range []net.Listener{v.sides.callers, v.sides.peers, v.sides.watch} {
 		server := v.sides.servers[i]
-		server.ErrorLog = v.quiet()
+		// What net/http would print of single connections is counted elsewhere
+		// or of no use: lines are for changes of state.
+		server.ErrorLog = log.New(io.Discard, "", 0)
 		parts.Go(func() {
 			if err := serveOn(server, l); err != nil {
 				failed <- err
--- a/entry/process/server/supply.go
+++ b/entry/process/server/supply.go
@@ -37,6 +37,12 @@
 	slot *coordinator.Slot
 }
 
+// Boot is the upstream's boot number that it was lent under.
+func (p place) Boot() uint64 { return p.slot.Boot }
+
+// Live tells whether work may still be sent on it.
+func (p place) Live() bool { return p.slot.Live() }
+
 // Done gives it back.
 func (p place) Done(o dispatcher.Outcome) { p.slot.Done(outcomes[o]) }
 
