--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -183,9 +183,10 @@
 
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
-// unused; it must ask just before the send.
+// unused; it must ask just before the send. Half of the settling time is left
+// for the way to the upstream.
 func (s *Slot) Live() bool {
-	return s.o.d.Ticker.Now().Sub(s.taken) < s.o.c.Timings.Settle
+	return s.o.d.Ticker.Now().Sub(s.taken) < s.o.c.Timings.Settle/2
 }
 
 // Done gives the slot back. Only its first call counts.
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -13,6 +13,27 @@
 	return coordinator.Upstream{Name: name, Address: name + ":1", Zone: "a", Slots: 16, Cold: 2, Memory: 100_000}
 }
 
+// warmed returns a fleet that has come to rest with all slots lent.
+func warmed(t *testing.T, vms, seats int, upstreams ...coordinator.Upstream) *world {
+	t.Helper()
+	w := newWorld(1, vms, seats, upstreams...)
+	w.run(20 * time.Second)
+	assert.Equal(t, w.failure, "")
+	return w
+}
+
+// until runs a world until something holds and returns how long it took.
+func (w *world) until(t *testing.T, most time.Duration, f func() bool) time.Duration {
+	t.Helper()
+	began := w.now
+	for !f() {
+		w.run(w.step)
+		assert.Equal(t, w.failure, "")
+		assert.Assert(t, w.now.Sub(began) <= most, "not within %v", most)
+	}
+	return w.now.Sub(began)
+}
+
 func TestAloneServesWithinASecond(t *testing.T) {
 	w := newWorld(1, 1, 8, engine("e1"))
 	w.run(time.Second)
@@ -22,13 +43,140 @@
 
 func TestFleetUsesAllSlots(t *testing.T) {
 	for _, vms := range []int{1, 3, 8} {
-		w := newWorld(1, vms, 8, engine("e1"), engine("e2"))
-		w.run(20 * time.Second)
+		w := warmed(t, vms, 8, engine("e1"), engine("e2"))
 		w.load = 0
 		w.run(3 * time.Second)
-		assert.Equal(t, w.failure, "")
 		for _, u := range w.upstreams {
 			assert.Equal(t, w.free(u), u.Slots, "%s with %d VMs", u.Name, vms)
 		}
 	}
 }
+
+// All callers come to one VM. It must get nearly all slots, or they would wait
+// while slots lie idle elsewhere.
+func TestBurstAtOneVM(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"))
+	w.load = 0
+	w.run(5 * time.Second)
+	v := w.vms[0]
+	v.node.Want("e1", 16)
+	w.until(t, time.Second, func() bool { return v.node.View(w.now, "e1").Free >= 16-3*2 })
+}
+
+// The VM that lends an upstream's slots is killed. Callers at the others keep
+// half of the slots by the fixed shares, and get all of them back within a
+// bound: a VM counts as dead after 2.5 s, the claim takes a lease and a loan's
+// life (4 s and the clocks' drift), what still runs a settling time and a list.
+func TestKilledHolder(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"))
+	u := w.upstreams[0]
+	old := w.holder("e1")
+	w.kill(old)
+	least := u.Slots
+	took := w.until(t, 9*time.Second, func() bool {
+		least = min(least, w.free(u))
+		h := w.holder("e1")
+		return h != nil && h != old && w.free(u) > u.Slots/2
+	})
+	assert.Assert(t, least >= u.Slots/2-2, "only %d slots left", least)
+	t.Logf("lent again after %v, least %d of %d slots", took, least, u.Slots)
+}
+
+// The VM that lends an upstream's slots stands still for long and wakes. It must
+// not lend what another has lent meanwhile.
+func TestFrozenHolder(t *testing.T) {
+	for _, d := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second, time.Minute} {
+		w := warmed(t, 3, 4, engine("e1"))
+		w.load = 0.8
+		w.freeze(w.holder("e1"), d)
+		w.run(d + 10*time.Second)
+		assert.Equal(t, w.failure, "", "frozen for %v", d)
+		assert.Assert(t, w.holder("e1") != nil)
+	}
+}
+
+// The log is down for an hour. Questions go on with the fixed shares, half of
+// the slots, and the rest comes back with the log.
+func TestLogDownForAnHour(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"), engine("e2"))
+	w.step, w.load = 50*time.Millisecond, 0.5
+	w.logDown = true
+	w.run(10 * time.Second)
+	for range 59 {
+		w.run(time.Minute)
+		assert.Equal(t, w.failure, "")
+		for _, u := range w.upstreams {
+			assert.Equal(t, w.free(u), u.Slots/2)
+		}
+	}
+	w.logDown = false
+	took := w.until(t, 5*time.Second, func() bool { return w.free(w.upstreams[0]) > 12 })
+	t.Logf("back after %v", took)
+}
+
+// During an outage of the log an upstream falls and comes back cold. Nobody can
+// be its holder, so nobody sends anything: it would fall again.
+func TestColdDuringLogOutage(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"))
+	w.logDown = true
+	w.run(10 * time.Second)
+	w.fall(w.upstreams[0])
+	w.run(5 * time.Second)
+	assert.Equal(t, w.free(w.upstreams[0]), 0)
+	w.run(time.Minute)
+	assert.Equal(t, w.failure, "")
+	w.logDown = false
+	w.until(t, 20*time.Second, func() bool { return w.free(w.upstreams[0]) > 12 })
+}
+
+// An upstream turns cold without warning in the middle of load.
+func TestTurnsCold(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"))
+	w.load = 0.8
+	w.fall(w.upstreams[0])
+	w.run(300 * time.Millisecond)
+	took := w.until(t, 20*time.Second, func() bool { return w.free(w.upstreams[0]) > 12 })
+	t.Logf("all slots again after %v", took)
+}
+
+// A VM leaves by plan. What it held goes on without a gap.
+func TestLeaveHandsOver(t *testing.T) {
+	w := warmed(t, 4, 4, engine("e1"))
+	u := w.upstreams[0]
+	old := w.holder("e1")
+	old.node.Leave()
+	took := w.until(t, time.Second, func() bool {
+		h := w.holder("e1")
+		return h != nil && h != old && old.node.Left(w.now)
+	})
+	least := u.Slots
+	for range 300 {
+		w.run(w.step)
+		least = min(least, w.free(u))
+	}
+	assert.Equal(t, w.failure, "")
+	assert.Assert(t, least >= u.Slots/2, "only %d slots left", least)
+	t.Logf("handed over in %v, least %d of %d slots", took, least, u.Slots)
+}
+
+// A process is replaced under the name of its VM. Its old fence and boot number
+// count for nothing, and its seat and what it held come back.
+func TestReplacedUnderItsName(t *testing.T) {
+	w := warmed(t, 3, 4, engine("e1"))
+	old := w.holder("e1")
+	old.dead = true
+	w.start(old.id)
+	w.until(t, 15*time.Second, func() bool { return w.holder("e1") != nil && w.free(w.upstreams[0]) > 12 })
+}
+
+// The list of VMs stands still for hours while VMs come and go.
+func TestListHoursOld(t *testing.T) {
+	w := warmed(t, 3, 4, engine("e1"))
+	w.listDown = true
+	w.step = 50 * time.Millisecond
+	w.run(time.Hour)
+	w.kill(w.holder("e1"))
+	w.run(20 * time.Second)
+	assert.Equal(t, w.failure, "")
+	assert.Assert(t, w.holder("e1") != nil)
+}
--- a/entry/process/coordinator/query.go
+++ b/entry/process/coordinator/query.go
@@ -130,3 +130,10 @@
 	}
 	return View{}
 }
+
+// Want says how many requests wait here that could go to an upstream.
+func (n *Node) Want(name string, most int) {
+	if u := n.get(name); u != nil {
+		u.borrower.Want(most)
+	}
+}
--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -35,8 +35,8 @@
 	seats     int
 	load      float64 // chance of a request per VM and step
 	longest   time.Duration
+	step      time.Duration
 	failure   string
-	unbound   bool // leave the fleet's sum unchecked while an upstream is cold
 }
 
 type event struct {
@@ -70,16 +70,19 @@
 }
 
 type request struct {
-	vm   *vm
-	boot uint64
+	vm    *vm
+	boot  uint64
+	taken time.Time
+	sent  bool
 }
 
+// step is how far the clock moves at once, unless a world says otherwise.
 const step = 10 * time.Millisecond
 
 func newWorld(seed uint64, vms, seats int, upstreams ...coordinator.Upstream) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), timings: coordinator.Today(),
-		cut: map[[2]string]bool{}, delay: 20 * time.Millisecond, seats: seats, load: 0.2, longest: time.Second,
+		cut: map[[2]string]bool{}, delay: 20 * time.Millisecond, seats: seats, load: 0.2, longest: time.Second, step: step,
 	}
 	w.timings.Longest = 5 * time.Second
 	w.timings.Absent = 4 * time.Second
@@ -142,7 +145,7 @@
 
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end) && w.failure == ""; {
-		w.now = w.now.Add(step)
+		w.now = w.now.Add(w.step)
 		w.due()
 		for _, v := range w.vms {
 			if !v.dead && !w.now.Before(v.frozen) {
@@ -245,16 +248,16 @@
 	if !ok {
 		return
 	}
-	taken := w.now
-	r := &request{vm: v, boot: boot}
+	r := &request{vm: v, boot: boot, taken: w.now}
 	u.flying[r] = true
 	w.after(w.short(), func() {
 		w.at(v, func() {
-			if w.now.Sub(taken) >= w.timings.Settle {
+			if w.now.Sub(r.taken) >= w.timings.Settle/2 {
 				delete(u.flying, r)
 				w.finish(v, u, boot, coordinator.Refused)
 				return
 			}
+			r.sent = true
 			w.after(w.short(), func() { w.arrive(r, u) })
 		})
 	})
@@ -367,7 +370,8 @@
 func (w *world) possible(u *upstream) int {
 	sum := len(u.running)
 	for r := range u.flying {
-		if r.boot == u.boot && !r.vm.dead {
+		sendable := !r.vm.dead && w.now.Sub(r.taken) < w.timings.Settle/2
+		if r.boot == u.boot && (r.sent || sendable) {
 			sum++
 		}
 	}
--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -10,6 +10,7 @@
 	held, need int
 	done       uint64
 	cold       bool
+	warmed     uint64 // boot under which it may use its share, by its own word
 
 	// out are loans that it may still follow: the last that it took in and all
 	// sent since. They do not leave by time alone, because work may have been
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -98,6 +98,7 @@
 	booted  time.Time // when boot was first seen
 	load    Load
 	loaded  bool
+	lent    bool // a loan may have been sent
 	warm    bool // by its own report under boot, or the holder's before
 	began   time.Time
 	past    []uint64
@@ -207,7 +208,7 @@
 	}
 	if cold {
 		l.limit.Turned(boot)
-		l.warm = false
+		l.warm, l.lent = false, true
 	}
 	l.boot = boot
 	l.dirty()
@@ -319,6 +320,10 @@
 		l.Turned(now, a.Boot)
 	}
 	b.cold = a.Cold
+	b.warmed = 0
+	if a.Warm {
+		b.warmed = a.Boot
+	}
 	if a.Boot != l.boot || a.Boot == 0 || a.Cold {
 		return
 	}
@@ -346,9 +351,12 @@
 // Tick returns the loans to send now.
 func (l *Lender) Tick(now time.Time) []Out {
 	l.expire(now)
-	if l.boot == 0 {
+	if l.boot == 0 || !l.known {
+		// A loan replaces what an earlier holder has said, and this one does not
+		// know enough yet: it would end shares that may well go on.
 		return nil
 	}
+	l.inherit()
 	whos := l.sorted()
 	targets := l.targets(whos, now)
 	var out []Out
@@ -365,25 +373,43 @@
 	return out
 }
 
+// inherit takes the word of borrowers that an earlier holder found the upstream
+// warm, if the upstream itself says the same. Without it, each loss of a holder
+// would have its upstreams start anew as if they were cold.
+func (l *Lender) inherit() {
+	if l.lent {
+		return
+	}
+	l.lent = true
+	for _, b := range l.borrowers {
+		if b.warmed == l.boot && l.warm {
+			l.limit.Completed(enough * l.c.Slots)
+			return
+		}
+	}
+}
+
 // grant is how much of its target a borrower can get now: a raise waits until
 // others are known to have given back.
 func (l *Lender) grant(w Who, b *borrower, target int) int {
-	if !l.known {
-		return 0
-	}
-	before := b.charge(l.reserved(w, b))
-	room := max(0, l.bound()-l.charged())
-	share := 0
+	others := l.charged() - b.charge(l.reserved(w, b))
+	share, active := 0, 0
 	if l.sharing(w, b) {
 		share = l.shares[w]
 	}
-	return max(0, min(target, before+room-share))
+	if b.active {
+		active = l.shares[w]
+	}
+	// A share that is kept for it and not in use yet gives it no right to what
+	// others still have.
+	ceiling := max(b.charge(active), l.bound()-others)
+	return max(0, min(target, ceiling-share))
 }
 
 // sharing says whether a borrower may use its share from now on: only once all
 // else fits beside it.
 func (l *Lender) sharing(w Who, b *borrower) bool {
-	if l.shares[w] == 0 || l.cold() || !l.known {
+	if l.shares[w] == 0 || l.cold() {
 		return false
 	}
 	return b.using || l.charged() <= l.bound()
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -48,9 +48,6 @@
 // tokens is the memory lent to a borrower. A reservation is given whole or not
 // at all: half of a long prompt's memory serves nobody.
 func (l *Lender) tokens(b *borrower) int {
-	if !l.known {
-		return 0
-	}
 	if b.need <= b.memory() {
 		return b.need
 	}
