--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -70,12 +70,12 @@
 func TestKilledHolder(t *testing.T) {
 	w := warmed(t, 4, 4, engine("e1"))
 	u := w.upstreams[0]
-	old := w.holder("e1")
+	old := w.holder()
 	w.kill(old)
 	least := u.Slots
 	took := w.until(t, 9*time.Second, func() bool {
 		least = min(least, w.free(u))
-		h := w.holder("e1")
+		h := w.holder()
 		return h != nil && h != old && w.free(u) > u.Slots/2
 	})
 	assert.Assert(t, least >= u.Slots/2-2, "only %d slots left", least)
@@ -88,10 +88,10 @@
 	for _, d := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second, time.Minute} {
 		w := warmed(t, 3, 4, engine("e1"))
 		w.load = 0.8
-		w.freeze(w.holder("e1"), d)
+		w.freeze(w.holder(), d)
 		w.run(d + 10*time.Second)
 		assert.Equal(t, w.failure, "", "frozen for %v", d)
-		assert.Assert(t, w.holder("e1") != nil)
+		assert.Assert(t, w.holder() != nil)
 	}
 }
 
@@ -143,10 +143,10 @@
 func TestLeaveHandsOver(t *testing.T) {
 	w := warmed(t, 4, 4, engine("e1"))
 	u := w.upstreams[0]
-	old := w.holder("e1")
+	old := w.holder()
 	old.node.Leave()
 	took := w.until(t, time.Second, func() bool {
-		h := w.holder("e1")
+		h := w.holder()
 		return h != nil && h != old && old.node.Left(w.now)
 	})
 	least := u.Slots
@@ -163,10 +163,10 @@
 // count for nothing, and its seat and what it held come back.
 func TestReplacedUnderItsName(t *testing.T) {
 	w := warmed(t, 3, 4, engine("e1"))
-	old := w.holder("e1")
+	old := w.holder()
 	old.dead = true
 	w.start(old.id)
-	w.until(t, 15*time.Second, func() bool { return w.holder("e1") != nil && w.free(w.upstreams[0]) > 12 })
+	w.until(t, 15*time.Second, func() bool { return w.holder() != nil && w.free(w.upstreams[0]) > 12 })
 }
 
 // The list of VMs stands still for hours while VMs come and go.
@@ -175,8 +175,8 @@
 	w.listDown = true
 	w.step = 50 * time.Millisecond
 	w.run(time.Hour)
-	w.kill(w.holder("e1"))
+	w.kill(w.holder())
 	w.run(20 * time.Second)
 	assert.Equal(t, w.failure, "")
-	assert.Assert(t, w.holder("e1") != nil)
+	assert.Assert(t, w.holder() != nil)
 }
--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -50,8 +50,6 @@
 	node   *coordinator.Node
 	frozen time.Time
 	dead   bool
-	next   time.Time // of its tick
-	read   time.Time
 	probe  time.Time
 	list   time.Time
 	inbox  []func()
@@ -98,7 +96,7 @@
 	return w
 }
 
-func (w *world) start(id string) *vm {
+func (w *world) start(id string) {
 	w.boots++
 	v := &vm{id: id, boot: w.boots}
 	v.node = coordinator.NewNode(coordinator.Config{
@@ -113,7 +111,6 @@
 	if !slices.ContainsFunc(w.listed, func(l lister.VM) bool { return l.ID == id }) {
 		w.listed = append(w.listed, lister.VM{ID: id, Zone: "a", Address: id + ":1", State: lister.Live})
 	}
-	return v
 }
 
 // kill stops a VM; the platform takes it off the list later.
@@ -399,9 +396,10 @@
 	return sum
 }
 
-func (w *world) holder(name string) *vm {
+// holder is the VM that lends the first upstream.
+func (w *world) holder() *vm {
 	for _, v := range w.vms {
-		if !v.dead && v.node.Holds(w.now, name) {
+		if !v.dead && v.node.Holds(w.now, w.upstreams[0].Name) {
 			return v
 		}
 	}
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -359,16 +359,20 @@
 	l.inherit()
 	whos := l.sorted()
 	targets := l.targets(whos, now)
+	sum := l.charged()
 	var out []Out
 	for _, w := range whos {
 		b := l.borrowers[w]
 		if b.echo == 0 || b.ended || b.silent(now, l.long(l.c.Life)) {
 			continue
 		}
-		slots := l.grant(w, b, targets[w])
-		if o, ok := l.lend(now, w, b, slots); ok {
+		others := sum - b.charge(l.reserved(w, b))
+		share := l.sharing(w, b, sum)
+		slots := l.grant(w, b, targets[w], others, share)
+		if o, ok := l.lend(now, w, b, slots, share); ok {
 			out = append(out, o)
 		}
+		sum = others + b.charge(l.reserved(w, b))
 	}
 	return out
 }
@@ -391,10 +395,9 @@
 
 // grant is how much of its target a borrower can get now: a raise waits until
 // others are known to have given back.
-func (l *Lender) grant(w Who, b *borrower, target int) int {
-	others := l.charged() - b.charge(l.reserved(w, b))
+func (l *Lender) grant(w Who, b *borrower, target, others int, sharing bool) int {
 	share, active := 0, 0
-	if l.sharing(w, b) {
+	if sharing {
 		share = l.shares[w]
 	}
 	if b.active {
@@ -408,15 +411,14 @@
 
 // sharing says whether a borrower may use its share from now on: only once all
 // else fits beside it.
-func (l *Lender) sharing(w Who, b *borrower) bool {
+func (l *Lender) sharing(w Who, b *borrower, sum int) bool {
 	if l.shares[w] == 0 || l.cold() {
 		return false
 	}
-	return b.using || l.charged() <= l.bound()
+	return b.using || sum <= l.bound()
 }
 
-func (l *Lender) lend(now time.Time, w Who, b *borrower, slots int) (Out, bool) {
-	share := l.sharing(w, b)
+func (l *Lender) lend(now time.Time, w Who, b *borrower, slots int, share bool) (Out, bool) {
 	tokens := l.tokens(b)
 	if !b.dirty && slots == b.last.slots && share == b.last.share && tokens == b.last.tokens {
 		return Out{}, false
--- a/entry/process/member/member.go
+++ b/entry/process/member/member.go
@@ -97,7 +97,7 @@
 	leaving       bool
 	listed        bool
 	since         time.Time // first known
-	seen          time.Time // last on the list
+	seen          time.Time // when it was found to have left the list
 	heard         time.Time // directly
 	relayed       time.Time // by a peer
 }
@@ -124,6 +124,9 @@
 	}
 	t.lists++
 	for _, v := range t.vms {
+		if v.listed {
+			v.seen = now
+		}
 		v.listed = false
 	}
 	for _, l := range list {
@@ -131,7 +134,7 @@
 			continue
 		}
 		v := t.vm(now, l.ID)
-		v.listed, v.seen = true, now
+		v.listed = true
 		if v.heard.IsZero() {
 			v.zone, v.address = l.Zone, l.Address
 		}
--- /dev/null
+++ b/entry/process/member/member_test.go
@@ -0,0 +1,142 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/member"
+	"github.com/heathervane/heathervane/library/lister"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func table() *member.Table {
+	return member.New(member.Config{
+		VM: "a", Zone: "z", Address: "a:1", Boot: 10,
+		Suspect: 1500 * time.Millisecond, Dead: 2500 * time.Millisecond, Absent: 15 * time.Second,
+	})
+}
+
+func state(t *testing.T, m *member.Table, now time.Time, vm string) member.State {
+	t.Helper()
+	for _, o := range m.Members(now) {
+		if o.VM == vm {
+			return o.State
+		}
+	}
+	t.Fatalf("%s is not known", vm)
+	return 0
+}
+
+func TestStates(t *testing.T) {
+	m := table()
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 5, Address: "b:1"})
+	tests := []struct {
+		after time.Duration
+		state member.State
+	}{
+		{0, member.Live},
+		{time.Second, member.Live},
+		{1500 * time.Millisecond, member.Suspect},
+		{2500 * time.Millisecond, member.Gone},
+	}
+	for _, test := range tests {
+		assert.Equal(t, state(t, m, epoch.Add(test.after), "b"), test.state, "after %v", test.after)
+	}
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 5, Leaving: true})
+	assert.Equal(t, state(t, m, epoch, "b"), member.Leaving)
+}
+
+// The way from b to a is cut, all others stand. c has heard b, so a must not
+// take b's upstreams over: they would change hands for as long as the cut lasts.
+func TestOneWayCut(t *testing.T) {
+	m := table()
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 5})
+	now := epoch.Add(10 * time.Second)
+	m.Beat(now, member.Beat{VM: "c", Boot: 6, Heard: []member.Heard{{VM: "b", Boot: 5, Age: 100}}})
+	assert.Assert(t, m.Live(now, "b", 5))
+	// What c heard long ago counts for nothing.
+	now = now.Add(10 * time.Second)
+	m.Beat(now, member.Beat{VM: "c", Boot: 6, Heard: []member.Heard{{VM: "b", Boot: 5, Age: 5000}}})
+	assert.Assert(t, !m.Live(now, "b", 5))
+}
+
+// A VM is replaced under its name. The old process may still send, frozen and
+// woken; it must not pass for the new one.
+func TestReplacedProcess(t *testing.T) {
+	m := table()
+	m.List(epoch, []lister.VM{{ID: "b", Address: "b:1"}})
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 5})
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 6})
+	m.Beat(epoch, member.Beat{VM: "b", Boot: 5, Leaving: true})
+	assert.Assert(t, m.Live(epoch, "b", 6))
+	assert.Assert(t, !m.Live(epoch, "b", 5))
+	assert.Assert(t, m.Absent(epoch, "b", 5))
+	assert.Assert(t, !m.Absent(epoch, "b", 6))
+	assert.Equal(t, state(t, m, epoch, "b"), member.Live)
+}
+
+// Absent frees a dead VM's seat and what it left at engines. Said too early, it
+// cuts a VM that only was slow to appear on the list, or that nobody hears.
+func TestAbsent(t *testing.T) {
+	listed := []lister.VM{{ID: "b", Address: "b:1"}}
+	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
+	tests := []struct {
+		name   string
+		do     func(m *member.Table)
+		at     int
+		absent bool
+	}{
+		{"no list yet", func(*member.Table) {}, 100, false},
+		{"listed", func(m *member.Table) { m.List(epoch, listed) }, 10_000, false},
+		{"never listed, list new", func(m *member.Table) { m.List(epoch, nil) }, 14, false},
+		{"never listed", func(m *member.Table) { m.List(epoch, nil) }, 15, true},
+		{"just left", func(m *member.Table) { m.List(epoch, listed); m.List(at(1), nil) }, 15, false},
+		{"left", func(m *member.Table) { m.List(epoch, listed); m.List(at(1), nil) }, 16, true},
+		{"left and heard", func(m *member.Table) {
+			m.List(epoch, nil)
+			m.Beat(at(20), member.Beat{VM: "b", Boot: 5})
+		}, 25, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := table()
+			test.do(m)
+			assert.Equal(t, m.Absent(at(test.at), "b", 5), test.absent)
+		})
+	}
+}
+
+// A VM's death moves only what it held.
+func TestShouldMovesLittle(t *testing.T) {
+	var members []member.Member
+	for i := range 8 {
+		members = append(members, member.Member{VM: fmt.Sprintf("v%d", i), Boot: 1})
+	}
+	moved, held := 0, map[string]int{}
+	for i := range 1000 {
+		name := fmt.Sprintf("e%d", i)
+		before, _ := member.Should(name, members)
+		after, _ := member.Should(name, members[1:])
+		held[before]++
+		if before != after && before != "v0" {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 0)
+	for vm, n := range held {
+		assert.Assert(t, n > 70 && n < 190, "%s holds %d of 1000", vm, n)
+	}
+}
+
+func TestPeersOfLargeFleet(t *testing.T) {
+	var members []member.Member
+	for i := range 330 {
+		members = append(members, member.Member{VM: fmt.Sprintf("v%d", i), Address: "x:1", Boot: 1})
+	}
+	assert.Equal(t, len(member.Peers("v0", members[:8], 3, 1)), 7)
+	assert.Equal(t, len(member.Peers("v0", members, 3, 1)), 3)
+}
