Reserve memory only for prompts that need it

Cause: a document of 30,000 tokens never found a place at engines of 40,000: every request reserved its memory, and 3/10 of it was not lent. Change: a request that fits its slot's part of the headroom reserves none, the headroom is 2/10, and groups plan with what can be lent.

--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/hinter"
+	"github.com/heathervane/heathervane/entry/process/lender"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/grouper"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -16,9 +17,6 @@
 )
 
 const (
-	// groupShare is the part of an engine's memory that one part of a group
-	// may take: the rest is for the work already there.
-	groupShare = 0.9
 	// holdTime is how long engines that a group waits for get no new long
 	// work from this VM. Without it a stream of middling prompts takes each
 	// engine's memory as soon as it is free, and no group ever finds all of
@@ -165,12 +163,12 @@
 	}
 	all := make([]router.Candidate, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
-		if u.Memory >= k.Tokens+k.Output {
+		if lender.Lendable(u.Memory) >= k.Tokens+k.Output {
 			return nil
 		}
 		all = append(all, router.Candidate{Name: u.Name, Memory: u.Memory, Free: 1, Slots: 1})
 	}
-	_, err := grouper.Plan(k.Tokens, k.Output, all, groupShare)
+	_, err := grouper.Plan(k.Tokens, k.Output, all, groupShare())
 	return err
 }
 
@@ -277,15 +275,22 @@
 		return false
 	}
 	return !slices.ContainsFunc(p.upstreams, func(u viewer.Upstream) bool {
-		return u.Memory >= k.Tokens+k.Output
+		return lender.Lendable(u.Memory) >= k.Tokens+k.Output
 	})
 }
 
+// groupShare is the part of an engine's memory that one part of a group may
+// take: what can be reserved.
+func groupShare() float64 {
+	const whole = 1000
+	return float64(lender.Lendable(whole)) / whole
+}
+
 // placeGroup takes all places of a group or none. The order is that of the
 // names on every VM, so that of two groups that want the same engines one gets
 // its first engine first and the other waits there with nothing in hand.
 func (p *pool) placeGroup(now time.Time, k admitter.Ask, cs []router.Candidate) *Grant {
-	plan, err := grouper.Plan(k.Tokens, k.Output, cs, groupShare)
+	plan, err := grouper.Plan(k.Tokens, k.Output, cs, groupShare())
 	if err != nil {
 		p.holdBack(now, cs)
 		return nil
@@ -323,6 +328,9 @@
 	if i < 0 {
 		return Part{}, false
 	}
+	if u := p.upstreams[i]; memory <= lender.Small(u.Memory, u.Slots) {
+		memory = 0
+	}
 	slot, ok := p.dispatcher.supplier.Take(name, memory)
 	if !ok {
 		return Part{}, false
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -311,7 +311,7 @@
 		}
 		// The intent may still land, now or later. Nothing was sent and
 		// nothing will be, and the record of that frees the key.
-	
+
 		return Answer{Refusal: refuser.New(504, "keys_slow", "the log did not decide in time").Back(retryAfter)}, true
 	}
 }
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -56,7 +56,7 @@
 
 // headroom is the part of the memory, in tenths, that is not lent: requests
 // without a reservation take theirs from it.
-const headroom = 3
+const headroom = 2
 
 // maxPast bounds how many earlier boot numbers are remembered: late news of
 // them must not pass for news, and they have no order.
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -45,13 +45,26 @@
 	return 0
 }
 
+// Lendable is the part of an upstream's memory that can be reserved; the rest is
+// for requests that reserve none.
+func Lendable(memory int) int { return memory - memory*headroom/10 }
+
+// Small is the longest request in tokens that needs no reservation: when each
+// slot runs one of these, they just fill what is not lent.
+func Small(memory, slots int) int {
+	if slots == 0 {
+		return 0
+	}
+	return (memory - Lendable(memory)) / slots
+}
+
 // tokens is the memory lent to a borrower. A reservation is given whole or not
 // at all: half of a long prompt's memory serves nobody.
 func (l *Lender) tokens(b *borrower) int {
 	if b.need <= b.memory() {
 		return b.need
 	}
-	free := l.c.Memory - l.c.Memory*headroom/10
+	free := Lendable(l.c.Memory)
 	for _, o := range l.borrowers {
 		if o != b {
 			free -= o.memory()
--- a/entry/process/server/coordination.go
+++ b/entry/process/server/coordination.go
@@ -37,7 +37,7 @@
 		Ticker: v.ticker, Registry: v.meter.Registry(), Logger: v.log,
 	})
 	v.canceller = canceller.New(v.upstream, v.ticker, v.meter.Registry())
-	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot, Limits: keeper.Limits{Window: firstWindow, Margin: keeper.DefaultMargin}}, v.records, v.ticker, v.coordinator.Gone, v.meter)
+	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot, Limits: keeper.Limits{Window: firstWindow, Margin: keeper.DefaultMargin}, Body: keeper.DefaultBody}, v.records, v.ticker, v.coordinator.Gone, v.meter)
 }
 
 // read is how far this VM has read the configuration, for heartbeats.
--- a/entry/request/passer/keyed.go
+++ b/entry/request/passer/keyed.go
@@ -86,6 +86,9 @@
 		h.Set(name, value)
 	}
 	h.Set(ReplayHeader, "true")
+	if !o.Kept {
+		h.Set(ReplayHeader, "true; body=dropped")
+	}
 	h.Set(refuser.RanHeader, string(refuser.Yes))
 	w.WriteHeader(o.Status)
 	w.Write(o.Body)
