Follow the configuration on a VM, through outages and expiry

Cause: each VM must hold the configuration in force within seconds, never an older one, also where the log is slow or down, or has dropped what the VM needs. Ruled out: stopping a VM that can't follow (an outage of the log would stop all requests), showing states on the way to the end of the stream (a starting VM would serve by a manifest long replaced), and asking peers at once (each change would be fetched twice).

--- /dev/null
+++ b/entry/version/follower/counts.go
@@ -0,0 +1,51 @@
+package follower
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/heathervane/heathervane/library/folder"
+)
+
+// counts are the Follower's metrics.
+type counts struct {
+	version, read              metrics.Gauge
+	accepted, refused, ignored metrics.Counter
+	broken, back, gaps, errors metrics.Counter
+	adopted, checkpoints       metrics.Counter
+	disagreed                  metrics.Counter
+}
+
+func newCounts(r metrics.Registry) counts {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("config."+name, r) }
+	return counts{
+		version:     metrics.GetOrRegisterGauge("config.version", r),
+		read:        metrics.GetOrRegisterGauge("config.read", r),
+		accepted:    counter("accepted"),
+		refused:     counter("refused"),
+		ignored:     counter("ignored"),
+		broken:      counter("broken"),
+		back:        counter("back"),
+		gaps:        counter("gaps"),
+		errors:      counter("errors"),
+		adopted:     counter("adopted"),
+		checkpoints: counter("checkpoints"),
+		disagreed:   counter("disagreed"),
+	}
+}
+
+func (c counts) record(v folder.Verdict) {
+	switch v.Outcome {
+	case folder.Accepted:
+		c.accepted.Inc(1)
+	case folder.Refused:
+		c.refused.Inc(1)
+	default:
+		c.ignored.Inc(1)
+	}
+	switch v.Reason {
+	case folder.ReasonBroken:
+		c.broken.Inc(1)
+	case folder.ReasonBack:
+		c.back.Inc(1)
+	}
+}
--- /dev/null
+++ b/entry/version/follower/peer.go
@@ -0,0 +1,68 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/heathervane/heathervane/library/folder"
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// MaxSnapshot is the longest snapshot in bytes. It is a record's length, since
+// a snapshot is a checkpoint that goes to a peer.
+const MaxSnapshot = 1 << 20
+
+// Behind says whether a peer's state should be asked for: the peer has read
+// further, and for a second the log has brought this VM nothing. Heartbeats
+// carry State().Read for it. Asked at once, every change would be fetched from
+// a peer as well as from the log.
+func (f *Follower) Behind(read uint64, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.work == nil {
+		return read > 0
+	}
+	if read <= f.work.Read {
+		return false
+	}
+	if f.stuck.read != f.work.Read || f.stuck.since.IsZero() {
+		f.stuck.read, f.stuck.since = f.work.Read, now
+	}
+	return now.Sub(f.stuck.since) >= lag
+}
+
+// Snapshot is the state in force for a peer that is behind.
+func (f *Follower) Snapshot() ([]byte, error) {
+	s := f.state.Load()
+	if s == nil {
+		return nil, Error.New("no state in force")
+	}
+	data, err := recorder.Wrap(recorder.KindCheckpoint, folder.Store(*s))
+	return data, Error.Wrap(err)
+}
+
+// Adopt takes a peer's snapshot where it is ahead of the state in force, and
+// says whether it did. The manifest in it is read again, so that a broken peer
+// can't put in force what the log would not have. A snapshot that is not ahead
+// changes nothing: a late or doubled message must not take a VM back.
+func (f *Follower) Adopt(data []byte) (bool, error) {
+	if len(data) > MaxSnapshot {
+		return false, Error.New("a snapshot of %d bytes, at most %d", len(data), MaxSnapshot)
+	}
+	c, err := recorder.Unwrap[recorder.Checkpoint](data)
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.work != nil && (c.Read <= f.work.Read || c.Version < f.work.Version) {
+		return false, nil
+	}
+	s, err := folder.Restore(c)
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	f.counts.adopted.Inc(1)
+	f.caught = true
+	f.found(s)
+	return true, nil
+}
