Show that a peer's state may overtake a read

The guard against an answer older than an adopted state had no test that fails without it; TestPeerOvertakesARead does. The check for a gap in Due was never reached, since a gap already ends the reading to the end, and is gone.

--- a/entry/version/follower/duty.go
+++ b/entry/version/follower/duty.go
@@ -76,7 +76,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state.Load()
-	if s == nil || s.Read == 0 || f.gap || f.back != 0 || !f.ended {
+	if s == nil || s.Read == 0 || f.back != 0 || !f.ended {
 		return false
 	}
 	return now.Sub(f.duty.stored) >= retention(*s)/dueParts && !now.Before(f.duty.next)
--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -215,6 +215,27 @@
 	assert.DeepEqual(t, slow.State(), peer.State())
 }
 
+// An answer of the log comes after a peer's state that is newer than it. It
+// must not be taken for a log that has gone back.
+func TestPeerOvertakesARead(t *testing.T) {
+	w := newWorld(t)
+	w.publish(0)
+	slow, peer := w.started(), w.started()
+	w.log.during = func() {
+		w.log.during = nil
+		w.publish(1)
+		w.publish(2)
+		assert.NilError(t, w.read(peer))
+		snapshot, err := peer.Snapshot()
+		assert.NilError(t, err)
+		_, err = slow.Adopt(snapshot)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, slow.Step(context.Background()))
+	ready(t, slow, true, "")
+	assert.DeepEqual(t, slow.State(), peer.State())
+}
+
 func TestBrokenSnapshotsAreRefused(t *testing.T) {
 	w := newWorld(t)
 	w.publish(0)
@@ -323,6 +344,7 @@
 	w.publish(0)
 	assert.ErrorContains(t, w.read(f), "the stream ends at 2, and 2 has been read")
 	ready(t, f, true, "the log ends at 2")
+	assert.Assert(t, !f.Due(w.clock), "its records stand for other offsets")
 	assert.DeepEqual(t, f.State(), before)
 }
 
