Fold batches in one place for VMs and operators' programs

The search for a state after a gap stood in the follower and would have stood again in vanectl; the fleet test had a third copy. folder.Reader now holds it, without network, and the fleet test drives it as the follower does.

--- a/entry/version/follower/duty.go
+++ b/entry/version/follower/duty.go
@@ -48,7 +48,8 @@
 
 // checkpoint notes a checkpoint on the log that a starting VM could use, and
 // counts one that disagrees with this VM's own state.
-func (f *Follower) checkpoint(start uint64, r appender.Record, before *folder.State) {
+func (f *Follower) checkpoint(start uint64, s folder.Step) {
+	r, before := s.Record, s.Before
 	c, err := recorder.Unwrap[recorder.Checkpoint](r.Data)
 	if err != nil || c.Read+fresh < r.Offset {
 		return
@@ -58,7 +59,7 @@
 		f.logger.Error().Uint64("offset", r.Offset).Msg("a checkpoint disagrees with the state in force")
 		return
 	}
-	if _, ok := folder.Found(nil, start, folder.Record(r)); ok {
+	if _, ok := folder.Found(nil, start, r); ok {
 		f.duty.saw(f.ticker.Now(), r.At)
 	}
 }
@@ -76,7 +77,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state.Load()
-	if s == nil || s.Read == 0 || f.back != 0 || !f.ended {
+	if s == nil || s.Read == 0 || f.back || !f.ended {
 		return false
 	}
 	return now.Sub(f.duty.stored) >= retention(*s)/dueParts && !now.Before(f.duty.next)
--- a/entry/version/follower/follower.go
+++ b/entry/version/follower/follower.go
@@ -66,20 +66,15 @@
 	state atomic.Pointer[folder.State]
 
 	mu sync.Mutex
-	// work is the state folded so far, nil where there is none.
-	work *folder.State
+	// reader folds what has been read.
+	reader folder.Reader
 	// caught says that the end of the stream, or a peer's state, was reached.
 	caught bool
 
 	subs   map[int]func(folder.State)
 	nextID int
-	// search is the next offset to look for a checkpoint at, while there is
-	// no state to go on from.
-	search uint64
-	// gap says that the log dropped records that were not read.
-	gap bool
-	// back is the end of a log that ends before what was read, 0 for none.
-	back uint64
+	// back says that the log ends before what was read of it.
+	back bool
 	// ended says that the last read reached the end of the stream.
 	ended bool
 	// failed is the error of the last read.
@@ -177,113 +172,84 @@
 func (f *Follower) from() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next()
-}
-
-func (f *Follower) next() uint64 {
-	if f.work != nil && !f.gap {
-		return f.work.Read + 1
-	}
-	return max(f.search, 1)
+	return f.reader.Next()
 }
 
 // take folds the answer to a read from an offset on.
 func (f *Follower) take(from uint64, b appender.Batch) error {
-	if from != f.next() {
-		return nil // a peer's state has been adopted meanwhile
-	}
-	if f.work == nil && b.Start <= 1 {
-		// Nothing was ever dropped, so the state before the first record is
-		// known.
-		f.work = &folder.State{}
-	}
-	s := f.work
-	if s != nil && b.End <= s.Read {
-		// A log that was lost and began again would have its new records
-		// taken for later ones. The state stays in force, and no record is
-		// read until an operator has seen to it.
-		f.back = b.End
+	gap := f.reader.Gap()
+	steps, err := f.reader.Take(from, batch(b))
+	f.back = err != nil
+	if err != nil {
+		// The state stays in force, and no record is read until an operator
+		// has seen to it.
 		f.counts.back.Inc(1)
-		return Error.New("the stream ends at %d, and %d has been read", b.End, s.Read)
+		return Error.Wrap(err)
 	}
-	f.back = 0
-	if s == nil || b.Start > s.Read+1 {
-		f.lost(b, s)
-		return nil
+	if f.reader.Gap() && !gap {
+		f.counts.gaps.Inc(1)
+		f.logger.Warn().Uint64("read", f.reader.State().Read).Uint64("start", b.Start).
+			Msg("the log dropped records that were not read")
 	}
-	f.gap, f.search = false, 0
-	for _, r := range b.Records {
-		f.apply(b.Start, r)
+	changed := false
+	for _, s := range steps {
+		changed = f.step(b.Start, s) || changed
 	}
-	f.ended = f.work.Read+1 >= b.End
+	s := f.reader.State()
+	f.ended = s != nil && !f.reader.Gap() && s.Read+1 >= b.End
 	if f.ended && !f.caught {
-		f.caught = true
-		f.move(*f.work, true)
+		f.caught, changed = true, true
 	}
+	f.publish(changed)
 	return nil
 }
 
-// lost looks for a record to found a state on, where the log has dropped what
-// the state in force needs next.
-func (f *Follower) lost(b appender.Batch, old *folder.State) {
-	if old != nil && !f.gap {
-		f.gap = true
-		f.counts.gaps.Inc(1)
-		f.logger.Warn().Uint64("read", old.Read).Uint64("start", b.Start).
-			Msg("the log dropped records that were not read")
-	}
-	f.ended = false
-	f.search = max(f.search, b.Start)
+func batch(b appender.Batch) folder.Batch {
+	records := make([]folder.Record, 0, len(b.Records))
 	for _, r := range b.Records {
-		if r.Offset < f.search {
-			continue
-		}
-		f.search = r.Offset + 1
-		if s, ok := folder.Found(old, b.Start, folder.Record(r)); ok {
-			f.found(s)
-			f.duty.saw(f.ticker.Now(), r.At)
-			return
-		}
+		records = append(records, folder.Record(r))
 	}
+	return folder.Batch{Start: b.Start, End: b.End, Records: records}
 }
 
-// found puts a state in force that was not folded from the one before.
-func (f *Follower) found(s folder.State) {
-	f.gap, f.search = false, 0
-	f.move(s, true)
-	f.logger.Info().Uint64("version", s.Version).Uint64("read", s.Read).Msg("configuration found")
-}
-
-func (f *Follower) apply(start uint64, r appender.Record) {
-	before := f.work
-	s, v := folder.Apply(*before, folder.Record(r))
-	f.counts.record(v)
-	if v.Kind == recorder.KindCheckpoint {
-		f.checkpoint(start, r, before)
+// step counts and logs what a record did, and says whether it changed what is
+// in force.
+func (f *Follower) step(start uint64, s folder.Step) bool {
+	if s.Found {
+		f.duty.saw(f.ticker.Now(), s.Record.At)
+		f.logger.Info().Uint64("version", s.After.Version).Uint64("read", s.After.Read).Msg("configuration found")
+		return true
+	}
+	f.counts.record(s.Verdict)
+	if s.Verdict.Kind == recorder.KindCheckpoint {
+		f.checkpoint(start, s)
 	}
-	f.move(s, v.Outcome == folder.Accepted)
-	if v.Outcome == folder.Accepted && f.caught {
-		c := s.Audit[len(s.Audit)-1]
+	if s.Verdict.Outcome != folder.Accepted {
+		return false
+	}
+	if f.caught {
+		c := s.After.Audit[len(s.After.Audit)-1]
 		f.logger.Info().Uint64("offset", c.Offset).Str("who", c.Who).Str("what", c.What).Msg("configuration changed")
 	}
+	return true
 }
 
-// move goes on to a state, and puts it in force where the end of the stream has
-// been reached. Subscribers hear of it where it differs in more than how far
-// the stream was read.
-func (f *Follower) move(s folder.State, changed bool) {
-	f.work = &s
-	if !f.caught {
+// publish puts the state folded so far in force, where the end of the stream
+// has been reached. Subscribers hear of it where it differs in more than how
+// far the stream was read.
+func (f *Follower) publish(changed bool) {
+	s := f.reader.State()
+	if !f.caught || s == nil {
 		return
 	}
-	f.state.Store(&s)
+	f.state.Store(s)
 	f.counts.version.Update(int64(s.Version))
 	f.counts.read.Update(int64(s.Read))
 	if !changed {
 		return
 	}
 	for _, call := range f.subs {
-		call(s)
+		call(*s)
 	}
 }
 
@@ -297,18 +263,18 @@
 	switch {
 	case s == nil && f.failed != nil:
 		return false, fmt.Sprintf("no configuration: no peer has one, and the log can't be read: %v", f.failed)
-	case s == nil && f.work != nil:
-		return false, fmt.Sprintf("the log is being read, so far up to %d", f.work.Read)
-	case s == nil && f.search == 0:
+	case s == nil && f.reader.State() != nil:
+		return false, fmt.Sprintf("the log is being read, so far up to %d", f.reader.State().Read)
+	case s == nil && !f.reader.Searching():
 		return false, "no configuration: the log has not been read yet"
 	case s == nil:
 		return false, "no configuration: neither the log has a checkpoint nor a peer a state; publish anew"
 	case s.Version == 0:
 		return false, "no manifest has been published"
-	case f.gap:
+	case f.reader.Gap():
 		return true, fmt.Sprintf("version %d stays in force: the log dropped records after %d unread; publish anew", s.Version, s.Read)
-	case f.back != 0:
-		return true, fmt.Sprintf("version %d stays in force: the log ends at %d, and %d has been read", s.Version, f.back, s.Read)
+	case f.back:
+		return true, fmt.Sprintf("version %d stays in force: %v", s.Version, f.failed)
 	case f.failed != nil:
 		return true, fmt.Sprintf("version %d stays in force: the log can't be read: %v", s.Version, f.failed)
 	default:
--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -131,7 +131,9 @@
 	assert.NilError(t, w.read(f))
 	ready(t, f, false, "no manifest has been published")
 	w.publish(0)
+	assert.NilError(t, w.read(f))
 	w.publish(0)
+	assert.NilError(t, w.read(f))
 	w.publish(1)
 	assert.NilError(t, w.read(f))
 	ready(t, f, true, "")
@@ -342,8 +344,8 @@
 	before := f.State()
 	w.log.records = nil
 	w.publish(0)
-	assert.ErrorContains(t, w.read(f), "the stream ends at 2, and 2 has been read")
-	ready(t, f, true, "the log ends at 2")
+	assert.ErrorContains(t, w.read(f), "it ends at 2, and 2 has been read")
+	ready(t, f, true, "it ends at 2, and 2")
 	assert.Assert(t, !f.Due(w.clock), "its records stand for other offsets")
 	assert.DeepEqual(t, f.State(), before)
 }
--- a/entry/version/follower/peer.go
+++ b/entry/version/follower/peer.go
@@ -18,14 +18,15 @@
 func (f *Follower) Behind(read uint64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.work == nil {
+	s := f.reader.State()
+	if s == nil {
 		return read > 0
 	}
-	if read <= f.work.Read {
+	if read <= s.Read {
 		return false
 	}
-	if f.stuck.read != f.work.Read || f.stuck.since.IsZero() {
-		f.stuck.read, f.stuck.since = f.work.Read, now
+	if f.stuck.read != s.Read || f.stuck.since.IsZero() {
+		f.stuck.read, f.stuck.since = s.Read, now
 	}
 	return now.Sub(f.stuck.since) >= lag
 }
@@ -54,7 +55,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.work != nil && (c.Read <= f.work.Read || c.Version < f.work.Version) {
+	if s := f.reader.State(); s != nil && (c.Read <= s.Read || c.Version < s.Version) {
 		return false, nil
 	}
 	s, err := folder.Restore(c)
@@ -62,7 +63,9 @@
 		return false, Error.Wrap(err)
 	}
 	f.counts.adopted.Inc(1)
+	f.logger.Info().Uint64("version", s.Version).Uint64("read", s.Read).Msg("configuration taken from a peer")
 	f.caught = true
-	f.found(s)
+	f.reader.Jump(s)
+	f.publish(true)
 	return true, nil
 }
--- a/library/folder/fleet_test.go
+++ b/library/folder/fleet_test.go
@@ -24,10 +24,9 @@
 	ids      int
 }
 
-// vm is one reader. It searches for a state where it has none or has a gap.
+// vm is one reader of the log.
 type vm struct {
-	state  *folder.State
-	search uint64 // next offset to search from
+	folder.Reader
 }
 
 func (f *fleet) end() uint64 { return uint64(len(f.records)) + 1 }
@@ -39,46 +38,33 @@
 	f.states[r.Offset], f.verdicts[r.Offset] = s, v
 }
 
-// step has a VM read one record, as the follower does.
+// step has a VM read a batch of a few records.
 func (f *fleet) step(t *rapid.T, m *vm) {
-	if m.state == nil && f.start <= 1 {
-		m.state = &folder.State{}
+	from := m.Next()
+	b := folder.Batch{Start: f.start, End: f.end()}
+	for at := max(from, f.start); at < f.end() && len(b.Records) < 3; at++ {
+		b.Records = append(b.Records, f.records[at-1])
 	}
-	if m.state == nil || f.start > m.state.Read+1 {
-		f.seek(t, m)
-		return
+	steps, err := m.Take(from, b)
+	assert.NilError(t, err)
+	for _, s := range steps {
+		f.check(t, s)
 	}
-	if m.state.Read+1 >= f.end() {
-		return
-	}
-	r := f.records[m.state.Read]
-	s, v := folder.Apply(*m.state, r)
-	assert.DeepEqual(t, v, f.verdicts[r.Offset])
-	f.move(t, m, s)
 }
 
-func (f *fleet) seek(t *rapid.T, m *vm) {
-	m.search = max(m.search, f.start)
-	if m.search >= f.end() {
-		return
-	}
-	s, ok := folder.Found(m.state, f.start, f.records[m.search-1])
-	m.search++
-	if ok {
-		assert.Assert(t, s.Read+1 >= f.start, "records are lost between the state and the log")
-		f.move(t, m, s)
+// check holds a step against the witness: the state is the same at the same
+// offset, and neither the version nor the reading goes back.
+func (f *fleet) check(t *rapid.T, s folder.Step) {
+	assert.DeepEqual(t, s.After, f.states[s.After.Read])
+	if s.Found {
+		assert.Assert(t, s.After.Read+1 >= f.start, "records are lost between the state and the log")
+	} else {
+		assert.DeepEqual(t, s.Verdict, f.verdicts[s.Record.Offset])
 	}
-}
-
-// move checks what every step must keep: the state is the witness's at the
-// same offset, and neither the version nor the reading goes back.
-func (f *fleet) move(t *rapid.T, m *vm, s folder.State) {
-	assert.DeepEqual(t, s, f.states[s.Read])
-	if m.state != nil {
-		assert.Assert(t, s.Version >= m.state.Version, "version %d after %d", s.Version, m.state.Version)
-		assert.Assert(t, s.Read > m.state.Read)
+	if s.Before != nil {
+		assert.Assert(t, s.After.Version >= s.Before.Version, "version %d after %d", s.After.Version, s.Before.Version)
+		assert.Assert(t, s.After.Read > s.Before.Read)
 	}
-	m.state, m.search = &s, 0
 }
 
 func (f *fleet) id() string {
@@ -126,8 +112,8 @@
 // for long, and several of them at once.
 func (f *fleet) checkpoint(t *rapid.T) {
 	m := rapid.SampledFrom(f.vms).Draw(t, "writer")
-	if m.state != nil {
-		f.append(wrap(t, recorder.KindCheckpoint, folder.Store(*m.state)))
+	if m.State() != nil {
+		f.append(wrap(t, recorder.KindCheckpoint, folder.Store(*m.State())))
 	}
 }
 
@@ -174,7 +160,7 @@
 		for range 2 * len(f.records) {
 			f.step(t, m)
 		}
-		assert.Equal(t, m.state.Read, f.end()-1)
-		assert.Assert(t, m.state.Out(recorder.TargetZone, "b"))
+		assert.Equal(t, m.State().Read, f.end()-1)
+		assert.Assert(t, m.State().Out(recorder.TargetZone, "b"))
 	}
 }
