--- a/entry/process/coordinator/faults_test.go
+++ b/entry/process/coordinator/faults_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -66,6 +67,29 @@
 	}
 }
 
+// Runs that broke a bound once.
+func TestRunsThatFailed(t *testing.T) {
+	tests := []struct {
+		seed   uint64
+		vms    int
+		faults []int
+	}{
+		// A borrower was lent what was only assumed of it after a hand-over.
+		{0xb253d, 4, []int{7}},
+		// A share kept for a VM was lent to it before others had let go.
+		{0, 1, []int{7, 2}},
+		{0, 1, []int{1, 3, 1, 1, 7, 2}},
+		// Completed work raised the limit before the upstream had said that it
+		// was warm.
+		{0x2f, 2, []int{7}},
+		{0, 2, []int{2, 1, 3}},
+		{0x8, 5, []int{11, 3}},
+	}
+	for _, test := range tests {
+		assert.Equal(t, play(test.seed, test.vms, test.faults), "")
+	}
+}
+
 // Whatever fails, in whatever order and together, no upstream ever gets more
 // work than it bears, and what VMs may start never adds up to more. A user
 // would notice otherwise that an engine falls over and cuts all answers.
--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -45,6 +45,17 @@
 	return n
 }
 
+// firm is what it certainly has: by its own word, or by a loan from here.
+func (b *borrower) firm(share int) int {
+	n := max(b.used, share)
+	for _, o := range b.out {
+		if o.seq > 0 {
+			n = max(n, o.ceiling)
+		}
+	}
+	return n
+}
+
 func (b *borrower) memory() int {
 	n := max(b.held, b.floorMemory)
 	for _, o := range b.out {
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -137,6 +137,9 @@
 		b := l.borrower(w)
 		if _, still := shares[w]; !still {
 			// Its work on the share may still run.
+			if !b.active {
+				n = 0
+			}
 			b.floor = max(b.floor, n, b.charge(0))
 			b.quiet = later(b.quiet, now)
 		}
@@ -396,16 +399,13 @@
 // grant is how much of its target a borrower can get now: a raise waits until
 // others are known to have given back.
 func (l *Lender) grant(w Who, b *borrower, target, others int, sharing bool) int {
-	share, active := 0, 0
+	share := 0
 	if sharing {
 		share = l.shares[w]
 	}
-	if b.active {
-		active = l.shares[w]
-	}
-	// A share that is kept for it and not in use yet gives it no right to what
-	// others still have.
-	ceiling := max(b.charge(active), l.bound()-others)
+	// What is only assumed of it, and a share that it does not use yet, give it
+	// no right to what others still have.
+	ceiling := max(b.firm(share), l.bound()-others)
 	return max(0, min(target, ceiling-share))
 }
 
