Ask for all of a group's memory at once, and let needs lapse

Cause: a group asked for its parts' memory one after another, and a need that nobody repeated kept memory lent.

--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -58,6 +58,10 @@
 	Cancelled
 )
 
+// needLife is how long a need for memory stands that nobody has repeated.
+// Waiting requests are tried again every few tens of milliseconds.
+const needLife = 500 * time.Millisecond
+
 // A View is what a router needs to know of an upstream.
 type View struct {
 	// Free is how many slots can be taken now, Mine how many this VM uses.
@@ -86,6 +90,7 @@
 	used, held   int
 	demand, miss int
 	need         int // tokens asked for beyond those held
+	needed       time.Time
 	boot         uint64
 	done         uint64
 	cold         bool   // turned cold under boot, and no holder has taken it in
@@ -161,8 +166,7 @@
 		return 0, false
 	}
 	if tokens > 0 && (!now.Before(b.until) || b.held+tokens > b.tokens) {
-		b.need = max(b.need, tokens)
-		b.urge = true
+		b.asks(now, tokens)
 		return 0, false
 	}
 	b.used++
@@ -173,6 +177,22 @@
 	return b.boot, true
 }
 
+// Need asks for tokens of memory without a slot, as for one part of a group
+// whose other parts are not there yet. It must be said again while it is true.
+func (b *Borrower) Need(now time.Time, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asks(now, tokens)
+}
+
+func (b *Borrower) asks(now time.Time, tokens int) {
+	if tokens > b.need {
+		b.urge = true
+	}
+	b.need = max(b.need, tokens)
+	b.needed = now
+}
+
 // Done gives a slot back that was taken under a boot number.
 func (b *Borrower) Done(boot uint64, tokens int, o Outcome) {
 	b.mu.Lock()
@@ -279,6 +299,11 @@
 		clear(b.sent)
 	}
 	b.sent[b.seq] = now
+	if now.Sub(b.needed) > needLife {
+		// The request that needed it went elsewhere, or was given up. Memory
+		// lent for nobody would keep other VMs' long prompts waiting.
+		b.need = 0
+	}
 	a := lender.Ask{
 		Name: b.c.Name, Seq: b.seq, Fence: b.fence, Ack: b.ack,
 		Used: b.used, Want: b.used + max(b.demand, b.miss), Held: b.held, Need: b.held + b.need,
--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -225,6 +225,15 @@
 	}
 }
 
+// Need asks for tokens of an upstream's memory, as for one part of a group whose
+// other parts are not there yet. It must be said again while it is true.
+func (o *Coordinator) Need(upstream string, tokens int) {
+	if u := o.node.get(upstream); u != nil {
+		u.borrower.Need(o.d.Ticker.Now(), tokens)
+		o.urge()
+	}
+}
+
 // Turned says that an upstream has been seen to be cold under a boot number (0:
 // the one in force), and why.
 func (o *Coordinator) Turned(upstream string, boot uint64, cause string) {
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -66,7 +66,10 @@
 type Supplier interface {
 	Supply(upstream string) Supply
 	Take(upstream string, tokens int) (Slot, bool)
+	// Want tells how many more requests could go there, Need how much memory
+	// one part of a group could use; both are said again while they are true.
 	Want(upstream string, n int)
+	Need(upstream string, tokens int)
 }
 
 // Speeds tells how fast upstreams are: 1 as promised.
--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -70,6 +70,8 @@
 	l.want[name] = n
 }
 
+func (l *lender) Need(string, int) {}
+
 func (l *lender) inUse() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -303,8 +303,7 @@
 		}
 		taken, ok := p.take(now, part.Name, part.Tokens, memory)
 		if !ok {
-			g.Done(Cancelled)
-			p.holdBack(now, cs)
+			p.undo(now, g, plan, k.Output, cs)
 			return nil
 		}
 		g.Parts = append(g.Parts, taken)
@@ -313,6 +312,20 @@
 	return g
 }
 
+// undo gives back what a group got that did not get all, and asks for all of it
+// at once: asked for one after another, the first part's memory would be lent
+// to somebody else by the time that the last one's comes.
+func (p *pool) undo(now time.Time, g *Grant, plan []grouper.Part, output int, cs []router.Candidate) {
+	g.Done(Cancelled)
+	for i, part := range plan {
+		if i == len(plan)-1 {
+			part.Tokens += output
+		}
+		p.dispatcher.supplier.Need(part.Name, part.Tokens)
+	}
+	p.holdBack(now, cs)
+}
+
 func (p *pool) holdBack(now time.Time, cs []router.Candidate) {
 	if now.Before(p.hold.until) {
 		return
--- a/entry/process/server/supply.go
+++ b/entry/process/server/supply.go
@@ -32,6 +32,9 @@
 // Want tells how many more places could be used.
 func (s supply) Want(upstream string, n int) { s.coordinator.Want(upstream, n) }
 
+// Need asks for memory beside what is held.
+func (s supply) Need(upstream string, tokens int) { s.coordinator.Need(upstream, tokens) }
+
 // place is a slot of the coordinator's.
 type place struct {
 	slot *coordinator.Slot
