Have calls with a key run at most once, judged by the log

Cause: a member who repeats a booking through another VM, because the first answer was lost, must not book twice. Ruled out: sending at once and recording after (two VMs both send); letting the second intent move up when the first is abandoned (its VM may have told its caller otherwise, and a doubled record would win for nobody); a lease per key, which costs an append for each renewal. Change: a Ledger that is a pure function of the log, with the age check of dated keys; a Keeper that appends in batches, follows the stream and lets repetitions wait. Conclusion: not proved is a key of any form used again after its window.

--- /dev/null
+++ b/entry/process/keeper/keeper.go
@@ -0,0 +1,345 @@
+// Package keeper has calls that may not be repeated run at most once per key.
+//
+// The judge is the platform's log. A VM appends an intent before it sends such
+// a call, reads it back, and sends only if its intent is the key's first in the
+// log's order; so two VMs that get the same key agree without talking. Without
+// it a caller who repeats a booking through another VM, because the first
+// answer was lost, books twice. After the call the VM appends the outcome, which
+// whoever repeats the key gets; or that it sent nothing, after which the next
+// intent may win. The winner's word is never replaced: where its VM is gone the
+// outcome is unknown for good, and the call is not run again.
+//
+// Intents are appended in batches, because the log takes only several hundred
+// appends a second from all VMs together. While the log is down or has not been
+// read to its end, calls with a key are refused as not run: they may be
+// repeated later without harm, a second booking can't be undone.
+//
+// The package does not send calls, and does not judge calls without a key: the
+// VM that has one sends it once.
+package keeper
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/library/appender"
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// A Log is the platform's log, as appender.Log.
+type Log interface {
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	Read(ctx context.Context, stream string, from uint64, most int, wait time.Duration) (appender.Batch, error)
+}
+
+// A Timer is the timer service, as ticker.Ticker.
+type Timer interface {
+	Now() time.Time
+	Subscribe(every time.Duration, call func(time.Time)) (stop func())
+}
+
+// A Meter counts.
+type Meter interface {
+	Count(name string, n int64)
+}
+
+// A Config sets up a Keeper.
+type Config struct {
+	// VM and Boot name this process; no two processes share both.
+	VM   string
+	Boot uint64
+	// Limits bound the age of keys.
+	Limits Limits
+	// Body is the longest body in bytes that is kept for repetitions.
+	Body int
+}
+
+// Defaults.
+const (
+	// DefaultMargin bounds how far any two clocks are apart. VMs' clocks are
+	// disciplined to well under a second; those of callers are the loose end.
+	DefaultMargin = 30 * time.Second
+	// DefaultBody holds a booking's confirmation many times over.
+	DefaultBody = 8 << 10
+)
+
+const (
+	// pace is the least time between two appends of one VM: nine VMs that are
+	// always busy make 360 appends a second at most.
+	pace = 25 * time.Millisecond
+	// stale is after how long without a good read the log counts as down.
+	stale = 5 * time.Second
+	// recheck is how often waiting calls look whether the winner's VM is gone.
+	recheck = 500 * time.Millisecond
+	// retryAfter is when coming back helps after a refusal for the log's sake.
+	retryAfter = 2 * time.Second
+)
+
+// A Keeper judges calls with keys for one VM. It is safe for concurrent use.
+type Keeper struct {
+	config Config
+	timer  Timer
+	gone   func(vm string, boot uint64) bool
+	meter  Meter
+	queue  *batcher
+	tail   *tailer
+
+	mu       sync.Mutex
+	ledger   *Ledger
+	caught   bool      // the last read reached the end
+	read     time.Time // of the last good read
+	seq      uint64
+	watchers map[recorder.Hash]map[chan struct{}]struct{}
+}
+
+// New returns a Keeper. It judges nothing until Run has read the log. gone says
+// whether a VM's process has certainly ended.
+func New(c Config, log Log, timer Timer, gone func(vm string, boot uint64) bool, meter Meter) *Keeper {
+	k := &Keeper{
+		config:   c,
+		timer:    timer,
+		gone:     gone,
+		meter:    meter,
+		queue:    newBatcher(log, meter),
+		ledger:   NewLedger(c.Limits.Keep()),
+		watchers: make(map[recorder.Hash]map[chan struct{}]struct{}),
+	}
+	k.tail = &tailer{log: log, keeper: k, tick: make(chan struct{}, 1)}
+	return k
+}
+
+// Run reads and appends until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer k.timer.Subscribe(pace, func(time.Time) { poke(k.queue.tick) })()
+	defer k.timer.Subscribe(recheck, k.check)()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.queue.run(ctx) })
+	g.Go(func() error { return k.tail.run(ctx) })
+	return g.Wait()
+}
+
+// check wakes what time alone moves on.
+func (k *Keeper) check(now time.Time) {
+	poke(k.tail.tick)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, w := range k.watchers {
+		wake(w)
+	}
+	if k.ready(now) == nil && now.Sub(k.ledger.Latest()) > k.quiet() {
+		k.queue.mark()
+	}
+}
+
+// quiet is after how long without records this VM appends an empty one. A VM
+// that starts takes the first kept record's time for the time from which it
+// knows all calls; in a stream without records it would have to refuse keys
+// that are long made. VMs take different times, so that one does it for all.
+func (k *Keeper) quiet() time.Duration {
+	least := k.config.Limits.Window / 8
+	spread := hashOf([]byte(k.config.VM))[0]
+	return least + least*time.Duration(spread)/256
+}
+
+// Limit changes how long keys are known.
+func (k *Keeper) Limit(l Limits) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Limits = l
+	k.ledger.Keep(l.Keep())
+}
+
+var errUnready = errs.Class("calls with a key")
+
+// Ready says why calls with a key can't be judged now, nil where they can.
+func (k *Keeper) Ready() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ready(k.timer.Now())
+}
+
+func (k *Keeper) ready(now time.Time) error {
+	switch {
+	case k.read.IsZero():
+		return errUnready.New("the log has not been read")
+	case now.Sub(k.read) > stale:
+		return errUnready.New("the log was last read %s ago", now.Sub(k.read).Round(time.Second))
+	case !k.caught:
+		return errUnready.New("the log has not been read to its end")
+	case k.queue.crowded():
+		return errUnready.New("outcomes wait for the log")
+	}
+	return nil
+}
+
+// Pending is how many outcomes are still to be appended. A VM that leaves waits
+// for none.
+func (k *Keeper) Pending() int { return k.queue.pending() }
+
+// A Call is one call with a key, with what makes it the same call.
+type Call struct {
+	Team, Service, Key string
+	Method, Path       string
+	Body               []byte
+	// Dated says that the key must be a UUID of version 7.
+	Dated bool
+}
+
+// hashes are the key, in the team's and the service's own space, and the
+// fingerprint.
+func (c Call) hashes() (key, finger recorder.Hash) {
+	word := c.Key
+	if c.Dated {
+		word = strings.ToLower(word) // a UUID is the same in both cases
+	}
+	key = hashOf([]byte(c.Team), []byte(c.Service), []byte(word))
+	finger = hashOf([]byte(c.Method), []byte(c.Path), c.Body)
+	return key, finger
+}
+
+// An Answer is what becomes of a call; exactly one field is set.
+type Answer struct {
+	// Ticket allows this VM to send the call, once.
+	Ticket *Ticket
+	// Outcome is the first call's; it is never Unknown.
+	Outcome *recorder.Outcome
+	// Refusal says that the call is not sent here now.
+	Refusal *refuser.Refusal
+}
+
+// Begin judges a call. It waits, within the context, for the log and for the
+// outcome of a call with the same key that is under way.
+func (k *Keeper) Begin(ctx context.Context, c Call) Answer {
+	begun := k.timer.Now()
+	key, finger := c.hashes()
+	w, stop := k.watch(key)
+	defer stop()
+	for {
+		v, refusal := k.judge(c, key, finger)
+		if refusal != nil {
+			return Answer{Refusal: refusal}
+		}
+		switch v.Standing {
+		case Settled:
+			return settled(v.Outcome)
+		case Mismatch:
+			return Answer{Refusal: refuser.New(422, "key_mismatch",
+				"the key was first used with another method, path or body")}
+		case Claimed:
+			if k.gone(v.Winner.VM, v.Winner.Boot) || !wait(ctx, w) {
+				return Answer{Refusal: unknown()}
+			}
+		default:
+			if a, decided := k.claim(ctx, c, begun, w); decided {
+				return a
+			}
+		}
+	}
+}
+
+// judge looks a key up. A key that is free is also checked for its age: that
+// it is not known must prove that it was not used.
+func (k *Keeper) judge(c Call, key, finger recorder.Hash) (Verdict, *refuser.Refusal) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.ledger.Judge(key, finger)
+	if v.Standing != Free {
+		return v, nil
+	}
+	now := k.timer.Now()
+	if err := k.ready(now); err != nil {
+		return v, refuser.New(503, "keys_unready", "%v", err).Back(retryAfter)
+	}
+	return v, refusalOf(k.config.Limits.Check(c.Key, c.Dated, k.ledger.Since(), now))
+}
+
+// refusalOf turns the error of a key's age into a refusal. Of a key that is too
+// old nobody can say any more whether an earlier call with it ran.
+func refusalOf(err error) *refuser.Refusal {
+	switch {
+	case err == nil:
+		return nil
+	case ErrMissed.Has(err):
+		return refuser.New(503, "keys_unready", "%v", err).Back(retryAfter)
+	case ErrOld.Has(err):
+		return refuser.At("Idempotency-Key", "key_old",
+			"%v; this call was not run, whether an earlier one with the key ran is no longer known", err)
+	}
+	return refuser.At("Idempotency-Key", "key_bad", "%v", err)
+}
+
+// settled answers with the first call's outcome.
+func settled(o *recorder.Outcome) Answer {
+	if o.Unknown {
+		return Answer{Refusal: unknown()}
+	}
+	return Answer{Outcome: o}
+}
+
+func unknown() *refuser.Refusal {
+	return refuser.New(504, "outcome_unknown",
+		"a call with this key may have run; it is not run again").Having(refuser.Unknown)
+}
+
+// claim appends an intent and waits until the log has decided it. It is not
+// decided where another attempt came first.
+func (k *Keeper) claim(ctx context.Context, c Call, begun time.Time, w <-chan struct{}) (Answer, bool) {
+	key, finger := c.hashes()
+	attempt := k.attempt()
+	refused := make(chan struct{}, 1)
+	k.queue.post(recorder.CallEntry{Key: key, Attempt: attempt, Intent: &recorder.Intent{Print: finger}}, refused)
+	for {
+		switch k.decide(key, attempt) {
+		case Won:
+			return k.ticket(ctx, c, key, attempt, begun), true
+		case Lost:
+			return Answer{}, false
+		default:
+		}
+		select {
+		case <-w:
+			continue
+		case <-refused:
+			return Answer{Refusal: refuser.New(503, "keys_unready", "the log refuses records").Back(retryAfter)}, true
+		case <-ctx.Done():
+		}
+		// The intent may still land, now or later. Nothing was sent and
+		// nothing will be, and the record of that frees the key.
+		k.queue.post(recorder.CallEntry{Key: key, Attempt: attempt, Abandon: true}, nil)
+		return Answer{Refusal: refuser.New(504, "keys_slow", "the log did not decide in time").Back(retryAfter)}, true
+	}
+}
+
+func (k *Keeper) attempt() recorder.Attempt {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seq++
+	return recorder.Attempt{VM: k.config.VM, Boot: k.config.Boot, Seq: k.seq}
+}
+
+func (k *Keeper) decide(key recorder.Hash, a recorder.Attempt) Standing {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Decide(key, a)
+}
+
+// since is the time from which on no call was missed.
+func (k *Keeper) since() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Since()
+}
+
+// learn settles a key by this VM's own call.
+func (k *Keeper) learn(key recorder.Hash, a recorder.Attempt, o recorder.Outcome) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ledger.Learn(key, a, o)
+	wake(k.watchers[key])
+}
