--- a/bench/starter/fleet.go
+++ b/bench/starter/fleet.go
@@ -118,7 +118,8 @@
 		p, err := f.standin(fmt.Sprintf("engine%d", i+1), "engine",
 			"--bytes", strconv.Itoa(s.Bytes), "--slots", strconv.Itoa(s.Slots), "--cold", strconv.Itoa(s.Cold),
 			"--memory", strconv.Itoa(s.Memory), "--prefill", strconv.Itoa(s.Prefill), "--decode", strconv.Itoa(s.Decode),
-			"--warm", strconv.Itoa(s.Warm), "--lag", milliseconds(s.Lag))
+			"--warm", strconv.Itoa(s.Warm), "--lag", milliseconds(s.Lag),
+			"--model", s.Model, "--version", version)
 		if err != nil {
 			return err
 		}
@@ -238,3 +239,10 @@
 	}
 	return nil, errs.New("the fleet has no process %q", name)
 }
+
+// Count is how many processes the fleet has started.
+func (f *Fleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.all)
+}
--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -21,7 +21,7 @@
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
 			continue
 		}
-		cs = append(cs, p.candidate(now, u))
+		cs = append(cs, p.candidate(now, k, u))
 	}
 	p.scratch = cs
 	return cs
@@ -33,7 +33,7 @@
 	return u.Memory > 0 && k.Tokens > u.Memory/part
 }
 
-func (p *pool) candidate(now time.Time, u viewer.Upstream) router.Candidate {
+func (p *pool) candidate(now time.Time, k admitter.Ask, u viewer.Upstream) router.Candidate {
 	s := p.dispatcher.supplier.Supply(u.Name)
 	sent, tokens := p.sentSince(u.Name, now, s.Age)
 	memory := s.Memory
@@ -59,6 +59,7 @@
 		Decode:      float64(u.Decode),
 		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
+		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
 	}
 }
 
@@ -67,22 +68,28 @@
 // the upstream that looked idle.
 func (p *pool) sentSince(name string, now time.Time, age time.Duration) (int, int) {
 	list := p.sent[name]
-	kept := list[:0]
 	n, tokens := 0, 0
-	for _, s := range list {
-		if now.Sub(s.at) > sentKept {
-			continue
-		}
-		kept = append(kept, s)
-		if now.Sub(s.at) < age {
-			n++
-			tokens += s.tokens
-		}
+	for i := len(list) - 1; i >= 0 && now.Sub(list[i].at) < age; i-- {
+		n++
+		tokens += list[i].tokens
 	}
-	p.sent[name] = kept
 	return n, tokens
 }
 
+// note keeps a sending, and forgets those too old to matter.
+func (p *pool) note(name string, s sending) {
+	list := append(p.sent[name], s)
+	old := 0
+	for s.at.Sub(list[old].at) > sentKept {
+		old++
+	}
+	// Forgetting in large steps keeps the copying rare.
+	if old > len(list)/2 {
+		list = append(list[:0], list[old:]...)
+	}
+	p.sent[name] = list
+}
+
 // pace is what the pool's upstreams can do for this VM.
 func (p *pool) pace() admitter.Pace {
 	var c admitter.Pace
@@ -102,3 +109,11 @@
 	}
 	return c
 }
+
+func (p *pool) prefixed(k admitter.Ask, part Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k.Tokens >= hintTokens {
+		p.hinter.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
+	}
+}
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -30,6 +30,8 @@
 // An Acquirer gives places at upstreams.
 type Acquirer interface {
 	Acquire(ctx context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal)
+	// Prefixed hears that an engine has read the beginning of a prompt.
+	Prefixed(c dispatcher.Call, g *dispatcher.Grant)
 }
 
 // A Canceller cancels streams at engines until the engine confirms, and calls
@@ -128,6 +130,8 @@
 	body     *reader.Body
 	tries    int
 	avoid    []string
+	// ran is what can truthfully be said of the work so far.
+	ran refuser.Ran
 }
 
 // ServeHTTP answers one request.
@@ -173,7 +177,7 @@
 	// The prompt has been taken out of it: the memory of the body as read can
 	// go while the request waits.
 	body.Data = nil
-	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body}
+	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body, ran: refuser.No}
 	if refusal := j.measure(v, q); refusal != nil {
 		body.Release()
 		return nil, refusal
--- a/entry/request/chatter/relay.go
+++ b/entry/request/chatter/relay.go
@@ -76,6 +76,8 @@
 func (a *attempt) pass(w http.ResponseWriter, control *http.ResponseController, s *streamer.Stream, t streamer.Token) error {
 	if t.Number == 1 {
 		c := a.chatter
+		a.first = true
+		c.acquirer.Prefixed(a.call, a.grant)
 		c.watcher.First(a.id)
 		c.meter.Time("chat.first", c.now().Sub(a.job.arrived))
 	}
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -3,30 +3,41 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
 )
 
+// Error is the class of what goes wrong within an attempt.
+var Error = errs.Class("attempt")
+
+var (
+	errLapsed  = Error.New("its place lapsed before it was used")
+	errNoParts = Error.New("a grant without parts")
+)
+
 // run has the work done, at another upstream where one has failed before the
 // first token and nothing can run twice unseen.
 func (c *Chatter) run(ctx context.Context, w http.ResponseWriter, j *job) {
 	for {
-		grant, refusal := c.acquirer.Acquire(ctx, dispatcher.Call{Pool: j.pool, Ask: j.ask(), Avoid: j.avoid})
+		call := dispatcher.Call{Pool: j.pool, Ask: j.ask(), Avoid: j.avoid}
+		grant, refusal := c.acquirer.Acquire(ctx, call)
 		if refusal != nil {
 			c.refuse(w, j.truthful(refusal))
 			return
 		}
 		j.tries++
-		a := c.attempt(j, grant)
+		a := c.attempt(j, call, grant)
 		failure := a.serve(ctx, w)
+		j.note(a, failure)
 		if failure == nil {
 			c.retrier.Completed(1)
 			return
@@ -37,13 +48,20 @@
 	}
 }
 
-// truthful keeps a refusal from saying "not run" after an earlier upstream may
-// have run the work.
-func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
-	if j.tries > 0 {
-		return r.Having(refuser.Unknown)
+// note keeps what can be said of the work: "not run" only while no attempt can
+// have been begun by an engine, "run" only when a token has come.
+func (j *job) note(a *attempt, f *failure) {
+	if a.first {
+		j.ran = refuser.Yes
+	} else if f != nil && f.sent && j.ran == refuser.No {
+		j.ran = refuser.Unknown
 	}
-	return r
+}
+
+// truthful keeps a refusal from saying "not run" after an earlier attempt that
+// may have run.
+func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
+	return r.Having(j.ran)
 }
 
 // again decides whether the work is sent to another upstream; where it is not,
@@ -88,33 +106,26 @@
 
 // refusal is what the caller is told.
 func (f *failure) refusal(ctx context.Context, j *job) *refuser.Refusal {
-	ran := refuser.Yes
-	if !f.sent {
-		ran = refuser.No
-	}
-	if j.tries > 1 && !f.sent {
-		ran = refuser.Unknown
-	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(ran)
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(j.ran)
 	}
-	var r *streamer.Refused
-	if errors.As(f.err, &r) && !f.sent {
-		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", r).Having(ran).Back(time.Second)
+	if !f.sent {
+		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", f.err).Having(j.ran).Back(time.Second)
 	}
-	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(ran)
+	return refuser.New(http.StatusBadGateway, "upstream_failed", "the engine failed: %s", f.err).Having(j.ran)
 }
 
 // An attempt is one sending of a job to the upstreams of a grant.
 type attempt struct {
 	chatter *Chatter
 	job     *job
+	call    dispatcher.Call
 	grant   *dispatcher.Grant
 	id      string
-	begun   time.Time
-	// started says that the caller has had the first byte of its answer.
-	started bool
-	writer  answerer
+	// first says that the first token has come, started that the caller has
+	// had the first byte of its answer.
+	first, started bool
+	writer         answerer
 	// held are what was sent to the grant's parts, in their order.
 	held []holding
 }
@@ -126,8 +137,8 @@
 	clear bool
 }
 
-func (c *Chatter) attempt(j *job, g *dispatcher.Grant) *attempt {
-	a := &attempt{chatter: c, job: j, grant: g, id: j.id, begun: c.now()}
+func (c *Chatter) attempt(j *job, call dispatcher.Call, g *dispatcher.Grant) *attempt {
+	a := &attempt{chatter: c, job: j, call: call, grant: g, id: j.id}
 	if j.tries > 1 {
 		a.id += "." + strconv.Itoa(j.tries)
 	}
@@ -179,6 +190,9 @@
 			text = prompt[:min(len(prompt), part.Tokens*a.job.bytes)]
 			prompt = prompt[len(text):]
 		}
+		if !part.Slot.Live() {
+			return nil, &failure{err: errLapsed, sent: sent}
+		}
 		job := a.wire(i, part, text, imports)
 		a.hold(job.ID)
 		if last {
@@ -192,7 +206,7 @@
 		sent = true
 		imports = append(imports, streamer.Import{Address: part.Upstream.Address, Handle: handle})
 	}
-	return nil, &failure{err: fmt.Errorf("a grant without parts")}
+	return nil, &failure{err: errNoParts}
 }
 
 func (a *attempt) wire(i int, part dispatcher.Part, text string, imports []streamer.Import) streamer.Job {
