--- a/standin/generator/schedule.go
+++ b/standin/generator/schedule.go
@@ -16,6 +16,8 @@
 	keepFor = time.Minute
 	// forgetEvery is how often old ids are looked for.
 	forgetEvery = time.Second
+	// tellEvery is the least time between two wakes of a stream's readers.
+	tellEvery = 10 * time.Millisecond
 	// mixed is what is left of the decode rate while prompts are read: batches
 	// that mix both take longer.
 	mixed = 0.5
@@ -148,7 +150,7 @@
 	still := g.running[:0]
 	for _, s := range g.running {
 		if s.state == makes {
-			g.make(s, n)
+			s.make(now, n)
 		}
 		if s.state == made {
 			g.finish(s, now)
@@ -160,18 +162,20 @@
 	g.running = still
 }
 
-// make adds n tokens to an answer.
-func (g *Generator) make(s *stream, n float64) {
+// make adds n tokens to an answer. Readers are woken for its first token and
+// then once in a while, so that a fast engine does not send each by itself.
+func (s *stream) make(now time.Time, n float64) {
 	if s.kind == kindPart {
 		s.state = made
 		return
 	}
-	before := s.ready()
 	s.done += n
-	if s.ready() >= s.tokens {
+	ready := s.ready()
+	if ready >= s.tokens {
 		s.state = made
 	}
-	if s.ready() > before {
+	if ready > s.told && (s.told == 0 || now.Sub(s.toldAt) >= tellEvery) {
+		s.told, s.toldAt = ready, now
 		s.notify()
 	}
 }
--- a/standin/generator/stream.go
+++ b/standin/generator/stream.go
@@ -39,6 +39,8 @@
 	state   state
 	since   time.Time // of its arrival
 	ended   time.Time
+	told    int // tokens that its readers were woken for
+	toldAt  time.Time
 	epoch   int // counts how often its readers were cut
 	readers map[chan struct{}]struct{}
 }
