--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -16,41 +16,41 @@
 	log := newLog()
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	first := a.Begin(t.Context(), c)
+	first := a.Begin(bounded(t), c)
 	assert.Assert(t, first.Ticket != nil)
 	assert.NilError(t, first.Ticket.Check())
 	first.Ticket.Done(ok("booked"))
 	first.Ticket.Abandon() // the first word counts
 
 	for _, k := range []vm{a, b} {
-		again := k.Begin(t.Context(), c)
+		again := k.Begin(bounded(t), c)
 		assert.Equal(t, string(again.Outcome.Body), "booked")
 		assert.Assert(t, again.Outcome.Kept)
 		assert.Equal(t, again.Outcome.Header["Content-Type"], "text/plain")
 	}
 	upper := c
 	upper.Key = strings.ToUpper(c.Key)
-	assert.Assert(t, b.Begin(t.Context(), upper).Outcome != nil, "the same UUID")
+	assert.Assert(t, b.Begin(bounded(t), upper).Outcome != nil, "the same UUID")
 	for name, change := range map[string]func(*keeper.Call){
 		"path": func(c *keeper.Call) { c.Path = "/rooms" },
 		"body": func(c *keeper.Call) { c.Body = []byte("seat 8") },
 	} {
 		other := c
 		change(&other)
-		r := b.Begin(t.Context(), other).Refusal
+		r := b.Begin(bounded(t), other).Refusal
 		assert.Equal(t, r.Status, 422, name)
 		assert.Equal(t, r.Ran, refuser.No)
 	}
 	other := c
 	other.Team = "u"
-	assert.Assert(t, b.Begin(t.Context(), other).Ticket != nil, "another team's key is another key")
+	assert.Assert(t, b.Begin(bounded(t), other).Ticket != nil, "another team's key is another key")
 }
 
 func TestLongBodyIsNotKept(t *testing.T) {
 	k := run(t, newLog(), "a", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	k.Begin(t.Context(), c).Ticket.Done(ok(strings.Repeat("x", 101)))
-	again := k.Begin(t.Context(), c).Outcome
+	k.Begin(bounded(t), c).Ticket.Done(ok(strings.Repeat("x", 101)))
+	again := k.Begin(bounded(t), c).Outcome
 	assert.Assert(t, again.Status == 200 && !again.Kept && again.Body == nil)
 }
 
@@ -60,9 +60,9 @@
 	log := newLog()
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	first := a.Begin(t.Context(), c).Ticket
+	first := a.Begin(bounded(t), c).Ticket
 	answers := make(chan keeper.Answer)
-	go func() { answers <- b.Begin(t.Context(), c) }()
+	go func() { answers <- b.Begin(bounded(t), c) }()
 	first.Done(ok("booked"))
 	assert.Equal(t, string((<-answers).Outcome.Body), "booked")
 }
@@ -71,7 +71,7 @@
 	log := newLog()
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	assert.Assert(t, a.Begin(t.Context(), c).Ticket != nil)
+	assert.Assert(t, a.Begin(bounded(t), c).Ticket != nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	r := b.Begin(ctx, c).Refusal
@@ -83,14 +83,14 @@
 	log := newLog()
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	first := a.Begin(t.Context(), c).Ticket
+	first := a.Begin(bounded(t), c).Ticket
 	answers := make(chan keeper.Answer)
-	go func() { answers <- b.Begin(t.Context(), c) }()
+	go func() { answers <- b.Begin(bounded(t), c) }()
 	first.Abandon()
 	second := (<-answers).Ticket
 	assert.Assert(t, second != nil)
 	second.Done(ok("by b"))
-	assert.Equal(t, string(a.Begin(t.Context(), c).Outcome.Body), "by b")
+	assert.Equal(t, string(a.Begin(bounded(t), c).Outcome.Body), "by b")
 }
 
 // The VM that holds a key dies after it may have sent the call. Whoever repeats
@@ -99,11 +99,11 @@
 	log := newLog()
 	a := run(t, log, "a", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
-	assert.Assert(t, a.Begin(t.Context(), c).Ticket != nil)
+	assert.Assert(t, a.Begin(bounded(t), c).Ticket != nil)
 	a.stop()
 	gone := func(vm string, boot uint64) bool { return vm == "a" && boot == 1 }
 	for _, k := range []vm{run(t, log, "b", 1, gone), run(t, log, "a", 2, gone)} {
-		r := k.Begin(t.Context(), c).Refusal
+		r := k.Begin(bounded(t), c).Refusal
 		assert.Equal(t, r.Code, "outcome_unknown")
 		assert.Equal(t, r.Ran, refuser.Unknown)
 	}
@@ -138,7 +138,7 @@
 			assert.Equal(t, answer.Refusal.Code, test.code)
 			assert.Equal(t, answer.Refusal.Ran, refuser.No)
 			// Nothing ran, so the key is still of use.
-			again := k.Begin(t.Context(), c)
+			again := k.Begin(bounded(t), c)
 			assert.Assert(t, again.Ticket != nil)
 			again.Ticket.Abandon()
 		})
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	assert.Equal(t, k.Begin(ctx, c).Refusal.Code, "keys_slow")
-	again := k.Begin(t.Context(), c).Ticket
+	again := k.Begin(bounded(t), c).Ticket
 	assert.Assert(t, again != nil)
 }
 
@@ -165,22 +165,22 @@
 	log := newLog()
 	k := run(t, log, "a", 1, nobodyGone)
 	settled, open := call(keyMade(time.Now(), 1)), call(keyMade(time.Now(), 2))
-	k.Begin(t.Context(), settled).Ticket.Done(ok("booked"))
+	k.Begin(bounded(t), settled).Ticket.Done(ok("booked"))
 	await(t, func() bool { return k.Pending() == 0 })
-	ticket := k.Begin(t.Context(), open).Ticket
+	ticket := k.Begin(bounded(t), open).Ticket
 	log.setDown(true)
 	ticket.Done(ok("also booked"))
-	r := k.Begin(t.Context(), call(keyMade(time.Now(), 3))).Refusal
+	r := k.Begin(bounded(t), call(keyMade(time.Now(), 3))).Refusal
 	assert.Equal(t, r.Code, "keys_unready")
 	assert.Equal(t, r.Ran, refuser.No)
 	assert.Assert(t, r.After > 0)
-	assert.Equal(t, string(k.Begin(t.Context(), settled).Outcome.Body), "booked")
-	assert.Equal(t, string(k.Begin(t.Context(), open).Outcome.Body), "also booked")
+	assert.Equal(t, string(k.Begin(bounded(t), settled).Outcome.Body), "booked")
+	assert.Equal(t, string(k.Begin(bounded(t), open).Outcome.Body), "also booked")
 	assert.Assert(t, k.Pending() > 0)
 	log.setDown(false)
 	await(t, func() bool { return k.Pending() == 0 })
 	b := run(t, log, "b", 1, nobodyGone)
-	assert.Equal(t, string(b.Begin(t.Context(), open).Outcome.Body), "also booked")
+	assert.Equal(t, string(b.Begin(bounded(t), open).Outcome.Body), "also booked")
 }
 
 func TestAgeOfKeys(t *testing.T) {
@@ -191,14 +191,14 @@
 		{keyMade(time.Now().Add(2*time.Hour), 1), "key_bad"},
 	}
 	for _, test := range tests {
-		r := k.Begin(t.Context(), call(test.key)).Refusal
+		r := k.Begin(bounded(t), call(test.key)).Refusal
 		assert.Equal(t, r.Code, test.code)
 		assert.Equal(t, r.Status, 400)
 		assert.Equal(t, r.Param, "Idempotency-Key")
 	}
 	free := call("booking 1")
 	free.Dated = false
-	assert.Assert(t, k.Begin(t.Context(), free).Ticket != nil)
+	assert.Assert(t, k.Begin(bounded(t), free).Ticket != nil)
 }
 
 // A VM is frozen between the verdict and the send. When it wakes the caller has
