Drive the fleet from the command line

Cause: operators publish manifests and give orders while the log loses answers and others publish at once. They must be told accepted, refused or unknown, each only when it is true. Ruled out: repeating an append of which the outcome is unknown (two records, and the verdict of the second says nothing of the first). vanectl reads the stream back by the record's own id, and repeats only what certainly did not land. A wrong word gets a hint before the flag library sees it, which has none.

--- a/library/folder/apply.go
+++ b/library/folder/apply.go
@@ -84,7 +84,7 @@
 
 func (s State) publish(r Record, v Verdict) (State, Verdict) {
 	p, err := recorder.Unwrap[recorder.Publish](r.Data)
-	if err != nil || !plain(p.Who, maxWho) || !id(p.ID) {
+	if err != nil || !plain(p.Who, MaxWho) || !plainOrEmpty(p.Why, MaxWhy) || !id(p.ID) {
 		v.Reason = ReasonBroken
 		return s, v
 	}
@@ -100,6 +100,7 @@
 		return s, v
 	}
 	c := change(r, p.Who, p.ID, fmt.Sprintf("publish on %d", p.Base))
+	c.Why = p.Why
 	if p.Anew {
 		c.What = "publish anew"
 	}
@@ -141,7 +142,7 @@
 
 func (s State) order(r Record, v Verdict) (State, Verdict) {
 	o, err := recorder.Unwrap[recorder.Order](r.Data)
-	if err != nil || !plain(o.Who, maxWho) || !plainOrEmpty(o.Why, maxWhy) || !id(o.ID) ||
+	if err != nil || !plain(o.Who, MaxWho) || !plainOrEmpty(o.Why, MaxWhy) || !id(o.ID) ||
 		!checker.ValidName(o.Name) || !target(o.Kind) {
 		v.Reason = ReasonBroken
 		return s, v
--- a/library/folder/folder.go
+++ b/library/folder/folder.go
@@ -84,8 +84,10 @@
 	// MaxOuts is how many names of each kind may be out of service.
 	MaxOuts = 500
 
-	maxWho    = 64
-	maxWhy    = 160
+	// MaxWho and MaxWhy are the longest Who and Why of a record in bytes.
+	MaxWho = 64
+	MaxWhy = 160
+
 	maxReason = 160
 	maxWhat   = 100
 	maxID     = 64
--- a/library/folder/found.go
+++ b/library/folder/found.go
@@ -73,8 +73,8 @@
 			return ErrRestore.New("change of offset %d after %d, read up to %d", a.Offset, last, c.Read)
 		}
 		last = a.Offset
-		if !plain(a.Who, maxWho) || !plain(a.What, maxWhat) || !id(a.ID) ||
-			!plainOrEmpty(a.Why, maxWhy) || !plainOrEmpty(a.Reason, maxReason) {
+		if !plain(a.Who, MaxWho) || !plain(a.What, maxWhat) || !id(a.ID) ||
+			!plainOrEmpty(a.Why, MaxWhy) || !plainOrEmpty(a.Reason, maxReason) {
 			return ErrRestore.New("change of offset %d can't be shown", a.Offset)
 		}
 	}
--- a/library/recorder/config.go
+++ b/library/recorder/config.go
@@ -29,6 +29,8 @@
 	// ID is unique to the record. A record that was appended twice is known
 	// by it.
 	ID string `cbor:"id"`
+	// Why is the operator's reason; it may be empty.
+	Why string `cbor:"why,omitempty"`
 }
 
 // A Target is what an Order is about.
@@ -50,11 +52,10 @@
 	// Base is the end of the stream when the order was written, so that an
 	// order that lands much later is refused; 0 leaves that unsaid.
 	Base uint64 `cbor:"base,omitempty"`
-	// Who, At and ID are as in Publish.
+	// Who, At, ID and Why are as in Publish.
 	Who string `cbor:"who"`
 	At  int64  `cbor:"at"`
 	ID  string `cbor:"id"`
-	// Why is the operator's reason; it may be empty.
 	Why string `cbor:"why,omitempty"`
 }
 
--- /dev/null
+++ b/operator/commander/commander_test.go
@@ -0,0 +1,220 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/library/recorder"
+	"github.com/heathervane/heathervane/operator/commander"
+)
+
+const example = "../../examples/manifest.toml"
+
+// TestMain lets the test binary stand for vanectl, because the flag library
+// ends the process by itself.
+func TestMain(m *testing.M) {
+	if os.Getenv("VANECTL_RUN") != "" {
+		os.Exit(int(commander.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)))
+	}
+	os.Exit(m.Run())
+}
+
+func run(t *testing.T, l *fakeLog, args ...string) (commander.Code, string) {
+	t.Helper()
+	t.Setenv("VANECTL_LOG", "")
+	if l != nil {
+		t.Setenv("VANECTL_LOG", l.URL)
+	}
+	var out bytes.Buffer
+	code := commander.Run(context.Background(), args, &out, &out)
+	return code, out.String()
+}
+
+func published(t *testing.T) *fakeLog {
+	l := newLog(t)
+	code, out := run(t, l, "publish", example, "--who", "kim", "--why", "first")
+	assert.Equal(t, code, commander.Done, out)
+	return l
+}
+
+func TestCommands(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	assert.NilError(t, os.WriteFile(bad, []byte("seets = 3\nwindow = '1s'"), 0o600))
+	for _, c := range []struct {
+		name string
+		args []string
+		code commander.Code
+		want string
+	}{
+		{"check", []string{"check", example}, commander.Done, "no findings; models 1, services 1, upstreams 5, teams 2"},
+		{"check with findings", []string{"check", bad}, commander.Refused, "seets: unknown key (did you mean seats?)\nwindow: is 1s"},
+		{"check in JSON", []string{"check", "--json", bad}, commander.Refused, `"findings":[{"place":"seets"`},
+		{"check of nothing", []string{"check", "no-such-file"}, commander.Usage, "no such file"},
+		{"publish findings", []string{"publish", bad}, commander.Refused, "did you mean seats?"},
+		{"publish next", []string{"publish", example, "--base", "1"}, commander.Done, "accepted at offset 2"},
+		{"publish on the one in force", []string{"publish", example, "--json"}, commander.Done, `{"outcome":"accepted","offset":2`},
+		{"publish stale", []string{"publish", example, "--base=0"}, commander.Refused, "refused at offset 2: it builds on version 0, and version 1 is in force"},
+		{"publish bad base", []string{"publish", example, "--base", "x"}, commander.Usage, `--base "x" is not a version`},
+		{"publish anew", []string{"publish", example, "--anew"}, commander.Done, "accepted at offset 2"},
+		{"publish by nobody", []string{"publish", example, "--who", ""}, commander.Usage, "--who needs 1 to 64 bytes"},
+		{"zone out", []string{"zone", "out", "a", "--why", "power"}, commander.Done, "accepted at offset 2"},
+		{"zone in", []string{"zone", "in", "a"}, commander.Done, "accepted at offset 2"},
+		{"zone unknown", []string{"zone", "out", "d"}, commander.Refused, "is not in the manifest in force"},
+		{"upstream unknown", []string{"upstream", "out", "runner-9"}, commander.Refused, "did you mean runner-"},
+		{"upstream out", []string{"upstream", "out", "runner-1"}, commander.Done, "accepted"},
+		{"vm out", []string{"vm", "out", "entry-1"}, commander.Done, "accepted"},
+		{"vm with a bad name", []string{"vm", "out", "Entry 1"}, commander.Usage, "is not 1 to 40"},
+		{"status", []string{"status"}, commander.Done, "version 1 in force"},
+		{"audit", []string{"audit"}, commander.Done, "1  1970-01-01T00:00:01Z  kim  publish on 0  accepted"},
+		{"audit with a reason", []string{"audit"}, commander.Done, "(first)"},
+		{"audit in JSON", []string{"audit", "--json"}, commander.Done, `{"changes":[{"offset":1,"at":1000,"who":"kim"`},
+		{"wrong command", []string{"pubish", example}, commander.Usage, "unknown command (did you mean publish?)"},
+		{"wrong direction", []string{"zone", "ot", "a"}, commander.Usage, "is neither out nor in (did you mean out?)"},
+		{"wrong flag", []string{"status", "--jsn"}, commander.Usage, "unknown flag (did you mean --json?)"},
+		{"no direction", []string{"zone"}, commander.Usage, "zone out|in NAME"},
+		{"nothing", nil, commander.Usage, "exit codes: 0 accepted"},
+		{"bad log", []string{"status", "--log", "10.0.0.1"}, commander.Usage, "is not a URL"},
+		{"no log there", []string{"status", "--log", "http://127.0.0.1:1"}, commander.Unreached, "connection refused"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			code, out := run(t, published(t), c.args...)
+			assert.Equal(t, code, c.code, out)
+			assert.Assert(t, strings.Contains(out, c.want), out)
+		})
+	}
+	code, out := run(t, nil, "status")
+	assert.Equal(t, code, commander.Usage, out)
+}
+
+// The log fails while a change is under way. An operator who is told "refused"
+// of a change that took effect, or "accepted" of one that did not, goes on from
+// a state that the fleet is not in.
+func TestChangesUnderFaults(t *testing.T) {
+	rival := wrap(t, recorder.KindPublish, recorder.Publish{Base: 1, Manifest: []byte("zones = ['a']"), Who: "lee", ID: "rival"})
+	for _, c := range []struct {
+		name   string
+		faults faults
+		code   commander.Code
+		want   string
+		landed int
+	}{
+		{"the answer is lost", faults{lose: true}, commander.Done, "accepted at offset 2", 2},
+		{"the answer is lost after a rival's", faults{lose: true, rival: rival}, commander.Refused, "refused at offset 3: it builds on version 1, and version 2", 3},
+		{"a rival is first", faults{rival: rival}, commander.Refused, "refused at offset 3", 3},
+		{"it lands twice", faults{twice: true}, commander.Done, "accepted at offset 2", 3},
+		{"it lands twice, its answer lost", faults{twice: true, lose: true}, commander.Done, "accepted at offset 2", 3},
+		{"the call is lost", faults{drop: true}, commander.Unknown, "unknown: it has not been found on the stream, and may still land", 1},
+		{"the log is down after it", faults{blind: true}, commander.Unknown, "unknown at offset 2: it has landed", 2},
+		{"both", faults{blind: true, lose: true}, commander.Unknown, "may still land", 2},
+		{"the log is over its rate for a while", faults{refuse: 1}, commander.Done, "accepted at offset 2", 2},
+		{"the log is over its rate", faults{refuse: 1000}, commander.Unreached, "429", 1},
+		{"the log is down", faults{down: true}, commander.Unreached, "503", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := published(t)
+			l.faults = c.faults
+			code, out := run(t, l, "publish", example, "--base", "1", "--limit", "700ms")
+			assert.Equal(t, code, c.code, out)
+			assert.Assert(t, strings.Contains(out, c.want), out)
+			assert.Equal(t, len(l.records), c.landed)
+		})
+	}
+}
+
+// Every record that said the configuration has expired. Nothing can be built on
+// it, and an order must not seem to have been followed.
+func TestLostConfiguration(t *testing.T) {
+	l := published(t)
+	code, out := run(t, l, "zone", "out", "a")
+	assert.Equal(t, code, commander.Done, out)
+	l.start = 2
+	for _, args := range [][]string{{"publish", example}, {"zone", "out", "b"}, {"status"}, {"audit"}} {
+		code, out := run(t, l, args...)
+		assert.Equal(t, code, commander.Refused, out)
+		assert.Assert(t, strings.Contains(out, "keeps neither the first record nor a checkpoint"), out)
+	}
+	code, out = run(t, l, "publish", example, "--anew")
+	assert.Equal(t, code, commander.Done, out)
+	code, out = run(t, l, "status")
+	assert.Equal(t, code, commander.Done, out)
+	assert.Assert(t, strings.Contains(out, "version 3 in force"), out)
+}
+
+func TestStatusOfVMs(t *testing.T) {
+	l := published(t)
+	serve := func(status int, body string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			w.Write([]byte(body))
+		}))
+		t.Cleanup(s.Close)
+		return s.URL
+	}
+	good := serve(200, `{"id":"entry-1","version":1,"ready":true}`)
+	for _, c := range []struct {
+		address string
+		code    commander.Code
+		want    string
+	}{
+		{good, commander.Done, "entry-1: version 1, ready true\n"},
+		{serve(200, `{"id":"entry-2","version":0,"ready":true}`), commander.Refused, "version 1 is in force"},
+		{serve(503, `{"id":"entry-3","version":1,"ready":false,"reason":"leaving"}`), commander.Refused, "ready false, leaving"},
+		{serve(404, `not found`), commander.Refused, "404 Not Found is no status"},
+		{"http://127.0.0.1:1", commander.Refused, "not reached"},
+	} {
+		code, out := run(t, l, "status", "--vm", good, "--vm", c.address)
+		assert.Equal(t, code, c.code, out)
+		assert.Assert(t, strings.Contains(out, c.want), out)
+	}
+	l.faults.down = true
+	code, out := run(t, l, "status", "--vm", good, "--json")
+	assert.Equal(t, code, commander.Unreached, out)
+	var answer struct {
+		Log string
+		VMs []struct{ ID string }
+	}
+	assert.NilError(t, json.Unmarshal([]byte(out), &answer))
+	assert.Equal(t, answer.VMs[0].ID, "entry-1")
+	assert.Assert(t, strings.Contains(answer.Log, "503"))
+}
+
+func TestHelp(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--help"}, 0, "publish"},
+		{[]string{"check", "--help"}, 0, "say what is wrong with a manifest"},
+		{[]string{"publish", "--help"}, 0, "--anew"},
+		{[]string{"vm", "--help"}, 0, "out"},
+		{[]string{"vm", "out", "--help"}, 0, "--why"},
+		{[]string{"zone", "in", "--help"}, 0, "work returns step by step"},
+		{[]string{"upstream", "out", "--help"}, 0, "name of the upstream"},
+		{[]string{"status", "--help"}, 0, "--vm"},
+		{[]string{"audit", "--help"}, 0, "exit codes: 0 accepted"},
+		{[]string{"publish"}, 2, "FILE"},
+		{[]string{"zone", "out"}, 2, "NAME"},
+		{[]string{"check", "a", "b"}, 2, "b"},
+		{[]string{"status", "--limit", "soon"}, 2, "soon"},
+		{[]string{"status", "--log"}, 2, "log"},
+	} {
+		self, err := os.Executable()
+		assert.NilError(t, err)
+		cmd := exec.CommandContext(t.Context(), self, c.args...)
+		cmd.Env = append(os.Environ(), "VANECTL_RUN=1")
+		out, err := cmd.CombinedOutput()
+		assert.Equal(t, cmd.ProcessState.ExitCode(), c.code, "%v: %v %s", c.args, err, out)
+		assert.Assert(t, strings.Contains(string(out), c.want), "%v: %s", c.args, out)
+	}
+}
--- /dev/null
+++ b/operator/commander/log_test.go
@@ -0,0 +1,117 @@
+package commander_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// fakeLog serves one stream over HTTP, with the faults that a test sets.
+type fakeLog struct {
+	*httptest.Server
+
+	mu      sync.Mutex
+	start   int
+	records [][]byte
+	faults  faults
+}
+
+type faults struct {
+	down   bool // 503 to every call
+	lose   bool // the answer to an append is lost after the effect
+	drop   bool // the append itself is lost
+	refuse int  // 429 to so many appends
+	blind  bool // 503 to reads after an append
+	rival  []byte
+	twice  bool // an append lands twice
+}
+
+func newLog(t *testing.T) *fakeLog {
+	l := &fakeLog{start: 1}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/config", l.append)
+	mux.HandleFunc("GET /streams/config", l.read)
+	l.Server = httptest.NewServer(mux)
+	t.Cleanup(l.Close)
+	return l
+}
+
+func (l *fakeLog) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.faults.down:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	case l.faults.refuse > 0:
+		l.faults.refuse--
+		http.Error(w, "rate", http.StatusTooManyRequests)
+		return
+	case l.faults.drop:
+		panic(http.ErrAbortHandler)
+	}
+	if l.faults.rival != nil {
+		l.records = append(l.records, l.faults.rival)
+	}
+	l.records = append(l.records, data)
+	if l.faults.twice {
+		l.records = append(l.records, data)
+	}
+	l.faults.down = l.faults.blind
+	if l.faults.lose {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, map[string]int{"offset": len(l.records)})
+}
+
+type record struct {
+	Offset int    `json:"offset"`
+	At     int64  `json:"at"`
+	Data   []byte `json:"data"`
+}
+
+func (l *fakeLog) read(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	from, errFrom := strconv.Atoi(r.FormValue("from"))
+	most, errMost := strconv.Atoi(r.FormValue("most"))
+	if errFrom != nil || errMost != nil {
+		http.Error(w, "bad query", http.StatusBadRequest)
+		return
+	}
+	records := []record{}
+	for at := max(from, l.start); at <= len(l.records) && len(records) < most; at++ {
+		records = append(records, record{at, time.Unix(int64(at), 0).UnixMilli(), l.records[at-1]})
+	}
+	answer(w, map[string]any{"start": l.start, "end": len(l.records) + 1, "records": records})
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func wrap(t *testing.T, kind string, v any) []byte {
+	data, err := recorder.Wrap(kind, v)
+	assert.NilError(t, err)
+	return data
+}
