--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -35,8 +35,8 @@
 	seats     int
 	load      float64 // chance of a request per VM and step
 	longest   time.Duration
+	step      time.Duration
 	failure   string
-	unbound   bool // leave the fleet's sum unchecked while an upstream is cold
 }
 
 type event struct {
@@ -50,11 +50,8 @@
 	node   *coordinator.Node
 	frozen time.Time
 	dead   bool
-	next   time.Time // of its tick
-	read   time.Time
 	probe  time.Time
 	list   time.Time
-	work   int
 	inbox  []func()
 	busy   bool
 }
@@ -66,27 +63,31 @@
 	done    int
 	warm    int
 	running map[*request]bool
+	flying  map[*request]bool // taken and not yet arrived
 	down    bool
 }
 
 type request struct {
-	vm   *vm
-	boot uint64
+	vm    *vm
+	boot  uint64
+	taken time.Time
+	sent  bool
 }
 
+// step is how far the clock moves at once, unless a world says otherwise.
 const step = 10 * time.Millisecond
 
 func newWorld(seed uint64, vms, seats int, upstreams ...coordinator.Upstream) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), timings: coordinator.Today(),
-		cut: map[[2]string]bool{}, delay: 20 * time.Millisecond, seats: seats, load: 0.2, longest: time.Second,
+		cut: map[[2]string]bool{}, delay: 20 * time.Millisecond, seats: seats, load: 0.2, longest: time.Second, step: step,
 	}
 	w.timings.Longest = 5 * time.Second
 	w.timings.Absent = 4 * time.Second
 	for _, u := range upstreams {
 		w.boots++
 		w.upstreams = append(w.upstreams, &upstream{
-			Upstream: u, boot: w.boots, cold: true, warm: 10, running: map[*request]bool{},
+			Upstream: u, boot: w.boots, cold: true, warm: 10, running: map[*request]bool{}, flying: map[*request]bool{},
 		})
 	}
 	for i := range vms {
@@ -95,7 +96,7 @@
 	return w
 }
 
-func (w *world) start(id string) *vm {
+func (w *world) start(id string) {
 	w.boots++
 	v := &vm{id: id, boot: w.boots}
 	v.node = coordinator.NewNode(coordinator.Config{
@@ -110,7 +111,6 @@
 	if !slices.ContainsFunc(w.listed, func(l lister.VM) bool { return l.ID == id }) {
 		w.listed = append(w.listed, lister.VM{ID: id, Zone: "a", Address: id + ":1", State: lister.Live})
 	}
-	return v
 }
 
 // kill stops a VM; the platform takes it off the list later.
@@ -142,7 +142,7 @@
 
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end) && w.failure == ""; {
-		w.now = w.now.Add(step)
+		w.now = w.now.Add(w.step)
 		w.due()
 		for _, v := range w.vms {
 			if !v.dead && !w.now.Before(v.frozen) {
@@ -245,20 +245,23 @@
 	if !ok {
 		return
 	}
-	v.work++
-	taken := w.now
+	r := &request{vm: v, boot: boot, taken: w.now}
+	u.flying[r] = true
 	w.after(w.short(), func() {
 		w.at(v, func() {
-			if w.now.Sub(taken) >= w.timings.Settle {
+			if w.now.Sub(r.taken) >= w.timings.Settle/2 {
+				delete(u.flying, r)
 				w.finish(v, u, boot, coordinator.Refused)
 				return
 			}
-			w.after(w.short(), func() { w.arrive(&request{vm: v, boot: boot}, u) })
+			r.sent = true
+			w.after(w.short(), func() { w.arrive(r, u) })
 		})
 	})
 }
 
 func (w *world) arrive(r *request, u *upstream) {
+	delete(u.flying, r)
 	if r.boot != u.boot || u.down {
 		boot := u.boot
 		w.at(r.vm, func() {
@@ -283,7 +286,6 @@
 }
 
 func (w *world) finish(v *vm, u *upstream, boot uint64, o coordinator.Outcome) {
-	v.work--
 	v.node.Done(u.Name, boot, 0, o)
 }
 
@@ -360,22 +362,23 @@
 	}
 }
 
-// possible is what runs or may still be started: work and free slots of all
-// VMs, frozen ones too, and what stopped ones left running.
+// possible is what runs or may still be started: work on its way or at the
+// upstream, whoever sent it, and free slots of all VMs, frozen ones too.
 func (w *world) possible(u *upstream) int {
-	sum := 0
+	sum := len(u.running)
+	for r := range u.flying {
+		sendable := !r.vm.dead && w.now.Sub(r.taken) < w.timings.Settle/2
+		if r.boot == u.boot && (r.sent || sendable) {
+			sum++
+		}
+	}
 	for _, v := range w.vms {
 		if v.dead {
 			continue
 		}
 		// What is for an earlier boot of the upstream can't run.
 		if view := v.node.View(w.now, u.Name); view.Boot == u.boot {
-			sum += view.Mine + view.Free
-		}
-	}
-	for r := range u.running {
-		if r.vm.dead {
-			sum++
+			sum += view.Free
 		}
 	}
 	return sum
@@ -393,9 +396,10 @@
 	return sum
 }
 
-func (w *world) holder(name string) *vm {
+// holder is the VM that lends the first upstream.
+func (w *world) holder() *vm {
 	for _, v := range w.vms {
-		if !v.dead && v.node.Holds(w.now, name) {
+		if !v.dead && v.node.Holds(w.now, w.upstreams[0].Name) {
 			return v
 		}
 	}
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -45,16 +45,26 @@
 	return 0
 }
 
+// Lendable is the part of an upstream's memory that can be reserved; the rest is
+// for requests that reserve none.
+func Lendable(memory int) int { return memory - memory*headroom/10 }
+
+// Small is the longest request in tokens that needs no reservation: when each
+// slot runs one of these, they just fill what is not lent.
+func Small(memory, slots int) int {
+	if slots == 0 {
+		return 0
+	}
+	return (memory - Lendable(memory)) / slots
+}
+
 // tokens is the memory lent to a borrower. A reservation is given whole or not
 // at all: half of a long prompt's memory serves nobody.
 func (l *Lender) tokens(b *borrower) int {
-	if !l.known {
-		return 0
-	}
 	if b.need <= b.memory() {
 		return b.need
 	}
-	free := l.c.Memory - l.c.Memory*headroom/10
+	free := Lendable(l.c.Memory)
 	for _, o := range l.borrowers {
 		if o != b {
 			free -= o.memory()
@@ -71,8 +81,12 @@
 	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.cold(), Unknown: l.unknown}
 	for _, w := range l.sorted() {
 		b := l.borrowers[w]
-		if n, m := b.charge(l.reserved(w, b)), b.memory(); n+m > 0 {
-			t.Entries = append(t.Entries, Entry{VM: w.VM, Boot: w.Boot, Slots: n, Tokens: m})
+		share := 0
+		if b.active {
+			share = l.shares[w]
+		}
+		if n, m := b.charge(share), b.memory(); n+m > 0 {
+			t.Entries = append(t.Entries, Entry{VM: w.VM, Boot: w.Boot, Slots: n, Tokens: m, Share: b.active})
 		}
 	}
 	return t
@@ -88,12 +102,13 @@
 func (l *Lender) Import(now time.Time, t Table) {
 	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, true
 	if t.Full {
+		l.warm = true
 		l.limit.Completed(enough * l.c.Slots)
 	}
 	for _, e := range t.Entries {
 		b := l.borrower(Who{VM: e.VM, Boot: e.Boot})
-		b.active = true
+		b.active = e.Share
 		b.heard = now
-		b.out = append(b.out, loan{ceiling: e.Slots, tokens: e.Tokens, share: true, until: now.Add(l.long(l.c.Life))})
+		b.out = append(b.out, loan{ceiling: e.Slots, tokens: e.Tokens, share: e.Share, until: now.Add(l.long(l.c.Life))})
 	}
 }
