--- a/entry/process/setter/setter.go
+++ b/entry/process/setter/setter.go
@@ -78,7 +78,8 @@
 	Header Size `toml:"header"`
 	// Streams bounds the requests in progress.
 	Streams int `toml:"streams"`
-	// Drain bounds how long a planned stop waits for requests in progress.
+	// Drain bounds how long a planned stop waits for requests in progress. It
+	// should be above the longest time limit in the manifest.
 	Drain checker.Duration `toml:"drain"`
 }
 
@@ -110,13 +111,15 @@
 }
 
 // Defaults of Limits. They suit a VM with 512 MiB of memory: a million-token
-// prompt is about 4 MiB, and the bodies take at most an eighth.
+// prompt is about 4 MiB, and the bodies take at most an eighth. The drain limit
+// is twice the longest that a request may last by a manifest's own defaults,
+// because a limit below it would cut requests at a planned stop.
 const (
 	defaultBodies  = 64 << 20
 	defaultBody    = 16 << 20
 	defaultHeader  = 16 << 10
 	defaultStreams = 10_000
-	defaultDrain   = 10 * time.Minute
+	defaultDrain   = 2 * time.Hour
 )
 
 func preset() Settings {
