--- a/entry/request/admitter/admitter.go
+++ b/entry/request/admitter/admitter.go
@@ -200,11 +200,7 @@
 	if a.conf.Queue == Fair && slower(p, a.pace) {
 		a.rebuild(p)
 	}
-	for a.latest.Len() > 0 && !now.Before(a.latest[0].start) {
-		it := a.latest[0]
-		a.delete(it)
-		a.gone = append(a.gone, it.ask)
-	}
+	a.giveUp(now)
 	gone := a.gone
 	a.gone = nil
 	return gone
@@ -215,15 +211,13 @@
 // cost does not grow with the queue. An ask that finds no place holds back
 // nobody of another band, and nobody of its own for Config.Patience.
 func (a *Admitter) Next(now time.Time, place func(Ask) bool) (Ask, bool) {
+	a.giveUp(now)
 	if a.conf.Queue == First {
-		return a.nextFirst(now, place)
+		return a.nextFirst(place)
 	}
 	for _, b := range a.order() {
 		for _, t := range b.first(a.conf.Tries) {
-			it := a.head(now, t)
-			if it == nil {
-				continue
-			}
+			it := t.queue.first()
 			if place(it.ask) {
 				a.serve(it)
 				return it.ask, true
@@ -240,17 +234,14 @@
 	return Ask{}, false
 }
 
-// head gives the team's first ask that can still be done in time. One that
-// cannot would take an upstream's time for an answer nobody gets.
-func (a *Admitter) head(now time.Time, t *turn) *item {
-	for it := t.queue.first(); it != nil; it = t.queue.first() {
-		if now.Before(it.start) {
-			return it
-		}
+// giveUp takes out the asks that can no longer be done in time. Placed, they
+// would take an upstream's time for answers that nobody gets.
+func (a *Admitter) giveUp(now time.Time) {
+	for len(a.latest) > 0 && !now.Before(a.latest[0].start) {
+		it := a.latest[0]
 		a.delete(it)
 		a.gone = append(a.gone, it.ask)
 	}
-	return nil
 }
 
 // serve takes out an ask that found a place, and charges its team and band.
--- a/entry/request/admitter/band.go
+++ b/entry/request/admitter/band.go
@@ -15,10 +15,12 @@
 	// spent is the tokens served over the weight: the band's virtual time.
 	spent float64
 	// tag is the virtual time at which its first ask would end.
-	tag   float64
-	load  load
-	turns map[string]*turn
-	heap  pile[*turn]
+	tag  float64
+	load load
+	// longest is the highest cost of one ask since the band was last empty.
+	longest int64
+	turns   map[string]*turn
+	heap    pile[*turn]
 	// debtors are the teams that want nothing and have not paid yet.
 	debtors pile[*turn]
 	// round is that of the last ask served, and seq counts turns given.
@@ -30,7 +32,7 @@
 
 // A size sums the teams whose backlog over share is within a factor of two.
 type size struct {
-	cost, share int64
+	cost, share, teams int64
 }
 
 // A turn is one team's place in a band.
@@ -77,7 +79,11 @@
 
 func (b *band) insert(it *item) {
 	k := it.ask
+	if b.load.asks == 0 {
+		b.longest = 0
+	}
 	b.load.add(k, it.cost, 1)
+	b.longest = max(b.longest, it.cost)
 	t := b.turns[k.Team]
 	if t == nil {
 		t = &turn{team: k.Team}
@@ -143,45 +149,47 @@
 }
 
 func (b *band) resize(t *turn, cost int64) {
-	if t.cost > 0 {
-		s := &b.sizes[bits.Len64(uint64(t.cost/t.share))]
-		s.cost -= t.cost
-		s.share -= t.share
-	}
+	b.size(t, -1)
 	t.cost += cost
-	if t.cost > 0 {
-		s := &b.sizes[bits.Len64(uint64(t.cost/t.share))]
-		s.cost += t.cost
-		s.share += t.share
+	b.size(t, 1)
+}
+
+// size counts a team in, or out where sign is negative.
+func (b *band) size(t *turn, sign int64) {
+	if t.cost == 0 {
+		return
 	}
+	s := &b.sizes[bits.Len64(uint64(t.cost/t.share))]
+	s.cost += sign * t.cost
+	s.share += sign * t.share
+	s.teams += sign
 }
 
 // ahead estimates the cost that is served before an ask: what its team has
-// with earlier deadlines, and of each other team no more than its share of
-// that. Teams are read by size and not one by one, so that the cost does not
-// grow with their number.
+// with earlier deadlines, and of each other team its share of that, and one ask
+// more by which it may overdraw. Teams are read by size and not one by one, so
+// that the cost does not grow with their number.
 func (b *band) ahead(it *item) (all, own int64) {
-	t := b.turns[it.ask.Team]
 	share := int64(it.ask.Share)
-	var mine, backlog int64
-	if t != nil {
+	t := b.turns[it.ask.Team]
+	waits := t != nil && t.cost > 0
+	if waits {
 		share = t.share
-		mine = t.queue.ahead(it)
-		backlog = t.cost
+		own = t.queue.ahead(it)
+		b.size(t, -1)
+		defer b.size(t, 1)
 	}
-	// turns is how much each share is given until the ask is paid.
-	turns := (mine + it.cost + share - 1) / share
-	others := int64(0)
-	for i, s := range b.sizes {
-		if s.share == 0 {
-			continue
-		}
-		cost, sum := s.cost, s.share
-		if t != nil && i == bits.Len64(uint64(backlog/share)) {
-			cost -= backlog
-			sum -= share
+	// turns is how much each share is given until it is the ask's turn; a
+	// team that is in debt has first to pay.
+	turns := (own + it.cost + share - 1) / share
+	if t != nil {
+		turns += max(0, t.round-b.round) * quantum
+	}
+	all = own
+	for _, s := range b.sizes {
+		if s.teams > 0 {
+			all += min(s.cost, turns*s.share+s.teams*b.longest)
 		}
-		others += min(cost, turns*sum)
 	}
-	return others + mine, mine
+	return all, own
 }
--- a/entry/request/admitter/estimate.go
+++ b/entry/request/admitter/estimate.go
@@ -98,10 +98,14 @@
 // others is what the other bands are served while this one is served cost.
 func (a *Admitter) others(it *item, cost int64) int64 {
 	var sum int64
+	until := max(it.band.spent, a.clock)
+	if it.band.load.asks > 0 {
+		until = it.band.spent
+	}
+	until += float64(cost) / it.band.weight
 	for _, b := range a.bands {
-		if b != it.band {
-			part := float64(cost) * b.weight / it.band.weight
-			sum += min(b.load.cost, int64(part))
+		if b != it.band && b.spent < until {
+			sum += min(b.load.cost, int64((until-b.spent)*b.weight))
 		}
 	}
 	return sum
