--- a/entry/process/splitter/splitter.go
+++ b/entry/process/splitter/splitter.go
@@ -20,20 +20,36 @@
 
 // A Config sets a Splitter. A zero field takes the default named with it.
 type Config struct {
-	// Smooth is the time constant over which the load is averaged; 5 s by
-	// default, several long prompts' arrivals at the brief's rates.
+	// Smooth is the time constant over which the load is averaged; a minute by
+	// default. Long prompts are few and their lengths differ tenfold: over
+	// five seconds, of which each sees one or two, the number swung by half,
+	// and each swing cost more than it gained.
 	Smooth time.Duration
+	// Short is how many times the short prompts' tokens count; 1.5 by default.
+	// The short ones' engines are so two thirds as busy as those of the long
+	// ones, whose callers notice a wait less.
+	Short float64
 	// Up is how many engines too few there must be before one is added, and
-	// Down how many too many before one is given back; 0.25 and 1.25 by
-	// default. The band of 1.5 engines is wider than one step, so that a step
-	// never calls for its own reversal.
+	// Down how many too many before one is given back; 0.6 and 1.25 by
+	// default: in doubt an engine stays with the short ones. The band of
+	// nearly two engines is wider than one step, so that a step never calls
+	// for its own reversal.
 	Up, Down float64
-	// Rise and Fall are how long that must have lasted; 2 s and 20 s by
+	// Rise and Fall are how long that must have lasted; 5 s and a minute by
 	// default. A long prompt holds an engine for tens of seconds: giving one
 	// back sooner would mean to take it again.
 	Rise, Fall time.Duration
 }
 
+// none is the part of an engine below which none is set apart any more.
+const none = 0.01
+
+// first is the part of an engine from which one is set apart.
+const first = 0.1
+
+// enough is the part of the time constant after which averages are trusted.
+const enough = 0.5
+
 // A Load is what is offered.
 type Load struct {
 	// ShortTokens and LongTokens are prompt tokens offered per second.
@@ -45,22 +61,25 @@
 // A Splitter keeps the number for one model. It is not safe for use by several
 // goroutines.
 type Splitter struct {
-	conf  Config
-	last  time.Time
-	short float64
-	long  float64
-	n     int
+	conf Config
+	last time.Time
+	// short and long are averages that begin at 0, and seen is how much of the
+	// time constant is behind them, from 0 to 1.
+	short, long, seen float64
+
+	n int
 	// above and below are since when there were too few or too many.
 	above, below time.Time
 }
 
 // New returns a Splitter that sets no engine apart yet.
 func New(c Config) *Splitter {
-	c.Smooth = cmp.Or(c.Smooth, 5*time.Second)
-	c.Up = cmp.Or(c.Up, 0.25)
+	c.Smooth = cmp.Or(c.Smooth, time.Minute)
+	c.Short = cmp.Or(c.Short, 1.5)
+	c.Up = cmp.Or(c.Up, 0.6)
 	c.Down = cmp.Or(c.Down, 1.25)
-	c.Rise = cmp.Or(c.Rise, 2*time.Second)
-	c.Fall = cmp.Or(c.Fall, 20*time.Second)
+	c.Rise = cmp.Or(c.Rise, 5*time.Second)
+	c.Fall = cmp.Or(c.Fall, time.Minute)
 	return &Splitter{conf: c}
 }
 
@@ -69,8 +88,8 @@
 	s.average(now, l)
 	most := max(0, l.Engines-1)
 	want := s.want(l.Engines)
-	s.above = since(s.above, now, want > float64(s.n)+s.conf.Up)
-	s.below = since(s.below, now, want < float64(s.n)-s.conf.Down || (s.long == 0 && s.n > 0))
+	s.above = since(s.above, now, want > s.threshold())
+	s.below = since(s.below, now, want < float64(s.n)-s.conf.Down || (s.n > 0 && want < none))
 	switch {
 	case !s.above.IsZero() && now.Sub(s.above) >= s.conf.Rise:
 		s.n += step(want - float64(s.n))
@@ -83,27 +102,35 @@
 	return s.n
 }
 
-// want is the long prompts' part of the engines, not rounded.
+// threshold is how many engines must be wanted for one to be added. The first
+// one comes early: until then long prompts are read by the short ones' engines.
+func (s *Splitter) threshold() float64 {
+	if s.n == 0 {
+		return first
+	}
+	return float64(s.n) + s.conf.Up
+}
+
+// want is the long prompts' part of the engines, not rounded. At the start it
+// is held down: one long prompt in the first seconds says little, and engines
+// taken from the short ones for it would be missed.
 func (s *Splitter) want(engines int) float64 {
-	sum := s.short + s.long
+	sum := s.conf.Short*s.short + s.long
 	if sum <= 0 {
 		return 0
 	}
-	return float64(engines) * s.long / sum
+	return min(1, s.seen/enough) * float64(engines) * s.long / sum
 }
 
 // average smooths the load with the time constant.
 func (s *Splitter) average(now time.Time, l Load) {
-	weight := 1.0
 	if !s.last.IsZero() {
-		weight = 1 - math.Exp(-now.Sub(s.last).Seconds()/s.conf.Smooth.Seconds())
+		weight := 1 - math.Exp(-now.Sub(s.last).Seconds()/s.conf.Smooth.Seconds())
+		s.short += weight * (l.ShortTokens - s.short)
+		s.long += weight * (l.LongTokens - s.long)
+		s.seen += weight * (1 - s.seen)
 	}
 	s.last = now
-	s.short += weight * (l.ShortTokens - s.short)
-	s.long += weight * (l.LongTokens - s.long)
-	if s.long < 1 {
-		s.long = 0
-	}
 }
 
 // step moves half of the way and at least one engine.
--- /dev/null
+++ b/entry/process/splitter/splitter_test.go
@@ -0,0 +1,129 @@
+package splitter_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/process/splitter"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// steps plays a load for a time in steps of half a second, and gives the
+// number at the end and how often it changed.
+func steps(s *splitter.Splitter, from time.Time, span time.Duration, load func(time.Time) splitter.Load) (n, changes int, now time.Time) {
+	last := -1
+	for now = from; now.Before(from.Add(span)); now = now.Add(time.Second / 2) {
+		n = s.Step(now, load(now))
+		if last >= 0 && n != last {
+			changes++
+		}
+		last = n
+	}
+	return n, changes, now
+}
+
+func steady(short, long float64, engines int) func(time.Time) splitter.Load {
+	return func(time.Time) splitter.Load {
+		return splitter.Load{ShortTokens: short, LongTokens: long, Engines: engines}
+	}
+}
+
+func TestSteady(t *testing.T) {
+	tests := []struct {
+		name        string
+		short, long float64
+		engines     int
+		least, most int
+	}{
+		{"no load", 0, 0, 16, 0, 0},
+		{"no long prompts", 1000, 0, 16, 0, 0},
+		{"few long prompts", 1000, 50, 16, 1, 1},
+		{"as many tokens of both", 1000, 1000, 16, 6, 6},
+		{"only long prompts leave one", 0, 1000, 16, 15, 15},
+		{"one engine", 1000, 1000, 1, 0, 0},
+		{"two engines", 1000, 10, 2, 0, 0},
+		{"today's mix", 96, 128, 24, 11, 12},
+		{"at the aim's size", 96, 128, 1000, 470, 472},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n, _, _ := steps(splitter.New(splitter.Config{}), epoch, 2*time.Minute, steady(tt.short, tt.long, tt.engines))
+			assert.Assert(t, n >= tt.least && n <= tt.most, "%d", n)
+		})
+	}
+}
+
+// The long load goes up and down every few seconds, as single documents do.
+// Without hysteresis engines would change sides each time, and each change
+// must first wait for what runs there.
+func TestSwingingLoadChangesLittle(t *testing.T) {
+	swing := func(now time.Time) splitter.Load {
+		long := 1000 + 600*math.Sin(now.Sub(epoch).Seconds())
+		return splitter.Load{ShortTokens: 1000, LongTokens: long, Engines: 16}
+	}
+	s := splitter.New(splitter.Config{})
+	_, _, now := steps(s, epoch, 2*time.Minute, swing)
+	_, changes, _ := steps(s, now, 10*time.Minute, swing)
+	assert.Assert(t, changes <= 1, "%d changes", changes)
+}
+
+func TestFollowsTheLoad(t *testing.T) {
+	s := splitter.New(splitter.Config{})
+	n, _, now := steps(s, epoch, 2*time.Minute, steady(1000, 1000, 16))
+	assert.Equal(t, n, 6)
+	n, _, now = steps(s, now, 3*time.Minute, steady(400, 1200, 16))
+	assert.Assert(t, n >= 10 && n <= 11, "up to %d", n)
+	n, _, now = steps(s, now, 10*time.Second, steady(1000, 0, 16))
+	assert.Assert(t, n >= 10, "not down at once, but %d", n)
+	n, _, _ = steps(s, now, 15*time.Minute, steady(1000, 0, 16))
+	assert.Equal(t, n, 0)
+}
+
+// The number stays within the engines, also as these come and go.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := splitter.New(splitter.Config{})
+		now := epoch
+		for range 50 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second)
+			l := splitter.Load{
+				ShortTokens: float64(rapid.IntRange(0, 1000).Draw(t, "short")),
+				LongTokens:  float64(rapid.IntRange(0, 1000).Draw(t, "long")),
+				Engines:     rapid.IntRange(0, 20).Draw(t, "engines"),
+			}
+			if n := s.Step(now, l); n < 0 || n > max(0, l.Engines-1) {
+				t.Fatalf("%d of %d", n, l.Engines)
+			}
+		}
+	})
+}
+
+func TestLongMovesNoMoreThanItMust(t *testing.T) {
+	var names []string
+	for i := range 50 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for n := range 50 {
+		less, more := splitter.Long(names, n), splitter.Long(names, n+1)
+		assert.Equal(t, len(less), n)
+		for name := range less {
+			assert.Assert(t, more[name], "%s left when one was added", name)
+		}
+	}
+	all := splitter.Long(names, 20)
+	without := splitter.Long(names[:49], 20)
+	moved := 0
+	for name := range without {
+		if !all[name] {
+			moved++
+		}
+	}
+	assert.Assert(t, moved <= 1, "%d moved", moved)
+	assert.Equal(t, len(splitter.Long(names, -1)), 0)
+}
--- a/entry/request/grouper/grouper.go
+++ b/entry/request/grouper/grouper.go
@@ -131,26 +131,39 @@
 	return names
 }
 
-// fewest takes the roomiest first until all fits and one of them, which comes
-// last by name, can hold the output.
+// fewest gives the smallest group that fits, by name. Its last engine must
+// hold the output as well, so that for each engine that could, the roomiest
+// with names before it are taken. The rooms are sorted, the roomiest first.
 func fewest(rooms []room, need, output int) []room {
-	sum := 0
-	for i, r := range rooms {
-		if r.free == 0 {
-			return nil
+	var found []room
+	for _, last := range rooms {
+		if last.free <= output {
+			break
 		}
-		sum += r.free
-		if sum < need {
-			continue
+		g := upTo(last, rooms, need)
+		if g != nil && (found == nil || len(g) < len(found)) {
+			found = g
 		}
-		group := slices.SortedFunc(slices.Values(rooms[:i+1]), func(a, b room) int {
-			return cmp.Compare(a.name, b.name)
-		})
-		if group[len(group)-1].free > output {
-			return group
+	}
+	slices.SortFunc(found, func(a, b room) int { return cmp.Compare(a.name, b.name) })
+	return found
+}
+
+// upTo gives a group whose last engine by name is given, or nil.
+func upTo(last room, rooms []room, need int) []room {
+	group, sum := []room{last}, last.free
+	for _, r := range rooms {
+		if sum >= need || r.free == 0 {
+			break
 		}
+		if r.name < last.name {
+			group, sum = append(group, r), sum+r.free
+		}
+	}
+	if sum < need {
+		return nil
 	}
-	return nil
+	return group
 }
 
 // parts cuts the prompt in proportion to what each engine has free.
--- /dev/null
+++ b/entry/request/grouper/grouper_test.go
@@ -0,0 +1,101 @@
+package grouper_test
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/request/grouper"
+	"github.com/heathervane/heathervane/entry/request/router"
+)
+
+func engine(name, zone string, total, used int) router.Candidate {
+	return router.Candidate{Name: name, Zone: zone, Free: 1, Memory: total, Used: used}
+}
+
+func TestPlan(t *testing.T) {
+	empty := []router.Candidate{
+		engine("c", "z1", 400, 0), engine("a", "z1", 400, 0), engine("b", "z1", 400, 0), engine("d", "z2", 400, 0),
+	}
+	busy := slices.Clone(empty)
+	busy[0].Used, busy[1].Used = 300, 300
+	cold := slices.Clone(empty)
+	cold[0].Cold, cold[1].Free = true, 0
+	tests := []struct {
+		name           string
+		tokens, output int
+		engines        []router.Candidate
+		share          float64
+		want           []grouper.Part
+		err            string
+	}{
+		{name: "three of one zone", tokens: 900, output: 60, engines: empty, share: 1, want: []grouper.Part{{"a", 316}, {"b", 316}, {"c", 268}}},
+		{name: "across zones", tokens: 1300, output: 60, engines: empty, share: 1, want: []grouper.Part{{"a", 338}, {"b", 338}, {"c", 338}, {"d", 286}}},
+		{name: "never fits", tokens: 2000, engines: empty, share: 1, err: "never: the prompt needs 2000 tokens of memory, 4 engines have 1600"},
+		{name: "never fits in the share", tokens: 900, engines: empty, share: 0.5, err: "never: the prompt needs 900 tokens of memory, 4 engines have 800"},
+		{name: "answer fits no engine", tokens: 100, output: 500, engines: empty, share: 1, err: "never: the prompt needs 600 tokens of memory, 4 engines have 1600"},
+		{name: "busy now", tokens: 1300, engines: busy, share: 1, err: "busy: the prompt needs 1300 tokens of memory, 4 engines have 1000"},
+		{name: "cold and full ones are not taken", tokens: 900, engines: cold, share: 1, err: "busy: the prompt needs 900 tokens of memory, 4 engines have 800"},
+		{name: "no engines", tokens: 1, share: 1, err: "never: the prompt needs 1 tokens of memory, 0 engines have 0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := grouper.Plan(tt.tokens, tt.output, tt.engines, tt.share)
+			if tt.err != "" {
+				assert.Error(t, err, tt.err)
+				var e *grouper.Error
+				assert.Assert(t, errors.As(err, &e))
+				return
+			}
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// A plan holds the whole prompt, no engine more than it has free, and comes in
+// the order of names; and there is one whenever the free memory has enough and
+// the last engine by name can hold the answer.
+func TestPlanHoldsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cs []router.Candidate
+		free, all, last := map[string]int{}, 0, 0
+		for i := range rapid.IntRange(0, 8).Draw(t, "engines") {
+			total := rapid.IntRange(1, 1000).Draw(t, "memory")
+			c := engine(fmt.Sprint("e", i), fmt.Sprint(i%3), total, rapid.IntRange(0, total).Draw(t, "used"))
+			cs = append(cs, c)
+			last = c.Memory - c.Used
+			free[c.Name] = last
+			all += last
+		}
+		tokens, output := rapid.IntRange(1, 4000).Draw(t, "tokens"), rapid.IntRange(0, 50).Draw(t, "output")
+		parts, err := grouper.Plan(tokens, output, cs, 1)
+		if err != nil {
+			if all >= tokens+output && last > output {
+				t.Fatalf("no plan: %v", err)
+			}
+			return
+		}
+		sum := 0
+		for i, p := range parts {
+			sum += p.Tokens
+			need := p.Tokens
+			if i == len(parts)-1 {
+				need += output
+			}
+			if need > free[p.Name] {
+				t.Fatalf("%s is given %d and has %d", p.Name, need, free[p.Name])
+			}
+		}
+		if sum != tokens || !slices.IsSortedFunc(parts, byName) {
+			t.Fatalf("parts %v of %d tokens", parts, tokens)
+		}
+	})
+}
+
+func byName(a, b grouper.Part) int { return cmp.Compare(a.Name, b.Name) }
--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -235,12 +235,19 @@
 	case !n.homes:
 		return c.backlog(rate) <= hold*rate
 	case c.Home:
-		return float64(c.Unread) <= holdHome*rate
+		return float64(c.Unread) <= holdHome*rate && c.foreign(rate) <= hold*rate
 	default:
 		return c.PrefillLeft+c.SentTokens == 0
 	}
 }
 
+// foreign is the prompt tokens that other VMs have unread there by its report.
+// At a home engine there is little of it, but where the engine has just become
+// this VM's home, or was set apart for long prompts until now.
+func (c *Candidate) foreign(rate float64) float64 {
+	return float64(c.PrefillLeft) - rate*c.Age.Seconds() - float64(c.Unread)
+}
+
 // dislike is what counts against the engine beside its work, in seconds.
 func (c *Candidate) dislike(n *need) float64 {
 	cost := 0.0
--- a/entry/request/router/fleet_test.go
+++ b/entry/request/router/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/gauger"
+	"github.com/heathervane/heathervane/entry/process/splitter"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/router"
 )
@@ -109,7 +110,7 @@
 	queue   string
 	engines int
 	vms     int
-	long    int // engines set apart
+	long    int // engines set apart; -1: as many as a Splitter says
 	span    time.Duration
 	seed    uint64
 	loads   []load
@@ -136,6 +137,7 @@
 
 type fleet struct {
 	play
+	long    int // engines set apart now
 	now     time.Duration
 	seq     int
 	events  events
@@ -148,6 +150,9 @@
 	homes   map[string]string // VMs by engine
 	guests  []string          // by engine, as of turn
 	turn    int64
+	split   *splitter.Splitter
+	offered [2]int // short and long tokens since the last tick
+	moves   int    // changes of the engines set apart
 }
 
 func run(p play) *fleet {
@@ -169,10 +174,12 @@
 		f.vms = append(f.vms, v)
 		f.names = append(f.names, v.name)
 	}
-	f.homes = router.Homes(f.names, names[:min(p.long, len(names))])
-	maps.Copy(f.homes, router.Homes(f.names, names[min(p.long, len(names)):]))
 	f.guests = make([]string, len(names))
-	f.turn = -1
+	f.split = splitter.New(splitter.Config{})
+	f.apart(max(0, p.long))
+	if p.long < 0 {
+		f.settle()
+	}
 	for i, l := range p.loads {
 		f.arrivals(l, rand.New(rand.NewPCG(p.seed, uint64(i)+100)))
 	}
@@ -220,6 +227,11 @@
 }
 
 func (f *fleet) offer(v *vm, c *call) {
+	if c.ask.Tokens > 64<<10 {
+		f.offered[1] += c.ask.Tokens
+	} else {
+		f.offered[0] += c.ask.Tokens
+	}
 	if r := v.adm.Offer(f.clock(), c.ask, f.pace(v, c.ask.Tokens)); r != nil {
 		c.refused, c.refusal = r, f.now
 		if f.back && r.After > 0 && c.again == 0 {
@@ -295,7 +307,6 @@
 }
 
 func (f *fleet) candidates(v *vm) []router.Candidate {
-	long := min(f.long, len(f.engs))
 	v.cands = v.cands[:0]
 	for i, e := range f.engs {
 		r := e.seen(f.now)
@@ -303,7 +314,7 @@
 		k := router.Candidate{
 			Name: e.name, Near: true, Free: slots/f.play.vms - len(m.calls), Slots: slots, Mine: len(m.calls), Unread: m.unread,
 			Running: r.running, Waiting: r.waiting, Used: r.used, Memory: memory, PrefillLeft: int(r.left),
-			Age: f.now - r.at, Prefill: prefill, Decode: decode, Speed: v.gauge.Speed(e.name), Long: i < long,
+			Age: f.now - r.at, Prefill: prefill, Decode: decode, Speed: v.gauge.Speed(e.name), Long: i < f.long,
 		}
 		k.Home = f.homes[e.name] == v.name
 		k.Guest = f.guest(i) == v.name
@@ -319,6 +330,47 @@
 	return v.cands
 }
 
+// apart sets engines apart for long prompts.
+func (f *fleet) apart(n int) {
+	var names []string
+	for _, e := range f.engs {
+		names = append(names, e.name)
+	}
+	f.long, f.turn = n, -1
+	f.homes = router.Homes(f.names, names[:n])
+	maps.Copy(f.homes, router.Homes(f.names, names[n:]))
+}
+
+// settle lets the splitter see ten minutes of the mean load, as in a fleet that
+// has been up for a while.
+func (f *fleet) settle() {
+	l := splitter.Load{Engines: len(f.engs)}
+	for _, o := range f.loads {
+		if o.least >= 100_000 {
+			l.LongTokens += o.rate * o.tokens()
+		} else {
+			l.ShortTokens += o.rate * o.tokens()
+		}
+	}
+	for t := -10 * time.Minute; t < 0; t += time.Second {
+		f.apart(f.split.Step(epoch.Add(t), l))
+	}
+}
+
+// resplit follows the load with the number of engines set apart.
+func (f *fleet) resplit() {
+	n := f.split.Step(f.clock(), splitter.Load{
+		ShortTokens: float64(f.offered[0]) / tick.Seconds(),
+		LongTokens:  float64(f.offered[1]) / tick.Seconds(),
+		Engines:     len(f.engs),
+	})
+	f.offered = [2]int{}
+	if n != f.long {
+		f.apart(n)
+		f.moves++
+	}
+}
+
 // guest gives the engine's guest VM, reckoned once a turn.
 func (f *fleet) guest(i int) string {
 	if turn := int64(f.now / router.Turn); turn != f.turn {
@@ -332,6 +384,9 @@
 
 // tick makes reports, gauges and dispatches.
 func (f *fleet) tick() {
+	if f.play.long < 0 {
+		f.resplit()
+	}
 	for _, e := range f.engs {
 		e.advance(f.now)
 		r := report{at: f.now, running: e.running, waiting: len(e.queue), used: e.used, left: e.left}
--- a/entry/request/router/load_test.go
+++ b/entry/request/router/load_test.go
@@ -13,8 +13,8 @@
 	vms     = 4
 	// fits is the prompt tokens per second that all engines read.
 	fits = engines * prefill
-	// apart is the engines set apart where there are long prompts.
-	apart = 7
+	// split leaves the number of engines set apart to a Splitter.
+	split = -1
 )
 
 // A way is a choice of policies. The first is the one that is built; the
@@ -62,6 +62,7 @@
 	short, long, others []float64 // seconds to first token
 	calls, refused      int
 	given               int     // given up after they were let in
+	moves               int     // of the number of engines set apart
 	late, lost          int     // ended past their limit, or not at all
 	good, longGood      float64 // tokens of whole answers in time, over what fits
 }
@@ -77,6 +78,7 @@
 		f := w.play(long, span, seed+1, loads...)
 		o.short = append(o.short, f.firsts(after(warm, short))...)
 		o.long = append(o.long, f.firsts(after(warm, isLong))...)
+		o.moves += f.moves
 		o.others = append(o.others, f.firsts(after(warm, func(c *call) bool { return c.ask.Team != "hot" }))...)
 		for _, c := range f.calls {
 			o.count(c, warm, span)
@@ -109,8 +111,8 @@
 }
 
 func (o outcome) String() string {
-	return fmt.Sprintf("calls %d, refused %d, given up %d, past limit %d, goodput %.2f (long %.2f), short first token p50 %.3f p95 %.3f p99 %.3f s, long p50 %.1f p95 %.1f s",
-		o.calls, o.refused, o.given, o.late, o.good, o.longGood,
+	return fmt.Sprintf("calls %d, refused %d, given up %d, past limit %d, %d moves, goodput %.2f (long %.2f), short first token p50 %.3f p95 %.3f p99 %.3f s, long p50 %.1f p95 %.1f s",
+		o.calls, o.refused, o.given, o.late, o.moves, o.good, o.longGood,
 		quantile(o.short, .5), quantile(o.short, .95), quantile(o.short, .99), quantile(o.long, .5), quantile(o.long, .95))
 }
 
@@ -118,10 +120,11 @@
 // holds an engine for up to fifty seconds. A caller with a short question
 // notices when it comes to an engine that reads one of them.
 func TestLongBesideShort(t *testing.T) {
+	t.Parallel()
 	const span = 2 * time.Minute
 	for i, w := range ways {
 		alone := w.outcome(0, span, shorts(0.3))
-		with := w.outcome(apart, span, shorts(0.3), longs(0.4))
+		with := w.outcome(split, span, shorts(0.3), longs(0.4))
 		ratio := quantile(with.short, .95) / quantile(alone.short, .95)
 		t.Logf("%v: p95 with over alone %.2f\n  alone: %v\n  with:  %v", w, ratio, alone, with)
 		if i == 0 {
@@ -135,6 +138,7 @@
 // together they are more than fits. The callers of the other teams notice when
 // their questions stand behind the batch.
 func TestHotTeam(t *testing.T) {
+	t.Parallel()
 	const span = time.Minute
 	for i, w := range ways {
 		alone := w.outcome(0, span, shorts(0.2))
@@ -155,11 +159,12 @@
 // fleet spends itself on answers that come too late for anybody, and those
 // with long documents when none of theirs is ever begun.
 func TestSaturation(t *testing.T) {
+	t.Parallel()
 	const span = 2 * time.Minute
 	for i, w := range ways {
 		best := 0.0
 		for _, load := range []float64{0.4, 0.5, 1.5} {
-			o := w.outcome(apart, span, shorts(load), longs(load))
+			o := w.outcome(split, span, shorts(load), longs(load))
 			best = max(best, o.good)
 			t.Logf("%v at %.1f of what fits: %v", w, 2*load, o)
 			if i > 0 || load < 1.5 {
@@ -177,6 +182,7 @@
 // there, then recovers. Callers sent there wait ten times as long; when all
 // VMs return to it at once, they wait again.
 func TestSlowEngine(t *testing.T) {
+	t.Parallel()
 	const slowAt, fastAt, span = 30 * time.Second, 60 * time.Second, 100 * time.Second
 	for i, w := range ways {
 		p := play{policy: w.policy, queue: w.queue, engines: engines, vms: vms, span: span, seed: 1, loads: shorts(0.5)}
@@ -216,6 +222,7 @@
 // Callers notice when they wait for an answer that never comes in time, and
 // when they come back as told and are refused again.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	const span = 90 * time.Second
 	burst := shorts(5)
 	for i := range burst {
