--- a/entry/request/grouper/grouper.go
+++ b/entry/request/grouper/grouper.go
@@ -166,22 +166,26 @@
 	return group
 }
 
-// parts cuts the prompt in proportion to what each engine has free.
+// parts cuts the prompt in proportion to what each engine has free. The last
+// engine, which makes the answer, reads at least one token.
 func parts(group []room, tokens, output int) []Part {
-	group[len(group)-1].free -= output
+	last := &group[len(group)-1]
+	last.free -= output + 1
 	sum := 0
 	for _, r := range group {
 		sum += r.free
 	}
+	left := tokens - 1
 	ps := make([]Part, 0, len(group))
-	left := tokens
-	for _, r := range group {
-		n := min(left, (tokens*r.free+sum-1)/sum)
+	for _, r := range group[:len(group)-1] {
+		n := 0
+		if left > 0 {
+			n = (left*r.free + sum - 1) / sum
+		}
+		left, sum = left-n, sum-r.free
 		if n > 0 {
 			ps = append(ps, Part{Name: r.name, Tokens: n})
 		}
-		left -= n
-		tokens, sum = tokens-n, sum-r.free
 	}
-	return ps
+	return append(ps, Part{Name: last.name, Tokens: left + 1})
 }
