Show that each decision's test fails without its mechanism

Cause: two mechanisms could be taken out with all tests green: the debts of teams whose queue runs empty, and the sharing among near-equal engines. Change: a case for each; a VM whose home engines are slow goes by reports instead of waiting for them; a benchmark of a request's whole decision.

--- a/entry/request/admitter/admitter_test.go
+++ b/entry/request/admitter/admitter_test.go
@@ -151,10 +151,14 @@
 		assert.Assert(t, adm.Offer(epoch, ask(id+1, "steady", 1000, 36_000), pace) == nil)
 	}
 	served := map[string]int{}
+	waits := false
 	for id := uint64(1000); id < 1060; id++ {
-		_ = adm.Offer(epoch, ask(id, "single", 10_000, 36_000), pace)
+		if !waits {
+			assert.Assert(t, adm.Offer(epoch, ask(id, "single", 10_000, 36_000), pace) == nil)
+		}
 		a, _ := adm.Next(epoch, anywhere)
 		served[a.Team] += a.Tokens
+		waits = a.Team != "single"
 	}
 	assert.Assert(t, served["single"] <= served["steady"]+10_000, "%v", served)
 }
--- /dev/null
+++ b/entry/request/router/bench_test.go
@@ -0,0 +1,116 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/request/admitter"
+	"github.com/heathervane/heathervane/entry/request/router"
+)
+
+// used is how many upstreams one VM uses at most.
+const used = 36
+
+// candidates are the upstreams that a VM uses of n: all of today's, or its part.
+func candidates(n int) []router.Candidate {
+	var cs []router.Candidate
+	for i, u := range router.Subset("v1", numbered("e", n), used) {
+		c := idle(u)
+		c.Home = i%8 == 0
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// BenchmarkDecision is what one request costs from its arrival to its place:
+// let in, chosen in its turn, and given an upstream, with 3,000 others waiting.
+func BenchmarkDecision(b *testing.B) {
+	for _, upstreams := range []int{24, 750, 12_000} {
+		for _, teams := range []int{10, 2700} {
+			b.Run(fmt.Sprintf("upstreams=%d/teams=%d", upstreams, teams), func(b *testing.B) {
+				decide(b, candidates(upstreams), numbered("t", teams))
+			})
+		}
+	}
+}
+
+func decide(b *testing.B, cs []router.Candidate, teams []string) {
+	b.Helper()
+	p, err := router.New(router.Best, rand.New(rand.NewPCG(1, 2)))
+	assert.NilError(b, err)
+	adm := admitter.New(admitter.Config{Requests: 1 << 30, Tokens: 1 << 40})
+	pace := admitter.Pace{Slots: 1000, Prefill: 1e6, Alone: prefill, Decode: decode}
+	id := uint64(0)
+	offer := func() {
+		id++
+		a := admitter.Ask{
+			ID: id, Team: teams[id%uint64(len(teams))], Share: 1, Tokens: int(1000 + id*7919%7000), Output: 100,
+			Arrived: epoch, Deadline: epoch.Add(10_000*time.Hour + time.Duration(id)*time.Millisecond),
+		}
+		if r := adm.Offer(epoch, a, pace); r != nil {
+			b.Fatal(r)
+		}
+	}
+	for range 3000 {
+		offer()
+	}
+	place := func(a admitter.Ask) bool {
+		_, ok := p.Pick(epoch, a, cs)
+		return ok
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		offer()
+		if _, ok := adm.Next(epoch, place); !ok {
+			b.Fatal("no place")
+		}
+	}
+}
+
+// BenchmarkPick is the choice of the upstream alone.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{24, 750, 12_000} {
+		cs := candidates(n)
+		for _, policy := range []string{router.Best, router.Least, router.Two, router.Random} {
+			b.Run(fmt.Sprintf("upstreams=%d/%s", n, policy), func(b *testing.B) {
+				p, err := router.New(policy, rand.New(rand.NewPCG(1, 2)))
+				assert.NilError(b, err)
+				a := admitter.Ask{Tokens: 3000, Output: 100, Arrived: epoch, Deadline: epoch.Add(time.Minute)}
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Pick(epoch, a, cs)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSubset is the cost of a change of the upstreams, not of a request.
+func BenchmarkSubset(b *testing.B) {
+	for _, n := range []int{24, 750, 12_000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			up := numbered("e", n)
+			b.ReportAllocs()
+			for b.Loop() {
+				router.Subset("v1", up, used)
+			}
+		})
+	}
+}
+
+// BenchmarkHomes is the cost of a change of the VMs.
+func BenchmarkHomes(b *testing.B) {
+	for _, s := range []struct{ vms, up int }{{8, 24}, {330, 750}, {330, 12_000}} {
+		b.Run(fmt.Sprintf("vms=%d/upstreams=%d", s.vms, s.up), func(b *testing.B) {
+			vms, up := numbered("v", s.vms), numbered("e", s.up)
+			b.ReportAllocs()
+			for b.Loop() {
+				router.Homes(vms, up)
+			}
+		})
+	}
+}
--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -169,9 +169,11 @@
 	return false
 }
 
+// anyHome says whether a home engine may take the ask. Slow ones do not count,
+// or a VM whose home engines are slow would wait for them.
 func (n *need) anyHome(cs []Candidate) bool {
 	for i := range cs {
-		if cs[i].Home && n.kind(&cs[i]) {
+		if cs[i].Home && n.kind(&cs[i]) && !cs[i].slow() {
 			return true
 		}
 	}
--- a/entry/request/router/router_test.go
+++ b/entry/request/router/router_test.go
@@ -44,6 +44,7 @@
 		dispute bool   // both are taken now and then
 	}{
 		{name: "near-equals share", a: none, b: none, dispute: true},
+		{name: "a zone away is near-equal", a: func(c *router.Candidate) { c.Near = false }, b: none, dispute: true},
 		{name: "no slot", a: func(c *router.Candidate) { c.Free = 0 }, b: none, want: "b"},
 		{name: "no memory", a: func(c *router.Candidate) { c.Used = memory - 500 }, b: none, want: "b"},
 		{name: "memory of what was sent counts", a: func(c *router.Candidate) { c.SentTokens = memory - 500 }, b: none, want: "b"},
@@ -64,6 +65,7 @@
 		{name: "guest where work is reported", waited: time.Second, a: func(c *router.Candidate) { c.Unread = 2000 }, b: func(c *router.Candidate) { c.Home = false; c.Guest = true; c.PrefillLeft = 1 }},
 		{name: "not the guest", waited: time.Second, a: func(c *router.Candidate) { c.Unread = 2000 }, b: func(c *router.Candidate) { c.Home = false }},
 		{name: "no home at all", a: func(c *router.Candidate) { c.Home = false; c.PrefillLeft = 5000 }, b: func(c *router.Candidate) { c.Home = false }, want: "b"},
+		{name: "home is slow and taken", a: func(c *router.Candidate) { c.Speed = 0.1; c.Mine = 1 }, b: func(c *router.Candidate) { c.Home = false }, want: "b"},
 		{name: "report's work has been read since", a: func(c *router.Candidate) { c.Home = false; c.PrefillLeft = 5000; c.Age = time.Second }, b: func(c *router.Candidate) { c.Home = false; c.PrefillLeft = 5000 }, want: "a"},
 		{name: "slow with one in progress", a: func(c *router.Candidate) { c.Speed = 0.1; c.Mine = 1 }, b: func(c *router.Candidate) { c.Free = 0 }},
 		{name: "too slow to end in time", tokens: 40_000, a: func(c *router.Candidate) { c.Speed = 0.1 }, b: none, want: "b"},
