--- a/entry/process/coordinator/faults_test.go
+++ b/entry/process/coordinator/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,8 +11,8 @@
 )
 
 // play runs a fleet through faults drawn by chance and says what broke.
-func play(seed uint64, vms int, faults []int) string {
-	w := newWorld(seed, vms, 4, engine("e1"), engine("e2"))
+func play(seed uint64, vms int, keep time.Duration, faults []int) string {
+	w := newWorld(seed, keep, vms, 4, engine("e1"), engine("e2"))
 	w.loss, w.double = 0.02, 0.05
 	w.run(4 * time.Second)
 	for _, f := range faults {
@@ -35,8 +36,8 @@
 	switch kind {
 	case 0:
 		w.kill(v)
-	case 1: // a new process of the same VM
-		if v.dead {
+	case 1: // a new process of the same VM, after the one before was stopped
+		if !slices.ContainsFunc(w.vms, func(o *vm) bool { return o.id == v.id && !o.dead }) {
 			w.start(v.id)
 		}
 	case 2:
@@ -72,21 +73,22 @@
 	tests := []struct {
 		seed   uint64
 		vms    int
+		keep   time.Duration
 		faults []int
 	}{
 		// A borrower was lent what was only assumed of it after a hand-over.
-		{0xb253d, 4, []int{7}},
+		{0xb253d, 4, 0, []int{7}},
 		// A share kept for a VM was lent to it before others had let go.
-		{0, 1, []int{7, 2}},
-		{0, 1, []int{1, 3, 1, 1, 7, 2}},
+		{0, 1, 0, []int{7, 2}},
+		{0, 1, 0, []int{1, 3, 1, 1, 7, 2}},
 		// Completed work raised the limit before the upstream had said that it
 		// was warm.
-		{0x2f, 2, []int{7}},
-		{0, 2, []int{2, 1, 3}},
-		{0x8, 5, []int{11, 3}},
+		{0x2f, 2, 0, []int{7}},
+		{0, 2, 0, []int{2, 1, 3}},
+		{0x8, 5, 0, []int{11, 3}},
 	}
 	for _, test := range tests {
-		assert.Equal(t, play(test.seed, test.vms, test.faults), "")
+		assert.Equal(t, play(test.seed, test.vms, test.keep, test.faults), "")
 	}
 }
 
@@ -97,8 +99,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		vms := rapid.IntRange(1, 5).Draw(t, "vms")
+		keep := rapid.SampledFrom([]time.Duration{0, 30 * time.Second}).Draw(t, "keep")
 		faults := rapid.SliceOfN(rapid.IntRange(0, faultKinds-1), 1, 6).Draw(t, "faults")
-		if failure := play(seed, vms, faults); failure != "" {
+		if failure := play(seed, vms, keep, faults); failure != "" {
 			t.Fatal(failure)
 		}
 	})
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -16,7 +16,7 @@
 // warmed returns a fleet that has come to rest with all slots lent.
 func warmed(t *testing.T, vms, seats int, upstreams ...coordinator.Upstream) *world {
 	t.Helper()
-	w := newWorld(1, vms, seats, upstreams...)
+	w := newWorld(1, 0, vms, seats, upstreams...)
 	w.run(20 * time.Second)
 	assert.Equal(t, w.failure, "")
 	return w
@@ -35,7 +35,7 @@
 }
 
 func TestAloneServesWithinASecond(t *testing.T) {
-	w := newWorld(1, 1, 8, engine("e1"))
+	w := newWorld(1, 0, 1, 8, engine("e1"))
 	w.run(time.Second)
 	assert.Equal(t, w.failure, "")
 	assert.Assert(t, w.free(w.upstreams[0]) > 0)
--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -77,13 +77,14 @@
 // step is how far the clock moves at once, unless a world says otherwise.
 const step = 10 * time.Millisecond
 
-func newWorld(seed uint64, vms, seats int, upstreams ...coordinator.Upstream) *world {
+func newWorld(seed uint64, keep time.Duration, vms, seats int, upstreams ...coordinator.Upstream) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)), timings: coordinator.Today(),
 		cut: map[[2]string]bool{}, delay: 20 * time.Millisecond, seats: seats, load: 0.2, longest: time.Second, step: step,
 	}
 	w.timings.Longest = 5 * time.Second
 	w.timings.Absent = 4 * time.Second
+	w.timings.Keep = keep
 	for _, u := range upstreams {
 		w.boots++
 		w.upstreams = append(w.upstreams, &upstream{
@@ -143,6 +144,7 @@
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end) && w.failure == ""; {
 		w.now = w.now.Add(w.step)
+		w.forget()
 		w.due()
 		for _, v := range w.vms {
 			if !v.dead && !w.now.Before(v.frozen) {
@@ -153,6 +155,14 @@
 	}
 }
 
+// forget drops what the log no longer keeps.
+func (w *world) forget() {
+	keep := w.timings.Keep
+	for keep > 0 && w.forgotten < uint64(len(w.records)) && w.now.Sub(w.records[w.forgotten].At) > keep {
+		w.forgotten++
+	}
+}
+
 func (w *world) due() {
 	events := w.events
 	w.events = nil
