--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -21,8 +21,6 @@
 // A Config describes one upstream.
 type Config struct {
 	Name string
-	// Slots is how many requests it runs when warm.
-	Slots int
 	// Life is the life of a loan.
 	Life time.Duration
 	// Drift bounds the difference in rate of two VMs' clocks.
@@ -85,6 +83,7 @@
 
 	used, held   int
 	demand, miss int
+	told         int // what the holder was last told is wanted
 	need         int // tokens asked for beyond those held
 	boot         uint64
 	done         uint64
@@ -102,7 +101,8 @@
 	slots      int
 	tokens     int
 
-	share  int
+	share  int       // by this VM's configuration
+	part   int       // by the holder's
 	active bool      // a holder let the share be used, under warmBoot
 	warm   time.Time // last word that the upstream is warm
 	warmed uint64    // boot under which the share was let
@@ -133,7 +133,7 @@
 		n = b.slots
 	}
 	if b.sharing(now) {
-		n += b.share
+		n += min(b.share, b.part)
 	}
 	return n
 }
@@ -157,12 +157,13 @@
 	defer b.mu.Unlock()
 	if b.used >= b.ceiling(now) {
 		b.miss++
-		b.urge = true
+		b.more()
 		return 0, false
 	}
 	if tokens > 0 && (!now.Before(b.until) || b.held+tokens > b.tokens) {
-		b.need = max(b.need, tokens)
-		b.urge = true
+		if tokens > b.need {
+			b.need, b.urge = tokens, true
+		}
 		return 0, false
 	}
 	b.used++
@@ -188,12 +189,21 @@
 func (b *Borrower) Want(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > b.demand {
+	b.demand = n
+	b.more()
+}
+
+// more asks the holder soon where clearly more is wanted than it was told last.
+// Under overload something is always wanted, and asking each time would cost
+// every VM a message a request.
+func (b *Borrower) more() {
+	if b.wants() >= b.told+max(1, b.told/4) {
 		b.urge = true
 	}
-	b.demand = n
 }
 
+func (b *Borrower) wants() int { return b.used + max(b.demand, b.miss) }
+
 // Turned takes in evidence that the upstream is cold under a boot number, 0
 // where the number is not known. The share stops at once. It returns whether
 // that is news.
@@ -281,13 +291,13 @@
 	b.sent[b.seq] = now
 	a := lender.Ask{
 		Name: b.c.Name, Seq: b.seq, Fence: b.fence, Ack: b.ack,
-		Used: b.used, Want: b.used + max(b.demand, b.miss), Held: b.held, Need: b.held + b.need,
+		Used: b.used, Want: b.wants(), Held: b.held, Need: b.held + b.need,
 		Boot: b.boot, Done: b.done, Warm: b.active, Cold: b.cold,
 	}
 	if b.cold && b.coldAsk == 0 {
 		b.coldAsk = b.seq
 	}
-	b.miss = 0
+	b.told, b.miss = a.Want, 0
 	return a, true
 }
 
@@ -321,8 +331,8 @@
 	b.cold, b.coldAsk = false, 0
 	b.slots, b.tokens = l.Slots, l.Tokens
 	b.until = sent.Add(b.short(min(time.Duration(l.Life)*time.Millisecond, b.c.Life)))
-	b.active = l.Share
-	if l.Share {
+	b.active, b.part = l.Share > 0, l.Share
+	if b.active {
 		b.warm, b.warmed = later(b.warm, sent), l.Boot
 	}
 	after := b.ceiling(now)
--- a/entry/process/borrower/borrower_test.go
+++ b/entry/process/borrower/borrower_test.go
@@ -17,7 +17,7 @@
 
 func start() *borrower.Borrower {
 	return borrower.New(borrower.Config{
-		Name: "e", Slots: 16, Life: 2 * time.Second, Drift: 0.01, Fresh: 3 * time.Second, Gap: 10 * time.Millisecond,
+		Name: "e", Life: 2 * time.Second, Drift: 0.01, Fresh: 3 * time.Second, Gap: 10 * time.Millisecond,
 	})
 }
 
@@ -86,7 +86,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := lent(t, lender.Loan{Slots: 3, Share: true})
+			b := lent(t, lender.Loan{Slots: 3, Share: 2})
 			b.Share(2)
 			test.do(b)
 			assert.Equal(t, b.View(at(test.at)).Free, test.free)
@@ -97,10 +97,10 @@
 // The upstream turned cold, this VM saw it, and a loan comes from a holder that
 // did not know it yet.
 func TestLoanSentBeforeTheHolderKnew(t *testing.T) {
-	b := lent(t, lender.Loan{Slots: 3, Share: true})
+	b := lent(t, lender.Loan{Slots: 3, Share: 2})
 	assert.Assert(t, b.Turned(8))
 	assert.Assert(t, !b.Turned(7), "late news of an earlier boot")
-	b.Handle(at(200), lender.Loan{Name: "e", Fence: 5, Seq: 6, Echo: 1, Life: 2000, Boot: 7, Slots: 3, Share: true})
+	b.Handle(at(200), lender.Loan{Name: "e", Fence: 5, Seq: 6, Echo: 1, Life: 2000, Boot: 7, Slots: 3, Share: 2})
 	assert.Equal(t, b.View(at(200)).Free, 0)
 	a, due := b.Ask(at(300))
 	assert.Assert(t, due)
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -112,11 +112,18 @@
 			u.Longest = n.c.Timings.Longest
 		}
 		n.names = append(n.names, u.Name)
-		if k := old[u.Name]; k != nil && k.Upstream == u {
-			units[u.Name] = k
+		k := old[u.Name]
+		if k == nil || k.Address != u.Address {
+			units[u.Name] = n.unit(u)
 			continue
 		}
-		units[u.Name] = n.unit(u)
+		units[u.Name] = k
+		if k.Upstream != u {
+			k.Upstream = u
+			if k.lender != nil {
+				k.lender.Resize(n.lending(u), limiter.New(u.Slots, u.Cold))
+			}
+		}
 	}
 	slices.Sort(n.names)
 	n.seats = seats
@@ -126,7 +133,7 @@
 func (n *Node) unit(u Upstream) *unit {
 	t := n.c.Timings
 	return &unit{Upstream: u, borrower: borrower.New(borrower.Config{
-		Name: u.Name, Slots: u.Slots, Life: t.Life, Drift: t.Drift, Fresh: t.Fresh, Gap: t.Gap,
+		Name: u.Name, Life: t.Life, Drift: t.Drift, Fresh: t.Fresh, Gap: t.Gap,
 	})}
 }
 
@@ -255,14 +262,18 @@
 	return out
 }
 
-// newLender starts to hold an upstream.
-func (n *Node) newLender(u *unit, fence uint64, now time.Time) {
+func (n *Node) lending(u Upstream) lender.Config {
 	t := n.c.Timings
-	known := n.claims.Ready(u.Name)
-	u.lender = lender.New(lender.Config{
+	return lender.Config{
 		Name: u.Name, Slots: u.Slots, Cold: u.Cold, Memory: u.Memory, Life: t.Life, Drift: t.Drift,
 		Fresh: t.Fresh, Settle: t.Settle, Longest: u.Longest, Lists: u.lists(),
-	}, limiter.New(u.Slots, u.Cold), fence, now, known)
+	}
+}
+
+// newLender starts to hold an upstream.
+func (n *Node) newLender(u *unit, fence uint64, now time.Time) {
+	known := n.claims.Ready(u.Name)
+	u.lender = lender.New(n.lending(u.Upstream), limiter.New(u.Slots, u.Cold), fence, now, known)
 	if known && u.table != nil {
 		u.lender.Import(now, *u.table)
 	}
--- a/entry/process/coordinator/run.go
+++ b/entry/process/coordinator/run.go
@@ -18,7 +18,7 @@
 	// rest is the pause after a failed read or between two ticks that were
 	// asked for.
 	rest = 100 * time.Millisecond
-	calm = 2 * time.Millisecond
+	calm = 5 * time.Millisecond
 )
 
 type counters struct {
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -134,14 +134,14 @@
 // Shares sets the fixed share of each process that holds a seat.
 func (l *Lender) Shares(now time.Time, shares map[Who]int) {
 	for w, n := range l.shares {
-		b := l.borrower(w)
-		if _, still := shares[w]; !still {
+		if b := l.borrower(w); shares[w] < n {
 			// Its work on the share may still run.
 			if !b.active {
 				n = 0
 			}
 			b.floor = max(b.floor, n, b.charge(0))
 			b.quiet = later(b.quiet, now)
+			b.dirty = true
 		}
 	}
 	l.shares = shares
@@ -184,6 +184,16 @@
 	l.guess(now)
 }
 
+// Resize takes a changed configuration of the same upstream, and its limiter.
+func (l *Lender) Resize(c Config, limit Limiter) {
+	full := !l.cold()
+	l.c, l.limit = c, limit
+	if full {
+		l.limit.Completed(enough * c.Slots)
+	}
+	l.dirty()
+}
+
 // Turned takes in evidence that an upstream is cold under a boot number. The
 // limit falls at once; only completed work raises it again.
 func (l *Lender) Turned(now time.Time, boot uint64) {
@@ -267,14 +277,23 @@
 // its streams: what it reports beyond what borrowers report. Reports lag and
 // work turns over, so the highest guess of the last seconds counts.
 func (l *Lender) guess(now time.Time) {
-	if l.c.Lists || l.known && len(l.guesses) == 0 {
+	if l.c.Lists {
+		return
+	}
+	n := l.load.Running + l.load.Waiting
+	for _, b := range l.borrowers {
+		// What a silent one has running can't be more than all that runs.
+		if b.silent(now, l.long(l.c.Life)) && !l.load.Taken.Before(b.lapse().Add(l.c.Settle)) {
+			b.settle(min(n, b.charge(0)))
+		}
+	}
+	if l.known && len(l.guesses) == 0 {
 		return
 	}
 	if now.Sub(l.began) >= l.c.Longest {
 		l.known, l.unknown, l.guesses = true, 0, nil
 		return
 	}
-	n := l.load.Running + l.load.Waiting
 	if !l.cold() {
 		for _, b := range l.borrowers {
 			n -= b.used
@@ -363,6 +382,7 @@
 	whos := l.sorted()
 	targets := l.targets(whos, now)
 	sum := l.charged()
+	short := sum > l.bound() || l.wanting(whos)
 	var out []Out
 	for _, w := range whos {
 		b := l.borrowers[w]
@@ -372,7 +392,7 @@
 		others := sum - b.charge(l.reserved(w, b))
 		share := l.sharing(w, b, sum)
 		slots := l.grant(w, b, targets[w], others, share)
-		if o, ok := l.lend(now, w, b, slots, share); ok {
+		if o, ok := l.lend(now, w, b, slots, share, short); ok {
 			out = append(out, o)
 		}
 		sum = others + b.charge(l.reserved(w, b))
@@ -418,17 +438,18 @@
 	return b.using || sum <= l.bound()
 }
 
-func (l *Lender) lend(now time.Time, w Who, b *borrower, slots int, share bool) (Out, bool) {
+func (l *Lender) lend(now time.Time, w Who, b *borrower, slots int, share, short bool) (Out, bool) {
 	tokens := l.tokens(b)
-	if !b.dirty && slots == b.last.slots && share == b.last.share && tokens == b.last.tokens {
+	if !b.dirty && !worth(b, slots, tokens, share, short) {
 		return Out{}, false
 	}
 	l.seq++
 	l.sent[l.seq] = now
 	b.dirty = false
-	ceiling := slots
+	ceiling, part := slots, 0
 	if share {
-		ceiling += l.shares[w]
+		part = l.shares[w]
+		ceiling += part
 		b.using, b.active, b.stale = true, true, b.stale && b.active
 	}
 	b.last = loan{
@@ -438,12 +459,33 @@
 	b.out = append(b.out, b.last)
 	return Out{To: w, Loan: Loan{
 		Name: l.c.Name, Fence: l.fence, Seq: l.seq, Echo: b.echo, Life: int(l.c.Life.Milliseconds()),
-		Boot: l.boot, Slots: slots, Tokens: tokens, Share: share, Limit: l.bound(), Cold: l.cold(),
+		Boot: l.boot, Slots: slots, Tokens: tokens, Share: part, Limit: l.bound(), Cold: l.cold(),
 		Running: l.load.Running, Waiting: l.load.Waiting, Used: l.load.Used, Memory: l.load.Memory,
 		Left: l.load.Left, Age: int(now.Sub(l.load.Taken).Milliseconds()),
 	}}, true
 }
 
+// worth says whether a loan that was not asked for is worth a message: one that
+// gives what is wanted, or takes back what others want. Without it, each move of
+// demand at one VM would send a loan to all.
+func worth(b *borrower, slots, tokens int, share, short bool) bool {
+	switch {
+	case share != b.last.share || tokens != b.last.tokens:
+		return true
+	case slots > b.last.slots:
+		return b.want > b.last.ceiling
+	}
+	return slots < b.last.slots && short
+}
+
+// wanting says whether a borrower wants more than it was lent.
+func (l *Lender) wanting(whos []Who) bool {
+	return slices.ContainsFunc(whos, func(w Who) bool {
+		b := l.borrowers[w]
+		return !b.ended && b.want > b.last.ceiling
+	})
+}
+
 // expire drops what no longer counts.
 func (l *Lender) expire(now time.Time) {
 	for w, b := range l.borrowers {
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -41,8 +41,10 @@
 	// Slots and Tokens are lent beside the fixed share; work in progress counts
 	// against them.
 	Slots, Tokens int
-	// Share says that the borrower's fixed share may be used.
-	Share bool
+	// Share is how much of the borrower's fixed share may be used: all or 0. It
+	// is a number because two VMs may differ for seconds over the configuration
+	// that it follows from; the smaller one counts.
+	Share int
 	// Limit is what the upstream bears now, Cold whether that is less than its
 	// slots.
 	Limit int
