--- a/bench/presenter/presenter.go
+++ b/bench/presenter/presenter.go
@@ -37,10 +37,21 @@
 // tells all that was wrong.
 func (p *Presenter) Present(ctx context.Context) error {
 	s := p.fleet.Size
-	wrong := p.ask(ctx, "a short question", 40, 24)
-	wrong = errs.Combine(wrong, p.ask(ctx, "a long document", s.Memory*3/4, 24))
-	wrong = errs.Combine(wrong, p.ask(ctx, "a prompt larger than two engines' memory", s.Memory*9/4, 24))
-	return errs.Combine(wrong, p.book(ctx))
+	steps := []func() error{
+		func() error { return p.ask(ctx, "a short question", 40, 24) },
+		func() error { return p.ask(ctx, "a long document", s.Memory*3/4, 24) },
+		func() error { return p.ask(ctx, "a prompt larger than two engines' memory", s.Memory*9/4, 24) },
+		func() error { return p.book(ctx) },
+	}
+	var wrong error
+	for _, step := range steps {
+		err := step()
+		if ctx.Err() != nil {
+			return errs.New("interrupted")
+		}
+		wrong = errs.Combine(wrong, err)
+	}
+	return wrong
 }
 
 // vm goes round the VMs, as the platform's balancer does.
@@ -65,6 +76,9 @@
 	a := p.caller.Ask(ctx, vm.Line.Callers, p.token(), caller.Question{
 		Model: p.fleet.Size.Model, Prompt: text, Output: output,
 	})
+	if ctx.Err() != nil {
+		return nil
+	}
 	fmt.Fprintf(p.out, "%s of %d tokens\n", title, prompt)
 	p.way(a.Way)
 	if err := verifier.Check(text, output, a); err != nil {
@@ -117,6 +131,9 @@
 	var outcomes []caller.Outcome
 	for _, title := range []string{"a booking", "the same booking again, through another VM"} {
 		o := p.caller.Call(ctx, p.vm().Line.Callers, p.token(), call)
+		if ctx.Err() != nil {
+			return nil
+		}
 		fmt.Fprintf(p.out, "%s\n", title)
 		p.way(o.Way)
 		fmt.Fprintf(p.out, "  %s\n\n", shorten(o.Body))
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -266,6 +266,7 @@
 	if !ok {
 		return nil
 	}
+	p.note(part.Upstream.Name, sending{at: now, tokens: part.Tokens})
 	part.Ahead = cs[i].PrefillLeft + cs[i].SentTokens
 	return &Grant{Parts: []Part{part}}
 }
@@ -308,6 +309,11 @@
 		}
 		g.Parts = append(g.Parts, taken)
 	}
+	// Only what is really sent counts: a group that tries again every few
+	// milliseconds would else take its own tries for load, and find no room.
+	for _, part := range g.Parts {
+		p.note(part.Upstream.Name, sending{at: now, tokens: part.Tokens})
+	}
 	p.hold = hold{}
 	return g
 }
@@ -348,6 +354,5 @@
 	if !ok {
 		return Part{}, false
 	}
-	p.note(name, sending{at: now, tokens: prompt})
 	return Part{Upstream: p.upstreams[i], Boot: slot.Boot(), Tokens: prompt, Slot: slot}, true
 }
