Let a group take cold engines that have a slot where warm ones are not enough

Cause of a group that never found a place on a fresh fleet: a holder counts an engine as cold until completed work has raised its limit, and a plan passed over all cold engines, however many slots they had. A part is one request, and the slots lent of a cold engine are what it bears.

--- a/entry/request/grouper/grouper.go
+++ b/entry/request/grouper/grouper.go
@@ -53,6 +53,7 @@
 type room struct {
 	name, zone string
 	free, most int
+	cold       bool
 }
 
 // Plan gives the parts of a prompt of that many tokens, in the order in which
@@ -69,7 +70,11 @@
 		return nil, e
 	}
 	if have >= need {
-		if chosen := choose(rooms, need, output); chosen != nil {
+		chosen := choose(warm(rooms), need, output)
+		if chosen == nil {
+			chosen = choose(rooms, need, output)
+		}
+		if chosen != nil {
 			return parts(chosen, tokens, output), nil
 		}
 	}
@@ -81,8 +86,8 @@
 	for i := range cs {
 		c := &cs[i]
 		total := int(engineShare * float64(c.Memory))
-		r := room{name: c.Name, zone: c.Zone, most: total}
-		if c.Free > 0 && !c.Cold {
+		r := room{name: c.Name, zone: c.Zone, most: total, cold: c.Cold}
+		if c.Free > 0 {
 			r.free = max(0, min(total, c.Memory-c.Used-c.SentTokens))
 		}
 		have += r.free
@@ -92,6 +97,14 @@
 	return rooms, have, most
 }
 
+// warm leaves out the engines that are cold. A cold one with a free slot bears
+// one request more, and a part is one: a fleet that has just started is all
+// cold, and without its cold engines it would hold no long prompt until other
+// work had warmed enough of them.
+func warm(rooms []room) []room {
+	return slices.DeleteFunc(slices.Clone(rooms), func(r room) bool { return r.cold })
+}
+
 func largest(rooms []room) int {
 	most := 0
 	for _, r := range rooms {
