--- a/entry/process/claimer/claimer_test.go
+++ b/entry/process/claimer/claimer_test.go
@@ -96,6 +96,22 @@
 	assert.Assert(t, ok)
 }
 
+// A hand-over takes effect at once only where the table has come. A successor
+// that lost it, restarted meanwhile, does not know what is lent.
+func TestHandoverNeedsTheTable(t *testing.T) {
+	handed := claim("b", "e", 1)
+	handed.By, handed.Handed = "a", true
+	records := []appender.Record{record(t, 1, 0, claim("a", "e", 0)), record(t, 2, 0, handed)}
+	for _, fence := range []uint64{0, 1, 7} {
+		m := machine("b", 0)
+		m.Read(epoch, epoch, batch(1, records[0]))
+		m.Tabled("e", fence)
+		m.Read(epoch, epoch, batch(1, records...))
+		_, ok := m.Hold("e", epoch)
+		assert.Equal(t, ok, fence == 1, "table under fence %d", fence)
+	}
+}
+
 // The holder can't read the log, or is slow to read it: another may have claimed
 // meanwhile, so it stops within the lease of the read's begin.
 func TestHolderStopsWithoutLog(t *testing.T) {
--- a/entry/process/coordinator/world_test.go
+++ b/entry/process/coordinator/world_test.go
@@ -37,6 +37,8 @@
 	longest   time.Duration
 	step      time.Duration
 	failure   string
+	sent      int // messages
+	bytes     int
 }
 
 type event struct {
@@ -337,6 +339,8 @@
 	if err != nil {
 		panic(err)
 	}
+	w.sent++
+	w.bytes += len(data)
 	from := lender.Who{VM: v.id, Boot: v.boot}
 	w.after(w.short(), func() {
 		for _, to := range w.vms {
--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -9,6 +9,7 @@
 	used, want int
 	held, need int
 	done       uint64
+	at         uint64 // boot of the upstream that it spoke of last
 	cold       bool
 	warmed     uint64 // boot under which it may use its share, by its own word
 
@@ -45,11 +46,15 @@
 	return n
 }
 
-// firm is what it certainly has: by its own word, or by a loan from here.
-func (b *borrower) firm(share int) int {
-	n := max(b.used, share)
+// firm is what it certainly has under a boot number of the upstream: by its own
+// word, or by a loan from here.
+func (b *borrower) firm(share int, boot uint64) int {
+	n := share
+	if b.at == boot {
+		n = max(n, b.used)
+	}
 	for _, o := range b.out {
-		if o.seq > 0 {
+		if o.seq > 0 && o.boot == boot {
 			n = max(n, o.ceiling)
 		}
 	}
@@ -96,7 +101,7 @@
 // assumed of it is replaced.
 func (b *borrower) take(now time.Time, a Ask, acked bool) {
 	b.echo, b.heard, b.dirty = a.Seq, now, true
-	b.used, b.want, b.held, b.need = a.Used, a.Want, a.Held, a.Need
+	b.used, b.want, b.held, b.need, b.at = a.Used, a.Want, a.Held, a.Need, a.Boot
 	if !acked {
 		return
 	}
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -211,8 +211,10 @@
 		if len(l.past) > maxPast {
 			l.past = l.past[1:]
 		}
-		for _, b := range l.borrowers {
-			b.reboot(now)
+		if l.boot != 0 {
+			for _, b := range l.borrowers {
+				b.reboot(now)
+			}
 		}
 		// The fall has cut all that ran and freed its memory.
 		l.unknown, l.guesses = 0, nil
@@ -242,15 +244,21 @@
 	for w := range counts {
 		l.borrower(w)
 	}
-	settled := !at.Before(l.began.Add(l.c.Settle))
+	if at.Before(l.began.Add(l.c.Settle)) {
+		return
+	}
+	all := true
 	for w, b := range l.borrowers {
-		if b.silent(now, l.long(l.c.Life)) && !at.Before(b.lapse().Add(l.c.Settle)) && settled {
-			b.settle(counts[w])
+		if !b.silent(now, l.long(l.c.Life)) {
+			continue
 		}
+		if at.Before(b.lapse().Add(l.c.Settle)) {
+			all = false
+			continue
+		}
+		b.settle(counts[w])
 	}
-	if settled {
-		l.known = true
-	}
+	l.known = l.known || all
 }
 
 // Unsure says whether the list of streams would help.
@@ -425,7 +433,7 @@
 	}
 	// What is only assumed of it, and a share that it does not use yet, give it
 	// no right to what others still have.
-	ceiling := max(b.firm(share), l.bound()-others)
+	ceiling := max(b.firm(share, l.boot), l.bound()-others)
 	return max(0, min(target, ceiling-share))
 }
 
