--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -95,6 +95,26 @@
 	t.Logf("lent again after %v, least %d of %d slots", took, least, u.Slots)
 }
 
+// A VM is killed while its long requests run. They outlive its loans, and nobody
+// reports them; lent anew, their slots would overrun the engine, which cuts the
+// answers of others.
+func TestDeadVMsWorkIsCounted(t *testing.T) {
+	for _, holder := range []bool{false, true} {
+		w := warmed(t, 3, 4, engine("e1"))
+		w.longest, w.load = time.Minute, 0.9
+		w.run(5 * time.Second)
+		var victim *vm
+		for _, v := range w.vms {
+			if (v == w.holder()) == holder {
+				victim = v
+			}
+		}
+		w.kill(victim)
+		w.run(30 * time.Second)
+		assert.Equal(t, w.failure, "", "holder killed: %v", holder)
+	}
+}
+
 // A plain service does not say whose work it runs. What a dead VM left there is
 // bounded by what the service reports, and gone at the latest with the longest
 // time of a request.
