--- a/entry/process/coordinator/faults_test.go
+++ b/entry/process/coordinator/faults_test.go
@@ -90,6 +90,8 @@
 		{0x8, 5, 0, []int{11, 3}},
 		// What a VM had for an earlier boot counted as its own under the next.
 		{6, 4, 0, []int{8, 6, 0}},
+		// A holder that did not know all yet handed over as if it did.
+		{0x1119, 1, 30 * time.Second, []int{2, 3, 12, 7, 5}},
 		// A new holder took its word that it knew all for more than it was.
 		{0x22, 2, 0, []int{1, 12, 1, 0, 0}},
 	}
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -272,9 +272,10 @@
 
 // newLender starts to hold an upstream.
 func (n *Node) newLender(u *unit, fence uint64, now time.Time) {
-	known := n.claims.Ready(u.Name)
+	ready := n.claims.Ready(u.Name)
+	known := ready && (u.table == nil || u.table.Known)
 	u.lender = lender.New(n.lending(u.Upstream), limiter.New(u.Slots, u.Cold), fence, now, known)
-	if known && u.table != nil {
+	if ready && u.table != nil {
 		u.lender.Import(now, *u.table)
 	}
 	u.table = nil
--- a/entry/process/lender/lender_test.go
+++ b/entry/process/lender/lender_test.go
@@ -23,7 +23,7 @@
 // warmLender holds a warm upstream and knows all that runs there.
 func warmLender() *lender.Lender {
 	l := lender.New(config(), limiter.New(16, 2), 1, epoch, true)
-	l.Import(epoch, lender.Table{Name: "e", Boot: 7, Full: true})
+	l.Import(epoch, lender.Table{Name: "e", Boot: 7, Full: true, Known: true})
 	l.Loaded(epoch, lender.Load{Boot: 7, Taken: epoch})
 	return l
 }
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -65,7 +65,7 @@
 
 // Export gives the table for a successor. The lender must not lend after it.
 func (l *Lender) Export() Table {
-	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.cold(), Unknown: l.unknown}
+	t := Table{Name: l.c.Name, Fence: l.fence, Boot: l.boot, Full: !l.cold(), Known: l.known, Unknown: l.unknown}
 	for _, w := range l.sorted() {
 		b := l.borrowers[w]
 		share := 0
@@ -87,7 +87,7 @@
 // it has taken in a loan under the new fence, or its loans have lapsed and the
 // upstream tells what it runs.
 func (l *Lender) Import(now time.Time, t Table) {
-	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, true
+	l.boot, l.booted, l.unknown, l.known = t.Boot, now, t.Unknown, t.Known
 	if t.Full {
 		l.warm = true
 		l.limit.Completed(enough * l.c.Slots)
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -71,9 +71,11 @@
 	Name  string
 	Fence uint64
 	// Boot is the upstream's, Full whether it bore all its slots, and Unknown
-	// its work that no borrower reports.
+	// its work that no borrower reports. Known says that nothing else runs there;
+	// a holder that has just taken over from a dead one can't say so.
 	Boot    uint64
 	Full    bool
+	Known   bool
 	Unknown int
 	Entries []Entry
 }
