--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -56,6 +56,10 @@
 	Cancelled
 )
 
+// needLife is how long a need for memory stands that nobody has repeated.
+// Waiting requests are tried again every few tens of milliseconds.
+const needLife = 500 * time.Millisecond
+
 // A View is what a router needs to know of an upstream.
 type View struct {
 	// Free is how many slots can be taken now, Mine how many this VM uses.
@@ -85,6 +89,7 @@
 	demand, miss int
 	told         int // what the holder was last told is wanted
 	need         int // tokens asked for beyond those held
+	needed       time.Time
 	boot         uint64
 	done         uint64
 	cold         bool   // turned cold under boot, and no holder has taken it in
@@ -174,6 +179,22 @@
 	return b.boot, true
 }
 
+// Need asks for tokens of memory without a slot, as for one part of a group
+// whose other parts are not there yet. It must be said again while it is true.
+func (b *Borrower) Need(now time.Time, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asks(now, tokens)
+}
+
+func (b *Borrower) asks(now time.Time, tokens int) {
+	if tokens > b.need {
+		b.urge = true
+	}
+	b.need = max(b.need, tokens)
+	b.needed = now
+}
+
 // Done gives a slot back that was taken under a boot number.
 func (b *Borrower) Done(boot uint64, tokens int, o Outcome) {
 	b.mu.Lock()
@@ -289,6 +310,11 @@
 		clear(b.sent)
 	}
 	b.sent[b.seq] = now
+	if now.Sub(b.needed) > needLife {
+		// The request that needed it went elsewhere, or was given up. Memory
+		// lent for nobody would keep other VMs' long prompts waiting.
+		b.need = 0
+	}
 	a := lender.Ask{
 		Name: b.c.Name, Seq: b.seq, Fence: b.fence, Ack: b.ack,
 		Used: b.used, Want: b.wants(), Held: b.held, Need: b.held + b.need,
