Take a claim that has just landed for a sign of life

Ruled out: waiting for the list, which may lag by hours. Change: a holder whose claim was seen to land counts as living for a lease. Conclusion: the log keeps its appends for calls.

--- a/entry/process/claimer/claimer.go
+++ b/entry/process/claimer/claimer.go
@@ -81,6 +81,7 @@
 	hasSeat bool
 
 	waits   map[string]time.Time // upstreams claimed and not yet read back
+	signs   map[string]time.Time // when a claim of another process was seen to land
 	seatTry time.Time
 	hands   map[string]*hand
 	better  map[string]since
@@ -114,6 +115,7 @@
 		seats:     newTable[int](keep),
 		held:      map[string]tenure{},
 		waits:     map[string]time.Time{},
+		signs:     map[string]time.Time{},
 		hands:     map[string]*hand{},
 		better:    map[string]since{},
 		tables:    map[string]uint64{},
@@ -200,6 +202,9 @@
 	defer delete(m.tables, name)
 	if !c.is(m.c.VM, m.c.Boot) {
 		delete(m.held, name)
+		if !m.began.IsZero() {
+			m.signs[name] = now
+		}
 		return
 	}
 	stored := m.upstreams.entries[name]
--- a/entry/process/claimer/claimer_test.go
+++ b/entry/process/claimer/claimer_test.go
@@ -246,3 +246,33 @@
 		}
 	})
 }
+
+// Several VMs start at once, before the list shows any of them to the others.
+// Each takes the others' claims for those of dead VMs and claims again at every
+// look. The log, which takes a few hundred appends a second for the whole
+// fleet, is full of claims, and bookings wait behind them.
+func TestVMsThatDoNotKnowOneAnotherYetDoNotFloodTheLog(t *testing.T) {
+	const seconds, tick = 3, 10 * time.Millisecond
+	var log []appender.Record
+	machines := map[string]*claimer.Machine{}
+	for _, vm := range []string{"a", "b", "c"} {
+		machines[vm] = machine(vm, 0)
+	}
+	for at := time.Duration(0); at < seconds*time.Second; at += tick {
+		now := epoch.Add(at)
+		for _, vm := range []string{"a", "b", "c"} {
+			m := machines[vm]
+			m.Read(now, now, batch(1, log...))
+			claims := m.Tick(now, claimer.Facts{
+				Live:      func(other string, _ uint64) bool { return other == vm },
+				Should:    func(string) (string, uint64) { return vm, 1 },
+				Absent:    func(string, uint64) bool { return false },
+				Upstreams: []string{"e"},
+			})
+			for _, c := range claims {
+				log = append(log, record(t, uint64(len(log)+1), at, c))
+			}
+		}
+	}
+	assert.Assert(t, len(log) <= len(machines)*(seconds*int(time.Second)/int(lease)+1), "%d claims", len(log))
+}
--- a/entry/process/claimer/propose.go
+++ b/entry/process/claimer/propose.go
@@ -63,7 +63,19 @@
 		return m.old(t, now) || m.stuck(now, name)
 	}
 	vm, boot := f.Should(name)
-	return !f.Leaving && vm == m.c.VM && boot == m.c.Boot && (!known || !f.Live(c.VM, c.Boot))
+	return !f.Leaving && vm == m.c.VM && boot == m.c.Boot && (!known || !m.living(now, name, c, f))
+}
+
+// living says whether the holder of an upstream is thought to run. That its
+// claim has just landed is a sign of life too: VMs that start together do not
+// know one another before the list shows them, and without it each would claim
+// what the other has just claimed, at every look.
+func (m *Machine) living(now time.Time, name string, c Claim, f Facts) bool {
+	if f.Live(c.VM, c.Boot) {
+		return true
+	}
+	at, seen := m.signs[name]
+	return seen && now.Sub(at) < m.c.Lease
 }
 
 func (m *Machine) old(t tenure, now time.Time) bool {
