Let a group's later parts outwait the parts before them

Cause of a group that always failed: a place counted as lapsed half the settling time after it was taken, and a group's second part waits until the first has been read, which takes longer. Giving the places a longer life was ruled out: a process frozen before the send would use one that others count on. A place now stays good while its loans have followed one another without a gap, because the holder has counted it all along; a frozen process wakes with a gap. A group that failed may also use its engines again, as there may be no group without them.

--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -103,6 +103,7 @@
 
 	fence, ack uint64
 	until      time.Time // end of the loan
+	since      time.Time // since when loans have followed without a gap
 	slots      int
 	tokens     int
 
@@ -177,6 +178,15 @@
 	return b.boot, true
 }
 
+// Lent says whether a slot taken at a time has been lent ever since: no loan has
+// lapsed before the next one came, so that the holder has counted it all along.
+// A process that was frozen in between wakes with a loan that has lapsed.
+func (b *Borrower) Lent(now, taken time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.until) && !taken.Before(b.since)
+}
+
 // Need asks for tokens of memory without a slot, as for one part of a group
 // whose other parts are not there yet. It must be said again while it is true.
 func (b *Borrower) Need(now time.Time, tokens int) {
@@ -354,6 +364,9 @@
 	b.rebooted(l.Boot)
 	b.cold, b.coldAsk = false, 0
 	b.slots, b.tokens = l.Slots, l.Tokens
+	if !now.Before(b.until) {
+		b.since = now
+	}
 	b.until = sent.Add(b.short(min(time.Duration(l.Life)*time.Millisecond, b.c.Life)))
 	b.active, b.part = l.Share > 0, l.Share
 	if b.active {
--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -184,9 +184,11 @@
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
 // unused; it must ask just before the send. Half of the settling time is left
-// for the way to the upstream.
+// for the way to the upstream. A part of a group waits longer than that for the
+// parts before it to be read: it is live while its loan has never lapsed.
 func (s *Slot) Live() bool {
-	return s.o.d.Ticker.Now().Sub(s.taken) < s.o.c.Timings.Settle/2
+	now := s.o.d.Ticker.Now()
+	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Lent(now, s.taken)
 }
 
 // Done gives the slot back. Only its first call counts.
--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -13,9 +13,12 @@
 // them. The slice is used again by the next call.
 func (p *pool) candidates(now time.Time, k admitter.Ask, avoid []string) []router.Candidate {
 	cs := p.scratch[:0]
-	held := now.Before(p.hold.until) && !p.needsGroup(k)
+	group := p.needsGroup(k)
+	held := now.Before(p.hold.until) && !group
 	for _, u := range p.upstreams {
-		if slices.Contains(avoid, u.Name) {
+		// A group that failed has all its engines to avoid, and there may be
+		// no other group without one of them.
+		if !group && slices.Contains(avoid, u.Name) {
 			continue
 		}
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
