Let a group take engines in cold start where no others do

Cause: in a fleet that has just started every engine counts as cold until work has proved it, and a group of three found none for its whole limit. A part is one request, which a cold engine bears; the lender still bounds the sum.

--- a/entry/request/grouper/grouper.go
+++ b/entry/request/grouper/grouper.go
@@ -59,11 +59,20 @@
 // they must be reserved and read; the last engine also holds the answer's
 // output. No more than engineShare of an engine's memory, from 0 to 1, is
 // used, so that short work keeps the rest. All engines are of one availability
-// zone where one has enough, because the cache moves between them. The error
-// is an *Error.
+// zone where one has enough, because the cache moves between them. Engines in
+// cold start are taken only where the others cannot hold it: a part is one
+// request, which a cold engine bears, and in a fleet that has just started all
+// of them count as cold. The error is an *Error.
 func Plan(tokens, output int, cs []router.Candidate, engineShare float64) ([]Part, error) {
+	if found, err := plan(tokens, output, cs, engineShare, false); err == nil {
+		return found, nil
+	}
+	return plan(tokens, output, cs, engineShare, true)
+}
+
+func plan(tokens, output int, cs []router.Candidate, engineShare float64, cold bool) ([]Part, error) {
 	need := tokens + output
-	rooms, have, most := measure(cs, engineShare)
+	rooms, have, most := measure(cs, engineShare, cold)
 	e := &Error{Code: Never, Need: need, Have: most, Engines: len(rooms)}
 	if most < need || largest(rooms) <= output {
 		return nil, e
@@ -77,12 +86,12 @@
 	return nil, e
 }
 
-func measure(cs []router.Candidate, engineShare float64) (rooms []room, have, most int) {
+func measure(cs []router.Candidate, engineShare float64, cold bool) (rooms []room, have, most int) {
 	for i := range cs {
 		c := &cs[i]
 		total := int(engineShare * float64(c.Memory))
 		r := room{name: c.Name, zone: c.Zone, most: total}
-		if c.Free > 0 && !c.Cold {
+		if c.Free > 0 && (cold || !c.Cold) {
 			r.free = max(0, min(total, c.Memory-c.Used-c.SentTokens))
 		}
 		have += r.free
