--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -166,9 +166,7 @@
 		return 0, false
 	}
 	if tokens > 0 && (!now.Before(b.until) || b.held+tokens > b.tokens) {
-		if tokens > b.need {
-			b.need, b.urge = tokens, true
-		}
+		b.asks(now, tokens)
 		return 0, false
 	}
 	b.used++
