--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -266,8 +266,13 @@
 // is none.
 func (o *Coordinator) Holder(upstream string) string { return o.node.Holder(upstream) }
 
-// Holds says whether this process may lend an upstream's slots now, and so give
-// it orders under the fence that View tells.
+// Fence is the fence under which this process holds an upstream now, to be given
+// with orders to it.
+func (o *Coordinator) Fence(upstream string) (fence uint64, ok bool) {
+	return o.node.Fence(o.d.Ticker.Now(), upstream)
+}
+
+// Holds says whether this process may lend an upstream's slots now.
 func (o *Coordinator) Holds(upstream string) bool {
 	return o.node.Holds(o.d.Ticker.Now(), upstream)
 }
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// A VM dies and none comes in its place. Its seat's share must not lie idle for
+// ever.
+func TestDeadVMsSeatIsLent(t *testing.T) {
+	w := warmed(t, 3, 4, engine("e1"))
+	for _, v := range w.vms {
+		if v != w.holder() {
+			w.kill(v)
+			break
+		}
+	}
+	w.load = 0
+	w.until(t, 15*time.Second, func() bool { return w.free(w.upstreams[0]) == 16 })
+}
+
 // A plain service does not say whose work it runs. What a dead VM left there is
 // bounded by what the service reports, and gone at the latest with the longest
 // time of a request.
--- a/entry/process/coordinator/query.go
+++ b/entry/process/coordinator/query.go
@@ -19,10 +19,15 @@
 
 // Holds says whether this process may lend an upstream's slots now.
 func (n *Node) Holds(now time.Time, name string) bool {
+	_, ok := n.Fence(now, name)
+	return ok
+}
+
+// Fence is the fence under which this process holds an upstream now.
+func (n *Node) Fence(now time.Time, name string) (fence uint64, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, ok := n.claims.Hold(name, now)
-	return ok
+	return n.claims.Hold(name, now)
 }
 
 // Seat is the number of this process's seat.
--- a/entry/process/coordinator/tick.go
+++ b/entry/process/coordinator/tick.go
@@ -112,6 +112,11 @@
 		if u.lender != nil {
 			shares := make(map[lender.Who]int, len(seats))
 			for k, s := range seats {
+				if n.members.Absent(now, s.VM, s.Boot) {
+					// Nobody may have come to take the seat of a stopped VM; its
+					// share is lent like the rest.
+					continue
+				}
 				if m := lender.Share(name, u.Slots, n.seats, k); m > 0 {
 					shares[lender.Who{VM: s.VM, Boot: s.Boot}] += m
 				}
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -1,6 +1,11 @@
 package lender
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // targets divides what can be lent: wants first, in turns of one slot, then
 // what is left, so that the next caller at any VM finds a slot without asking.
@@ -18,6 +23,7 @@
 		left -= reserved
 		open = append(open, w)
 	}
+	open = l.turned(open)
 	left = l.deal(open, targets, left, func(w Who, b *borrower) bool {
 		return targets[w]+l.reserved(w, b) < b.want
 	})
@@ -27,6 +33,16 @@
 	return targets
 }
 
+// turned has each upstream begin with another borrower: what doesn't come out
+// even would else always fall to the same VM.
+func (l *Lender) turned(open []Who) []Who {
+	if len(open) == 0 {
+		return open
+	}
+	k := int(xxhash.Sum64String(l.c.Name) % uint64(len(open)))
+	return slices.Concat(open[k:], open[:k])
+}
+
 // deal gives out slots one at a time in turns while anyone qualifies.
 func (l *Lender) deal(open []Who, targets map[Who]int, left int, more func(Who, *borrower) bool) int {
 	for left > 0 {
