--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -193,6 +193,14 @@
 	b.needed = now
 }
 
+// Current says whether the holder's last loan still runs: until it lapses, the
+// holder counts all work in progress that this VM has told of.
+func (b *Borrower) Current(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.until)
+}
+
 // Done gives a slot back that was taken under a boot number.
 func (b *Borrower) Done(boot uint64, tokens int, o Outcome) {
 	b.mu.Lock()
--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -183,10 +183,13 @@
 
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
-// unused; it must ask just before the send. Half of the settling time is left
-// for the way to the upstream.
+// unused; it must ask just before the send. A slot that waits, as one part of a
+// group does for the parts before it, stays live while its VM's loan is: the
+// holder hears of it with each renewal, and counts it. Half of the settling
+// time is left for the way to the upstream.
 func (s *Slot) Live() bool {
-	return s.o.d.Ticker.Now().Sub(s.taken) < s.o.c.Timings.Settle/2
+	now := s.o.d.Ticker.Now()
+	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Current(now)
 }
 
 // Done gives the slot back. Only its first call counts.
