--- a/entry/process/keeper/batcher.go
+++ b/entry/process/keeper/batcher.go
@@ -19,7 +19,7 @@
 	maxNotes = 2048
 	// appendLimit is how long one append may take.
 	appendLimit = 3 * time.Second
-	// maxSkip bounds the wait after failed appends, in paces: 1.6 s.
+	// maxSkip bounds the wait after failed appends, in paces: 1.6 s by default.
 	maxSkip = 64
 )
 
@@ -143,7 +143,10 @@
 	b.notes = append(notes, b.notes...)
 }
 
-// take removes the next record's items; nil means that there is nothing.
+// take removes the next record's items; nil means that there is nothing. Where
+// both wait, intents get half of a record: callers wait for them, but a record
+// full of intents would leave the outcomes of those before them behind for as
+// long as the rush lasts.
 func (b *batcher) take() []item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -151,12 +154,13 @@
 		return nil
 	}
 	b.marked = false
-	items := make([]item, 0, min(len(b.intents)+len(b.notes), recorder.MostCalls))
-	n := min(len(b.intents), recorder.MostCalls)
-	items = append(items, b.intents[:n]...)
+	most := recorder.MostCalls
+	notes := min(len(b.notes), most/2)
+	n := min(len(b.intents), most-notes)
+	items := append(make([]item, 0, most), b.intents[:n]...)
 	b.intents = b.intents[n:]
 	size := n * entryBytes
-	for len(b.notes) > 0 && len(items) < recorder.MostCalls {
+	for len(b.notes) > 0 && len(items) < most {
 		size += sizeOf(b.notes[0].entry)
 		if size > maxBytes {
 			break
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -59,6 +59,9 @@
 	// Body is the longest body in bytes that is kept for repetitions; 0 means
 	// DefaultBody.
 	Body int
+	// Pace is the least time between two appends of this VM; 0 means
+	// DefaultPace.
+	Pace time.Duration
 }
 
 // Defaults.
@@ -68,12 +71,13 @@
 	DefaultMargin = 30 * time.Second
 	// DefaultBody holds a booking's confirmation many times over.
 	DefaultBody = 8 << 10
+	// DefaultPace has nine VMs that are always busy make 360 appends a second,
+	// of the several hundred that the log takes. A larger fleet needs a longer
+	// one.
+	DefaultPace = 25 * time.Millisecond
 )
 
 const (
-	// pace is the least time between two appends of one VM: nine VMs that are
-	// always busy make 360 appends a second at most.
-	pace = 25 * time.Millisecond
 	// stale is after how long without a good read the log counts as down.
 	stale = 5 * time.Second
 	// recheck is how often waiting calls look whether the winner's VM is gone.
@@ -105,6 +109,9 @@
 	if c.Body == 0 {
 		c.Body = DefaultBody
 	}
+	if c.Pace == 0 {
+		c.Pace = DefaultPace
+	}
 	k := &Keeper{
 		config:   c,
 		timer:    timer,
@@ -120,7 +127,7 @@
 
 // Run reads and appends until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	defer k.timer.Subscribe(pace, func(time.Time) { poke(k.queue.tick) })()
+	defer k.timer.Subscribe(k.config.Pace, func(time.Time) { poke(k.queue.tick) })()
 	defer k.timer.Subscribe(recheck, k.check)()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return k.queue.run(ctx) })
