Keep all keys until a manifest says how long they are known

Cause: a VM started with a window of ten minutes and forgot, while it read the log, what a longer window of the manifest would have had it know; it then refused keys older than ten minutes for as long as that window. Ruled out: reading the log again at each change. Change: the first window is 30 days. Shown: TestLongerWindow, that the refusal itself is right.

--- a/entry/process/keeper/ledger_test.go
+++ b/entry/process/keeper/ledger_test.go
@@ -108,6 +108,19 @@
 	assert.Equal(t, l.Judge(recorder.Hash{2}, recorder.Hash{9}).Standing, keeper.Claimed)
 }
 
+// Operators lengthen the window. Keys that were forgotten under the old one don't
+// come back, so for a while they must not pass for new.
+func TestLongerWindow(t *testing.T) {
+	l := keeper.NewLedger(time.Minute)
+	l.Keep(time.Hour) // nothing read yet, nothing forgotten
+	assert.Assert(t, l.Since().IsZero())
+	l.Keep(time.Minute)
+	l.Apply(start, recorder.CallBatch{Calls: []recorder.CallEntry{intent(1, attempt("a", 1))}})
+	l.Apply(start.Add(2*time.Minute), recorder.CallBatch{})
+	l.Keep(time.Hour)
+	assert.Assert(t, l.Since().Equal(start.Add(time.Minute)), "%s", l.Since())
+}
+
 // The log forgets, or loses its end, before a VM has read it. A key used in
 // what is missing must not pass for new.
 func TestNotesWhatItMissed(t *testing.T) {
--- a/entry/process/server/coordination.go
+++ b/entry/process/server/coordination.go
@@ -17,8 +17,10 @@
 	sweepEvery = 2 * time.Second
 	// sweepTime bounds one look.
 	sweepTime = time.Second
-	// firstWindow is how long keys are known until a manifest says so.
-	firstWindow = 10 * time.Minute
+	// firstWindow is how long keys are known until a manifest says so. It is
+	// longer than any manifest's: what the keeper forgot under a shorter one
+	// would be missing under the manifest's, and calls refused for it.
+	firstWindow = 30 * 24 * time.Hour
 )
 
 // newCoordination joins the parts that act together with other VMs.
