See outcomes of keyed calls landed before a planned stop; follow no redirect

Cause: a leaving VM did not wait for the log to take the outcomes of its last keyed calls: whoever repeated one got 'unknown'. Ruled out: handing them to a peer, which would be a second way to the same record. Change: Keeper.Wait, and leave waits for it at most 3 s. Also: the log's client follows no redirect, as the append would go out twice, and reads refusals to their end, so that their connection is used again. Shown: TestLogDown, TestAppend/sent_on.

--- a/entry/process/keeper/batcher.go
+++ b/entry/process/keeper/batcher.go
@@ -36,7 +36,8 @@
 	mu      sync.Mutex
 	intents []item
 	notes   []item
-	sending int // notes in the append under way
+	sending int           // notes in the append under way
+	empty   chan struct{} // closed when no note waits any more
 	marked  bool
 }
 
@@ -48,7 +49,7 @@
 }
 
 func newBatcher(log Log, meter Meter) *batcher {
-	return &batcher{log: log, meter: meter, work: make(chan struct{}, 1), tick: make(chan struct{}, 1)}
+	return &batcher{log: log, meter: meter, work: make(chan struct{}, 1), tick: make(chan struct{}, 1), empty: make(chan struct{})}
 }
 
 // post queues an entry.
@@ -79,6 +80,23 @@
 
 func (b *batcher) crowded() bool { return b.pending() > maxNotes }
 
+// wait returns when no note waits, or when the context ends.
+func (b *batcher) wait(ctx context.Context) error {
+	for {
+		b.mu.Lock()
+		n, empty := len(b.notes)+b.sending, b.empty
+		b.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-empty:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // run appends until the context ends.
 func (b *batcher) run(ctx context.Context) error {
 	for {
@@ -120,6 +138,10 @@
 	b.sending = 0
 	if err == nil {
 		b.failed = 0
+		if len(b.notes) == 0 {
+			close(b.empty)
+			b.empty = make(chan struct{})
+		}
 		return len(b.intents)+len(b.notes) > 0
 	}
 	b.failed++
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -189,10 +189,14 @@
 	return nil
 }
 
-// Pending is how many outcomes are still to be appended. A VM that leaves waits
-// for none.
+// Pending is how many outcomes and abandonments are still to be appended.
 func (k *Keeper) Pending() int { return k.queue.pending() }
 
+// Wait returns when none is pending, or when the context ends. A VM that leaves
+// without it takes the last outcomes with it: whoever repeats those calls gets
+// "unknown" instead of the answer.
+func (k *Keeper) Wait(ctx context.Context) error { return k.queue.wait(ctx) }
+
 // A Call is one call with a key, with what makes it the same call.
 type Call struct {
 	Team, Service, Key string
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -170,7 +170,7 @@
 	k := run(t, log, "a", 1, nobodyGone)
 	settled, open := call(keyMade(time.Now(), 1)), call(keyMade(time.Now(), 2))
 	k.Begin(bounded(t), settled).Ticket.Done(ok("booked"))
-	await(t, func() bool { return k.Pending() == 0 })
+	assert.NilError(t, k.Wait(bounded(t)))
 	ticket := k.Begin(bounded(t), open).Ticket
 	log.setDown(true)
 	ticket.Done(ok("also booked"))
@@ -181,8 +181,12 @@
 	assert.Equal(t, string(k.Begin(bounded(t), settled).Outcome.Body), "booked")
 	assert.Equal(t, string(k.Begin(bounded(t), open).Outcome.Body), "also booked")
 	assert.Assert(t, k.Pending() > 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, k.Wait(ctx) != nil)
 	log.setDown(false)
-	await(t, func() bool { return k.Pending() == 0 })
+	assert.NilError(t, k.Wait(bounded(t)))
+	assert.Equal(t, k.Pending(), 0)
 	b := run(t, log, "b", 1, nobodyGone)
 	assert.Equal(t, string(b.Begin(bounded(t), open).Outcome.Body), "also booked")
 }
--- a/entry/process/server/leave.go
+++ b/entry/process/server/leave.go
@@ -19,6 +19,8 @@
 	// cancelTime bounds waiting for engines to confirm cancels. What they do
 	// not confirm by then, the sweep of another VM finds.
 	cancelTime = 3 * time.Second
+	// keepTime bounds waiting for the log to take the outcomes of keyed calls.
+	keepTime = 3 * time.Second
 	// closeTime bounds closing idle connections.
 	closeTime = time.Second
 )
@@ -48,6 +50,9 @@
 	}
 	<-handed
 	wait(cancelTime, v.canceller.Wait)
+	if !wait(keepTime, v.keeper.Wait) {
+		v.log.Warn().Int("outcomes", v.keeper.Pending()).Msg("the log did not take all outcomes of keyed calls")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	v.close(ctx)
--- a/library/appender/appender.go
+++ b/library/appender/appender.go
@@ -69,9 +69,12 @@
 	client *http.Client
 }
 
-// New returns the log at a base URL such as http://10.0.0.5:7000.
+// New returns the log at a base URL such as http://10.0.0.5:7000. It follows no
+// redirects, whatever the client does: an append that was sent on would be two.
 func New(base string, client *http.Client) *Log {
-	return &Log{base: base, client: client}
+	c := *client
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Log{base: base, client: &c}
 }
 
 // Append adds data to the end of a stream and returns its offset. An error is
@@ -98,9 +101,17 @@
 		return 0, ErrUnknown.Wrap(err)
 	}
 	defer res.Body.Close()
+	defer drain(res.Body)
 	return landed(stream, res)
 }
 
+// drain reads what is left of a short body, so that its connection can be used
+// again: a log that refuses many appends would otherwise get a new connection
+// for each.
+func drain(body io.Reader) {
+	_, _ = io.CopyN(io.Discard, body, maxAnswer)
+}
+
 // landed reads the log's answer to an append.
 func landed(stream string, res *http.Response) (uint64, error) {
 	refused := res.StatusCode/100 == 4 || res.StatusCode == http.StatusServiceUnavailable
@@ -171,6 +182,7 @@
 		return Batch{}, err
 	}
 	defer res.Body.Close()
+	defer drain(res.Body)
 	if res.StatusCode != http.StatusOK {
 		return Batch{}, errs.New("%s: %s", stream, res.Status)
 	}
--- a/library/appender/appender_test.go
+++ b/library/appender/appender_test.go
@@ -52,6 +52,13 @@
 		{"broken", answers(500, ""), 0, false, true},
 		{"gateway", answers(502, ""), 0, false, true},
 		{"no offset", answers(200, `{}`), 0, false, true},
+		{"sent on", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/elsewhere" {
+				http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+				return
+			}
+			io.WriteString(w, `{"offset":7}`)
+		}, 0, false, true},
 		{"no JSON", answers(200, `<html>`), 0, false, true},
 		{"too long", answers(200, strings.Repeat(" ", 1<<20)), 0, false, true},
 		{"lost", lost, 0, false, true},
