--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -183,9 +183,10 @@
 
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
-// unused; it must ask just before the send. Half of the settling time is left
-// for the way to the upstream. A part of a group waits longer than that for the
-// parts before it to be read: it is live while its loan has never lapsed.
+// unused; it must ask just before the send. A slot that waits, as one part of a
+// group does for the parts before it, stays live while its VM's loans
+// follow one another without a gap: the holder hears of it with each renewal,
+// and counts it. Half of the settling time is left for the way to the upstream.
 func (s *Slot) Live() bool {
 	now := s.o.d.Ticker.Now()
 	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Lent(now, s.taken)
@@ -268,8 +269,13 @@
 // is none.
 func (o *Coordinator) Holder(upstream string) string { return o.node.Holder(upstream) }
 
-// Holds says whether this process may lend an upstream's slots now, and so give
-// it orders under the fence that View tells.
+// Fence is the fence under which this process holds an upstream now, to be given
+// with orders to it.
+func (o *Coordinator) Fence(upstream string) (fence uint64, ok bool) {
+	return o.node.Fence(o.d.Ticker.Now(), upstream)
+}
+
+// Holds says whether this process may lend an upstream's slots now.
 func (o *Coordinator) Holds(upstream string) bool {
 	return o.node.Holds(o.d.Ticker.Now(), upstream)
 }
