Show idle services' reports as fresh as they are

Cause: bookings waited to their limit after a start: the stand-in's report of an idle service carried the age of its last change (12.6 s seen), and a holder that may not lend before it has a report of its own time waited for it. Ruled out: lending without such a report, which would forget work of the holder before. Change: a report speaks of a lag ago where nothing has changed since.

--- a/standin/delayer/delayer.go
+++ b/standin/delayer/delayer.go
@@ -37,8 +37,15 @@
 // Noted is when the newest value was noted.
 func (d *Delayer[T]) Noted() time.Time { return d.list[len(d.list)-1].At }
 
-// Show returns the value as it was a lag ago.
-func (d *Delayer[T]) Show(now time.Time) Aged[T] { return d.list[d.find(now)] }
+// Show returns the value as it was a lag ago, and the time it speaks of: a value
+// noted long ago and unchanged since was still true a lag ago.
+func (d *Delayer[T]) Show(now time.Time) Aged[T] {
+	shown := d.list[d.find(now)]
+	if until := now.Add(-d.lag); shown.At.Before(until) {
+		shown.At = until
+	}
+	return shown
+}
 
 // find is the place of the newest value that is at least a lag old, else the
 // first.
--- a/standin/delayer/delayer_test.go
+++ b/standin/delayer/delayer_test.go
@@ -22,5 +22,9 @@
 	for _, test := range tests {
 		assert.Equal(t, d.Show(at(test.at)).Value, test.want)
 	}
+	// An idle service's report would else look minutes old, and a holder would
+	// wait for ever for one that speaks of its own time.
+	assert.Equal(t, d.Show(at(9999)).At, at(9899))
+	assert.Equal(t, d.Show(at(1009)).At, at(909))
 	assert.Equal(t, delayer.New(time.Second, at(0), 7).Show(at(1)).Value, 7)
 }
