Model keys without a date beside dated ones

Cause: what keeps a key of any form from running twice, the bound on a ticket's life, stood in no test of the whole. Change: the model draws keys of both forms; callers use an undated one within a window of its first use, as they promise.

--- a/entry/process/keeper/judge.go
+++ b/entry/process/keeper/judge.go
@@ -105,8 +105,11 @@
 // the first VM's, that ahead of the log's, and the second VM's behind the log's.
 func (l Limits) Keep() time.Duration { return l.Window + 3*l.Margin }
 
-// life is how long after its call came a ticket may be used.
-func (l Limits) life() time.Duration { return max(l.Window-2*l.Margin, l.Window/2) }
+// Life is how long after its call came a ticket may be used. It ends before the
+// window does by more than a VM may be behind the log when it takes a call
+// (stale), so that no intent that landed before the call came can have been
+// forgotten when the ticket is used.
+func (l Limits) Life() time.Duration { return max(l.Window-2*l.Margin, l.Window/2) }
 
 // Check says whether a key may be run at a time, given that no call since a
 // time was missed.
--- a/entry/process/keeper/model_test.go
+++ b/entry/process/keeper/model_test.go
@@ -26,8 +26,10 @@
 }
 
 type modelKey struct {
-	word string
-	hash recorder.Hash
+	word  string
+	hash  recorder.Hash
+	dated bool
+	first time.Time // its caller uses it within a window from then
 }
 
 type modelVM struct {
@@ -43,6 +45,7 @@
 type modelTry struct {
 	key     modelKey
 	attempt recorder.Attempt
+	begun   time.Time
 }
 
 func newModel(t *rapid.T) *model {
@@ -61,7 +64,10 @@
 func (m *model) newKey(t *rapid.T) {
 	skew := time.Duration(rapid.IntRange(-2500, 2500).Draw(t, "skew")) * time.Millisecond
 	n := len(m.keys) + 1
-	m.keys = append(m.keys, modelKey{keyMade(m.now.Add(skew), n), recorder.Hash{byte(n), byte(n >> 8)}})
+	m.keys = append(m.keys, modelKey{
+		word: keyMade(m.now.Add(skew), n), hash: recorder.Hash{byte(n), byte(n >> 8)},
+		dated: rapid.Bool().Draw(t, "dated"), first: m.now,
+	})
 }
 
 // append lands an entry now, late, twice or never.
@@ -102,18 +108,23 @@
 // begin takes a call with a key, as Keeper.Begin does.
 func (m *model) begin(t *rapid.T) {
 	v, k := m.vm(t), rapid.SampledFrom(m.keys[max(0, len(m.keys)-2):]).Draw(t, "key")
-	if v.ledger.Next() == 1 {
-		m.read(v, 1000) // a VM that has not read the log refuses
+	if !k.dated && m.now.Sub(k.first) > m.limits.Window {
+		return
+	}
+	// A VM that has not read the log to its end a moment ago refuses. For a
+	// dated key it may be behind by any time, if it has only begun.
+	if v.ledger.Next() == 1 || !k.dated {
+		m.read(v, 1000)
 	}
 	if v.ledger.Judge(k.hash, recorder.Hash{9}).Standing != keeper.Free {
 		return
 	}
-	if m.limits.Check(k.word, true, v.ledger.Since(), m.now.Add(v.skew)) != nil {
+	if m.limits.Check(k.word, k.dated, v.ledger.Since(), m.now.Add(v.skew)) != nil {
 		return
 	}
 	v.seq++
 	a := recorder.Attempt{VM: v.name, Boot: v.boot, Seq: v.seq}
-	v.tries = append(v.tries, modelTry{k, a})
+	v.tries = append(v.tries, modelTry{k, a, m.now})
 	m.append(t, recorder.CallEntry{Key: k.hash, Attempt: a, Intent: &recorder.Intent{Print: recorder.Hash{9}}})
 }
 
@@ -136,7 +147,7 @@
 		switch {
 		case v.ledger.Decide(try.key.hash, try.attempt) != keeper.Won:
 			open = append(open, try)
-		case m.limits.Check(try.key.word, true, v.ledger.Since(), m.now.Add(v.skew)) == nil:
+		case m.fresh(v, try):
 			v.sure = append(v.sure, try)
 		default: // as Ticket.Check; whether its VM abandons makes no difference
 		}
@@ -144,6 +155,12 @@
 	v.tries = open
 }
 
+// fresh is Ticket.Check.
+func (m *model) fresh(v *modelVM, try modelTry) bool {
+	return m.now.Sub(try.begun) < m.limits.Life() &&
+		m.limits.Check(try.key.word, try.key.dated, v.ledger.Since(), m.now.Add(v.skew)) == nil
+}
+
 // send sends what was found to have won. It may come any time after the
 // verdict: the VM may have been frozen in between.
 func (m *model) send(t *rapid.T) {
--- a/entry/process/keeper/ticket.go
+++ b/entry/process/keeper/ticket.go
@@ -63,7 +63,7 @@
 		return ErrStale.Wrap(err)
 	}
 	age := max(now.Sub(t.begun), now.Round(0).Sub(t.begun.Round(0)))
-	if life := t.limits.life(); age >= life {
+	if life := t.limits.Life(); age >= life {
 		return ErrStale.New("%s old, at most %s", age, life)
 	}
 	return nil
