--- a/standin/generator/schedule.go
+++ b/standin/generator/schedule.go
@@ -150,7 +150,7 @@
 	still := g.running[:0]
 	for _, s := range g.running {
 		if s.state == makes {
-			s.make(now, n)
+			s.produce(now, n)
 		}
 		if s.state == made {
 			g.finish(s, now)
@@ -162,9 +162,9 @@
 	g.running = still
 }
 
-// make adds n tokens to an answer. Readers are woken for its first token and
+// produce adds n tokens to an answer. Readers are woken for its first token and
 // then once in a while, so that a fast engine does not send each by itself.
-func (s *stream) make(now time.Time, n float64) {
+func (s *stream) produce(now time.Time, n float64) {
 	if s.kind == kindPart {
 		s.state = made
 		return
