Pack manifests, so that the aim's fleet fits into a record

Cause: a record of the log holds 1 MiB, and a manifest of 12,000 upstreams and 2,700 teams has 2.1 MB.

--- a/library/folder/apply.go
+++ b/library/folder/apply.go
@@ -107,15 +107,16 @@
 	if reason := s.baseless(r, p); reason != "" {
 		return s.refuse(c, v, reason)
 	}
-	m, found := checker.Parse(p.Manifest)
+	before := s
+	if p.Anew {
+		before = State{Read: s.Read}
+	}
+	after, found := before.manifested(r.Offset, p.Manifest)
 	if len(found) > 0 {
 		v.Findings = found
 		return s.refuse(c, v, fmt.Sprintf("%d findings, first %s", len(found), found[0]))
 	}
-	if p.Anew {
-		s = State{Read: s.Read}
-	}
-	return s.manifested(r.Offset, m, p.Manifest).accept(c, v)
+	return after.accept(c, v)
 }
 
 // baseless says why a publish's base does not allow it, or nothing.
--- a/library/folder/folder.go
+++ b/library/folder/folder.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/library/checker"
+	"github.com/heathervane/heathervane/library/finder"
 	"github.com/heathervane/heathervane/library/recorder"
 )
 
@@ -48,10 +49,11 @@
 type State struct {
 	// Version is the offset of the publish in force, 0 for none.
 	Version uint64
-	// Manifest is the manifest in force, and Source its TOML.
+	// Manifest is the manifest in force, and Packed its TOML in the bytes that
+	// its publish carried.
 	Manifest checker.Manifest
-	Source   []byte
-	// Digest is the SHA-256 of Source in hex; empty without a manifest.
+	Packed   []byte
+	// Digest is the SHA-256 of the TOML in hex; empty without a manifest.
 	Digest string
 	// Outs are the names out of service.
 	Outs recorder.Outs
@@ -93,12 +95,27 @@
 	maxID     = 64
 )
 
-// manifested returns the state with a manifest in force.
-func (s State) manifested(version uint64, m checker.Manifest, source []byte) State {
+// manifested returns the state with a manifest in force, or all that is wrong
+// with the manifest.
+func (s State) manifested(version uint64, packed []byte) (State, finder.Findings) {
+	var found finder.Findings
+	if len(packed) > recorder.MaxManifest {
+		found.Addf("line 1", "takes %d bytes packed, more than the %d allowed", len(packed), recorder.MaxManifest)
+		return s, found
+	}
+	source, err := recorder.Unpack(packed, checker.MaxBytes)
+	if err != nil {
+		found.Addf("line 1", "can't be unpacked: %v", err)
+		return s, found
+	}
+	m, found := checker.Parse(source)
+	if len(found) > 0 {
+		return s, found
+	}
 	sum := sha256.Sum256(source)
-	s.Version, s.Manifest, s.Source = version, m, source
+	s.Version, s.Manifest, s.Packed = version, m, packed
 	s.Digest = hex.EncodeToString(sum[:])
-	return s
+	return s, nil
 }
 
 // audited returns the state with one more line in its audit trail.
--- a/library/folder/found.go
+++ b/library/folder/found.go
@@ -15,7 +15,7 @@
 // Store returns the checkpoint of a state.
 func Store(s State) recorder.Checkpoint {
 	return recorder.Checkpoint{
-		Version: s.Version, Manifest: s.Source, Outs: s.Outs, Read: s.Read, Audit: s.Audit,
+		Version: s.Version, Manifest: s.Packed, Outs: s.Outs, Read: s.Read, Audit: s.Audit,
 	}
 }
 
@@ -44,11 +44,8 @@
 	if c.Version == 0 {
 		return s, nil
 	}
-	m, found := checker.Parse(c.Manifest)
-	if err := found.Err(); err != nil {
-		return State{}, ErrRestore.Wrap(err)
-	}
-	return s.manifested(c.Version, m, c.Manifest), nil
+	s, found := s.manifested(c.Version, c.Manifest)
+	return s, ErrRestore.Wrap(found.Err())
 }
 
 func restorable(names map[string]uint64, read uint64) error {
--- a/library/recorder/config.go
+++ b/library/recorder/config.go
@@ -3,6 +3,11 @@
 // ConfigStream is the stream of the log that holds the configuration.
 const ConfigStream = "config"
 
+// MaxManifest is the longest manifest in a record, in bytes. A record of the log
+// holds 1 MiB, and a checkpoint carries the orders and the audit trail beside
+// the manifest.
+const MaxManifest = 768 << 10
+
 // The kinds of records in ConfigStream.
 const (
 	KindPublish    = "publish"
@@ -19,7 +24,8 @@
 	// Anew says that the manifest replaces everything, orders too. It is for
 	// a stream of which the configuration in force has been lost.
 	Anew bool `cbor:"anew,omitempty"`
-	// Manifest is its TOML.
+	// Manifest is its TOML, as it is or as Pack makes it, at most MaxManifest
+	// bytes long.
 	Manifest []byte `cbor:"manifest"`
 	// Who published it, by name.
 	Who string `cbor:"who"`
@@ -89,7 +95,7 @@
 type Checkpoint struct {
 	// Version is the offset of the publish in force, 0 for none.
 	Version uint64 `cbor:"version"`
-	// Manifest is the TOML of that version.
+	// Manifest is that version's, in the bytes that its publish carried.
 	Manifest []byte `cbor:"manifest"`
 	Outs     Outs   `cbor:"outs"`
 	// Read is the last offset that the writer had read.
--- a/operator/commander/commander.go
+++ b/operator/commander/commander.go
@@ -146,8 +146,12 @@
 	if err != nil {
 		return code(err), err
 	}
+	packed, err := recorder.Pack(data)
+	if err != nil {
+		return Usage, err
+	}
 	p := recorder.Publish{
-		Base: base, Anew: c.anew, Manifest: data, Who: c.who, At: time.Now().UnixMilli(), ID: rand.Text(), Why: c.why,
+		Base: base, Anew: c.anew, Manifest: packed, Who: c.who, At: time.Now().UnixMilli(), ID: rand.Text(), Why: c.why,
 	}
 	return change(ctx, c, ch, p.ID, recorder.KindPublish, p)
 }
