--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -157,6 +157,8 @@
 	assert.NilError(t, f.Step(context.Background()))
 	assert.Assert(t, f.State() == nil)
 	ready(t, f, false, "the log is being read, so far up to 16")
+	assert.Assert(t, f.Behind(17, w.clock), "a peer's state is sooner taken up")
+	assert.Assert(t, !f.Behind(16, w.clock))
 	assert.NilError(t, w.read(f))
 	ready(t, f, true, "")
 }
--- a/entry/version/follower/peer.go
+++ b/entry/version/follower/peer.go
@@ -14,7 +14,8 @@
 // Behind says whether a peer's state should be asked for: the peer has read
 // further, and for a second the log has brought this VM nothing. Heartbeats
 // carry State().Read for it. Asked at once, every change would be fetched from
-// a peer as well as from the log.
+// a peer as well as from the log. A VM that starts does ask at once: to read an
+// hour of large manifests takes longer than to take up the last of them.
 func (f *Follower) Behind(read uint64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -22,8 +23,8 @@
 	if s == nil {
 		return read > 0
 	}
-	if read <= s.Read {
-		return false
+	if read <= s.Read || !f.caught {
+		return read > s.Read
 	}
 	if f.stuck.read != s.Read || f.stuck.since.IsZero() {
 		f.stuck.read, f.stuck.since = s.Read, now
