--- a/entry/process/keeper/fake_test.go
+++ b/entry/process/keeper/fake_test.go
@@ -178,6 +178,14 @@
 	}
 }
 
+// bounded is a context that ends a test that hangs.
+func bounded(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 func nobodyGone(string, uint64) bool { return false }
 
 // call is a booking with a key.
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -56,7 +56,8 @@
 	Boot uint64
 	// Limits bound the age of keys.
 	Limits Limits
-	// Body is the longest body in bytes that is kept for repetitions.
+	// Body is the longest body in bytes that is kept for repetitions; 0 means
+	// DefaultBody.
 	Body int
 }
 
@@ -101,6 +102,9 @@
 // New returns a Keeper. It judges nothing until Run has read the log. gone says
 // whether a VM's process has certainly ended.
 func New(c Config, log Log, timer Timer, gone func(vm string, boot uint64) bool, meter Meter) *Keeper {
+	if c.Body == 0 {
+		c.Body = DefaultBody
+	}
 	k := &Keeper{
 		config:   c,
 		timer:    timer,
@@ -311,7 +315,7 @@
 		}
 		// The intent may still land, now or later. Nothing was sent and
 		// nothing will be, and the record of that frees the key.
-
+		k.queue.post(recorder.CallEntry{Key: key, Attempt: attempt, Abandon: true}, nil)
 		return Answer{Refusal: refuser.New(504, "keys_slow", "the log did not decide in time").Back(retryAfter)}, true
 	}
 }
