Start reading the configuration near the end of the stream

Cause: a VM or a vanectl that starts read the stream from its first record, or up to the first checkpoint, and folded all since. They now look for a checkpoint among the last 64 records, then four times as far back; VMs write one at least every 64 records. Ruled out: taking the newest checkpoint only, which may not be usable. The fleet test found that a second copy of a publish anew, looked at without the first, gave another version: a publish anew now serves only where every record since it was written has been looked at. vanectl takes the verdict from the audit trail where a checkpoint is all that is left; without that three cases of TestChangesUnderFaults fail.

--- a/entry/version/follower/duty.go
+++ b/entry/version/follower/duty.go
@@ -30,6 +30,7 @@
 // duty is what is known about the last checkpoint.
 type duty struct {
 	stored time.Time // when it was written, zero where that is not known
+	offset uint64    // where it stands
 	next   time.Time // before which this VM writes none
 }
 
@@ -37,7 +38,9 @@
 // seems older than it is brings the next one early, and the bound per VM keeps
 // that from becoming a flood; one that seems newer may delay it by the
 // difference, of which half the retention is borne.
-func (d *duty) saw(now, at time.Time) {
+func (d *duty) saw(now time.Time, r folder.Record) {
+	d.offset = max(d.offset, r.Offset)
+	at := r.At
 	if at.After(now) {
 		at = now
 	}
@@ -59,8 +62,8 @@
 		f.logger.Error().Uint64("offset", r.Offset).Msg("a checkpoint disagrees with the state in force")
 		return
 	}
-	if _, ok := folder.Found(nil, start, r); ok {
-		f.duty.saw(f.ticker.Now(), r.At)
+	if _, ok := folder.Found(nil, start, start, r); ok {
+		f.duty.saw(f.ticker.Now(), r)
 	}
 }
 
@@ -71,8 +74,9 @@
 }
 
 // Due says whether a checkpoint should be written: the last one is a quarter of
-// the retention old, or not known. It goes wrong when none is written for a
-// whole retention: VMs that start then find no configuration and are not ready.
+// the retention old, or as many records back as a starting VM first looks, or
+// not known. It goes wrong when none is written for a whole retention: VMs that
+// start then find no configuration and are not ready.
 func (f *Follower) Due(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -80,7 +84,9 @@
 	if s == nil || s.Read == 0 || f.back || !f.ended {
 		return false
 	}
-	return now.Sub(f.duty.stored) >= retention(*s)/dueParts && !now.Before(f.duty.next)
+	old := now.Sub(f.duty.stored) >= retention(*s)/dueParts
+	far := s.Read >= f.duty.offset+folder.Window
+	return (old || far) && !now.Before(f.duty.next)
 }
 
 // Write appends a checkpoint of the state in force. An error of the class
--- a/entry/version/follower/follower.go
+++ b/entry/version/follower/follower.go
@@ -67,7 +67,7 @@
 
 	mu sync.Mutex
 	// reader folds what has been read.
-	reader folder.Reader
+	reader *folder.Reader
 	// caught says that the end of the stream, or a peer's state, was reached.
 	caught bool
 
@@ -93,6 +93,7 @@
 	return &Follower{
 		log: log, ticker: t, logger: logger,
 		counts: newCounts(registry),
+		reader: folder.NewReader(folder.Window),
 		subs:   map[int]func(folder.State){},
 	}
 }
@@ -216,7 +217,7 @@
 // in force.
 func (f *Follower) step(start uint64, s folder.Step) bool {
 	if s.Found {
-		f.duty.saw(f.ticker.Now(), s.Record.At)
+		f.duty.saw(f.ticker.Now(), s.Record)
 		f.logger.Info().Uint64("version", s.After.Version).Uint64("read", s.After.Read).Msg("configuration found")
 		return true
 	}
@@ -265,7 +266,7 @@
 		return false, fmt.Sprintf("no configuration: no peer has one, and the log can't be read: %v", f.failed)
 	case s == nil && f.reader.State() != nil:
 		return false, fmt.Sprintf("the log is being read, so far up to %d", f.reader.State().Read)
-	case s == nil && !f.reader.Searching():
+	case s == nil && !f.reader.Lost():
 		return false, "no configuration: the log has not been read yet"
 	case s == nil:
 		return false, "no configuration: neither the log has a checkpoint nor a peer a state; publish anew"
--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -296,6 +296,21 @@
 	assert.Assert(t, writer.Due(w.clock), "it has not landed")
 }
 
+func TestManyChangesMakeACheckpointDue(t *testing.T) {
+	w := newWorld(t)
+	w.publish(0)
+	f := w.started()
+	assert.NilError(t, f.Write(context.Background()))
+	assert.NilError(t, w.read(f))
+	w.clock = w.clock.Add(5 * time.Minute)
+	for range folder.Window {
+		assert.Assert(t, !f.Due(w.clock))
+		w.publish(f.State().Version)
+		assert.NilError(t, w.read(f))
+	}
+	assert.Assert(t, f.Due(w.clock))
+}
+
 // A VM was frozen for longer than the log keeps records. What it holds stays in
 // force until it finds how to go on; it takes up no record out of turn.
 func TestGap(t *testing.T) {
--- a/library/folder/fleet_test.go
+++ b/library/folder/fleet_test.go
@@ -26,7 +26,12 @@
 
 // vm is one reader of the log.
 type vm struct {
-	folder.Reader
+	*folder.Reader
+}
+
+// newVM returns one that first looks for a checkpoint a few records back.
+func newVM(t *rapid.T) *vm {
+	return &vm{folder.NewReader(rapid.Uint64Range(0, 5).Draw(t, "window"))}
 }
 
 func (f *fleet) end() uint64 { return uint64(len(f.records)) + 1 }
@@ -124,7 +129,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{start: 1, states: map[uint64]folder.State{0: {}}, verdicts: map[uint64]folder.Verdict{}}
 		for range 4 {
-			f.vms = append(f.vms, &vm{})
+			f.vms = append(f.vms, newVM(t))
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish":    f.publish,
@@ -136,7 +141,7 @@
 				f.start = min(f.end(), f.start+rapid.Uint64Range(1, 5).Draw(t, "records"))
 			},
 			"replace": func(t *rapid.T) {
-				f.vms[rapid.IntRange(0, 3).Draw(t, "vm")] = &vm{}
+				f.vms[rapid.IntRange(0, 3).Draw(t, "vm")] = newVM(t)
 			},
 			"read": func(t *rapid.T) {
 				m := rapid.SampledFrom(f.vms).Draw(t, "vm")
@@ -157,7 +162,7 @@
 	f.append(wrap(t, recorder.KindPublish, p))
 	f.append(order(t, recorder.TargetZone, "b", true, f.id()))
 	for _, m := range f.vms {
-		for range 2 * len(f.records) {
+		for range 4*len(f.records) + 10 {
 			f.step(t, m)
 		}
 		assert.Equal(t, m.State().Read, f.end()-1)
--- a/library/folder/folder_test.go
+++ b/library/folder/folder_test.go
@@ -164,7 +164,7 @@
 		{"read at the last number", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Read = math.MaxUint64 }), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got, ok := folder.Found(c.old, c.start, folder.Record{Offset: c.offset, Data: wrap(t, recorder.KindCheckpoint, c.record)})
+			got, ok := folder.Found(c.old, c.start, c.start, folder.Record{Offset: c.offset, Data: wrap(t, recorder.KindCheckpoint, c.record)})
 			assert.Equal(t, ok, c.ok)
 			if ok {
 				assert.DeepEqual(t, got, s)
@@ -206,7 +206,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := folder.Record{Offset: 2, Data: data}
 		before := folder.Store(base)
-		if s, ok := folder.Found(nil, 1, r); ok {
+		if s, ok := folder.Found(nil, 1, 1, r); ok {
 			again, err := folder.Restore(folder.Store(s))
 			assert.NilError(t, err)
 			assert.DeepEqual(t, again, s)
--- a/library/folder/found.go
+++ b/library/folder/found.go
@@ -80,24 +80,26 @@
 
 // Found tries to found a state on one record, for a reader that can't go on
 // from its own: it has none, or the log has dropped records that it has not
-// read. Start is the first offset that the log still keeps. The reader goes on
-// after the Read of the state returned, which is often before the record.
+// read. Start is the first offset that the log still keeps, and looked the one
+// from which on the reader has looked at every record. The reader goes on after
+// the Read of the state returned, which is often before the record.
 //
 // A checkpoint serves where the log still keeps every record after its Read. A
 // reader that took an older one would miss a publish or an order in between,
-// and would refuse what all others accept. A publish anew serves on the same
-// terms, so that a second copy of it is told from the first.
+// and would refuse what all others accept. A publish anew serves where the
+// reader has looked at every record since it was written, so that a second copy
+// of it is told from the first.
 //
 // A reader that has a state passes it as old, and only ever moves forward.
-func Found(old *State, start uint64, r Record) (State, bool) {
-	s, ok := founded(start, r)
+func Found(old *State, start, looked uint64, r Record) (State, bool) {
+	s, ok := founded(start, looked, r)
 	if !ok || (old != nil && (s.Read <= old.Read || s.Version < old.Version)) {
 		return State{}, false
 	}
 	return s, true
 }
 
-func founded(start uint64, r Record) (State, bool) {
+func founded(start, looked uint64, r Record) (State, bool) {
 	kind, err := recorder.Kind(r.Data)
 	if err != nil {
 		return State{}, false
@@ -112,7 +114,7 @@
 		return s, err == nil
 	case recorder.KindPublish:
 		p, err := recorder.Unwrap[recorder.Publish](r.Data)
-		if err != nil || !p.Anew || p.Base < start {
+		if err != nil || !p.Anew || p.Base < looked {
 			return State{}, false
 		}
 		s, v := Apply(State{Read: r.Offset - 1}, r)
--- a/library/folder/reader.go
+++ b/library/folder/reader.go
@@ -26,15 +26,33 @@
 	Verdict Verdict
 }
 
+// Window is how many records back from the end a reader first looks for a
+// checkpoint. VMs write one at least so often, so that to start costs about so
+// many records, however many the log keeps.
+const Window = 64
+
+// widen is how much further back each look goes where the one before has found
+// none.
+const widen = 4
+
 // A Reader folds batches, and searches for a record to found a state on where
-// the log has dropped what it needs next. The zero Reader has read nothing. It
-// asks for nothing itself: whoever drives it reads the log from Next on.
+// it has none, or where the log has dropped what it needs next. It asks for
+// nothing itself: whoever drives it reads the log from Next on.
 type Reader struct {
+	window uint64
 	state  *State
-	search uint64
 	gap    bool
+	// low is where the present look through the stream began, 0 before the
+	// first, and search the next offset to look at.
+	low, search uint64
+	lost        bool
 }
 
+// NewReader returns a Reader that has read nothing and first looks for a
+// checkpoint so many records back from the end; 0 has it read from the first
+// record on.
+func NewReader(window uint64) *Reader { return &Reader{window: window} }
+
 // State is the state folded so far, nil where there is none.
 func (r *Reader) State() *State { return r.state }
 
@@ -51,7 +69,7 @@
 }
 
 // Jump goes on from a state that came from elsewhere.
-func (r *Reader) Jump(s State) { r.state, r.search, r.gap = &s, 0, false }
+func (r *Reader) Jump(s State) { *r = Reader{window: r.window, state: &s} }
 
 // Take folds the answer to a read from an offset on, and returns what each
 // record did. An answer to a read from elsewhere than Next is left out, since
@@ -60,10 +78,8 @@
 	if from != r.Next() {
 		return nil, nil
 	}
-	if r.state == nil && b.Start <= 1 {
-		// Nothing was ever dropped, so the state before the first record is
-		// known.
-		r.state = &State{}
+	if r.state == nil && !r.begin(b) {
+		return nil, nil
 	}
 	if r.state != nil && b.End <= r.state.Read {
 		return nil, ErrBack.New("it ends at %d, and %d has been read", b.End, r.state.Read)
@@ -71,7 +87,7 @@
 	if r.state == nil || b.Start > r.state.Read+1 {
 		return r.seek(b), nil
 	}
-	r.gap, r.search = false, 0
+	r.gap, r.lost, r.search = false, false, 0
 	steps := make([]Step, 0, len(b.Records))
 	for _, record := range b.Records {
 		before := r.state
@@ -82,6 +98,27 @@
 	return steps, nil
 }
 
+// begin chooses where to look for a first state, and says whether the batch
+// serves for it. Where nothing was ever dropped, and no checkpoint is near the
+// end, it is the state before the first record.
+func (r *Reader) begin(b Batch) bool {
+	switch {
+	case r.search > b.End:
+		r.low, r.search = 0, 0 // the log has gone back
+		return false
+	case r.low == 0 && r.window > 0 && b.End > b.Start+r.window:
+		r.low = b.End - r.window
+		r.search = r.low
+		return false
+	case r.low == 0:
+		r.low = b.Start
+	}
+	if b.Start <= 1 && r.low <= 1 {
+		r.state = &State{}
+	}
+	return true
+}
+
 // seek looks for a record to found a state on, and stops at the first one: the
 // reading goes on after its Read.
 func (r *Reader) seek(b Batch) []Step {
@@ -92,14 +129,21 @@
 			continue
 		}
 		r.search = record.Offset + 1
-		if s, ok := Found(r.state, b.Start, record); ok {
+		if s, ok := Found(r.state, b.Start, max(b.Start, r.low), record); ok {
 			before := r.state
 			r.Jump(s)
 			return []Step{{Record: record, Before: before, After: s, Found: true}}
 		}
 	}
+	r.lost = r.search >= b.End && (r.gap || r.low <= b.Start)
+	if r.search >= b.End && !r.lost {
+		back := widen * (b.End - r.low)
+		r.low = max(b.Start, r.low-min(r.low, back))
+		r.search = r.low
+	}
 	return nil
 }
 
-// Searching says that batches have been taken and no state been found.
-func (r *Reader) Searching() bool { return r.search > 0 }
+// Lost says that there is no state to go on from, and that everything the log
+// keeps has been looked through for one.
+func (r *Reader) Lost() bool { return r.lost }
--- /dev/null
+++ b/library/folder/reader_test.go
@@ -0,0 +1,72 @@
+package folder_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/library/folder"
+	"github.com/heathervane/heathervane/library/recorder"
+)
+
+// stream is a log that drops nothing and counts the records it has given.
+type stream struct {
+	records [][]byte
+	given   int
+}
+
+// read has a reader read to the end, or until it is lost.
+func (l *stream) read(t *testing.T, r *folder.Reader, start uint64) {
+	end := uint64(len(l.records)) + 1
+	for range 10 * len(l.records) {
+		from := r.Next()
+		b := folder.Batch{Start: start, End: end}
+		for at := max(from, start); at < end && len(b.Records) < 16; at++ {
+			b.Records = append(b.Records, folder.Record{Offset: at, Data: l.records[at-1]})
+		}
+		l.given += len(b.Records)
+		_, err := r.Take(from, b)
+		assert.NilError(t, err)
+		if r.Lost() || (r.State() != nil && r.State().Read+1 >= end) {
+			return
+		}
+	}
+	t.Fatal("the reading does not end")
+}
+
+// A fleet publishes hundreds of large manifests an hour. A VM that folds all of
+// them before it is ready is missing from the fleet for minutes.
+func TestReaderStartsNearTheEnd(t *testing.T) {
+	l := &stream{records: [][]byte{publish(t, 0, "p1")}}
+	var s folder.State
+	for i := range 1000 {
+		l.records = append(l.records, order(t, recorder.TargetZone, "a", i%2 == 0, fmt.Sprint("o", i)))
+	}
+	for i, data := range l.records {
+		s, _ = folder.Apply(s, folder.Record{Offset: uint64(i + 1), Data: data})
+	}
+	// No checkpoint yet: each look goes further back, at last to the first.
+	whole := folder.NewReader(folder.Window)
+	l.read(t, whole, 1)
+	assert.Equal(t, whole.State().Version, uint64(1))
+	assert.DeepEqual(t, whole.State().Outs, s.Outs)
+	lost := folder.NewReader(folder.Window)
+	l.read(t, lost, 2)
+	assert.Assert(t, lost.Lost())
+
+	l.records = append(l.records, wrap(t, recorder.KindCheckpoint, folder.Store(s)))
+	for i := range 30 {
+		l.records = append(l.records, order(t, recorder.TargetVM, "entry-1", i%2 == 0, fmt.Sprint("v", i)))
+	}
+	l.read(t, whole, 1)
+	l.given = 0
+	near := folder.NewReader(folder.Window)
+	l.read(t, near, 1)
+	assert.Assert(t, l.given <= 3*folder.Window, "%d records read", l.given)
+	assert.Equal(t, near.State().Read, whole.State().Read)
+	assert.DeepEqual(t, near.State().Audit[255], whole.State().Audit[255])
+	// One that was lost before goes on once a checkpoint is there.
+	l.read(t, lost, 2)
+	assert.Equal(t, lost.State().Read, whole.State().Read)
+}
--- a/operator/changer/changer.go
+++ b/operator/changer/changer.go
@@ -43,7 +43,7 @@
 type Changer struct {
 	log    Log
 	limit  time.Duration
-	reader folder.Reader
+	reader *folder.Reader
 	end    uint64
 	// verdicts of records by their IDs, the first of each.
 	verdicts map[string]folder.Verdict
@@ -52,7 +52,10 @@
 // New returns a Changer that gives up on a change after limit. What it has not
 // found out by then is unknown.
 func New(log Log, limit time.Duration) *Changer {
-	return &Changer{log: log, limit: limit, verdicts: map[string]folder.Verdict{}}
+	return &Changer{
+		log: log, limit: limit,
+		reader: folder.NewReader(folder.Window), verdicts: map[string]folder.Verdict{},
+	}
 }
 
 // Unknown is the outcome of a change that may have landed, or may still land.
@@ -84,7 +87,7 @@
 		switch {
 		case s != nil && !c.reader.Gap() && s.Read+1 >= c.end:
 			return *s, c.end, nil
-		case c.reader.Next() >= c.end:
+		case c.reader.Lost():
 			return folder.State{}, c.end, ErrLost.New("the log keeps neither the first record nor a checkpoint")
 		}
 	}
@@ -113,16 +116,23 @@
 }
 
 // note keeps the first verdict on an ID. A record that was appended twice is
-// accepted once, and ignored after.
+// accepted once, and ignored after. Where the state was found on a checkpoint
+// that some VM wrote after the record, only the audit trail has the verdict.
 func (c *Changer) note(s folder.Step) {
-	v := s.Verdict
-	if s.Found {
-		last := s.After.Audit[max(0, len(s.After.Audit)-1):]
-		if len(last) == 0 || last[0].Offset != s.Record.Offset {
-			return
+	if !s.Found {
+		c.keep(s.Verdict)
+		return
+	}
+	for _, a := range s.After.Audit {
+		v := folder.Verdict{Outcome: folder.Refused, Offset: a.Offset, ID: a.ID, Reason: a.Reason}
+		if a.Accepted {
+			v.Outcome = folder.Accepted
 		}
-		v = folder.Verdict{Outcome: folder.Accepted, Offset: s.Record.Offset, ID: last[0].ID}
+		c.keep(v)
 	}
+}
+
+func (c *Changer) keep(v folder.Verdict) {
 	if _, ok := c.verdicts[v.ID]; !ok && v.ID != "" {
 		c.verdicts[v.ID] = v
 	}
--- a/operator/commander/log_test.go
+++ b/operator/commander/log_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/heathervane/heathervane/library/folder"
 	"github.com/heathervane/heathervane/library/recorder"
 )
 
@@ -33,6 +34,7 @@
 	blind  bool // 503 to reads after an append
 	rival  []byte
 	twice  bool // an append lands twice
+	store  bool // a checkpoint follows, and what is before it expires
 }
 
 func newLog(t *testing.T) *fakeLog {
@@ -70,6 +72,9 @@
 	if l.faults.twice {
 		l.records = append(l.records, data)
 	}
+	if l.faults.store {
+		l.store()
+	}
 	l.faults.down = l.faults.blind
 	if l.faults.lose {
 		panic(http.ErrAbortHandler)
@@ -77,6 +82,20 @@
 	answer(w, map[string]int{"offset": len(l.records)})
 }
 
+// store appends a checkpoint and drops all that is before it.
+func (l *fakeLog) store() {
+	var s folder.State
+	for i, data := range l.records {
+		s, _ = folder.Apply(s, folder.Record{Offset: uint64(i + 1), Data: data})
+	}
+	data, err := recorder.Wrap(recorder.KindCheckpoint, folder.Store(s))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	l.records = append(l.records, data)
+	l.start = len(l.records)
+}
+
 type record struct {
 	Offset int    `json:"offset"`
 	At     int64  `json:"at"`
