--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -193,6 +193,14 @@
 	b.needed = now
 }
 
+// Current says whether the holder's last loan still runs: until it lapses, the
+// holder counts all work in progress that this VM has told of.
+func (b *Borrower) Current(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.until)
+}
+
 // Done gives a slot back that was taken under a boot number.
 func (b *Borrower) Done(boot uint64, tokens int, o Outcome) {
 	b.mu.Lock()
@@ -344,7 +352,7 @@
 			delete(b.sent, seq)
 		}
 	}
-	lessTokens := l.Tokens < b.tokens
+	lessTokens, moreTokens := l.Tokens < b.tokens, l.Tokens > b.tokens
 	b.fence, b.ack = l.Fence, l.Seq
 	b.loan, b.heard = l, now.Add(-time.Duration(l.Age)*time.Millisecond)
 	if b.behind(l) {
@@ -364,7 +372,7 @@
 		// Others wait for the holder to know that this VM has let go.
 		b.urge = true
 	}
-	return after > before
+	return after > before || moreTokens
 }
 
 // behind says that the holder, when it sent a loan, did not know yet that the
--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -183,10 +183,13 @@
 
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
-// unused; it must ask just before the send. Half of the settling time is left
-// for the way to the upstream.
+// unused; it must ask just before the send. A slot that waits, as one part of a
+// group does for the parts before it, stays live while its VM's loan is: the
+// holder hears of it with each renewal, and counts it. Half of the settling
+// time is left for the way to the upstream.
 func (s *Slot) Live() bool {
-	return s.o.d.Ticker.Now().Sub(s.taken) < s.o.c.Timings.Settle/2
+	now := s.o.d.Ticker.Now()
+	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Current(now)
 }
 
 // Done gives the slot back. Only its first call counts.
@@ -266,8 +269,13 @@
 // is none.
 func (o *Coordinator) Holder(upstream string) string { return o.node.Holder(upstream) }
 
-// Holds says whether this process may lend an upstream's slots now, and so give
-// it orders under the fence that View tells.
+// Fence is the fence under which this process holds an upstream now, to be given
+// with orders to it.
+func (o *Coordinator) Fence(upstream string) (fence uint64, ok bool) {
+	return o.node.Fence(o.d.Ticker.Now(), upstream)
+}
+
+// Holds says whether this process may lend an upstream's slots now.
 func (o *Coordinator) Holds(upstream string) bool {
 	return o.node.Holds(o.d.Ticker.Now(), upstream)
 }
