--- a/bench/config_test.go
+++ b/bench/config_test.go
@@ -35,7 +35,7 @@
 	before := b.version(b.VMs[0])
 	for _, path := range paths {
 		go func() {
-			out, code, err := b.Operate(b.ctx, "publish", path, "--on", strconv.FormatUint(before, 10))
+			out, code, err := b.Operate(b.ctx, "publish", path, "--base", strconv.FormatUint(before, 10))
 			results <- published{out, code, err}
 		}()
 	}
