--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -27,6 +27,7 @@
 	down    error
 	lose    bool
 	during  func() // runs while a read is under way
+	given   int    // records in the last answer
 }
 
 func (l *fakeLog) end() uint64 { return uint64(len(l.records)) + 1 }
@@ -42,6 +43,7 @@
 	if l.during != nil {
 		l.during()
 	}
+	l.given = len(b.Records)
 	return b, nil
 }
 
@@ -58,13 +60,13 @@
 
 // world is one log, a clock driven by hand, and the VMs that follow.
 type world struct {
-	t     *testing.T
+	t     assert.TestingT
 	log   *fakeLog
 	clock time.Time
 	ids   int
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t assert.TestingT) *world {
 	w := &world{t: t, clock: time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)}
 	w.log = &fakeLog{now: w.now, start: 1}
 	return w
@@ -79,12 +81,12 @@
 
 // read has a VM read until it is at the end, or can't get there.
 func (w *world) read(f *follower.Follower) error {
-	for range len(w.log.records) + 2 {
-		if err := f.Step(context.Background()); err != nil {
+	for {
+		err := f.Step(context.Background())
+		if err != nil || w.log.given == 0 {
 			return err
 		}
 	}
-	return nil
 }
 
 func (w *world) started() *follower.Follower {
@@ -157,6 +159,8 @@
 	assert.NilError(t, f.Step(context.Background()))
 	assert.Assert(t, f.State() == nil)
 	ready(t, f, false, "the log is being read, so far up to 16")
+	assert.Assert(t, f.Behind(17, w.clock), "a peer's state is sooner taken up")
+	assert.Assert(t, !f.Behind(16, w.clock))
 	assert.NilError(t, w.read(f))
 	ready(t, f, true, "")
 }
@@ -292,6 +296,21 @@
 	assert.Assert(t, writer.Due(w.clock), "it has not landed")
 }
 
+func TestManyChangesMakeACheckpointDue(t *testing.T) {
+	w := newWorld(t)
+	w.publish(0)
+	f := w.started()
+	assert.NilError(t, f.Write(context.Background()))
+	assert.NilError(t, w.read(f))
+	w.clock = w.clock.Add(5 * time.Minute)
+	for range folder.Window {
+		assert.Assert(t, !f.Due(w.clock))
+		w.publish(f.State().Version)
+		assert.NilError(t, w.read(f))
+	}
+	assert.Assert(t, f.Due(w.clock))
+}
+
 // A VM was frozen for longer than the log keeps records. What it holds stays in
 // force until it finds how to go on; it takes up no record out of turn.
 func TestGap(t *testing.T) {
