Reckon the pace from the engines that a prompt may use

Cause: in a trial without engines set apart 3881 of 10375 short requests were refused, though half of the fleet was free: the unread tokens of a few documents counted as if they stood before every short question. Change: router.Pace counts the engines of the prompt's kind, and for a short one only those that are not reading a long one; a VM that was lent nothing yet may expect one slot; no time to come back is longer than a minute; where none is set apart long prompts leave half of the engines to short ones.

--- a/entry/request/admitter/estimate.go
+++ b/entry/request/admitter/estimate.go
@@ -16,6 +16,10 @@
 // while.
 const soonest = 250 * time.Millisecond
 
+// latest is the longest time to come back that is named: where nothing moves,
+// the estimate says nothing, and the fleet may be up again in a minute.
+const latest = time.Minute
+
 // order gives the bands with asks, the one whose first ask ends earliest in
 // virtual time first. Short asks so go before long ones until they have had
 // their weight's worth of tokens.
@@ -76,7 +80,7 @@
 	// together would come back together, so each has its own part of a
 	// quarter more.
 	spread := 1 + float64(it.ask.ID*0x9e3779b97f4a7c15>>56)/1024
-	return &Refusal{Code: code, After: time.Duration(float64(max(wait, soonest)) * spread)}
+	return &Refusal{Code: code, After: time.Duration(float64(min(max(wait, soonest), latest)) * spread)}
 }
 
 // full says by which code an ask is refused for want of room. A team may hold
--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -99,6 +99,9 @@
 	}
 	n.homes = n.anyHome(cs)
 	p.fits = p.fits[:0]
+	if n.long && !n.split && crowded(cs) {
+		return 0, false
+	}
 	least := 0.0
 	for i := range cs {
 		c := &cs[i]
@@ -169,6 +172,19 @@
 	return false
 }
 
+// crowded says that half of the engines, or all but one, read so much already
+// that another long prompt had better wait. Where none is set apart it keeps
+// some engines for short prompts.
+func crowded(cs []Candidate) bool {
+	reading := 0
+	for i := range cs {
+		if rate := cs[i].rate(); cs[i].backlog(rate) > hold*rate {
+			reading++
+		}
+	}
+	return reading > 0 && 2*(reading+1) > len(cs)
+}
+
 // anyHome says whether a home engine may take the ask. Slow ones do not count,
 // or a VM whose home engines are slow would wait for them.
 func (n *need) anyHome(cs []Candidate) bool {
@@ -203,12 +219,8 @@
 	if c.Prefill <= 0 {
 		return c.plain(), true
 	}
-	speed := c.Speed
-	if speed <= 0 {
-		speed = 1
-	}
-	rate := c.Prefill * speed
-	decode := max(c.Decode, 1) * speed
+	rate := c.rate()
+	decode := max(c.Decode, 1) * c.speed()
 	if !c.idle(n, rate) {
 		return 0, false
 	}
--- a/entry/request/router/fleet_test.go
+++ b/entry/request/router/fleet_test.go
@@ -232,7 +232,7 @@
 	} else {
 		f.offered[0] += c.ask.Tokens
 	}
-	if r := v.adm.Offer(f.clock(), c.ask, f.pace(v, c.ask.Tokens)); r != nil {
+	if r := v.adm.Offer(f.clock(), c.ask, router.Pace(f.candidates(v), c.ask.Tokens)); r != nil {
 		c.refused, c.refusal = r, f.now
 		if f.back && r.After > 0 && c.again == 0 {
 			f.comeBack(v, c)
@@ -253,28 +253,12 @@
 	f.at(again.at, func() { f.offer(v, again) })
 }
 
-// pace is that of the engines which may take a prompt of this length.
-func (f *fleet) pace(v *vm, tokens int) admitter.Pace {
-	p := admitter.Pace{Alone: prefill, Decode: decode}
-	for i, e := range f.engs {
-		if f.long > 0 && (i < f.long) != (tokens > 64<<10) {
-			continue
-		}
-		speed := v.gauge.Speed(e.name)
-		p.Slots += slots / f.play.vms
-		p.Prefill += prefill * speed / float64(f.play.vms)
-		p.Running += len(v.mine[i].calls)
-		p.PrefillLeft += float64(v.mine[i].unread)
-	}
-	return p
-}
-
 func (f *fleet) dispatch(v *vm) {
-	for _, a := range v.adm.Expire(f.clock(), f.pace(v, 0)) {
+	cands := f.candidates(v)
+	for _, a := range v.adm.Expire(f.clock(), router.Pace(cands, 0)) {
 		f.pending[a.ID].refused = &admitter.Refusal{Code: "expired"}
 		f.pending[a.ID].refusal = f.now
 	}
-	cands := f.candidates(v)
 	for {
 		index := 0
 		a, ok := v.adm.Next(f.clock(), func(a admitter.Ask) bool {
--- /dev/null
+++ b/entry/request/router/pace.go
@@ -0,0 +1,51 @@
+package router
+
+import "github.com/heathervane/heathervane/entry/request/admitter"
+
+// Pace gives what a prompt of that many tokens may expect of the candidates. It
+// counts only those of its kind where some are set apart, and for a short prompt
+// only those that are not reading a long one: their rate is not to be had, and
+// the work unread there does not delay it. Counted in, a few documents made
+// short questions look too late on a fleet that was half idle.
+func Pace(cs []Candidate, tokens int) admitter.Pace {
+	n := need{long: tokens > longPrompt, split: split(cs)}
+	var all, free admitter.Pace
+	for i := range cs {
+		c := &cs[i]
+		if !n.kind(c) {
+			continue
+		}
+		c.add(&all)
+		if rate := c.rate(); c.backlog(rate) <= hold*rate {
+			c.add(&free)
+		}
+	}
+	if n.long || free.Prefill == 0 {
+		return all
+	}
+	free.Slots, free.Running = all.Slots, all.Running
+	return free
+}
+
+// add counts the candidate in with this VM's share of it, which is at least
+// one slot's: a VM that has used nothing yet has been lent nothing yet.
+func (c *Candidate) add(p *admitter.Pace) {
+	slots := max(1, c.Free+c.Mine)
+	share := min(1, float64(slots)/float64(max(1, c.Slots)))
+	p.Slots += slots
+	p.Running += c.Mine
+	p.Prefill += c.rate() * share
+	p.PrefillLeft += c.backlog(c.rate()) * share
+	p.Alone = max(p.Alone, c.rate())
+	p.Decode = max(p.Decode, c.Decode*c.speed())
+}
+
+// rate is the prompt tokens per second that the candidate really reads.
+func (c *Candidate) rate() float64 { return c.Prefill * c.speed() }
+
+func (c *Candidate) speed() float64 {
+	if c.Speed <= 0 {
+		return 1
+	}
+	return c.Speed
+}
--- a/entry/request/router/router_test.go
+++ b/entry/request/router/router_test.go
@@ -59,6 +59,7 @@
 		{name: "short keeps off the long ones' engine", a: none, b: func(c *router.Candidate) { c.Long = true }, want: "a"},
 		{name: "long goes to its engine", tokens: 200_000, a: none, b: func(c *router.Candidate) { c.Long = true }, want: "b"},
 		{name: "long waits for its engine", tokens: 200_000, a: none, b: func(c *router.Candidate) { c.Long = true; c.Unread = 100_000 }},
+		{name: "long leaves an engine to short ones", tokens: 200_000, a: func(c *router.Candidate) { c.PrefillLeft = 200_000 }, b: none},
 		{name: "all are set apart", a: func(c *router.Candidate) { c.Long = true; c.Unread = 2000 }, b: func(c *router.Candidate) { c.Long = true }, want: "b"},
 		{name: "guest waits at first", a: func(c *router.Candidate) { c.Unread = 2000 }, b: func(c *router.Candidate) { c.Home = false; c.Guest = true }},
 		{name: "guest after a while", waited: time.Second, a: func(c *router.Candidate) { c.Unread = 2000 }, b: func(c *router.Candidate) { c.Home = false; c.Guest = true }, want: "b"},
