Bound what a broken peer can say

Cause: a loan with a fence far ahead would have had all later loans refused, an ask with a huge figure would have overflowed the sum, and a table or a word that a process is cleared was taken from anyone. Change: figures are bounded, loans count only from the holder known here under its claims, a process that may still run is not cleared.

--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -329,7 +329,7 @@
 func (b *Borrower) Handle(now time.Time, l lender.Loan) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.Fence < b.fence || l.Seq <= b.ack && l.Fence == b.fence || l.Slots < 0 || l.Tokens < 0 {
+	if l.Fence < b.fence || l.Seq <= b.ack && l.Fence == b.fence || !l.Sane() {
 		return false
 	}
 	before := b.ceiling(now)
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -174,7 +174,7 @@
 		}
 	}
 	for _, l := range m.Loans {
-		if u := n.get(l.Name); u != nil && u.borrower.Handle(now, l) {
+		if u := n.get(l.Name); u != nil && n.lends(from, l) && u.borrower.Handle(now, l) {
 			more = true
 		}
 	}
@@ -190,11 +190,20 @@
 	return more
 }
 
+// lends says whether a loan comes from the holder that this VM knows of, under a
+// fence of its claims. Without it a broken VM's loan with a fence far ahead would
+// have all later loans refused. A loan under a claim that was not read yet is
+// dropped; the holder answers the next ask with another.
+func (n *Node) lends(from lender.Who, l lender.Loan) bool {
+	c, known := n.claims.Claimed(l.Name)
+	return known && c.VM == from.VM && c.Boot == from.Boot && c.Since <= l.Fence && l.Fence <= c.Offset
+}
+
 // table keeps a table for when the claim that hands over is read back.
 func (n *Node) table(from lender.Who, t lender.Table) {
 	u := n.get(t.Name)
 	c, known := n.claims.Claimed(t.Name)
-	if u == nil || known && (c.Offset != t.Fence || c.VM != from.VM || c.Boot != from.Boot) {
+	if u == nil || !t.Sane() || known && (c.Offset != t.Fence || c.VM != from.VM || c.Boot != from.Boot) {
 		return
 	}
 	u.table = &t
@@ -202,8 +211,11 @@
 	n.told = append(n.told, note{to: from.VM, Told: Told{Name: t.Name, Fence: t.Fence}})
 }
 
+// clear takes the word of a VM that has cancelled what a stopped process left. A
+// process that may still run is not believed to be cleared.
 func (n *Node) clear(c Clear) {
-	if u := n.get(c.Name); u != nil && u.lender != nil {
+	u := n.get(c.Name)
+	if u != nil && u.lender != nil && n.members.Absent(n.last, c.VM, c.Boot) {
 		u.lender.Cleared(lender.Who{VM: c.VM, Boot: c.Boot})
 	}
 }
--- a/entry/process/coordinator/prober.go
+++ b/entry/process/coordinator/prober.go
@@ -19,6 +19,9 @@
 // maxProbe bounds an upstream's answer in bytes.
 const maxProbe = 4 << 20
 
+// maxAge bounds how old a report may say that it is.
+const maxAge = time.Hour
+
 // loadAnswer is an upstream's load report.
 type loadAnswer struct {
 	Boot    uint64 `json:"boot"`
@@ -54,13 +57,14 @@
 	if err != nil {
 		return lender.Load{}, err
 	}
-	if a.Running < 0 || a.Waiting < 0 || a.Age < 0 {
-		return lender.Load{}, ErrProbe.New("%s: negative figures in the load report", address)
-	}
-	return lender.Load{
+	load := lender.Load{
 		Boot: a.Boot, Running: a.Running, Waiting: a.Waiting, Used: a.Used, Memory: a.Memory, Left: a.Left,
 		Cold: a.Cold, Age: time.Duration(a.Age) * time.Millisecond,
-	}, nil
+	}
+	if !load.Sane() || load.Age < 0 || load.Age > maxAge {
+		return lender.Load{}, ErrProbe.New("%s: the load report has impossible figures", address)
+	}
+	return load, nil
 }
 
 // Streams asks for an engine's streams, counted by process.
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -170,7 +170,7 @@
 
 // Handle takes in an ask.
 func (l *Lender) Handle(now time.Time, from Who, a Ask) {
-	if a.Used < 0 || a.Held < 0 || a.Want < 0 || a.Need < 0 {
+	if !a.Sane() {
 		return
 	}
 	for w, b := range l.borrowers {
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -1,5 +1,39 @@
 package lender
 
+// most bounds any figure in a message: sums over all VMs must not overflow, or a
+// broken peer's ask would make the sum small.
+const most = 1 << 30
+
+// Sane says whether an ask's figures can be true at all.
+func (a Ask) Sane() bool { return sane(a.Used, a.Want, a.Held, a.Need) }
+
+// Sane says whether a loan's figures can be true at all.
+func (l Loan) Sane() bool {
+	return sane(l.Life, l.Slots, l.Tokens, l.Share, l.Limit, l.Running, l.Waiting, l.Used, l.Memory, l.Left, l.Age)
+}
+
+// Sane says whether a load report's figures can be true at all.
+func (l Load) Sane() bool { return sane(l.Running, l.Waiting, l.Used, l.Memory, l.Left) }
+
+// Sane says whether a table's figures can be true at all.
+func (t Table) Sane() bool {
+	for _, e := range t.Entries {
+		if !sane(e.Slots, e.Tokens) {
+			return false
+		}
+	}
+	return sane(t.Unknown)
+}
+
+func sane(figures ...int) bool {
+	for _, n := range figures {
+		if n < 0 || n > most {
+			return false
+		}
+	}
+	return true
+}
+
 // An Ask is what a borrower tells the holder of one upstream. It is encoded as
 // an array: at today's size a VM sends some thirty of them a second.
 type Ask struct {
