--- a/entry/process/keeper/batcher.go
+++ b/entry/process/keeper/batcher.go
@@ -19,7 +19,7 @@
 	maxNotes = 2048
 	// appendLimit is how long one append may take.
 	appendLimit = 3 * time.Second
-	// maxSkip bounds the wait after failed appends, in paces: 1.6 s.
+	// maxSkip bounds the wait after failed appends, in paces: 1.6 s by default.
 	maxSkip = 64
 )
 
@@ -36,7 +36,8 @@
 	mu      sync.Mutex
 	intents []item
 	notes   []item
-	sending int // notes in the append under way
+	sending int           // notes in the append under way
+	empty   chan struct{} // closed when no note waits any more
 	marked  bool
 }
 
@@ -48,7 +49,7 @@
 }
 
 func newBatcher(log Log, meter Meter) *batcher {
-	return &batcher{log: log, meter: meter, work: make(chan struct{}, 1), tick: make(chan struct{}, 1)}
+	return &batcher{log: log, meter: meter, work: make(chan struct{}, 1), tick: make(chan struct{}, 1), empty: make(chan struct{})}
 }
 
 // post queues an entry.
@@ -79,6 +80,23 @@
 
 func (b *batcher) crowded() bool { return b.pending() > maxNotes }
 
+// wait returns when no note waits, or when the context ends.
+func (b *batcher) wait(ctx context.Context) error {
+	for {
+		b.mu.Lock()
+		n, empty := len(b.notes)+b.sending, b.empty
+		b.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-empty:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // run appends until the context ends.
 func (b *batcher) run(ctx context.Context) error {
 	for {
@@ -120,6 +138,10 @@
 	b.sending = 0
 	if err == nil {
 		b.failed = 0
+		if len(b.notes) == 0 {
+			close(b.empty)
+			b.empty = make(chan struct{})
+		}
 		return len(b.intents)+len(b.notes) > 0
 	}
 	b.failed++
@@ -143,7 +165,10 @@
 	b.notes = append(notes, b.notes...)
 }
 
-// take removes the next record's items; nil means that there is nothing.
+// take removes the next record's items; nil means that there is nothing. Where
+// both wait, intents get half of a record: callers wait for them, but a record
+// full of intents would leave the outcomes of those before them behind for as
+// long as the rush lasts.
 func (b *batcher) take() []item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -151,12 +176,13 @@
 		return nil
 	}
 	b.marked = false
-	items := make([]item, 0, min(len(b.intents)+len(b.notes), recorder.MostCalls))
-	n := min(len(b.intents), recorder.MostCalls)
-	items = append(items, b.intents[:n]...)
+	most := recorder.MostCalls
+	notes := min(len(b.notes), most/2)
+	n := min(len(b.intents), most-notes)
+	items := append(make([]item, 0, most), b.intents[:n]...)
 	b.intents = b.intents[n:]
 	size := n * entryBytes
-	for len(b.notes) > 0 && len(items) < recorder.MostCalls {
+	for len(b.notes) > 0 && len(items) < most {
 		size += sizeOf(b.notes[0].entry)
 		if size > maxBytes {
 			break
