Let VMs find one another by their claims

Cause: VMs that start while the list lags or is down did not know one another, and each took what the others held at every lease, so that no claim ever took effect. Ruled out: waiting for the list, which may be hours old. Change: a claim carries its writer's address, and counts as a sign of life for as long as the first heartbeats may take. Conclusion: the list is needed to drop VMs, not to find them.

--- a/entry/process/claimer/claimer.go
+++ b/entry/process/claimer/claimer.go
@@ -24,6 +24,8 @@
 	// VM and Boot name this process.
 	VM   string
 	Boot uint64
+	// Zone and Address are this VM's, told to others with each claim.
+	Zone, Address string
 	// Lease is how long a holder may lend after the begin of the read that last
 	// reached the log's end.
 	Lease time.Duration
@@ -81,6 +83,7 @@
 	hasSeat bool
 
 	waits   map[string]time.Time // upstreams claimed and not yet read back
+	met     []Met
 	signs   map[string]time.Time // when a claim of another process was seen to land
 	seatTry time.Time
 	hands   map[string]*hand
@@ -182,6 +185,9 @@
 		m.skipped++
 		return
 	}
+	if c.By == c.VM && c.Address != "" {
+		m.met = append(m.met, Met{VM: c.VM, Boot: c.Boot, Zone: c.Zone, Address: c.Address})
+	}
 	upstreams, seats := claims(r.Offset, r.At, c)
 	for name, one := range upstreams {
 		if m.upstreams.apply(name, one) {
@@ -195,6 +201,19 @@
 	}
 }
 
+// A Met is a process that has written a claim.
+type Met struct {
+	VM, Zone, Address string
+	Boot              uint64
+}
+
+// Met returns the processes whose claims were read since the last call.
+func (m *Machine) Met() []Met {
+	met := m.met
+	m.met = nil
+	return met
+}
+
 // landed keeps what this process holds in step with the table.
 func (m *Machine) landed(now time.Time, name string, c Claim) {
 	delete(m.waits, name)
--- a/entry/process/claimer/propose.go
+++ b/entry/process/claimer/propose.go
@@ -33,7 +33,7 @@
 	if !m.Fresh(now) {
 		return nil
 	}
-	own := recorder.Claim{VM: m.c.VM, Boot: m.c.Boot, By: m.c.VM}
+	own := recorder.Claim{VM: m.c.VM, Boot: m.c.Boot, By: m.c.VM, Zone: m.c.Zone, Address: m.c.Address}
 	for _, name := range f.Upstreams {
 		if at, ok := m.waits[name]; ok && now.Sub(at) < m.c.Lease {
 			continue
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -93,7 +93,7 @@
 			Suspect: t.Suspect, Dead: t.Dead, Absent: t.Absent,
 		}),
 		claims: claimer.New(claimer.Config{
-			VM: c.VM, Boot: c.Boot, Lease: t.Lease, Life: t.Life, Drift: t.Drift, Keep: t.Keep,
+			VM: c.VM, Boot: c.Boot, Zone: c.Zone, Address: c.Address, Lease: t.Lease, Life: t.Life, Drift: t.Drift, Keep: t.Keep,
 		}),
 	}
 	n.units.Store(&map[string]*unit{})
@@ -151,6 +151,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.claims.Read(began, now, b)
+	for _, m := range n.claims.Met() {
+		n.members.Met(now, m.VM, m.Zone, m.Address, m.Boot)
+	}
 }
 
 // List takes in the platform's list of VMs.
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -232,6 +232,22 @@
 	w.until(t, 15*time.Second, func() bool { return w.holder() != nil && w.free(w.upstreams[0]) > 12 })
 }
 
+// VMs start together while the list is down. They find one another by their
+// claims, or each would take for itself what the others hold, again and again,
+// and nobody would lend anything.
+func TestStartWithoutTheList(t *testing.T) {
+	w := newWorld(1, 0, 3, 4, engine("e1"), engine("e2"))
+	w.listDown = true
+	w.run(15 * time.Second)
+	w.load = 0
+	w.run(3 * time.Second)
+	assert.Equal(t, w.failure, "")
+	for _, u := range w.upstreams {
+		assert.Equal(t, w.free(u), u.Slots)
+	}
+	assert.Assert(t, len(w.records) < 30, "%d claims", len(w.records))
+}
+
 // The list of VMs stands still for hours while VMs come and go.
 func TestListHoursOld(t *testing.T) {
 	w := warmed(t, 3, 4, engine("e1"))
--- a/entry/process/member/member.go
+++ b/entry/process/member/member.go
@@ -169,6 +169,20 @@
 	}
 }
 
+// Met takes in a process that has written a claim on the log. It is taken for
+// living until heartbeats had the time to come: VMs that start while the list
+// lags would else not know one another, and take each other's upstreams.
+func (t *Table) Met(now time.Time, id, zone, address string, boot uint64) {
+	if id == t.c.VM || id == "" {
+		return
+	}
+	v := t.vm(now, id)
+	if boot < v.boot || boot == v.boot && !v.heard.IsZero() {
+		return
+	}
+	v.boot, v.zone, v.address, v.since = boot, zone, address, now
+}
+
 func (t *Table) relay(now time.Time, h Heard) {
 	if h.VM == t.c.VM || h.VM == "" || h.Age < 0 {
 		return
--- a/entry/process/member/member_test.go
+++ b/entry/process/member/member_test.go
@@ -79,6 +79,22 @@
 	assert.Equal(t, state(t, m, epoch, "b"), member.Live)
 }
 
+// A VM is known by its claim only. It counts as living for as long as its first
+// heartbeats may take, and no longer.
+func TestMet(t *testing.T) {
+	m := table()
+	m.Met(epoch, "b", "z", "b:1", 5)
+	assert.Assert(t, m.Live(epoch, "b", 5))
+	assert.Equal(t, len(member.Peers("a", m.Members(epoch), 3, 1)), 1)
+	later := epoch.Add(3 * time.Second)
+	assert.Assert(t, !m.Live(later, "b", 5))
+	m.Met(later, "b", "z", "b:2", 4) // a late record of an earlier process
+	assert.Assert(t, !m.Live(later, "b", 5))
+	m.Met(later, "b", "z", "b:2", 6)
+	assert.Assert(t, m.Live(later, "b", 6))
+	assert.Assert(t, !m.Live(later, "b", 5))
+}
+
 // Absent frees a dead VM's seat and what it left at engines. Said too early, it
 // cuts a VM that only was slow to appear on the list, or that nobody hears.
 func TestAbsent(t *testing.T) {
--- a/library/recorder/claims.go
+++ b/library/recorder/claims.go
@@ -17,6 +17,10 @@
 	// By is the VM that wrote the record: the holder before, where it hands
 	// over, else VM itself.
 	By string `cbor:"by"`
+	// Zone and Address are By's, so that VMs find one another where the
+	// platform's list lags.
+	Zone    string `cbor:"zone,omitempty"`
+	Address string `cbor:"address,omitempty"`
 	// Handed says that the holder before has stopped lending and that the claim
 	// takes effect at once.
 	Handed bool `cbor:"handed,omitempty"`
