Join homes, guests and the split of engines to the dispatcher

Cause: the router's decisions on which VM is an engine's home, and which engines are set apart for long prompts, were not fed. Change: each pool works out both once a second from the members and the tokens offered here, times the number of VMs; admission's pace is reckoned from the engines that a prompt may use.

--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -62,6 +62,9 @@
 		Decode:      float64(u.Decode),
 		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
+		Long:        p.affinity.long[u.Name],
+		Home:        p.affinity.home(p.dispatcher.config.VM, u.Name),
+		Guest:       p.affinity.guest(now, p.dispatcher.config.VM, u.Name),
 		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
 	}
 }
@@ -93,24 +96,9 @@
 	p.sent[name] = list
 }
 
-// pace is what the pool's upstreams can do for this VM.
-func (p *pool) pace() admitter.Pace {
-	var c admitter.Pace
-	for _, u := range p.upstreams {
-		s := p.dispatcher.supplier.Supply(u.Name)
-		if u.Slots == 0 {
-			continue
-		}
-		speed := p.dispatcher.speeds.Speed(u.Name)
-		share := float64(s.Slots) / float64(u.Slots)
-		c.Slots += s.Slots
-		c.Running += s.Mine
-		c.Prefill += float64(u.Prefill) * share * speed
-		c.Alone = max(c.Alone, float64(u.Prefill)*speed)
-		c.Decode = max(c.Decode, float64(u.Decode))
-		c.PrefillLeft += float64(s.PrefillLeft) * share
-	}
-	return c
+// pace is what a request may expect of the pool's upstreams.
+func (p *pool) pace(now time.Time, k admitter.Ask) admitter.Pace {
+	return router.Pace(p.candidates(now, k, nil), k.Tokens)
 }
 
 func (p *pool) prefixed(k admitter.Ask, part Part) {
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/hinter"
+	"github.com/heathervane/heathervane/entry/process/splitter"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/router"
@@ -70,6 +71,8 @@
 	// one part of a group could use; both are said again while they are true.
 	Want(upstream string, n int)
 	Need(upstream string, tokens int)
+	// VMs are the entry VMs that live, this one included, by name in order.
+	VMs() []string
 }
 
 // Speeds tells how fast upstreams are: 1 as promised.
@@ -146,6 +149,7 @@
 		waiting:    make(map[uint64]*waiter),
 		sent:       make(map[string][]sending),
 		hinter:     hinter.New(mostHints),
+		affinity:   affinity{splitter: splitter.New(splitter.Config{})},
 	}
 	return p, nil
 }
--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -71,6 +71,7 @@
 }
 
 func (l *lender) Need(string, int) {}
+func (l *lender) VMs() []string    { return []string{"vm1"} }
 
 func (l *lender) inUse() int {
 	l.mu.Lock()
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -51,6 +51,7 @@
 	sent      map[string][]sending
 	hold      hold
 	hinter    *hinter.Hinter
+	affinity  affinity
 	scratch   []router.Candidate
 }
 
@@ -81,6 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upstreams = known(p.dispatcher.config.VM, vp)
+	p.affinity.next = time.Time{}
 	p.fill(p.dispatcher.now())
 }
 
@@ -146,9 +148,10 @@
 	if err := p.fits(c.Ask); err != nil {
 		return nil, refuser.New(http.StatusUnprocessableEntity, "too_large", "%s", err)
 	}
-	if r := p.admitter.Offer(now, c.Ask, p.pace()); r != nil {
+	if r := p.admitter.Offer(now, c.Ask, p.pace(now, c.Ask)); r != nil {
 		return nil, turnedAway(r)
 	}
+	p.affinity.offer(c.Ask)
 	w := &waiter{call: c, answer: make(chan reply, 1)}
 	p.waiting[c.Ask.ID] = w
 	p.fill(now)
@@ -202,7 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.dispatcher.now()
-	for _, k := range p.admitter.Expire(now, p.pace()) {
+	for _, k := range p.admitter.Expire(now, p.pace(now, admitter.Ask{})) {
 		if w, ok := p.waiting[k.ID]; ok {
 			p.reply(k.ID, w, reply{refusal: late()})
 		}
@@ -212,6 +215,7 @@
 
 // fill places waiting requests until no more can be placed.
 func (p *pool) fill(now time.Time) {
+	p.affinity.look(now, p.dispatcher.supplier.VMs, p.upstreams)
 	for {
 		var grant *Grant
 		k, ok := p.admitter.Next(now, func(k admitter.Ask) bool {
--- a/entry/process/server/supply.go
+++ b/entry/process/server/supply.go
@@ -1,8 +1,11 @@
 package server
 
 import (
+	"slices"
+
 	"github.com/heathervane/heathervane/entry/process/coordinator"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
+	"github.com/heathervane/heathervane/entry/process/member"
 )
 
 // supply shows the coordinator to the dispatcher.
@@ -35,6 +38,18 @@
 // Need asks for memory beside what is held.
 func (s supply) Need(upstream string, tokens int) { s.coordinator.Need(upstream, tokens) }
 
+// VMs are the entry VMs that live.
+func (s supply) VMs() []string {
+	var vms []string
+	for _, m := range s.coordinator.Members() {
+		if m.State == member.Live {
+			vms = append(vms, m.VM)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 // place is a slot of the coordinator's.
 type place struct {
 	slot *coordinator.Slot
--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -93,7 +93,7 @@
 	n := need{
 		ask:     &a,
 		left:    a.Deadline.Sub(now).Seconds(),
-		long:    a.Tokens > longPrompt,
+		long:    Long(a.Tokens),
 		split:   split(cs),
 		patient: now.Sub(a.Arrived) >= patience,
 	}
@@ -211,6 +211,10 @@
 	return c.Home || !n.homes || (c.Guest && n.patient)
 }
 
+// Long says that a prompt of so many tokens is one of those that engines are
+// set apart for.
+func Long(tokens int) bool { return tokens > longPrompt }
+
 func (c *Candidate) slow() bool { return c.Speed > 0 && c.Speed < slow }
 
 // cost is the estimated seconds to the first token, or false where the ask had
--- a/entry/request/router/pace.go
+++ b/entry/request/router/pace.go
@@ -8,7 +8,7 @@
 // the work unread there does not delay it. Counted in, a few documents made
 // short questions look too late on a fleet that was half idle.
 func Pace(cs []Candidate, tokens int) admitter.Pace {
-	n := need{long: tokens > longPrompt, split: split(cs)}
+	n := need{long: Long(tokens), split: split(cs)}
 	var all, free admitter.Pace
 	for i := range cs {
 		c := &cs[i]
