--- /dev/null
+++ b/entry/process/server/secure.go
@@ -0,0 +1,28 @@
+package server
+
+import (
+	"github.com/heathervane/heathervane/entry/process/setter"
+	"github.com/heathervane/heathervane/entry/version/reloader"
+)
+
+// secure sets up TLS for callers and between VMs where the settings name
+// certificates. Renewed files are taken up without a restart.
+func (v *Server) secure(s setter.Settings) error {
+	if s.Callers.Certificate != "" {
+		files := reloader.Files{Certificate: s.Callers.Certificate, Key: s.Callers.Key}
+		r, err := reloader.New("callers", files, v.ticker, v.meter.Registry(), v.log)
+		if err != nil {
+			return err
+		}
+		v.callersTLS = r.Server()
+	}
+	if s.Peers.Certificate != "" {
+		files := reloader.Files{Certificate: s.Peers.Certificate, Key: s.Peers.Key, Authority: s.Peers.Authority}
+		r, err := reloader.New("peers", files, v.ticker, v.meter.Registry(), v.log)
+		if err != nil {
+			return err
+		}
+		v.peersTLS, v.linksTLS = r.Server(), r.Client()
+	}
+	return nil
+}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -102,6 +102,9 @@
 	v.ticker = ticker.New(time.Now, step)
 	v.upstream = upstreamClient()
 	v.bodies = bounder.New(int64(s.Limits.Bodies))
+	if err := v.secure(s); err != nil {
+		return nil, err
+	}
 	if err := v.sides.open(s); err != nil {
 		return nil, err
 	}
