--- a/library/folder/apply.go
+++ b/library/folder/apply.go
@@ -109,7 +109,7 @@
 	}
 	before := s
 	if p.Anew {
-		before = State{Read: s.Read}
+		before = State{Read: s.Read, Anew: r.Offset}
 	}
 	after, found := before.manifested(r.Offset, p.Manifest)
 	if len(found) > 0 {
@@ -181,6 +181,11 @@
 		if reason := late(r, o.Base); reason != "" {
 			return reason
 		}
+		if o.Base <= s.Anew {
+			// The audit trail, by which a second copy is known, has begun
+			// again since.
+			return fmt.Sprintf("it was written before the configuration was published anew at %d", s.Anew)
+		}
 	}
 	if !o.Out || s.Out(o.Kind, o.Name) {
 		return ""
--- a/library/folder/fleet_test.go
+++ b/library/folder/fleet_test.go
@@ -94,7 +94,11 @@
 func (f *fleet) order(t *rapid.T) {
 	kind := rapid.SampledFrom([]recorder.Target{recorder.TargetVM, recorder.TargetZone, recorder.TargetUpstream}).Draw(t, "kind")
 	name := rapid.SampledFrom([]string{"a", "b", "u", "entry-1"}).Draw(t, "name")
-	f.append(order(t, kind, name, rapid.Bool().Draw(t, "out"), f.id()))
+	o := recorder.Order{Kind: kind, Name: name, Out: rapid.Bool().Draw(t, "out"), Who: "kim", ID: f.id()}
+	if rapid.Bool().Draw(t, "based") {
+		o.Base = f.end() - min(f.end(), rapid.Uint64Range(0, 3).Draw(t, "behind"))
+	}
+	f.append(wrap(t, recorder.KindOrder, o))
 }
 
 // again appends a record that an operator or a VM has appended before.
--- a/library/folder/folder.go
+++ b/library/folder/folder.go
@@ -59,6 +59,8 @@
 	Outs recorder.Outs
 	// Read is the last offset that was read.
 	Read uint64
+	// Anew is the offset of the last publish anew, 0 for none.
+	Anew uint64
 	// Audit is the end of the audit trail, oldest first, at most MaxAudit.
 	Audit []recorder.Change
 }
--- a/library/folder/folder_test.go
+++ b/library/folder/folder_test.go
@@ -114,6 +114,19 @@
 	assert.Equal(t, len(s.Audit), folder.MaxAudit)
 }
 
+// An order lands twice, and between its copies the configuration is published
+// anew, which forgets the first.
+func TestOrderFromBeforeAPublishAnewIsRefused(t *testing.T) {
+	out := wrap(t, recorder.KindOrder, recorder.Order{Kind: "zone", Name: "a", Out: true, Base: 2, Who: "kim", ID: "o1"})
+	anew := wrap(t, recorder.KindPublish, recorder.Publish{Base: 3, Anew: true, Manifest: manifest(4), Who: "kim", ID: "p2"})
+	s, v := fold(publish(t, 0, "p1"), out, anew, out)
+	assert.Equal(t, v.Outcome, folder.Refused)
+	assert.Assert(t, !s.Out(recorder.TargetZone, "a"))
+	_, v = fold(publish(t, 0, "p1"), out, anew,
+		wrap(t, recorder.KindOrder, recorder.Order{Kind: "zone", Name: "a", Out: true, Base: 4, Who: "kim", ID: "o2"}))
+	assert.Equal(t, v.Outcome, folder.Accepted, v.Reason)
+}
+
 // A log that answers twice or goes back gives old records again. An order that
 // has been taken back since would hold a zone out that operators see as in.
 func TestRepeatedAndMissingOffsetsChangeNothing(t *testing.T) {
@@ -154,6 +167,7 @@
 		{"has read as much", &newer, 3, 9, stored, false},
 		{"read ahead of itself", nil, 3, 2, stored, false},
 		{"version after read", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Version = 3 }), false},
+		{"anew after version", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Anew = 2 }), false},
 		{"version without manifest", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Manifest = nil }), false},
 		{"manifest without version", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Version = 0 }), false},
 		{"bad manifest", nil, 3, 9, with(func(c *recorder.Checkpoint) { c.Manifest = []byte("seats = 0") }), false},
--- a/library/folder/found.go
+++ b/library/folder/found.go
@@ -15,17 +15,20 @@
 // Store returns the checkpoint of a state.
 func Store(s State) recorder.Checkpoint {
 	return recorder.Checkpoint{
-		Version: s.Version, Manifest: s.Packed, Outs: s.Outs, Read: s.Read, Audit: s.Audit,
+		Version: s.Version, Manifest: s.Packed, Outs: s.Outs, Read: s.Read, Anew: s.Anew, Audit: s.Audit,
 	}
 }
 
 // Restore returns the state of a checkpoint. It reads the manifest again and
 // checks every bound, because the checkpoint may come from a broken writer.
 func Restore(c recorder.Checkpoint) (State, error) {
-	s := State{Outs: c.Outs, Read: c.Read, Audit: c.Audit}
+	s := State{Outs: c.Outs, Read: c.Read, Anew: c.Anew, Audit: c.Audit}
 	if c.Version > c.Read || c.Read == math.MaxUint64 {
 		return State{}, ErrRestore.New("version %d, read up to %d", c.Version, c.Read)
 	}
+	if c.Anew > c.Version {
+		return State{}, ErrRestore.New("published anew at %d, version %d", c.Anew, c.Version)
+	}
 	if (c.Version == 0) != (len(c.Manifest) == 0) {
 		return State{}, ErrRestore.New("version %d with a manifest of %d bytes", c.Version, len(c.Manifest))
 	}
--- a/library/recorder/config.go
+++ b/library/recorder/config.go
@@ -100,6 +100,8 @@
 	Outs     Outs   `cbor:"outs"`
 	// Read is the last offset that the writer had read.
 	Read uint64 `cbor:"read"`
+	// Anew is the offset of the last publish anew, 0 for none.
+	Anew uint64 `cbor:"anew,omitempty"`
 	// Audit is the end of the audit trail, oldest first.
 	Audit []Change `cbor:"audit"`
 }
--- a/operator/commander/answers.go
+++ b/operator/commander/answers.go
@@ -112,9 +112,12 @@
 
 func (s standing) text() string {
 	var b strings.Builder
-	if s.Log != "" {
+	switch {
+	case s.Log != "":
 		fmt.Fprintf(&b, "log: %s\n", s.Log)
-	} else {
+	case s.Version == 0:
+		fmt.Fprintf(&b, "no manifest is in force, read up to %d\n", s.Read)
+	default:
 		fmt.Fprintf(&b, "version %d in force, digest %.12s, read up to %d\n", s.Version, s.Digest, s.Read)
 	}
 	for _, out := range []struct {
--- a/operator/commander/commander.go
+++ b/operator/commander/commander.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/heathervane/heathervane/library/checker"
 	"github.com/heathervane/heathervane/library/finder"
 	"github.com/heathervane/heathervane/library/folder"
+	"github.com/heathervane/heathervane/library/lister"
 	"github.com/heathervane/heathervane/library/recorder"
 	"github.com/heathervane/heathervane/operator/changer"
 )
@@ -73,12 +75,7 @@
 }
 
 func isDirected(word string) bool {
-	for _, d := range directed {
-		if d == word {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(directed, word)
 }
 
 type commander struct {
@@ -188,6 +185,9 @@
 	if err != nil {
 		return code(err), err
 	}
+	if kind == recorder.TargetVM && out {
+		c.warn(ctx)
+	}
 	o := recorder.Order{
 		Kind: kind, Name: c.name, Out: out, Base: end,
 		Who: c.who, At: time.Now().UnixMilli(), ID: rand.Text(), Why: c.why,
@@ -195,6 +195,30 @@
 	return change(ctx, c, ch, o.ID, recorder.KindOrder, o)
 }
 
+// warn tells of a name that the platform's list of VMs does not have. Manifests
+// do not name VMs, so that a wrong name would be accepted and change nothing.
+// The list lags, so that the order is given all the same.
+func (c *commander) warn(ctx context.Context) {
+	if c.list == "" {
+		return
+	}
+	vms, err := lister.New(strings.TrimRight(c.list, "/"), c.client).VMs(ctx)
+	if err != nil {
+		fmt.Fprintln(c.bad, "vanectl: the name could not be checked:", err)
+		return
+	}
+	names := make([]string, 0, len(vms))
+	for _, v := range vms {
+		names = append(names, v.ID)
+	}
+	if slices.Contains(names, c.name) {
+		return
+	}
+	var found finder.Findings
+	found.Hintf("vm "+c.name, c.name, names, "is not on the platform's list")
+	fmt.Fprintln(c.bad, "vanectl: warning:", found[0])
+}
+
 // change makes a change and prints what became of it.
 func change[T any](ctx context.Context, c *commander, ch *changer.Changer, id, kind string, v T) (Code, error) {
 	data, err := recorder.Wrap(kind, v)
--- a/operator/commander/commander_test.go
+++ b/operator/commander/commander_test.go
@@ -191,6 +191,27 @@
 	assert.Assert(t, strings.Contains(answer.Log, "503"))
 }
 
+func TestWrongNameOfAVMIsWarnedOf(t *testing.T) {
+	l := published(t)
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Write([]byte(`{"vms":[{"id":"entry-1","zone":"a","address":"10.0.0.1:1","state":"live"}]}`))
+	}))
+	defer list.Close()
+	for _, c := range []struct {
+		list, name, want string
+		warned           bool
+	}{
+		{list.URL, "entry-1", "", false},
+		{list.URL, "entri-1", "is not on the platform's list (did you mean entry-1?)", true},
+		{l.URL, "entri-1", "the name could not be checked", true},
+	} {
+		code, out := run(t, l, "vm", "out", c.name, "--list", c.list)
+		assert.Equal(t, code, commander.Done, out)
+		assert.Assert(t, strings.Contains(out, c.want), out)
+		assert.Equal(t, strings.Contains(out, "vanectl:"), c.warned, out)
+	}
+}
+
 func TestHelp(t *testing.T) {
 	for _, c := range []struct {
 		args []string
--- a/operator/commander/words.go
+++ b/operator/commander/words.go
@@ -17,6 +17,7 @@
 // options are the values of all flags and positions.
 type options struct {
 	log   string
+	list  string
 	json  bool
 	limit time.Duration
 	vms   []string
@@ -39,7 +40,7 @@
 	directions = []string{"out", "in"}
 
 	// valued and plain are the flags with and without a value.
-	valued = []string{"--log", "--limit", "--vm", "--who", "--why", "--base"}
+	valued = []string{"--log", "--list", "--limit", "--vm", "--who", "--why", "--base"}
 	plain  = []string{"--json", "--anew", "--help", "-h"}
 )
 
@@ -81,13 +82,14 @@
 // parse reads the arguments. The flag library ends the process itself where
 // help was asked for, with 0, and where a position is missing, with 2.
 func parse(args []string) (options, error) {
-	o := options{log: os.Getenv("VANECTL_LOG"), limit: defaultLimit, who: self()}
+	o := options{log: os.Getenv("VANECTL_LOG"), list: os.Getenv("VANECTL_LIST"), limit: defaultLimit, who: self()}
 	p := flaggy.NewParser("vanectl")
 	p.Description = "drives a heathervane fleet through manifests and orders"
 	p.AdditionalHelpAppend = exits
 	p.ShowCompletion = false
 	p.DisableShowVersionWithVersion()
 	p.String(&o.log, "", "log", "base URL of the platform's log; default VANECTL_LOG")
+	p.String(&o.list, "", "list", "base URL of the platform's list of VMs, to warn of wrong names; default VANECTL_LIST")
 	p.Bool(&o.json, "", "json", "answer in JSON")
 	p.Duration(&o.limit, "", "limit", "how long to find out what became of a change")
 	for _, c := range subcommands(&o) {
