--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -184,12 +184,12 @@
 // Live says whether the request may still be sent. A process that is frozen
 // between Take and the sending wakes with a slot that others count on being
 // unused; it must ask just before the send. A slot that waits, as one part of a
-// group does for the parts before it, stays live while its VM's loan is: the
-// holder hears of it with each renewal, and counts it. Half of the settling
-// time is left for the way to the upstream.
+// group does for the parts before it, stays live while its VM's loans
+// follow one another without a gap: the holder hears of it with each renewal,
+// and counts it. Half of the settling time is left for the way to the upstream.
 func (s *Slot) Live() bool {
 	now := s.o.d.Ticker.Now()
-	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Current(now)
+	return now.Sub(s.taken) < s.o.c.Timings.Settle/2 || s.unit.borrower.Lent(now, s.taken)
 }
 
 // Done gives the slot back. Only its first call counts.
