--- a/bench/secure_test.go
+++ b/bench/secure_test.go
@@ -3,18 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"math/big"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,66 +20,21 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/bench/starter"
+	"github.com/heathervane/heathervane/library/signer"
 )
 
-// An authority signs the certificates of one fleet.
-type authority struct {
-	t    *testing.T
-	root *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
-
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t}
-	var err error
-	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	form := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, Subject: pkix.Name{CommonName: "fleet"},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, form, form, a.key.Public(), a.key)
-	assert.NilError(t, err)
-	a.root, err = x509.ParseCertificate(der)
-	assert.NilError(t, err)
-	a.pem = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
-	return a
-}
-
-// issue writes a certificate and its key into a folder.
-func (a *authority) issue(folder string, serial int64) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(a.t, err)
-	form := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageDigitalSignature, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, form, a.root, key.Public(), a.key)
-	assert.NilError(a.t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(a.t, err)
-	for name, block := range map[string]*pem.Block{
-		"vm.pem": {Type: "CERTIFICATE", Bytes: der}, "vm-key.pem": {Type: "PRIVATE KEY", Bytes: secret},
-	} {
-		assert.NilError(a.t, os.WriteFile(filepath.Join(folder, name), pem.EncodeToMemory(block), 0o600))
-	}
-	assert.NilError(a.t, os.WriteFile(filepath.Join(folder, "authority.pem"), a.pem, 0o600))
-}
-
 // settings are those of a VM with TLS on both sides; paths are relative.
 const settings = `id = %q
 zone = "a"
 [callers]
 address = "127.0.0.1:0"
-certificate = "vm.pem"
-key = "vm-key.pem"
+certificate = "certificate.pem"
+key = "key.pem"
 [peers]
 address = "127.0.0.1:0"
 secret = "a secret for this test alone"
-certificate = "vm.pem"
-key = "vm-key.pem"
+certificate = "certificate.pem"
+key = "key.pem"
 authority = "authority.pem"
 [watch]
 address = "127.0.0.1:0"
@@ -96,9 +44,9 @@
 `
 
 // secured starts one VM with TLS, in a folder of its own.
-func (b *bench) secured(t *testing.T, a *authority, id string) (*starter.Process, string) {
+func (b *bench) secured(t *testing.T, a *signer.Signer, id string) (*starter.Process, string) {
 	folder := t.TempDir()
-	a.issue(folder, 1)
+	assert.NilError(t, a.Issue(folder, 1, time.Hour))
 	path := filepath.Join(folder, "entry.toml")
 	text := fmt.Sprintf(settings, id, b.Log.Line.Address, b.List.Line.Address)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
@@ -142,7 +90,8 @@
 // without a certificate of the fleet gets no link to a VM.
 func TestTLSOnBothSides(t *testing.T) {
 	b := start(t, func(s *starter.Size) { s.VMs = 0 })
-	a := newAuthority(t)
+	a, err := signer.New()
+	assert.NilError(t, err)
 	one, folder := b.secured(t, a, "tls-1")
 	two, _ := b.secured(t, a, "tls-2")
 	for _, vm := range []*starter.Process{one, two} {
@@ -150,9 +99,9 @@
 		b.until("the VMs are linked", func() (bool, error) { return b.metric(vm, "heathervane_links_open 1") })
 	}
 	roots := x509.NewCertPool()
-	assert.Assert(t, roots.AppendCertsFromPEM(a.pem))
+	assert.Assert(t, roots.AppendCertsFromPEM(a.PEM))
 	assert.Equal(t, b.answered(one, roots), int64(1))
-	a.issue(folder, 2)
+	assert.NilError(t, a.Issue(folder, 2, time.Hour))
 	b.until("the renewed certificate is in use", func() (bool, error) { return b.answered(one, roots) == 2, nil })
 
 	stranger := &tls.Dialer{Config: &tls.Config{InsecureSkipVerify: true}}
--- a/entry/version/reloader/reloader_test.go
+++ b/entry/version/reloader/reloader_test.go
@@ -2,16 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -25,62 +18,34 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/version/reloader"
+	"github.com/heathervane/heathervane/library/signer"
 	"github.com/heathervane/heathervane/library/ticker"
 )
 
-// authority signs certificates.
+// authority signs certificates for a test.
 type authority struct {
-	t    *testing.T
-	leaf *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
+	*signer.Signer
+	t *testing.T
 }
 
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t}
-	a.key = newKey(t)
-	form := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, Subject: pkix.Name{CommonName: "authority"},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, form, form, a.key.Public(), a.key)
-	assert.NilError(t, err)
-	a.leaf, err = x509.ParseCertificate(der)
-	assert.NilError(t, err)
-	a.pem = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
-	return a
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func newAuthority(t *testing.T) authority {
+	s, err := signer.New()
 	assert.NilError(t, err)
-	return key
+	return authority{s, t}
 }
 
 // write writes a new certificate of a serial number, which lasts for a time
 // from now, into a folder.
-func (a *authority) write(folder string, serial int64, lasts time.Duration) reloader.Files {
-	key := newKey(a.t)
-	form := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(lasts), KeyUsage: x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, form, a.leaf, key.Public(), a.key)
-	assert.NilError(a.t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(a.t, err)
-	f := files(folder)
-	save(a.t, f.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	save(a.t, f.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}))
-	save(a.t, f.Authority, a.pem)
-	return f
+func (a authority) write(folder string, serial int64, lasts time.Duration) reloader.Files {
+	assert.NilError(a.t, a.Issue(folder, serial, lasts))
+	return files(folder)
 }
 
 func files(folder string) reloader.Files {
 	return reloader.Files{
-		Certificate: filepath.Join(folder, "certificate.pem"),
-		Key:         filepath.Join(folder, "key.pem"),
-		Authority:   filepath.Join(folder, "authority.pem"),
+		Certificate: filepath.Join(folder, signer.Certificate),
+		Key:         filepath.Join(folder, signer.Key),
+		Authority:   filepath.Join(folder, signer.Authority),
 	}
 }
 
@@ -217,7 +182,7 @@
 	}
 }
 
-func other(t *testing.T, a *authority) []byte {
+func other(t *testing.T, a authority) []byte {
 	data, err := os.ReadFile(a.write(t.TempDir(), 9, time.Hour).Key)
 	assert.NilError(t, err)
 	return data
