--- a/entry/process/watcher/watcher.go
+++ b/entry/process/watcher/watcher.go
@@ -9,7 +9,8 @@
 	"strings"
 )
 
-// A Check tells whether a part of the process is ready, and why not.
+// A Check tells whether a part of the process is ready, and why not. A part that
+// is ready may give a reason too, where it does not work as it should.
 type Check func() (ready bool, reason string)
 
 // Status is what /status shows.
@@ -51,15 +52,23 @@
 // ServeHTTP serves one request.
 func (w *Watcher) ServeHTTP(rw http.ResponseWriter, q *http.Request) { w.mux.ServeHTTP(rw, q) }
 
-// Ready tells whether all parts are ready, with every reason why not.
-func (w *Watcher) Ready() (bool, string) {
-	var reasons []string
+// Ready tells whether all parts are ready, with every reason that they give.
+// Once one is not, the reasons of those that are stay out.
+func (w *Watcher) Ready() (ready bool, reason string) {
+	var against, beside []string
 	for _, check := range w.checks {
-		if ok, reason := check(); !ok {
-			reasons = append(reasons, reason)
+		ok, reason := check()
+		switch {
+		case !ok:
+			against = append(against, reason)
+		case reason != "":
+			beside = append(beside, reason)
 		}
 	}
-	return len(reasons) == 0, strings.Join(reasons, "; ")
+	if len(against) > 0 {
+		return false, strings.Join(against, "; ")
+	}
+	return true, strings.Join(beside, "; ")
 }
 
 func (w *Watcher) live(rw http.ResponseWriter, _ *http.Request) {
