Pause where the log does not wait

A log that answers at once that there is nothing would have been read by every VM as fast as it answers. TestRunPausesAndEndsWithItsContext fails without the pause by not ending, in time that the test holds still. Lines of the follower's log now say what happened.

--- a/entry/version/follower/follower.go
+++ b/entry/version/follower/follower.go
@@ -75,8 +75,9 @@
 	nextID int
 	// back says that the log ends before what was read of it.
 	back bool
-	// ended says that the last read reached the end of the stream.
-	ended bool
+	// ended says that the last read reached the end of the stream, and empty
+	// that it brought no record.
+	ended, empty bool
 	// failed is the error of the last read.
 	failed error
 	// stuck is since when a peer has been known to be ahead of what was read.
@@ -132,7 +133,9 @@
 	})
 	defer stop()
 	for ctx.Err() == nil {
-		if f.Step(ctx) == nil {
+		began := f.ticker.Now()
+		err := f.Step(ctx)
+		if err == nil && !f.hasty(began) {
 			continue
 		}
 		select {
@@ -142,6 +145,15 @@
 	}
 }
 
+// hasty says that a read brought nothing and did not wait for anything. A log
+// that does not wait as it is asked to would otherwise be read by every VM as
+// fast as it answers.
+func (f *Follower) hasty(began time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.empty && f.ticker.Now().Sub(began) < pause
+}
+
 // Step reads once and folds what came. An error says that the log could not be
 // read, or ends before what has been read of it; the state stays in force.
 func (f *Follower) Step(ctx context.Context) error {
@@ -163,8 +175,11 @@
 	if err != nil {
 		f.counts.errors.Inc(1)
 	}
-	if (err == nil) != (f.failed == nil) {
-		f.logger.Warn().AnErr("error", err).Bool("read", err == nil).Msg("the log's stream config")
+	switch {
+	case err != nil && f.failed == nil:
+		f.logger.Warn().Err(err).Msg("the configuration can't be followed")
+	case err == nil && f.failed != nil:
+		f.logger.Info().Msg("the configuration is followed again")
 	}
 	f.failed = err
 }
@@ -178,6 +193,7 @@
 
 // take folds the answer to a read from an offset on.
 func (f *Follower) take(from uint64, b appender.Batch) error {
+	f.empty = len(b.Records) == 0
 	gap := f.reader.Gap()
 	steps, err := f.reader.Take(from, batch(b))
 	f.back = err != nil
@@ -185,7 +201,7 @@
 		// The state stays in force, and no record is read until an operator
 		// has seen to it.
 		f.counts.back.Inc(1)
-		return Error.Wrap(err)
+		return err
 	}
 	if f.reader.Gap() && !gap {
 		f.counts.gaps.Inc(1)
--- a/entry/version/follower/follower_test.go
+++ b/entry/version/follower/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,11 +29,13 @@
 	lose    bool
 	during  func() // runs while a read is under way
 	given   int    // records in the last answer
+	reads   int    // answers so far
 }
 
 func (l *fakeLog) end() uint64 { return uint64(len(l.records)) + 1 }
 
 func (l *fakeLog) Read(_ context.Context, _ string, from uint64, most int, _ time.Duration) (appender.Batch, error) {
+	l.reads++
 	if l.down != nil {
 		return appender.Batch{}, l.down
 	}
@@ -389,16 +392,31 @@
 	ready(t, f, true, "")
 }
 
-func TestRunEndsWithItsContext(t *testing.T) {
-	w := newWorld(t)
-	w.log.down = errDown
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	f := w.follow()
-	go func() {
-		f.Run(ctx)
-		close(ended)
-	}()
-	cancel()
-	<-ended
+// The log is down, or answers at once that there is nothing. Read without a
+// pause, it would have no time for anything else once it is back.
+func TestRunPausesAndEndsWithItsContext(t *testing.T) {
+	for name, down := range map[string]error{"down": errDown, "does not wait": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.log.down = down
+				ctx, cancel := context.WithCancel(t.Context())
+				clock := ticker.New(w.now, time.Second)
+				f := follower.New(w.log, clock, metrics.NewRegistry(), zerolog.Nop())
+				ended := make(chan struct{})
+				go func() {
+					f.Run(ctx)
+					close(ended)
+				}()
+				synctest.Wait()
+				assert.Equal(t, w.log.reads, 1)
+				w.clock = w.clock.Add(time.Second)
+				clock.Tick()
+				synctest.Wait()
+				assert.Equal(t, w.log.reads, 2)
+				cancel()
+				<-ended
+			})
+		})
+	}
 }
