Let VMs in the fleet test take one another's state

The states from peers were tested in the follower only. 5000 checks with them pass in 17.3 s (go test -run Fleet ./folder -rapid.checks=5000).

--- a/library/folder/fleet_test.go
+++ b/library/folder/fleet_test.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// adopt has a VM take the state of another that has read further.
+func (f *fleet) adopt(t *rapid.T) {
+	from := rapid.SampledFrom(f.vms).Draw(t, "from").State()
+	to := rapid.SampledFrom(f.vms).Draw(t, "to")
+	if from == nil || (to.State() != nil && from.Read <= to.State().Read) {
+		return
+	}
+	s, err := folder.Restore(folder.Store(*from))
+	assert.NilError(t, err)
+	f.check(t, folder.Step{Before: to.State(), After: s, Verdict: f.verdicts[s.Read], Record: folder.Record{Offset: s.Read}})
+	to.Jump(s)
+}
+
 // Operators race, records repeat or are broken, the log drops old ones, and VMs
 // freeze and are replaced at any moment. A user notices when two VMs hold
 // different manifests for good, or one goes back to an older one.
@@ -141,6 +154,7 @@
 			"again":      f.again,
 			"hostile":    f.hostile,
 			"checkpoint": f.checkpoint,
+			"adopt":      f.adopt,
 			"expire": func(t *rapid.T) {
 				f.start = min(f.end(), f.start+rapid.Uint64Range(1, 5).Draw(t, "records"))
 			},
