--- a/library/folder/fleet_test.go
+++ b/library/folder/fleet_test.go
@@ -94,7 +94,11 @@
 func (f *fleet) order(t *rapid.T) {
 	kind := rapid.SampledFrom([]recorder.Target{recorder.TargetVM, recorder.TargetZone, recorder.TargetUpstream}).Draw(t, "kind")
 	name := rapid.SampledFrom([]string{"a", "b", "u", "entry-1"}).Draw(t, "name")
-	f.append(order(t, kind, name, rapid.Bool().Draw(t, "out"), f.id()))
+	o := recorder.Order{Kind: kind, Name: name, Out: rapid.Bool().Draw(t, "out"), Who: "kim", ID: f.id()}
+	if rapid.Bool().Draw(t, "based") {
+		o.Base = f.end() - min(f.end(), rapid.Uint64Range(0, 3).Draw(t, "behind"))
+	}
+	f.append(wrap(t, recorder.KindOrder, o))
 }
 
 // again appends a record that an operator or a VM has appended before.
@@ -122,6 +126,19 @@
 	}
 }
 
+// adopt has a VM take the state of another that has read further.
+func (f *fleet) adopt(t *rapid.T) {
+	from := rapid.SampledFrom(f.vms).Draw(t, "from").State()
+	to := rapid.SampledFrom(f.vms).Draw(t, "to")
+	if from == nil || (to.State() != nil && from.Read <= to.State().Read) {
+		return
+	}
+	s, err := folder.Restore(folder.Store(*from))
+	assert.NilError(t, err)
+	f.check(t, folder.Step{Before: to.State(), After: s, Verdict: f.verdicts[s.Read], Record: folder.Record{Offset: s.Read}})
+	to.Jump(s)
+}
+
 // Operators race, records repeat or are broken, the log drops old ones, and VMs
 // freeze and are replaced at any moment. A user notices when two VMs hold
 // different manifests for good, or one goes back to an older one.
@@ -137,6 +154,7 @@
 			"again":      f.again,
 			"hostile":    f.hostile,
 			"checkpoint": f.checkpoint,
+			"adopt":      f.adopt,
 			"expire": func(t *rapid.T) {
 				f.start = min(f.end(), f.start+rapid.Uint64Range(1, 5).Draw(t, "records"))
 			},
