Measure the decisions on fleets of today's sizes

Cause: the aims were met in a play of 16 engines and 4 VMs only. Today's fleets have fewer engines for each VM. Change: an ask waits 50 ms for a home engine instead of 200 ms. TestTodaysFleets keeps what was reached from getting worse. Conclusion: the aim of 1.25 is not reached at today's sizes with reports that are 250 ms old.

--- a/entry/request/router/best.go
+++ b/entry/request/router/best.go
@@ -20,9 +20,10 @@
 	// It exceeds a report's usual lag, or the engines would run dry.
 	hold = 0.5
 	// patience is how long an ask waits for a home engine before it may go to
-	// another VM's: about the time an engine takes to read a short prompt.
-	// Sooner, it would mostly meet another VM's work there.
-	patience = 200 * time.Millisecond
+	// another VM's: a third of the time an engine takes to read a short
+	// prompt, in which one of several home engines is mostly free. Sooner, it
+	// would meet another VM's work there; later, an idle engine is missed.
+	patience = 50 * time.Millisecond
 	// away is the seconds by which an engine is disliked that is another VM's
 	// home: the work that others may have sent there and that no report shows
 	// yet, about a report's age.
--- a/entry/request/router/load_test.go
+++ b/entry/request/router/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,14 +20,28 @@
 
 // A way is a choice of policies. The first is the one that is built; the
 // others are baselines with the same slots, memory and reports.
-type way struct{ policy, queue string }
+type way struct {
+	policy, queue string
+	engines, vms  int
+}
+
+var ways = []way{
+	{"best", "fair", engines, vms},
+	{"random", "first", engines, vms},
+	{"least", "first", engines, vms},
+	{"two", "first", engines, vms},
+}
 
-var ways = []way{{"best", "fair"}, {"random", "first"}, {"least", "first"}, {"two", "first"}}
+// String names the policies and the sizes.
+func (w way) String() string {
+	return fmt.Sprintf("%s/%s, %d engines, %d VMs", w.policy, w.queue, w.engines, w.vms)
+}
 
 func (w way) play(long int, span time.Duration, seed uint64, loads ...[]load) *fleet {
-	p := play{policy: w.policy, queue: w.queue, engines: engines, vms: vms, long: long, span: span, seed: seed}
-	for _, l := range loads {
-		p.loads = append(p.loads, l...)
+	p := play{policy: w.policy, queue: w.queue, engines: w.engines, vms: w.vms, long: long, span: span, seed: seed}
+	for _, l := range slices.Concat(loads...) {
+		l.rate *= float64(w.engines) / engines
+		p.loads = append(p.loads, l)
 	}
 	return run(p)
 }
@@ -69,7 +84,7 @@
 
 func (w way) outcome(long int, span time.Duration, loads ...[]load) outcome {
 	seeds := 3
-	if w != ways[0] {
+	if w.policy != "best" {
 		seeds = 1 // baselines only for comparison
 	}
 	warm := span / 6
@@ -84,7 +99,7 @@
 			o.count(c, warm, span)
 		}
 	}
-	per := float64(seeds) * (span - warm).Seconds() * fits
+	per := float64(seeds) * (span - warm).Seconds() * fits * float64(w.engines) / engines
 	o.good /= per
 	o.longGood /= per
 	return o
@@ -259,3 +274,31 @@
 		}
 	}
 }
+
+// Today's fleets have two or three engines for each VM, and so one or two homes
+// for short prompts. The aims of 1.25 are not reached there with reports that
+// are 250 ms old; the bounds below are what was measured, with a tenth more.
+func TestTodaysFleets(t *testing.T) {
+	t.Parallel()
+	const span = time.Minute
+	for _, tt := range []struct {
+		engines, vms   int
+		beside, normal float64
+	}{{24, 8, 1.67, 1.29}, {15, 7, 1.77, 1.41}, {15, 9, 1.8, 1.72}} {
+		w := way{"best", "fair", tt.engines, tt.vms}
+		alone := w.outcome(0, span, shorts(0.3))
+		with := w.outcome(split, span, shorts(0.3), longs(0.4))
+		beside := quantile(with.short, .95) / quantile(alone.short, .95)
+		ratio := func(part float64) float64 {
+			quiet := w.outcome(0, span, shorts(part))
+			busy := w.outcome(0, span, shorts(part), hot(4*part))
+			return quantile(busy.others, .95) / quantile(quiet.others, .95)
+		}
+		normal, full := ratio(0.14), ratio(0.2)
+		t.Logf("%v: short beside long %.2f; beside a hot team %.2f at 0.7 of what fits, %.2f at 1.0\n  with long: %v",
+			w, beside, normal, full, with)
+		assert.Assert(t, beside <= tt.beside, "%.2f", beside)
+		assert.Assert(t, normal <= tt.normal, "%.2f", normal)
+		assert.Equal(t, with.late+with.lost, 0)
+	}
+}
