--- a/entry/request/router/baseline.go
+++ b/entry/request/router/baseline.go
@@ -13,11 +13,11 @@
 
 // Pick takes any candidate that has room, each with the same chance.
 func (p *random) Pick(_ time.Time, a admitter.Ask, cs []Candidate) (int, bool) {
-	return any1(p.rand, &a, cs)
+	return anyOf(p.rand, &a, cs)
 }
 
-// any1 chooses one of those with room, in one pass and without memory.
-func any1(r *rand.Rand, a *admitter.Ask, cs []Candidate) (int, bool) {
+// anyOf chooses one of those with room, in one pass and without memory.
+func anyOf(r *rand.Rand, a *admitter.Ask, cs []Candidate) (int, bool) {
 	index, seen := 0, 0
 	for i := range cs {
 		if !cs[i].takes(a) {
@@ -58,11 +58,11 @@
 
 // Pick takes of two candidates the one with fewer requests in progress.
 func (p *two) Pick(_ time.Time, a admitter.Ask, cs []Candidate) (int, bool) {
-	i, ok := any1(p.rand, &a, cs)
+	i, ok := anyOf(p.rand, &a, cs)
 	if !ok {
 		return 0, false
 	}
-	j, _ := any1(p.rand, &a, cs)
+	j, _ := anyOf(p.rand, &a, cs)
 	if cs[j].progress() < cs[i].progress() {
 		i = j
 	}
