--- a/entry/connection/linker/link.go
+++ b/entry/connection/linker/link.go
@@ -117,6 +117,7 @@
 	k := &link{peer: peer, conn: conn, queue: newQueue(), stop: stop}
 	conn.SetReadLimit(MostMessage)
 	if !l.enter(k) {
+		l.refused.Inc(1)
 		conn.Close(websocket.StatusPolicyViolation, "an earlier process of this VM")
 		return
 	}
--- a/entry/connection/linker/linker_test.go
+++ b/entry/connection/linker/linker_test.go
@@ -146,7 +146,7 @@
 		return len(b2.got) > 0
 	})
 	b1.Open("a", a.address)
-	until(t, "the older link's end", func() bool { return len(b1.Linked()) == 0 })
+	until(t, "a refusal", func() bool { return a.counter("links.refused") > 0 })
 	assert.NilError(t, linker.Send(a.Linker, "b", "word", "still"))
 	until(t, "a message to the newer process", func() bool { return b2.wait(t) == "still" })
 }
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/coordinator"
+	"github.com/heathervane/heathervane/entry/process/lender"
 )
 
 func engine(name string) coordinator.Upstream {
@@ -248,6 +249,21 @@
 	assert.Assert(t, len(w.records) < 30, "%d claims", len(w.records))
 }
 
+// A broken VM says that it lends, under a fence far ahead. Believed, it would have
+// all later loans of the true holder refused, for ever.
+func TestLoanFromOneThatDoesNotHold(t *testing.T) {
+	w := warmed(t, 3, 4, engine("e1"))
+	for _, v := range w.vms {
+		for _, o := range w.vms {
+			loan := lender.Loan{Name: "e1", Fence: 1 << 60, Seq: 1, Echo: 1, Life: 2000, Boot: w.upstreams[0].boot}
+			v.node.Handle(w.now, lender.Who{VM: o.id, Boot: o.boot}, coordinator.Message{Loans: []lender.Loan{loan}})
+		}
+	}
+	w.load = 0
+	w.run(5 * time.Second)
+	assert.Equal(t, w.free(w.upstreams[0]), 16)
+}
+
 // The list of VMs stands still for hours while VMs come and go.
 func TestListHoursOld(t *testing.T) {
 	w := warmed(t, 3, 4, engine("e1"))
--- a/entry/process/lender/lender_test.go
+++ b/entry/process/lender/lender_test.go
@@ -95,6 +95,25 @@
 	assert.Equal(t, l.Charged(), before)
 }
 
+// A VM takes over from a dead one and leaves by plan at once. What the dead one
+// left running is known to neither, so the next holder must ask for it as well.
+func TestTableOfOneThatDoesNotKnowAll(t *testing.T) {
+	second := lender.New(config(), limiter.New(16, 2), 2, epoch, false)
+	second.Loaded(epoch, lender.Load{Boot: 7, Running: 12, Taken: epoch})
+	table := second.Export()
+
+	third := lender.New(config(), limiter.New(16, 2), 3, epoch, table.Known)
+	third.Import(epoch, table)
+	third.Loaded(epoch, lender.Load{Boot: 7, Running: 12, Taken: epoch})
+	third.Handle(epoch, who(0), lender.Ask{Name: "e", Seq: 1, Want: 9})
+	assert.Equal(t, len(third.Tick(epoch)), 0)
+	later := epoch.Add(time.Second)
+	third.Streams(later, later, 7, map[lender.Who]int{who(9): 12})
+	third.Handle(later, who(0), lender.Ask{Name: "e", Seq: 2, Want: 9})
+	assert.Equal(t, len(third.Tick(later)), 1)
+	assert.Assert(t, third.Charged() >= 12)
+}
+
 func BenchmarkTick(b *testing.B) {
 	for _, vms := range []int{8, 64, 330} {
 		b.Run(fmt.Sprint(vms), func(b *testing.B) {
