Tell at once what others wait for

Cause: a VM whose callers left kept its slots charged until its next renewal. Ruled out: shorter renewals, which cost every VM at rest. Change: where the holder says that slots are short, a clear fall of what is wanted is told at once.

A VM that holds an upstream counts as ready also while the upstream is down: it answers truthfully, where a balancer without any VM can't.

--- a/entry/process/borrower/borrower.go
+++ b/entry/process/borrower/borrower.go
@@ -212,6 +212,10 @@
 	if o == Completed && boot == b.boot {
 		b.done++
 	}
+	if b.loan.Short && b.wants() < b.told-max(1, b.told/4) {
+		// Others wait for what this VM no longer wants.
+		b.urge = true
+	}
 }
 
 // Want says how many requests wait at this VM that could go to the upstream.
--- a/entry/process/coordinator/query.go
+++ b/entry/process/coordinator/query.go
@@ -59,7 +59,8 @@
 		return true, ""
 	}
 	for _, name := range n.names {
-		if v := n.get(name).borrower.View(now); v.Held || v.Free > 0 || v.Mine > 0 {
+		_, holds := n.claims.Hold(name, now)
+		if v := n.get(name).borrower.View(now); holds || v.Held || v.Free > 0 || v.Mine > 0 {
 			return true, ""
 		}
 	}
--- a/entry/process/lender/grant.go
+++ b/entry/process/lender/grant.go
@@ -64,7 +64,7 @@
 	b.out = append(b.out, b.last)
 	return Out{To: w, Loan: Loan{
 		Name: l.c.Name, Fence: l.fence, Seq: l.seq, Echo: b.echo, Life: int(l.c.Life.Milliseconds()),
-		Boot: l.boot, Slots: slots, Tokens: tokens, Share: part, Limit: l.bound(), Cold: l.cold(),
+		Boot: l.boot, Slots: slots, Tokens: tokens, Share: part, Short: short, Limit: l.bound(), Cold: l.cold(),
 		Running: l.load.Running, Waiting: l.load.Waiting, Used: l.load.Used, Memory: l.load.Memory,
 		Left: l.load.Left, Age: int(now.Sub(l.load.Taken).Milliseconds()),
 	}}, true
--- a/entry/process/lender/wire.go
+++ b/entry/process/lender/wire.go
@@ -79,6 +79,9 @@
 	// is a number because two VMs may differ for seconds over the configuration
 	// that it follows from; the smaller one counts.
 	Share int
+	// Short says that others want more than there is: what this borrower no
+	// longer wants should be told at once.
+	Short bool
 	// Limit is what the upstream bears now, Cold whether that is less than its
 	// slots.
 	Limit int
