Bound what is remembered of a VM that gets no answers

Cause: with its answers cut off and its asks arriving, a VM's loans piled up at the holder, one for each ask; an acknowledgement of a loan that was never sent dropped them all. Change: the oldest two become one that counts for both, and such acknowledgements count for nothing. Also removed: a map that nothing read.

--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -36,6 +36,24 @@
 	until                  time.Time
 }
 
+// maxOut bounds the loans remembered that were not acknowledged: a VM whose asks
+// arrive while it gets no answers is sent one after another.
+const maxOut = 32
+
+// lent adds a loan. The oldest two become one that counts for both.
+func (b *borrower) lent(o loan) {
+	b.out = append(b.out, o)
+	if len(b.out) <= maxOut {
+		return
+	}
+	first, second := b.out[0], &b.out[1]
+	second.ceiling = max(first.ceiling, second.ceiling)
+	second.tokens = max(first.tokens, second.tokens)
+	second.share = first.share || second.share
+	second.until = later(first.until, second.until)
+	b.out = b.out[1:]
+}
+
 // charge is what it may have running now or start without asking again.
 func (b *borrower) charge(reserved int) int {
 	n := max(b.used, b.floor, reserved)
--- a/entry/process/lender/grant.go
+++ b/entry/process/lender/grant.go
@@ -49,7 +49,6 @@
 		return Out{}, false
 	}
 	l.seq++
-	l.sent[l.seq] = now
 	b.dirty = false
 	ceiling, part := slots, 0
 	if share {
@@ -61,7 +60,7 @@
 		seq: l.seq, slots: slots, tokens: tokens, share: share, ceiling: ceiling,
 		until: now.Add(l.long(l.c.Life)), boot: l.boot,
 	}
-	b.out = append(b.out, b.last)
+	b.lent(b.last)
 	return Out{To: w, Loan: Loan{
 		Name: l.c.Name, Fence: l.fence, Seq: l.seq, Echo: b.echo, Life: int(l.c.Life.Milliseconds()),
 		Boot: l.boot, Slots: slots, Tokens: tokens, Share: part, Short: short, Limit: l.bound(), Cold: l.cold(),
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -92,7 +92,6 @@
 	fence uint64
 	first uint64 // fence at which this process became the holder
 	seq   uint64
-	sent  map[uint64]time.Time
 
 	boot    uint64
 	booted  time.Time // when boot was first seen
@@ -121,7 +120,7 @@
 func New(c Config, limit Limiter, fence uint64, now time.Time, known bool) *Lender {
 	return &Lender{
 		c: c, limit: limit, fence: fence, first: fence, began: now, known: known,
-		sent: map[uint64]time.Time{}, shares: map[Who]int{}, borrowers: map[Who]*borrower{},
+		shares: map[Who]int{}, borrowers: map[Who]*borrower{},
 	}
 }
 
@@ -174,7 +173,7 @@
 		return
 	}
 	for w, b := range l.borrowers {
-		if w.VM == from.VM && w.Boot != from.Boot && w.Boot < from.Boot {
+		if w.VM == from.VM && w.Boot < from.Boot {
 			b.ended = true
 		}
 	}
@@ -183,23 +182,8 @@
 		return
 	}
 	l.learn(now, b, a)
-	acked := a.Fence >= l.first && a.Fence <= l.fence
+	acked := a.Fence >= l.first && a.Fence <= l.fence && a.Ack <= b.last.seq
 	b.take(now, a, acked)
-	for seq := range l.sent {
-		if seq < l.oldest() {
-			delete(l.sent, seq)
-		}
-	}
-}
-
-func (l *Lender) oldest() uint64 {
-	low := l.seq
-	for _, b := range l.borrowers {
-		for _, o := range b.out {
-			low = min(low, o.seq)
-		}
-	}
-	return low
 }
 
 func (l *Lender) long(d time.Duration) time.Duration {
--- a/entry/process/lender/lender_test.go
+++ b/entry/process/lender/lender_test.go
@@ -71,6 +71,28 @@
 	assert.DeepEqual(t, got, map[string]int{"v0": 7, "v1": 6, "v2": 2, "v3": 1})
 }
 
+// Asks come from a VM that gets no answers. What it was lent stays counted, also
+// the most of it, however long that lasts; a word on loans that were never sent
+// counts for nothing.
+func TestUnansweredBorrower(t *testing.T) {
+	l := warmLender()
+	now := epoch
+	for n := range 200 {
+		now = now.Add(100 * time.Millisecond)
+		want := 3
+		if n == 0 {
+			want = 16
+		}
+		l.Handle(now, who(0), lender.Ask{Name: "e", Seq: uint64(n) + 1, Want: want, Fence: 1, Ack: 1 << 40})
+		if n > 0 {
+			l.Handle(now, who(1), lender.Ask{Name: "e", Seq: uint64(n) + 1, Want: 16})
+		}
+		for _, o := range l.Tick(now) {
+			assert.Assert(t, o.To != who(1) || o.Loan.Slots == 0, "lent twice in round %d", n)
+		}
+	}
+}
+
 // A long prompt's memory is lent whole or not at all.
 func TestMemoryIsLentWhole(t *testing.T) {
 	l := warmLender()
