Count unread prompts, and place the next one when one has been read

Cause: reports show what was sent here only later, so one pass over the queue sent several prompts to the engine that looked free. Change: each place counts its prompt as unread from its taking to its first token, which also starts a pass over the queue.

--- a/entry/process/dispatcher/affinity.go
+++ b/entry/process/dispatcher/affinity.go
@@ -22,7 +22,10 @@
 	next     time.Time
 	vms      []string
 	homes    map[string]string
-	long     map[string]bool
+	// turn counts the turns of guests, and guests are this VM's in that one.
+	turn   int64
+	guests map[string]bool
+	long   map[string]bool
 	// offered are the prompt tokens asked for since the last look.
 	offered     splitter.Load
 	offeredFrom time.Time
@@ -42,7 +45,7 @@
 	if now.Before(a.next) {
 		return
 	}
-	a.next = now.Add(affinityEvery)
+	a.next, a.guests = now.Add(affinityEvery), nil
 	var names []string
 	for _, u := range us {
 		if u.Model != "" {
@@ -85,6 +88,14 @@
 
 // guest tells whether this VM may use an upstream now that is another's home.
 func (a *affinity) guest(now time.Time, vm, upstream string) bool {
-	home, ok := a.homes[upstream]
-	return ok && home != vm && router.Guest(now, a.vms, upstream, home) == vm
+	if turn := now.UnixNano() / int64(router.Turn); turn != a.turn || a.guests == nil {
+		a.turn, a.guests = turn, make(map[string]bool, len(a.homes))
+	}
+	is, known := a.guests[upstream]
+	if !known {
+		home, ok := a.homes[upstream]
+		is = ok && home != vm && router.Guest(now, a.vms, upstream, home) == vm
+		a.guests[upstream] = is
+	}
+	return is
 }
--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -63,6 +63,7 @@
 		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
 		Long:        p.affinity.long[u.Name],
+		Unread:      int(p.unreadAt(u.Name).Load()),
 		Home:        p.affinity.home(p.dispatcher.config.VM, u.Name),
 		Guest:       p.affinity.guest(now, p.dispatcher.config.VM, u.Name),
 		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
@@ -101,11 +102,3 @@
 func (p *pool) pace(now time.Time, k admitter.Ask) admitter.Pace {
 	return router.Pace(p.candidates(now, k, nil), k.Tokens)
 }
-
-func (p *pool) prefixed(k admitter.Ask, part Part) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if k.Tokens >= hintTokens {
-		p.hinter.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
-	}
-}
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -148,6 +148,7 @@
 		picker:     picker,
 		waiting:    make(map[uint64]*waiter),
 		sent:       make(map[string][]sending),
+		unread:     make(map[string]*atomic.Int64),
 		hinter:     hinter.New(mostHints),
 		affinity:   affinity{splitter: splitter.New(splitter.Config{})},
 	}
@@ -228,14 +229,6 @@
 	}
 }
 
-// Prefixed notes that the upstreams of a grant have read the beginning of a
-// prompt.
-func (d *Dispatcher) Prefixed(c Call, g *Grant) {
-	if p, ok := d.pool(c.Pool); ok && len(g.Parts) == 1 {
-		p.prefixed(c.Ask, g.Parts[0])
-	}
-}
-
 func (d *Dispatcher) pool(p *viewer.Pool) (*pool, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/hinter"
@@ -49,6 +50,7 @@
 	upstreams []viewer.Upstream
 	waiting   map[uint64]*waiter
 	sent      map[string][]sending
+	unread    map[string]*atomic.Int64
 	hold      hold
 	hinter    *hinter.Hinter
 	affinity  affinity
@@ -275,77 +277,6 @@
 	return &Grant{Parts: []Part{part}}
 }
 
-func (p *pool) needsGroup(k admitter.Ask) bool {
-	if k.Tokens == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(p.upstreams, func(u viewer.Upstream) bool {
-		return lender.Lendable(u.Memory) >= k.Tokens+k.Output
-	})
-}
-
-// groupShare is the part of an engine's memory that one part of a group may
-// take: what can be reserved.
-func groupShare() float64 {
-	const whole = 1000
-	return float64(lender.Lendable(whole)) / whole
-}
-
-// placeGroup takes all places of a group or none. The order is that of the
-// names on every VM, so that of two groups that want the same engines one gets
-// its first engine first and the other waits there with nothing in hand.
-func (p *pool) placeGroup(now time.Time, k admitter.Ask, cs []router.Candidate) *Grant {
-	plan, err := grouper.Plan(k.Tokens, k.Output, cs, groupShare())
-	if err != nil {
-		p.holdBack(now, cs)
-		return nil
-	}
-	g := &Grant{}
-	for i, part := range plan {
-		memory := part.Tokens
-		if i == len(plan)-1 {
-			memory += k.Output
-		}
-		taken, ok := p.take(part.Name, part.Tokens, memory)
-		if !ok {
-			p.undo(now, g, plan, k.Output, cs)
-			return nil
-		}
-		g.Parts = append(g.Parts, taken)
-	}
-	// Only what is really sent counts: a group that tries again every few
-	// milliseconds would else take its own tries for load, and find no room.
-	for _, part := range g.Parts {
-		p.note(part.Upstream.Name, sending{at: now, tokens: part.Tokens})
-	}
-	p.hold = hold{}
-	return g
-}
-
-// undo gives back what a group got that did not get all, and asks for all of it
-// at once: asked for one after another, the first part's memory would be lent
-// to somebody else by the time that the last one's comes.
-func (p *pool) undo(now time.Time, g *Grant, plan []grouper.Part, output int, cs []router.Candidate) {
-	g.Done(Cancelled)
-	for i, part := range plan {
-		if i == len(plan)-1 {
-			part.Tokens += output
-		}
-		p.dispatcher.supplier.Need(part.Name, part.Tokens)
-	}
-	p.holdBack(now, cs)
-}
-
-func (p *pool) holdBack(now time.Time, cs []router.Candidate) {
-	if now.Before(p.hold.until) {
-		return
-	}
-	p.hold = hold{until: now.Add(holdTime)}
-	for _, c := range cs {
-		p.hold.names = append(p.hold.names, c.Name)
-	}
-}
-
 func (p *pool) take(name string, prompt, memory int) (Part, bool) {
 	i := slices.IndexFunc(p.upstreams, func(u viewer.Upstream) bool { return u.Name == name })
 	if i < 0 {
@@ -358,5 +289,5 @@
 	if !ok {
 		return Part{}, false
 	}
-	return Part{Upstream: p.upstreams[i], Boot: slot.Boot(), Tokens: prompt, Slot: slot}, true
+	return Part{Upstream: p.upstreams[i], Boot: slot.Boot(), Tokens: prompt, Slot: newReading(slot, prompt, p.unreadAt(name))}, true
 }
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -30,8 +30,8 @@
 // An Acquirer gives places at upstreams.
 type Acquirer interface {
 	Acquire(ctx context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal)
-	// Prefixed hears that an engine has read the beginning of a prompt.
-	Prefixed(c dispatcher.Call, g *dispatcher.Grant)
+	// Begun hears that the first token has come.
+	Begun(c dispatcher.Call, g *dispatcher.Grant)
 }
 
 // A Canceller cancels streams at engines until the engine confirms, and calls
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -134,7 +134,7 @@
 	return nil, refuser.New(http.StatusTooManyRequests, "saturated", "full").Back(time.Second)
 }
 
-func (p *places) Prefixed(dispatcher.Call, *dispatcher.Grant) {}
+func (p *places) Begun(dispatcher.Call, *dispatcher.Grant) {}
 
 // cancels confirms each cancel at once.
 type cancels struct {
