Keep the time at which a dead VM's loans lapsed

Cause: with its loans, a silent VM's time of lapsing was dropped, so that what it left at a plain service was forgotten at once instead of after the longest time of a request.

--- a/entry/process/coordinator/faults_test.go
+++ b/entry/process/coordinator/faults_test.go
@@ -111,6 +111,9 @@
 		{0x1119, 1, 30 * time.Second, engine, []int{2, 3, 12, 7, 5}},
 		// Work left from before a fall passed for slots lent after it.
 		{0x3e, 5, 30 * time.Second, service, []int{0, 4, 6}},
+		// The time since a dead VM's loans had lapsed was lost with the loans, and
+		// what it left at a service was forgotten early.
+		{0x20892a67ab, 2, 0, service, []int{12, 7, 8, 6, 10, 0}},
 		// A new holder took its word that it knew all for more than it was.
 		{0x22, 2, 0, engine, []int{1, 12, 1, 0, 0}},
 	}
--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -104,6 +104,7 @@
 // settle says exactly what it has running, and that it can start nothing more
 // on past loans.
 func (b *borrower) settle(running int) {
+	b.quiet = b.lapse() // its loans go, the time of their end stays
 	b.used, b.floor, b.out = running, 0, nil
 	if running == 0 {
 		b.held, b.floorMemory = 0, 0
