--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -25,6 +25,8 @@
 	Memory int
 	// Longest bounds the time of a request; 0 means Timings.Longest.
 	Longest time.Duration
+	// Out says that operators have taken it out of service.
+	Out bool
 }
 
 // lists says whether the upstream lists its streams: engines do.
@@ -118,6 +120,10 @@
 			continue
 		}
 		units[u.Name] = k
+		if k.Out && !u.Out && k.lender != nil {
+			k.lender.Returned()
+		}
+		k.Out = u.Out
 		if k.Upstream != u {
 			k.Upstream = u
 			if k.lender != nil {
--- a/entry/process/lender/evidence.go
+++ b/entry/process/lender/evidence.go
@@ -21,6 +21,13 @@
 	l.guess(now)
 }
 
+// Returned says that operators have brought the upstream back into service. The
+// load of a whole zone would else come back in one moment.
+func (l *Lender) Returned() {
+	l.limit.Returned()
+	l.dirty()
+}
+
 // Resize takes a changed configuration of the same upstream, and its limiter.
 func (l *Lender) Resize(c Config, limit Limiter) {
 	full := !l.cold()
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -31,6 +31,8 @@
 	Turned(boot uint64)
 	// Reported takes in what the upstream says of itself.
 	Reported(boot uint64, cold bool)
+	// Returned hears that the upstream is back in service.
+	Returned()
 }
 
 // A Config describes one upstream.
--- a/entry/process/server/configure.go
+++ b/entry/process/server/configure.go
@@ -33,7 +33,7 @@
 	var us []coordinator.Upstream
 	for _, u := range v.Upstreams() {
 		us = append(us, coordinator.Upstream{
-			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Cold: u.Cold, Memory: u.Memory,
+			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Cold: u.Cold, Memory: u.Memory, Out: u.Out,
 		})
 	}
 	return us
