Lend nothing to a VM that is not heard

Cause: once a dead VM's seat was free, the holder took it for one to lend to again, and each loan put off the time at which its loans had lapsed, so that its slots stayed counted for ever at a plain service. Change: whoever was not heard for a loan's life is lent nothing. TestDeadVMIsLentNothing fails without it.

--- a/entry/process/lender/borrower.go
+++ b/entry/process/lender/borrower.go
@@ -92,6 +92,13 @@
 	return t
 }
 
+// present says that it asks, so that a loan may reach it. One that was heard
+// last more than a loan's life ago is lent nothing: each loan would put off the
+// time at which its loans have lapsed.
+func (b *borrower) present(now time.Time, life time.Duration) bool {
+	return b.echo > 0 && !b.ended && now.Sub(b.heard) <= life
+}
+
 // silent says that it has not been heard for a loan's life and that all of its
 // loans have lapsed.
 func (b *borrower) silent(now time.Time, life time.Duration) bool {
--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -206,7 +206,7 @@
 	var out []Out
 	for _, w := range whos {
 		b := l.borrowers[w]
-		if b.echo == 0 || b.ended || b.silent(now, l.long(l.c.Life)) {
+		if !b.present(now, l.long(l.c.Life)) {
 			continue
 		}
 		others := sum - b.charge(l.reserved(w, b))
--- a/entry/process/lender/lender_test.go
+++ b/entry/process/lender/lender_test.go
@@ -93,6 +93,28 @@
 	}
 }
 
+// A VM that wanted much dies, and its seat goes to another. Lent to again, it
+// would count as lending for ever, and its slots lie idle.
+func TestDeadVMIsLentNothing(t *testing.T) {
+	l := warmLender()
+	l.Shares(epoch, map[lender.Who]int{who(0): 2})
+	l.Handle(epoch, who(0), lender.Ask{Name: "e", Seq: 1, Want: 100})
+	l.Handle(epoch, who(1), lender.Ask{Name: "e", Seq: 1, Want: 8})
+	l.Tick(epoch)
+	now := epoch
+	for n := range 100 {
+		now = now.Add(100 * time.Millisecond)
+		if n == 40 {
+			l.Shares(now, nil)
+		}
+		l.Handle(now, who(1), lender.Ask{Name: "e", Seq: uint64(n) + 2, Want: 1})
+		for _, o := range l.Tick(now) {
+			late := now.Sub(epoch) > 2020*time.Millisecond
+			assert.Assert(t, o.To == who(1) || !late, "lent to a dead VM in round %d", n)
+		}
+	}
+}
+
 // A long prompt's memory is lent whole or not at all.
 func TestMemoryIsLentWhole(t *testing.T) {
 	l := warmLender()
--- a/entry/process/lender/target.go
+++ b/entry/process/lender/target.go
@@ -16,7 +16,7 @@
 	for _, w := range whos {
 		b := l.borrowers[w]
 		reserved := l.reserved(w, b)
-		if b.echo == 0 || b.ended || b.silent(now, l.long(l.c.Life)) {
+		if !b.present(now, l.long(l.c.Life)) {
 			left -= b.charge(reserved)
 			continue
 		}
