Drop a prompt once its first token has come

Cause: a body's memory counted until the end of its answer, which takes minutes: with 64 MiB for bodies five prompts of a million tokens filled a VM. From the first token on a prompt is never sent again, for streamed and whole answers alike. Shown: TestAnOpenStreamHoldsNoBody, which fails without it.

--- a/entry/request/chatter/failure_test.go
+++ b/entry/request/chatter/failure_test.go
@@ -90,6 +90,30 @@
 	assert.Equal(t, e.begun, 0)
 }
 
+// An answer takes minutes. The memory of its prompt is free for others as soon
+// as the first token has come.
+func TestAnOpenStreamHoldsNoBody(t *testing.T) {
+	begun, ctx := make(chan struct{}), t.Context()
+	e := newEngine(t, func(w http.ResponseWriter, _ int) {
+		w.Write([]byte("id: 1\ndata: {\"text\":\"one \"}\n\n"))
+		flush(w)
+		<-begun
+		w.Write([]byte("event: done\ndata: {\"tokens\":1,\"reason\":\"stop\"}\n\n"))
+	})
+	r := newRig(t, manifest(e.address()))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, r.URL, strings.NewReader(streamed))
+	assert.NilError(t, err)
+	q.Header.Set("Authorization", "Bearer "+bearer)
+	a, err := r.Client().Do(q)
+	assert.NilError(t, err)
+	defer a.Body.Close()
+	first := make([]byte, 1)
+	_, err = a.Body.Read(first)
+	assert.NilError(t, err)
+	assert.Equal(t, r.bodies.Used(), int64(0))
+	close(begun)
+}
+
 // All engines refuse. "Not run" is true, and the caller is told when to come
 // back; where one may have run it, it is not said.
 func TestNotRunIsSaidOnlyWhereItIsTrue(t *testing.T) {
--- a/entry/request/chatter/relay.go
+++ b/entry/request/chatter/relay.go
@@ -77,6 +77,7 @@
 	if t.Number == 1 {
 		c := a.chatter
 		a.first = true
+		a.job.forget()
 		c.acquirer.Begun(a.call, a.grant)
 		c.watcher.First(a.id)
 		c.meter.Time("chat.first", c.now().Sub(a.job.arrived))
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// forget drops the prompt once its first token has come: from then on it is
+// never sent again. An answer may take minutes, and the prompts of a VM's open
+// streams would else fill the memory that new ones need.
+func (j *job) forget() {
+	j.chat.Prompt = ""
+	j.body.Release()
+}
+
 // truthful keeps a refusal from saying "not run" after an earlier attempt that
 // may have run.
 func (j *job) truthful(r *refuser.Refusal) *refuser.Refusal {
@@ -72,7 +80,7 @@
 		j.avoid = nil
 	}
 	decision := c.retrier.Decide(c.now(), retrier.Attempt{
-		Repeatable: true, Sent: f.sent, FirstByte: a.started, Tries: j.tries, Deadline: j.deadline,
+		Repeatable: true, Sent: f.sent, FirstByte: a.first, Tries: j.tries, Deadline: j.deadline,
 	})
 	if decision.Again && ctx.Err() == nil && wait(ctx, decision.After) {
 		c.meter.Count("chat.retries", 1)
