--- a/entry/process/coordinator/faults_test.go
+++ b/entry/process/coordinator/faults_test.go
@@ -88,6 +88,7 @@
 
 // Runs that broke a bound once.
 func TestRunsThatFailed(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		seed   uint64
 		vms    int
@@ -126,6 +127,7 @@
 // work than it bears, and what VMs may start never adds up to more. A user
 // would notice otherwise that an engine falls over and cuts all answers.
 func TestBoundHoldsThroughFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		vms := rapid.IntRange(1, 5).Draw(t, "vms")
--- a/entry/process/coordinator/node_test.go
+++ b/entry/process/coordinator/node_test.go
@@ -49,6 +49,7 @@
 }
 
 func TestFleetUsesAllSlots(t *testing.T) {
+	t.Parallel()
 	for _, vms := range []int{1, 3, 8} {
 		w := warmed(t, vms, 8, engine("e1"), engine("e2"))
 		w.load = 0
@@ -73,6 +74,7 @@
 // A VM that had most of the callers loses them, and another gets as many. Its
 // callers must not wait until the first happens to say so.
 func TestDemandMoves(t *testing.T) {
+	t.Parallel()
 	worst := time.Duration(0)
 	for phase := time.Duration(0); phase < time.Second; phase += 90 * time.Millisecond {
 		worst = max(worst, moveDemand(t, phase))
@@ -188,6 +190,7 @@
 // The VM that lends an upstream's slots stands still for long and wakes. It must
 // not lend what another has lent meanwhile.
 func TestFrozenHolder(t *testing.T) {
+	t.Parallel()
 	for _, d := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second, time.Minute} {
 		w := warmed(t, 3, 4, engine("e1"))
 		w.load = 0.8
@@ -201,6 +204,7 @@
 // The log is down for an hour. Questions go on with the fixed shares, half of
 // the slots, and the rest comes back with the log.
 func TestLogDownForAnHour(t *testing.T) {
+	t.Parallel()
 	w := warmed(t, 4, 4, engine("e1"), engine("e2"))
 	w.step, w.load = 250*time.Millisecond, 0.9
 	w.logDown = true
@@ -220,6 +224,7 @@
 // During an outage of the log an upstream falls and comes back cold. Nobody can
 // be its holder, so nobody sends anything: it would fall again.
 func TestColdDuringLogOutage(t *testing.T) {
+	t.Parallel()
 	w := warmed(t, 4, 4, engine("e1"))
 	w.logDown = true
 	w.run(10 * time.Second)
@@ -305,6 +310,7 @@
 
 // The list of VMs stands still for hours while VMs come and go.
 func TestListHoursOld(t *testing.T) {
+	t.Parallel()
 	w := warmed(t, 3, 4, engine("e1"))
 	w.listDown = true
 	w.step = 250 * time.Millisecond
@@ -332,6 +338,7 @@
 
 // TestMessagesAtRest counts what a VM sends in a fleet of today's size.
 func TestMessagesAtRest(t *testing.T) {
+	t.Parallel()
 	var upstreams []coordinator.Upstream
 	for i := range 27 {
 		upstreams = append(upstreams, engine(fmt.Sprintf("e%d", i)))
