--- a/bench/harness_test.go
+++ b/bench/harness_test.go
@@ -50,10 +50,19 @@
 	caller *caller.Caller
 }
 
+// fleets bounds how many fleets run at once: most tests wait for leases and
+// streams, but each has a dozen processes.
+var fleets = make(chan struct{}, 3)
+
 // start brings up the small fleet, changed as the test needs it, and ends it
-// with the test.
+// with the test. Tests run beside one another from here on.
 func start(t testing.TB, changes ...func(*starter.Size)) *bench {
 	t.Helper()
+	if test, ok := t.(*testing.T); ok {
+		test.Parallel()
+	}
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	p, err := programs()
 	assert.NilError(t, err)
 	size, err := starter.SizeNamed("small")
