--- a/entry/process/lender/lender.go
+++ b/entry/process/lender/lender.go
@@ -31,6 +31,8 @@
 	Turned(boot uint64)
 	// Reported takes in what the upstream says of itself.
 	Reported(boot uint64, cold bool)
+	// Returned hears that the upstream is back in service.
+	Returned()
 }
 
 // A Config describes one upstream.
@@ -92,7 +94,6 @@
 	fence uint64
 	first uint64 // fence at which this process became the holder
 	seq   uint64
-	sent  map[uint64]time.Time
 
 	boot    uint64
 	booted  time.Time // when boot was first seen
@@ -121,7 +122,7 @@
 func New(c Config, limit Limiter, fence uint64, now time.Time, known bool) *Lender {
 	return &Lender{
 		c: c, limit: limit, fence: fence, first: fence, began: now, known: known,
-		sent: map[uint64]time.Time{}, shares: map[Who]int{}, borrowers: map[Who]*borrower{},
+		shares: map[Who]int{}, borrowers: map[Who]*borrower{},
 	}
 }
 
@@ -174,7 +175,7 @@
 		return
 	}
 	for w, b := range l.borrowers {
-		if w.VM == from.VM && w.Boot != from.Boot && w.Boot < from.Boot {
+		if w.VM == from.VM && w.Boot < from.Boot {
 			b.ended = true
 		}
 	}
@@ -183,23 +184,8 @@
 		return
 	}
 	l.learn(now, b, a)
-	acked := a.Fence >= l.first && a.Fence <= l.fence
+	acked := a.Fence >= l.first && a.Fence <= l.fence && a.Ack <= b.last.seq
 	b.take(now, a, acked)
-	for seq := range l.sent {
-		if seq < l.oldest() {
-			delete(l.sent, seq)
-		}
-	}
-}
-
-func (l *Lender) oldest() uint64 {
-	low := l.seq
-	for _, b := range l.borrowers {
-		for _, o := range b.out {
-			low = min(low, o.seq)
-		}
-	}
-	return low
 }
 
 func (l *Lender) long(d time.Duration) time.Duration {
@@ -222,7 +208,7 @@
 	var out []Out
 	for _, w := range whos {
 		b := l.borrowers[w]
-		if b.echo == 0 || b.ended || b.silent(now, l.long(l.c.Life)) {
+		if !b.present(now, l.long(l.c.Life)) {
 			continue
 		}
 		others := sum - b.charge(l.reserved(w, b))
--- a/entry/process/lender/lender_test.go
+++ b/entry/process/lender/lender_test.go
@@ -71,6 +71,50 @@
 	assert.DeepEqual(t, got, map[string]int{"v0": 7, "v1": 6, "v2": 2, "v3": 1})
 }
 
+// Asks come from a VM that gets no answers. What it was lent stays counted, also
+// the most of it, however long that lasts; a word on loans that were never sent
+// counts for nothing.
+func TestUnansweredBorrower(t *testing.T) {
+	l := warmLender()
+	now := epoch
+	for n := range 200 {
+		now = now.Add(100 * time.Millisecond)
+		want := 3
+		if n == 0 {
+			want = 16
+		}
+		l.Handle(now, who(0), lender.Ask{Name: "e", Seq: uint64(n) + 1, Want: want, Fence: 1, Ack: 1 << 40})
+		if n > 0 {
+			l.Handle(now, who(1), lender.Ask{Name: "e", Seq: uint64(n) + 1, Want: 16})
+		}
+		for _, o := range l.Tick(now) {
+			assert.Assert(t, o.To != who(1) || o.Loan.Slots == 0, "lent twice in round %d", n)
+		}
+	}
+}
+
+// A VM that wanted much dies, and its seat goes to another. Lent to again, it
+// would count as lending for ever, and its slots lie idle.
+func TestDeadVMIsLentNothing(t *testing.T) {
+	l := warmLender()
+	l.Shares(epoch, map[lender.Who]int{who(0): 2})
+	l.Handle(epoch, who(0), lender.Ask{Name: "e", Seq: 1, Want: 100})
+	l.Handle(epoch, who(1), lender.Ask{Name: "e", Seq: 1, Want: 8})
+	l.Tick(epoch)
+	now := epoch
+	for n := range 100 {
+		now = now.Add(100 * time.Millisecond)
+		if n == 40 {
+			l.Shares(now, nil)
+		}
+		l.Handle(now, who(1), lender.Ask{Name: "e", Seq: uint64(n) + 2, Want: 1})
+		for _, o := range l.Tick(now) {
+			late := now.Sub(epoch) > 2020*time.Millisecond
+			assert.Assert(t, o.To == who(1) || !late, "lent to a dead VM in round %d", n)
+		}
+	}
+}
+
 // A long prompt's memory is lent whole or not at all.
 func TestMemoryIsLentWhole(t *testing.T) {
 	l := warmLender()
@@ -95,6 +139,25 @@
 	assert.Equal(t, l.Charged(), before)
 }
 
+// A VM takes over from a dead one and leaves by plan at once. What the dead one
+// left running is known to neither, so the next holder must ask for it as well.
+func TestTableOfOneThatDoesNotKnowAll(t *testing.T) {
+	second := lender.New(config(), limiter.New(16, 2), 2, epoch, false)
+	second.Loaded(epoch, lender.Load{Boot: 7, Running: 12, Taken: epoch})
+	table := second.Export()
+
+	third := lender.New(config(), limiter.New(16, 2), 3, epoch, table.Known)
+	third.Import(epoch, table)
+	third.Loaded(epoch, lender.Load{Boot: 7, Running: 12, Taken: epoch})
+	third.Handle(epoch, who(0), lender.Ask{Name: "e", Seq: 1, Want: 9})
+	assert.Equal(t, len(third.Tick(epoch)), 0)
+	later := epoch.Add(time.Second)
+	third.Streams(later, later, 7, map[lender.Who]int{who(9): 12})
+	third.Handle(later, who(0), lender.Ask{Name: "e", Seq: 2, Want: 9})
+	assert.Equal(t, len(third.Tick(later)), 1)
+	assert.Assert(t, third.Charged() >= 12)
+}
+
 func BenchmarkTick(b *testing.B) {
 	for _, vms := range []int{8, 64, 330} {
 		b.Run(fmt.Sprint(vms), func(b *testing.B) {
