--- a/bench/limits_test.go
+++ b/bench/limits_test.go
@@ -11,7 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,8 +27,7 @@
 // stream into the callers' format and decides, checks and records nothing.
 func passThrough(engine *starter.Process) http.Handler {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
-	var ids sync.Mutex
-	id := 0
+	var sent atomic.Int64
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var q struct {
 			Messages []struct {
@@ -40,10 +39,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		ids.Lock()
-		id++
-		name := "bare-" + strconv.Itoa(id)
-		ids.Unlock()
+		name := "bare-" + strconv.FormatInt(sent.Add(1), 10)
 		job, _ := json.Marshal(map[string]any{
 			"id": name, "vm": "bare", "boot": 1, "model": "assistant", "prompt": q.Messages[0].Content, "output": q.Most,
 		})
--- a/bench/planner/experiment.go
+++ b/bench/planner/experiment.go
@@ -139,10 +139,23 @@
 	for _, key := range meta.Undecoded() {
 		f.Addf(key.String(), "unknown key")
 	}
+	e.fill()
 	e.check(&f)
 	return e, f.Err()
 }
 
+// fill sets what a file may leave out.
+func (e *Experiment) fill() {
+	if len(e.Policies) == 0 {
+		e.Policies = Policies()[:1]
+	}
+	for i := range e.Loads {
+		if e.Loads[i].Kind == "" {
+			e.Loads[i].Kind = Question
+		}
+	}
+}
+
 // Check checks an experiment that was changed after it was read. The error
 // lists all findings.
 func Check(e *Experiment) error {
@@ -164,9 +177,6 @@
 	if len(e.Loads) == 0 {
 		f.Addf("loads", "there must be at least one")
 	}
-	if len(e.Policies) == 0 {
-		e.Policies = []string{"own"}
-	}
 	for i, p := range e.Policies {
 		oneOf(f, fmt.Sprintf("policies[%d]", i), p, Policies())
 	}
@@ -192,9 +202,6 @@
 	if l.Name == "" {
 		f.Addf(place+".name", "is missing")
 	}
-	if l.Kind == "" {
-		l.Kind = Question
-	}
 	oneOf(f, place+".kind", l.Kind, []string{Question, Booking})
 	if l.Rate <= 0 {
 		f.Addf(place+".rate", "must be more than 0")
