Order engines to load the version that the manifest names

Cause: the manifest says which version each model has, and nothing told the engines, so that a change of version was done by hand. Ruled out: a counter of loads at the holders, which a lost message breaks.

--- /dev/null
+++ b/bench/orders_test.go
@@ -0,0 +1,93 @@
+package main_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/bench/starter"
+	"github.com/heathervane/heathervane/library/checker"
+)
+
+// loadTime is how long the engines of the bench take to load a model.
+const loadTime = 2 * time.Second
+
+// A change is when an engine began to serve a new version: between the begin of
+// the last look that showed the old one, less the report's lag, and the end of
+// the first that showed the new one.
+type change struct {
+	name         string
+	after, until time.Time
+}
+
+// changes looks at the engines until all serve a version.
+func (b *bench) changes(version string) []change {
+	b.t.Helper()
+	old := make(map[string]time.Time)
+	var list []change
+	b.until("all engines serve the new version", func() (bool, error) {
+		for _, p := range b.Engines {
+			if slices.ContainsFunc(list, func(c change) bool { return c.name == p.Name }) {
+				continue
+			}
+			began := time.Now()
+			load, err := starter.LoadOf(b.ctx, p)
+			if err != nil {
+				return false, err
+			}
+			if load.Version == version {
+				list = append(list, change{p.Name, old[p.Name], time.Now()})
+			} else {
+				old[p.Name] = began.Add(-b.Size.Lag)
+			}
+		}
+		return len(list) == len(b.Engines), nil
+	})
+	return list
+}
+
+// An operator publishes a new version of the model. If all engines loaded it at
+// once, callers would have no engine and the weight store would be overrun; if
+// an engine were forgotten, callers would get the old model's answers. So the
+// engines change one after another, and every question is answered whole.
+func TestNewVersionOfAModelIsLoadedOneByOneUnderQuestions(t *testing.T) {
+	b := start(t, func(s *starter.Size) { s.Load, s.Cold = loadTime, s.Slots })
+	m := b.Manifest()
+	model := m.Models[b.Size.Model]
+	model.Version, model.Load = "2", checker.Duration(loadTime)
+	m.Models[b.Size.Model], m.Loads = model, 1
+	path, err := b.WriteManifest("two.toml", m)
+	assert.NilError(t, err)
+	b.operate("publish", path)
+
+	stop, asked := make(chan struct{}), make(chan int)
+	go func() {
+		n := 0
+		defer func() { asked <- n }()
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			for _, vm := range b.VMs {
+				for _, q := range b.askAll(vm, 2, 50) {
+					b.whole(q)
+					n++
+				}
+			}
+		}
+	}()
+	list := b.changes("2")
+	close(stop)
+	t.Logf("%d questions", <-asked)
+
+	slices.SortFunc(list, func(x, y change) int { return x.until.Compare(y.until) })
+	for i, c := range list[1:] {
+		most := c.until.Sub(list[i].after)
+		t.Logf("%s at most %s after %s", c.name, most, list[i].name)
+		assert.Check(t, most >= loadTime, "%s and %s loaded at once", list[i].name, c.name)
+	}
+}
--- a/bench/starter/control.go
+++ b/bench/starter/control.go
@@ -31,6 +31,8 @@
 	Used    int    `json:"used"`
 	Memory  int    `json:"memory"`
 	Cold    bool   `json:"cold"`
+	// Version is the model's version that an engine serves.
+	Version string `json:"version"`
 }
 
 // A Stream is one piece of work on an engine, without lag.
--- a/bench/starter/fleet.go
+++ b/bench/starter/fleet.go
@@ -115,11 +115,19 @@
 func (f *Fleet) startUpstreams(context.Context) error {
 	s := f.Size
 	for i := range s.Engines {
-		p, err := f.standin(fmt.Sprintf("engine%d", i+1), "engine",
+		flags := []string{
 			"--bytes", strconv.Itoa(s.Bytes), "--slots", strconv.Itoa(s.Slots), "--cold", strconv.Itoa(s.Cold),
 			"--memory", strconv.Itoa(s.Memory), "--prefill", strconv.Itoa(s.Prefill), "--decode", strconv.Itoa(s.Decode),
 			"--warm", strconv.Itoa(s.Warm), "--lag", milliseconds(s.Lag),
-			"--model", s.Model, "--version", version)
+			"--model", s.Model, "--version", version,
+		}
+		if s.Load > 0 {
+			flags = append(flags, "--load-ms", milliseconds(s.Load))
+		}
+		if fencing(i) {
+			flags = append(flags, "--fencing")
+		}
+		p, err := f.standin(fmt.Sprintf("engine%d", i+1), "engine", flags...)
 		if err != nil {
 			return err
 		}
--- a/bench/starter/manifest.go
+++ b/bench/starter/manifest.go
@@ -26,6 +26,10 @@
 // version is the model's version, which engines have loaded at the start.
 const version = "1"
 
+// fencing says whether an engine refuses orders with an old fence: every other
+// one does.
+func fencing(i int) bool { return i%2 == 0 }
+
 // Manifest describes the fleet as it runs.
 func (f *Fleet) Manifest() checker.Manifest {
 	s := f.Size
@@ -53,7 +57,7 @@
 		f.place(p.Name, zone)
 		m.Upstreams[p.Name] = checker.Upstream{
 			Model: s.Model, Address: p.Line.Address, Zone: zone, Slots: s.Slots, Cold: s.Cold,
-			Memory: s.Memory, Prefill: s.Prefill, Decode: s.Decode, Fencing: i%2 == 0,
+			Memory: s.Memory, Prefill: s.Prefill, Decode: s.Decode, Fencing: fencing(i),
 		}
 	}
 	for i, p := range f.Services {
--- a/bench/starter/size.go
+++ b/bench/starter/size.go
@@ -39,6 +39,8 @@
 	Warm int
 	// Lag is how old an upstream's report and the list may be.
 	Lag time.Duration
+	// Load is how long an engine takes to load a model; 0 leaves the stand-in's.
+	Load time.Duration
 	// Teams are the shares by team name.
 	Teams map[string]int
 }
--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -21,6 +21,9 @@
 		if !group && slices.Contains(avoid, u.Name) {
 			continue
 		}
+		if p.dispatcher.avoids(u.Name) {
+			continue
+		}
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
 			continue
 		}
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +100,7 @@
 	speeds   Speeds
 	now      func() time.Time
 	ids      atomic.Uint64
+	avoided  atomic.Pointer[[]string]
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -109,6 +111,18 @@
 	return &Dispatcher{config: c, supplier: s, speeds: v, now: now, pools: make(map[string]*pool)}
 }
 
+// Avoid names the upstreams that get no new work from now on; what runs there
+// goes on. Each call replaces the names of the one before.
+func (d *Dispatcher) Avoid(names []string) {
+	names = slices.Clone(names)
+	d.avoided.Store(&names)
+}
+
+func (d *Dispatcher) avoids(name string) bool {
+	names := d.avoided.Load()
+	return names != nil && slices.Contains(*names, name)
+}
+
 // Configure puts a version of the configuration in force. Requests that wait
 // for a pool that is no more are refused.
 func (d *Dispatcher) Configure(v *viewer.View) error {
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -195,7 +195,7 @@
 	v.ticker.Subscribe(watchEvery, v.observer.Tick)
 	v.subscribeOut()
 	for _, run := range []func(context.Context){
-		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.sweep, v.checkpoints,
+		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.sweep, v.checkpoints, v.orders,
 	} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/library/checker/checker.go
+++ b/library/checker/checker.go
@@ -104,6 +104,7 @@
 
 func (c *checker) top() {
 	c.within("seats", c.m.Seats, 1, maxSeats)
+	c.within("loads", c.m.Loads, 0, maxSeats)
 	window, keep := time.Duration(c.m.Window), time.Duration(c.m.Keep)
 	if window < minWindow || window > maxTime {
 		c.found.Addf("window", "is %s, not between %s and %s", window, minWindow, maxTime)
@@ -168,6 +169,9 @@
 		c.within(place+".context", m.Context, 1, maxTokens)
 		c.within(place+".output", m.Output, 1, max(1, m.Context))
 		c.within(place+".bytes", m.Bytes, 1, maxBytes)
+		if load := time.Duration(m.Load); load < 0 || load > maxTime {
+			c.found.Addf(place+".load", "is %s, not between 0s and %s", load, maxTime)
+		}
 		if !versionForm.MatchString(m.Version) {
 			c.found.Addf(place+".version", "%q is not 1 to 40 of letters, digits, dot, _ and -", decoder.Shown(m.Version))
 		}
--- a/library/checker/manifest.go
+++ b/library/checker/manifest.go
@@ -35,6 +35,9 @@
 	// Keep is how long the platform's log keeps a record at least. Checkpoints
 	// and the keys of calls rest on it; it is longer than Window.
 	Keep Duration `toml:"keep"`
+	// Loads is how many engines may load a model at once over the whole fleet;
+	// the weight store's rate bounds it. Zero means 2.
+	Loads int `toml:"loads"`
 	// Zones lists the availability zones. Where it is empty, any zone that an
 	// upstream names is one.
 	Zones []string `toml:"zones"`
@@ -73,6 +76,9 @@
 	Bytes int `toml:"bytes"`
 	// Version is the version of the model that engines should have loaded.
 	Version string `toml:"version"`
+	// Load is the longest time that an engine takes to load the model. Zero
+	// means two minutes.
+	Load Duration `toml:"load"`
 }
 
 // A Service is a plain service that calls pass through to.
