Write claims again before the shortest retention ends

Cause: the process left the log's retention unset, so claims were never written again; once the log had forgotten them, a VM that starts would claim anew beside a holder that still lends. Change: the manifest's keep is at least an hour, which all VMs reckon with; holders learn how long work may last from the manifest.

--- a/entry/process/coordinator/coordinator.go
+++ b/entry/process/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"github.com/heathervane/heathervane/entry/process/lender"
 	"github.com/heathervane/heathervane/entry/process/member"
 	"github.com/heathervane/heathervane/library/appender"
+	"github.com/heathervane/heathervane/library/checker"
 	"github.com/heathervane/heathervane/library/lister"
 	"github.com/heathervane/heathervane/library/ticker"
 )
@@ -73,10 +74,11 @@
 	Poll, Listing, Step time.Duration
 }
 
-// Today gives the timings for a fleet of today's size.
+// Today gives the timings for a fleet of today's size. Keep is the least that
+// the checker lets a manifest say of the log.
 func Today() Timings {
 	return Timings{
-		Lease: 2 * time.Second, Life: 2 * time.Second, Drift: 0.01,
+		Lease: 2 * time.Second, Life: 2 * time.Second, Drift: 0.01, Keep: checker.LeastKeep,
 		Fresh: 3 * time.Second, Settle: 500 * time.Millisecond, Longest: 10 * time.Minute,
 		Gap: 10 * time.Millisecond, Beat: 500 * time.Millisecond, Suspect: 1500 * time.Millisecond,
 		Dead: 2500 * time.Millisecond, Absent: 15 * time.Second, Stall: time.Second,
--- a/entry/process/server/configure.go
+++ b/entry/process/server/configure.go
@@ -34,11 +34,25 @@
 	for _, u := range v.Upstreams() {
 		us = append(us, coordinator.Upstream{
 			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Cold: u.Cold, Memory: u.Memory, Out: u.Out,
+			Longest: longest(v, u),
 		})
 	}
 	return us
 }
 
+// longest is the longest time that a request of an upstream may take: so long
+// what a dead VM left at a plain service may still run.
+func longest(v *viewer.View, u viewer.Upstream) time.Duration {
+	if u.Service != "" {
+		return time.Duration(v.Manifest.Services[u.Service].Most)
+	}
+	most := time.Duration(0)
+	for _, c := range v.Manifest.Classes {
+		most = max(most, time.Duration(c.Most))
+	}
+	return most
+}
+
 // isOut tells whether operators have taken this VM or its zone out.
 func (v *Server) isOut() bool {
 	view := v.view.Load()
--- a/library/checker/checker.go
+++ b/library/checker/checker.go
@@ -112,6 +112,9 @@
 	if keep <= window || keep > 2*maxTime {
 		c.found.Addf("keep", "is %s, not longer than window (%s) and at most %s", keep, window, 2*maxTime)
 	}
+	if keep < LeastKeep {
+		c.found.Addf("keep", "is %s, shorter than %s", keep, LeastKeep)
+	}
 	seen := map[string]bool{}
 	for i, zone := range c.m.Zones {
 		place := fmt.Sprintf("zones[%d]", i)
--- a/library/checker/checker_test.go
+++ b/library/checker/checker_test.go
@@ -52,6 +52,7 @@
 		{`window = "10m"`, `window = 10`, "window: is an integer, not a string with a unit"},
 		{`window = "10m"`, `window = "10 minutes"`, "window: time: unknown unit"},
 		{`keep = "1h"`, `keep = "10m"`, "keep: is 10m0s, not longer than window"},
+		{`keep = "1h"`, `keep = "59m"`, "keep: is 59m0s, shorter than 1h0m0s"},
 		{`zones = ["a", "b", "c"]`, `zones = ["a", "b", "b"]`, `zones[2]: names the zone "b" twice`},
 		{`zones = ["a", "b", "c"]`, `zones = ["a", "b"]`, `upstreams.runner-3.zone: names the zone "c"`},
 		{"[classes.short]", "[classes.Short]", "classes.Short: the name"},
--- a/library/checker/preset.go
+++ b/library/checker/preset.go
@@ -2,12 +2,18 @@
 
 import "time"
 
+// LeastKeep is the shortest time for which a platform's log may keep records.
+// Claims to upstreams are written again well within it. Were they forgotten
+// while their holder lends, a VM that starts then would see nobody's claim, make
+// one, and lend the same slots a second time.
+const LeastKeep = time.Hour
+
 // Defaults of a manifest. Limits of time suit an assistant that answers in
 // seconds; operators with longer work write their own.
 const (
 	defaultSeats  = 9 // the largest number of entry VMs in use today
 	defaultWindow = 10 * time.Minute
-	defaultKeep   = time.Hour
+	defaultKeep   = LeastKeep
 	defaultOutput = 4096
 	defaultBytes  = 4
 )
