Prove more of groups, of a leaving engine and of a late outage

Cause: the fault matrix showed that nothing tested a group of engines under a fault, an engine taken out on processes, or an outage between the append of an intent and its reading. No test was eased.

Groups on processes, drains under a second fault and orders to load stay open.

--- a/bench/zone_test.go
+++ b/bench/zone_test.go
@@ -16,7 +16,21 @@
 func TestZoneOutGetsNoNewWork(t *testing.T) {
 	b := start(t, slow)
 	zone := b.Size.Zones[0]
-	inside := b.inZone(zone)
+	b.outAndIn(b.inZone(zone), "zone", zone)
+}
+
+// An operator takes one engine out, to replace it. Answers that stream from it
+// end whole, and three seconds later it begins nothing new. When it is in
+// again, it gets work again.
+func TestUpstreamOutGetsNoNewWork(t *testing.T) {
+	b := start(t, slow)
+	p := b.Engines[0]
+	b.outAndIn([]*starter.Process{p}, "upstream", p.Name)
+}
+
+// outAndIn takes engines out by one order, under load, and in again.
+func (b *bench) outAndIn(engines []*starter.Process, kind, name string) {
+	b.t.Helper()
 	var before []*asked
 	for _, vm := range b.VMs {
 		before = append(before, b.askAll(vm, 4, 160)...)
@@ -24,7 +38,7 @@
 	}
 	load := b.load(2)
 	load.past(6)
-	b.operate("zone", "out", zone)
+	b.operate(kind, "out", name)
 	out := time.Now()
 	for _, q := range before {
 		b.whole(q)
@@ -32,16 +46,16 @@
 	// The load goes on beside it until well after the three seconds.
 	for time.Since(out) < 2*settle {
 		load.past(5)
-		b.noneSince(inside, out.Add(settle))
+		b.noneSince(engines, out.Add(settle))
 	}
-	b.operate("zone", "in", zone)
+	b.operate(kind, "in", name)
 	in := time.Now()
-	b.until("the zone gets work again", func() (bool, error) { return b.begun(inside, in) > 0, nil })
+	b.until("they get work again", func() (bool, error) { return b.begun(engines, in) > 0, nil })
 	load.stop()
-	assert.Equal(t, load.wrong.Load(), int64(0))
+	assert.Equal(b.t, load.wrong.Load(), int64(0))
 }
 
-// settle is within how long a zone that was taken out gets no new work.
+// settle is how long after an order an engine that was taken out may still begin work.
 const settle = 3 * time.Second
 
 func (b *bench) inZone(zone string) []*starter.Process {
--- a/entry/process/drainer/drainer_test.go
+++ b/entry/process/drainer/drainer_test.go
@@ -26,7 +26,7 @@
 
 func ask(d *drainer.Drainer) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	d.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", http.NoBody))
+	d.ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/", http.NoBody))
 	return w
 }
 
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/keeper"
 	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/library/appender"
 )
 
 func TestRepetitionGetsFirstOutcome(t *testing.T) {
@@ -191,6 +192,43 @@
 	assert.Equal(t, string(b.Begin(bounded(t), open).Outcome.Body), "also booked")
 }
 
+// An outage begins with the first append: the log goes down in the moment in
+// which the record has landed.
+type outage struct {
+	*fakeLog
+
+	begun bool
+}
+
+func (l *outage) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if l.begun {
+		return l.fakeLog.Append(ctx, stream, data)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun, l.down = true, true
+	l.land(data)
+	return 0, appender.ErrUnknown.New("down")
+}
+
+// The log goes down after it took an intent and before its VM has read it back.
+// Nothing may be sent, since another's intent may be the first; the member is
+// told truly that nothing ran, and books through another VM when the log is
+// back.
+func TestOutageBeforeTheIntentIsRead(t *testing.T) {
+	log := newLog()
+	a := run(t, &outage{fakeLog: log}, "a", 1, nobodyGone)
+	c := call(keyMade(time.Now(), 1))
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	r := a.Begin(ctx, c).Refusal
+	assert.Assert(t, r != nil, "the call may be sent")
+	assert.Equal(t, r.Ran, refuser.No)
+	log.setDown(false)
+	again := run(t, log, "b", 1, nobodyGone).Begin(bounded(t), c)
+	assert.Assert(t, again.Ticket != nil, "%+v", again.Refusal)
+}
+
 // Hundreds of members book at once. The records of those who come must leave
 // room for the outcomes of those who are done: otherwise outcomes pile up until
 // new calls are refused, though the log keeps up.
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -105,12 +105,21 @@
 	done  []dispatcher.Outcome
 	// lapsed makes the places be lapsed by the time of the sending.
 	lapsed bool
+	// group grants all upstreams at once, as for a prompt that no single one
+	// holds; of its places only the first few stay live where live is not 0.
+	group bool
+	live  int
 }
 
-type place struct{ places *places }
+type place struct {
+	places *places
+	part   int
+}
 
 func (place) Boot() uint64 { return 7 }
-func (p place) Live() bool { return !p.places.lapsed }
+func (p place) Live() bool {
+	return !p.places.lapsed && (p.places.live == 0 || p.part < p.places.live)
+}
 
 func (p place) Done(o dispatcher.Outcome) {
 	p.places.mu.Lock()
@@ -122,6 +131,9 @@
 	if ctx.Err() != nil {
 		return nil, refuser.New(http.StatusGatewayTimeout, "late", "too late")
 	}
+	if p.group {
+		return p.grantAll(c), nil
+	}
 	for _, u := range c.Pool.Upstreams {
 		if strings.Contains(strings.Join(c.Avoid, ","), u.Name) {
 			continue
@@ -129,13 +141,24 @@
 		p.mu.Lock()
 		p.given = append(p.given, u.Name)
 		p.mu.Unlock()
-		return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: u, Tokens: c.Ask.Tokens, Slot: place{p}}}}, nil
+		return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: u, Tokens: c.Ask.Tokens, Slot: place{places: p}}}}, nil
 	}
 	return nil, refuser.New(http.StatusTooManyRequests, "saturated", "full").Back(time.Second)
 }
 
 func (p *places) Begun(dispatcher.Call, *dispatcher.Grant) {}
 
+// grantAll parts a prompt evenly over all upstreams.
+func (p *places) grantAll(c dispatcher.Call) *dispatcher.Grant {
+	g := &dispatcher.Grant{}
+	for i, u := range c.Pool.Upstreams {
+		g.Parts = append(g.Parts, dispatcher.Part{
+			Upstream: u, Tokens: c.Ask.Tokens / len(c.Pool.Upstreams), Slot: place{places: p, part: i},
+		})
+	}
+	return g
+}
+
 // cancels confirms each cancel at once.
 type cancels struct {
 	mu  sync.Mutex
