--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -21,6 +21,9 @@
 		if !group && slices.Contains(avoid, u.Name) {
 			continue
 		}
+		if p.dispatcher.avoids(u.Name) {
+			continue
+		}
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
 			continue
 		}
@@ -63,6 +66,7 @@
 		Speed:       p.dispatcher.speeds.Speed(u.Name),
 		Cold:        s.Cold,
 		Long:        p.affinity.long[u.Name],
+		Unread:      int(p.unreadAt(u.Name).Load()),
 		Home:        p.affinity.home(p.dispatcher.config.VM, u.Name),
 		Guest:       p.affinity.guest(now, p.dispatcher.config.VM, u.Name),
 		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
@@ -84,7 +88,8 @@
 
 // note keeps a sending, and forgets those too old to matter.
 func (p *pool) note(name string, s sending) {
-	list := append(p.sent[name], s)
+	list := p.sent[name]
+	list = append(list, s)
 	old := 0
 	for s.at.Sub(list[old].at) > sentKept {
 		old++
@@ -100,11 +105,3 @@
 func (p *pool) pace(now time.Time, k admitter.Ask) admitter.Pace {
 	return router.Pace(p.candidates(now, k, nil), k.Tokens)
 }
-
-func (p *pool) prefixed(k admitter.Ask, part Part) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if k.Tokens >= hintTokens {
-		p.hinter.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
-	}
-}
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +100,7 @@
 	speeds   Speeds
 	now      func() time.Time
 	ids      atomic.Uint64
+	avoided  atomic.Pointer[[]string]
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -109,6 +111,18 @@
 	return &Dispatcher{config: c, supplier: s, speeds: v, now: now, pools: make(map[string]*pool)}
 }
 
+// Avoid names the upstreams that get no new work from now on; what runs there
+// goes on. Each call replaces the names of the one before.
+func (d *Dispatcher) Avoid(names []string) {
+	names = slices.Clone(names)
+	d.avoided.Store(&names)
+}
+
+func (d *Dispatcher) avoids(name string) bool {
+	names := d.avoided.Load()
+	return names != nil && slices.Contains(*names, name)
+}
+
 // Configure puts a version of the configuration in force. Requests that wait
 // for a pool that is no more are refused.
 func (d *Dispatcher) Configure(v *viewer.View) error {
@@ -148,6 +162,7 @@
 		picker:     picker,
 		waiting:    make(map[uint64]*waiter),
 		sent:       make(map[string][]sending),
+		unread:     make(map[string]*atomic.Int64),
 		hinter:     hinter.New(mostHints),
 		affinity:   affinity{splitter: splitter.New(splitter.Config{})},
 	}
@@ -228,14 +243,6 @@
 	}
 }
 
-// Prefixed notes that the upstreams of a grant have read the beginning of a
-// prompt.
-func (d *Dispatcher) Prefixed(c Call, g *Grant) {
-	if p, ok := d.pool(c.Pool); ok && len(g.Parts) == 1 {
-		p.prefixed(c.Ask, g.Parts[0])
-	}
-}
-
 func (d *Dispatcher) pool(p *viewer.Pool) (*pool, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -74,7 +74,9 @@
 func (e *engine) address() string { return strings.TrimPrefix(e.URL, "http://") }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	io.Copy(io.Discard, q.Body)
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	n := e.begun
 	e.begun++
@@ -132,7 +134,7 @@
 	return nil, refuser.New(http.StatusTooManyRequests, "saturated", "full").Back(time.Second)
 }
 
-func (p *places) Prefixed(dispatcher.Call, *dispatcher.Grant) {}
+func (p *places) Begun(dispatcher.Call, *dispatcher.Grant) {}
 
 // cancels confirms each cancel at once.
 type cancels struct {
