Bound loads by turns, and show that each wait is needed

Cause: TestFleetKeepsItsBoundsAndConverges found that a new holder orders an engine which has just loaded and does not report it yet, so that two of a pool loaded at once. Ruled out: a wait only for engines without fencing: the fence stops the older order, not the newer one that comes for nothing. The test draws the bound and freezes VMs with orders in hand.

--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -147,6 +147,23 @@
 	assert.Equal(t, r.lender.inUse(), 0)
 }
 
+// An engine is about to load another version. Work that it still got would be
+// cut by the load or put it off for ever; what runs there ends as usual.
+func TestAvoidedUpstreamGetsNoNewWork(t *testing.T) {
+	r := newRig(t, 1, 10000, "e1", "e2")
+	r.Avoid([]string{"e1"})
+	first, refusal := r.Acquire(t.Context(), r.call(100))
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, first.Names()[0], "e2")
+	later := r.acquire(t.Context(), r.call(100))
+	r.Avoid(nil)
+	r.Pump()
+	second := <-later
+	assert.Equal(t, second.Names()[0], "e1")
+	first.Done(dispatcher.Completed)
+	second.Done(dispatcher.Completed)
+}
+
 // A caller goes away while its request waits, or in the very moment it gets its
 // place. The place must not stay taken.
 func TestACallerThatLeavesHoldsNoPlace(t *testing.T) {
--- a/entry/process/orderer/fleet_test.go
+++ b/entry/process/orderer/fleet_test.go
@@ -45,7 +45,8 @@
 type vm struct {
 	orderer *orderer.Orderer
 	version string
-	frozen  time.Time // until when
+	frozen  time.Time     // until when
+	freeze  time.Duration // for how long, once it has decided an order
 	pending []orderer.Order
 }
 
@@ -58,11 +59,13 @@
 	version int
 	reach   map[int]time.Time // when a VM reads the manifest
 	lose    int
+	loads   int
 	fences  uint64
 }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: epoch, version: 1, reach: make(map[int]time.Time)}
+	w.loads = rapid.IntRange(1, 2).Draw(t, "loads")
 	for i := range engines {
 		w.fences++
 		w.engines = append(w.engines, &engine{
@@ -71,7 +74,9 @@
 		})
 	}
 	for range vms {
-		w.vms = append(w.vms, &vm{orderer: orderer.New(config()), version: "1"})
+		c := config()
+		c.Loads = w.loads
+		w.vms = append(w.vms, &vm{orderer: orderer.New(c), version: "1"})
 	}
 	return w
 }
@@ -107,6 +112,10 @@
 		if v.pending == nil {
 			v.pending = v.orderer.Tick(w.now, w.facts(i, v))
 		}
+		if v.freeze > 0 && len(v.pending) > 0 {
+			w.freeze(i)
+			continue
+		}
 		w.send(i, v)
 	}
 	w.check()
@@ -165,7 +174,7 @@
 			pools[e.pool]++
 		}
 	}
-	assert.Assert(w.t, all <= config().Loads, "%d engines load at once", all)
+	assert.Assert(w.t, all <= w.loads, "%d engines load at once", all)
 	for pool, n := range pools {
 		assert.Assert(w.t, n <= orderer.Out(sizes[pool]), "%d engines of %s load at once", n, pool)
 	}
@@ -208,22 +217,17 @@
 	e.holder, e.fence, e.from = (e.holder+1)%vms, w.fences, w.now.Add(2*lease)
 }
 
-// freeze stops a VM, sometimes with orders decided and not yet sent.
+// freeze stops a VM that has decided orders and not sent them. The others
+// replace its claims once its lease is over.
 func (w *world) freeze(i int) {
 	v := w.vms[i]
-	if w.now.Before(v.frozen) {
-		return
-	}
-	v.pending = v.orderer.Tick(w.now, w.facts(i, v))
-	// A manifest reaches a woken VM before it orders anything again: it reads
-	// the log's end before it holds anything.
-	d := time.Duration(rapid.IntRange(1, 60).Draw(w.t, "frozen")) * step
-	v.frozen = w.now.Add(d)
+	v.frozen = w.now.Add(v.freeze)
 	for _, e := range w.engines {
-		if e.holder == i && d > lease {
+		if e.holder == i && v.freeze > lease {
 			w.claim(e)
 		}
 	}
+	v.freeze = 0
 }
 
 // Engines are killed and come back on their first version, holders change and
@@ -244,7 +248,7 @@
 			case "claim":
 				w.claim(e)
 			case "freeze":
-				w.freeze(e.holder)
+				w.vms[e.holder].freeze = time.Duration(rapid.IntRange(1, 60).Draw(t, "frozen")) * step
 			case "lose":
 				w.lose++
 			}
--- a/library/checker/checker_test.go
+++ b/library/checker/checker_test.go
@@ -44,6 +44,7 @@
 	hash := "sha256:" + strings.Repeat("0", 64)
 	for _, c := range []struct{ old, new, want string }{
 		{"seats = 9", "seats = 0", "seats: is 0, not between 1 and 10000"},
+		{"seats = 9", "seats = 9\nloads = -1", "loads: is -1, not between 0 and 10000"},
 		{"seats = 9", "seats = '9'", "seats: is a string, not an integer in range"},
 		{"seats = 9", "seets = 9", "seets: unknown key (did you mean seats?)"},
 		{"seats = 9", "seats = ", "line 3: "},
@@ -61,6 +62,7 @@
 		{`least = "1s"`, `least = "0s"`, "classes.short.least: is 0s, not above 0s"},
 		{"output = 4096", "output = 3000000", "models.assistant.output: is 3000000"},
 		{"bytes = 4", "bytes = 0", "models.assistant.bytes: is 0"},
+		{`version = "1"`, "version = '1'\nload = '-1s'", "models.assistant.load: is -1s, not between 0s and "},
 		{`version = "1"`, `version = "1 2"`, "models.assistant.version: "},
 		{`keys = "dated"`, `keys = "date"`, "services.booking.keys: is \"date\", not \"dated\" or \"any\" (did you mean dated?)"},
 		{`"POST /search"`, `"POTS /search"`, "services.booking.repeatable[3]: the method \"POTS\""},
