Remember shares and duties until what they rest on changes

Cause: a node's tick sorted all seats for each upstream and seat, and hashed each upstream with each member, twenty times a second; nothing of it changes but with the configuration and the members.

--- a/entry/process/coordinator/capacity_test.go
+++ b/entry/process/coordinator/capacity_test.go
@@ -73,6 +73,7 @@
 		assert.NilError(b, err)
 		records = append(records, appender.Record{Offset: uint64(i) + 1, At: c.now, Data: data})
 	}
+	c.node.Read(c.now, c.now, appender.Batch{Start: 1, End: 1})
 	c.node.Read(c.now, c.now, appender.Batch{Start: 1, End: c.end, Records: records})
 	return c
 }
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -36,6 +36,7 @@
 type unit struct {
 	Upstream
 	borrower *borrower.Borrower
+	deal     deal
 	lender   *lender.Lender // while this process's claim is in force
 	table    *lender.Table  // received from the holder before
 	holds    bool
@@ -59,6 +60,7 @@
 	beat    time.Time
 	tables  time.Time
 
+	duty  duty
 	units atomic.Pointer[map[string]*unit]
 	names []string
 }
--- a/entry/process/coordinator/tick.go
+++ b/entry/process/coordinator/tick.go
@@ -32,7 +32,8 @@
 	}
 	n.last = now
 	members := n.members.Members(now)
-	facts := n.facts(now, members)
+	n.duty.look(members)
+	facts := n.facts(now)
 	out := outbox{}
 	n.handOver(now, facts, out)
 	s.Claims = n.claims.Tick(now, facts)
@@ -55,10 +56,10 @@
 	return s
 }
 
-func (n *Node) facts(now time.Time, members []member.Member) claimer.Facts {
+func (n *Node) facts(now time.Time) claimer.Facts {
 	return claimer.Facts{
 		Live:      func(vm string, boot uint64) bool { return n.members.Live(now, vm, boot) },
-		Should:    func(name string) (string, uint64) { return member.Should(name, members) },
+		Should:    n.duty.should,
 		Absent:    func(vm string, boot uint64) bool { return n.members.Absent(now, vm, boot) },
 		Upstreams: n.names,
 		Seats:     n.seats,
@@ -106,7 +107,7 @@
 		u.holds = ok
 		share := 0
 		if seated {
-			share = lender.Share(name, u.Slots, n.seats, own)
+			share = u.deal.share(name, u.Slots, n.seats, own)
 		}
 		u.borrower.Share(share)
 		if u.lender != nil {
@@ -117,7 +118,7 @@
 					// share is lent like the rest.
 					continue
 				}
-				if m := lender.Share(name, u.Slots, n.seats, k); m > 0 {
+				if m := u.deal.share(name, u.Slots, n.seats, k); m > 0 {
 					shares[lender.Who{VM: s.VM, Boot: s.Boot}] += m
 				}
 			}
--- a/entry/process/member/member.go
+++ b/entry/process/member/member.go
@@ -277,14 +277,19 @@
 	return out
 }
 
+// May says whether a member may hold upstreams. One that was never heard has no
+// boot number and can't be named in a claim yet.
+func May(m Member) bool {
+	return m.Boot != 0 && m.State != Gone && m.State != Leaving
+}
+
 // Should names the process that ought to hold an upstream: the highest of all
 // hashes of the upstream with a VM (rendezvous hashing), so that a VM's death
-// moves only what it held. VMs never heard have no boot number and can't be
-// named in a claim yet.
+// moves only what it held.
 func Should(upstream string, members []Member) (id string, boot uint64) {
 	var best uint64
 	for _, m := range members {
-		if m.Boot == 0 || m.State == Gone || m.State == Leaving {
+		if !May(m) {
 			continue
 		}
 		if h := xxhash.Sum64String(upstream + "/" + m.VM); id == "" || h > best {
