--- a/standin/generator/engine_test.go
+++ b/standin/generator/engine_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	*clock
 	*generator.Generator
 	server *httptest.Server
+	// readers counts the requests in progress.
+	readers atomic.Int64
 }
 
 // start serves an engine of 100 tokens a second of prompt and 10 of answer;
@@ -56,7 +59,12 @@
 		change(&config)
 	}
 	g := generator.New(config)
-	b := &bench{t, c, g, httptest.NewServer(g.Handler())}
+	b := &bench{T: t, clock: c, Generator: g}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b.readers.Add(1)
+		defer b.readers.Add(-1)
+		g.Handler().ServeHTTP(w, q)
+	}))
 	t.Cleanup(func() {
 		b.server.CloseClientConnections()
 		b.server.Close()
@@ -75,6 +83,14 @@
 	}
 }
 
+// alone waits until the engine has noticed that all its readers have gone. Time
+// that passes sooner would have it send the rest to one that is still there.
+func (b *bench) alone() {
+	for b.readers.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // A reply is an answer, of which a stream is still open until the test ends.
 type reply struct {
 	StatusCode int
--- a/standin/generator/generator_test.go
+++ b/standin/generator/generator_test.go
@@ -145,6 +145,7 @@
 	b := start(t, nil)
 	b.generate("a", "abcd", 20, "").Body.Close()
 	b.generate("b", "abcd", 20, "").Body.Close()
+	b.alone()
 	b.pass(5 * time.Second)
 	l := get[streams](b, "/v1/streams")
 	assert.Equal(t, len(l.Streams), 2)
