Give work again to an engine that takes no orders

Cause: an engine of an older release would keep its turn for ever, and get no work. Ruled out: telling the other VMs of its refusals, which needs a message. Change: the turn ends for the dispatcher after the longest work and two waits for a load. Shown: TestEngineThatTakesNoOrdersGetsWorkAgain, which fails without the change (1 engine avoided, 0 wanted). go test ./process/orderer -rapid.checks=2000 passes. Conclusion: at most the stated part of a pool is out, and not for ever.

--- a/entry/process/orderer/orderer.go
+++ b/entry/process/orderer/orderer.go
@@ -169,7 +169,7 @@
 		if !s.settled(now, f, turn) {
 			continue
 		}
-		if sizes[f.Model] > 1 {
+		if sizes[f.Model] > 1 && now.Sub(s.turn) < r.config.Drain+2*f.settling() {
 			r.turns = append(r.turns, f.Name)
 		}
 		if r.due(now, f, s) {
@@ -186,7 +186,9 @@
 
 // Turns are the engines that get no new work, because they are to load or load
 // now. Every VM finds the same ones, so that an engine's work ends. The only
-// engine of a pool is not among them: it serves until it loads.
+// engine of a pool is not among them: it serves until it loads. Nor is one that
+// still shows its old version after its work must have ended and it was ordered: it
+// takes no orders, and would serve nothing for ever.
 func (r *Orderer) Turns() []string { return r.turns }
 
 // Answered takes in how an order ended. An engine that refused a fence has seen
--- a/entry/process/orderer/orderer_test.go
+++ b/entry/process/orderer/orderer_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// An engine takes no orders, as one of an older release. Its turn never ends, and
+// without an end of another kind it would get no work ever again.
+func TestEngineThatTakesNoOrdersGetsWorkAgain(t *testing.T) {
+	r, facts := orderer.New(config()), []orderer.Fact{behind("e1"), behind("e2")}
+	run(r, epoch, settling, orderer.Refused, facts...)
+	assert.DeepEqual(t, r.Turns(), []string{"e1"})
+	run(r, epoch.Add(settling), drain+2*settling, orderer.Refused, facts...)
+	assert.Equal(t, len(r.Turns()), 0)
+}
+
 func TestTurnsLeaveTheRestOfAPool(t *testing.T) {
 	for size, want := range map[int]int{1: 0, 2: 1, 4: 1, 7: 1, 8: 2, 40: 2} {
 		var facts []orderer.Fact
