Open engines to every prompt and VM unless the settings say otherwise

Cause: short prompts' first token grew a tail with the homes of engines: a VM waited for a slot at its home while others idled, because lent slots are spread over all VMs, where the play of the decisions gives each VM a fixed part. Ruled out: the machine's load, and the split alone. Change: policy.engines chooses; the default is neither. Conclusion: where engines honour priorities, setting them apart brings nothing.

--- a/entry/process/dispatcher/affinity.go
+++ b/entry/process/dispatcher/affinity.go
@@ -17,7 +17,13 @@
 // An affinity says which upstreams a VM prefers, and which are set apart for
 // long prompts. All VMs that know the same members reach nearly the same, so
 // that no two of them take the same idle engine for theirs.
+//
+// In the play of the decisions, where each VM has a fixed part of the slots, both
+// are worth much. On processes, where slots are lent and engines honour
+// priorities, homes cost the short prompts' first token its tail and the split
+// brought nothing, so that neither is the default: docs/MEASUREMENTS.md.
 type affinity struct {
+	way      string
 	splitter *splitter.Splitter
 	next     time.Time
 	vms      []string
@@ -42,7 +48,7 @@
 
 // look works out the affinity where it is due.
 func (a *affinity) look(now time.Time, live func() []string, us []viewer.Upstream) {
-	if now.Before(a.next) {
+	if a.way == "" || a.way == Shared || now.Before(a.next) {
 		return
 	}
 	a.next, a.guests = now.Add(affinityEvery), nil
@@ -54,6 +60,9 @@
 	}
 	vms := live()
 	a.split(now, len(vms), names)
+	if a.way != Homes {
+		return
+	}
 	a.vms = vms
 	isLong := func(name string) bool { return a.long[name] }
 	short := slices.DeleteFunc(slices.Clone(names), isLong)
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -91,8 +91,20 @@
 	// Router and Queue name policies: the product's, or a baseline's.
 	Router string
 	Queue  string
+	// Engines says how engines are shared out: Shared, Split or Homes.
+	Engines string
 }
 
+// The ways to share out engines.
+const (
+	// Shared engines are open to every prompt.
+	Shared = "shared"
+	// Split sets some engines apart for long prompts.
+	Split = "split"
+	// Homes makes each engine the home of one VM, besides.
+	Homes = "homes"
+)
+
 // A Dispatcher places requests at upstreams.
 type Dispatcher struct {
 	config   Config
@@ -164,7 +176,7 @@
 		sent:       make(map[string][]sending),
 		unread:     make(map[string]*atomic.Int64),
 		hinter:     hinter.New(mostHints),
-		affinity:   affinity{splitter: splitter.New(splitter.Config{})},
+		affinity:   affinity{way: d.config.Engines, splitter: splitter.New(splitter.Config{})},
 	}
 	return p, nil
 }
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -142,6 +142,7 @@
 	v.dispatcher = dispatcher.New(dispatcher.Config{
 		Zone: v.settings.Zone, VM: v.settings.ID,
 		Router: string(v.settings.Policy.Router), Queue: string(v.settings.Policy.Queue),
+		Engines: string(v.settings.Policy.Engines),
 	}, supply{v.coordinator}, v.observer, time.Now)
 	bodies := &reader.Reader{Most: int64(v.settings.Limits.Body), Budget: v.bodies, Patience: patience}
 	v.chatter = chatter.New(chatter.Config{VM: v.settings.ID, Boot: v.boot}, chatter.Deps{
--- a/entry/process/setter/checks.go
+++ b/entry/process/setter/checks.go
@@ -53,6 +53,7 @@
 	c.limits(s.Limits)
 	oneOf(c, "policy.router", s.Policy.Router, RouterBest, RouterRandom, RouterLeast, RouterTwo)
 	oneOf(c, "policy.queue", s.Policy.Queue, QueueFair, QueueFirst)
+	oneOf(c, "policy.engines", s.Policy.Engines, EnginesShared, EnginesSplit, EnginesHomes)
 }
 
 func (c *checks) name(place, name string) {
--- a/entry/process/setter/setter.go
+++ b/entry/process/setter/setter.go
@@ -104,10 +104,24 @@
 	QueueFirst Queue = "first"
 )
 
+// Engines names a way to share out engines.
+type Engines string
+
+// The ways to share out engines. The engines of a model are open to every
+// prompt, which suits engines that honour priorities; or some are set apart for
+// long prompts; or, besides, each is the home of one VM.
+const (
+	EnginesShared Engines = "shared"
+	EnginesSplit  Engines = "split"
+	EnginesHomes  Engines = "homes"
+)
+
 // Policy chooses between ways to decide under load.
 type Policy struct {
 	Router Router `toml:"router"`
 	Queue  Queue  `toml:"queue"`
+	// Engines says how engines are shared out.
+	Engines Engines `toml:"engines"`
 }
 
 // Defaults of Limits. They suit a VM with 512 MiB of memory: a million-token
@@ -128,7 +142,7 @@
 			Bodies: defaultBodies, Body: defaultBody, Header: defaultHeader,
 			Streams: defaultStreams, Drain: checker.Duration(defaultDrain),
 		},
-		Policy: Policy{Router: RouterBest, Queue: QueueFair},
+		Policy: Policy{Router: RouterBest, Queue: QueueFair, Engines: EnginesShared},
 	}
 }
 
