Refuse a group at once when an engine that it needs has died

Cause: a prompt for which three engines were needed waited to its limit after one of them had died: 504 after 50.6 s, found by a test on processes. Ruled out: counting an engine out sooner, because nobody reports on a healthy one while its holder is replaced (6.8 s measured). Change: engines not heard of for 15 s do not count for groups, for new prompts and for those that wait. Shown: TestAGroupThatCanNoLongerBeHadIsRefusedAtOnce, which hangs without it.

--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -22,10 +22,12 @@
 	free map[string]int
 	used map[string]int
 	want map[string]int
+	// silent are upstreams that have not been heard of for long.
+	silent map[string]bool
 }
 
 func newLender(slots int, names ...string) *lender {
-	l := &lender{free: map[string]int{}, used: map[string]int{}, want: map[string]int{}}
+	l := &lender{free: map[string]int{}, used: map[string]int{}, want: map[string]int{}, silent: map[string]bool{}}
 	for _, n := range names {
 		l.free[n] = slots
 	}
@@ -50,6 +52,9 @@
 func (l *lender) Supply(name string) dispatcher.Supply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.silent[name] {
+		return dispatcher.Supply{Age: time.Hour}
+	}
 	return dispatcher.Supply{Free: l.free[name], Slots: l.free[name] + l.used[name], Mine: l.used[name], Boot: 9}
 }
 
@@ -213,6 +218,23 @@
 	assert.Equal(t, refusal.Ran, refuser.No)
 }
 
+// A prompt waits for a group of three engines, and one of the three dies. It is
+// refused as not run in that moment, and not at its limit an hour later; so is
+// the next one, which hears when to come back.
+func TestAGroupThatCanNoLongerBeHadIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t, 0, 1000, "e1", "e2", "e3")
+	waiting := r.acquire(t.Context(), r.call(2300))
+	r.lender.mu.Lock()
+	r.lender.silent["e2"] = true
+	r.lender.mu.Unlock()
+	r.Pump()
+	assert.Assert(t, <-waiting == nil)
+	_, refusal := r.Acquire(t.Context(), r.call(2300))
+	assert.Equal(t, refusal.Code, "engines_away")
+	assert.Equal(t, refusal.Ran, refuser.No)
+	assert.Assert(t, refusal.After > 0)
+}
+
 // A publish takes a model away while a request waits for it. The request gets
 // its answer in that moment, not at its limit.
 func TestAPoolThatGoesRefusesWhatWaits(t *testing.T) {
--- a/entry/process/dispatcher/group.go
+++ b/entry/process/dispatcher/group.go
@@ -1,16 +1,57 @@
 package dispatcher
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/lender"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/grouper"
+	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/router"
 	"github.com/heathervane/heathervane/entry/version/viewer"
 )
 
+// silence is how old an engine's last report is when the engine no longer counts
+// for groups. It is well above the time in which a new holder takes an upstream
+// over, when nobody reports on a healthy engine.
+const silence = 15 * time.Second
+
+// tooLarge refuses a prompt that needs a group and that no group of the pool's
+// engines can hold: it would wait to its limit for nothing.
+func (p *pool) tooLarge(k admitter.Ask) *refuser.Refusal {
+	if !p.needsGroup(k) || len(p.upstreams) == 0 {
+		return nil
+	}
+	var all, heard []router.Candidate
+	for _, u := range p.upstreams {
+		c := router.Candidate{Name: u.Name, Memory: u.Memory, Free: 1, Slots: 1}
+		all = append(all, c)
+		if p.dispatcher.supplier.Supply(u.Name).Age < silence {
+			heard = append(heard, c)
+		}
+	}
+	if _, err := grouper.Plan(k.Tokens, k.Output, all, groupShare()); err != nil {
+		return refuser.New(http.StatusUnprocessableEntity, "too_large", "%s", err)
+	}
+	if _, err := grouper.Plan(k.Tokens, k.Output, heard, groupShare()); err != nil {
+		return refuser.New(http.StatusServiceUnavailable, "engines_away", "of the engines that answer now: %s", err).Back(silence)
+	}
+	return nil
+}
+
+// giveUpGroups refuses what waits for a group that can no longer be had, because
+// an engine of it has died meanwhile.
+func (p *pool) giveUpGroups() {
+	for id, w := range p.waiting {
+		if refusal := p.tooLarge(w.call.Ask); refusal != nil {
+			p.admitter.Remove(id)
+			p.reply(id, w, reply{refusal: refusal})
+		}
+	}
+}
+
 func (p *pool) needsGroup(k admitter.Ask) bool {
 	if k.Tokens == 0 {
 		return false
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -11,7 +11,6 @@
 	"github.com/heathervane/heathervane/entry/process/hinter"
 	"github.com/heathervane/heathervane/entry/process/lender"
 	"github.com/heathervane/heathervane/entry/request/admitter"
-	"github.com/heathervane/heathervane/entry/request/grouper"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/router"
 	"github.com/heathervane/heathervane/entry/version/viewer"
@@ -147,8 +146,8 @@
 	if p.closed {
 		return nil, gone()
 	}
-	if err := p.fits(c.Ask); err != nil {
-		return nil, refuser.New(http.StatusUnprocessableEntity, "too_large", "%s", err)
+	if refusal := p.tooLarge(c.Ask); refusal != nil {
+		return nil, refusal
 	}
 	if r := p.admitter.Offer(now, c.Ask, p.pace(now, c.Ask)); r != nil {
 		return nil, turnedAway(r)
@@ -160,23 +159,6 @@
 	return w, nil
 }
 
-// fits refuses a prompt that no group of the pool's engines can ever hold: it
-// would wait to its limit for nothing.
-func (p *pool) fits(k admitter.Ask) error {
-	if k.Tokens == 0 || len(p.upstreams) == 0 {
-		return nil
-	}
-	all := make([]router.Candidate, 0, len(p.upstreams))
-	for _, u := range p.upstreams {
-		if lender.Lendable(u.Memory) >= k.Tokens+k.Output {
-			return nil
-		}
-		all = append(all, router.Candidate{Name: u.Name, Memory: u.Memory, Free: 1, Slots: 1})
-	}
-	_, err := grouper.Plan(k.Tokens, k.Output, all, groupShare())
-	return err
-}
-
 func turnedAway(r *admitter.Refusal) *refuser.Refusal {
 	return refuser.New(http.StatusTooManyRequests, r.Code, "%s", r).Back(r.After)
 }
@@ -207,6 +189,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.dispatcher.now()
+	p.giveUpGroups()
 	for _, k := range p.admitter.Expire(now, p.pace(now, admitter.Ask{})) {
 		if w, ok := p.waiting[k.ID]; ok {
 			p.reply(k.ID, w, reply{refusal: late()})
