Reckon what finds no place as nobody's delay

Cause: with a zone out, and long after its return, some VMs refused a fifth of the questions as saturated while others answered all at once. On those VMs a prompt of a million tokens waited for memory; its turn was long overdue, and its whole length was reckoned as work before each question, which in truth went past it. Shown: TestWhatFindsNoPlaceRefusesNobody, which fails without it.

--- a/entry/request/admitter/admitter.go
+++ b/entry/request/admitter/admitter.go
@@ -230,6 +230,7 @@
 				break
 			}
 		}
+		b.stuck = true
 	}
 	return Ask{}, false
 }
@@ -247,6 +248,7 @@
 // serve takes out an ask that found a place, and charges its team and band.
 func (a *Admitter) serve(it *item) {
 	b := it.band
+	b.stuck = false
 	b.spent = b.finish(it.cost)
 	a.clock = max(a.clock, b.spent)
 	b.serve(it)
--- a/entry/request/admitter/admitter_test.go
+++ b/entry/request/admitter/admitter_test.go
@@ -174,3 +174,27 @@
 	assert.Equal(t, len(gone), 1)
 	assert.Equal(t, adm.Len(), 0)
 }
+
+// A prompt of a million tokens waits for engines' memory, which does not come.
+// Short questions go past it all the time. Its turn, long overdue, must not be
+// reckoned as work that is done before the next question: every VM with such a
+// prompt would refuse questions that it could answer at once.
+func TestWhatFindsNoPlaceRefusesNobody(t *testing.T) {
+	a := admitter.New(admitter.Config{})
+	pace := admitter.Pace{Slots: 16, Prefill: 10_000, Alone: 10_000, Decode: 100}
+	long := admitter.Ask{ID: 1, Team: "a", Share: 1, Tokens: 900_000, Output: 1, Arrived: epoch, Deadline: epoch.Add(time.Hour)}
+	assert.Assert(t, a.Offer(epoch, long, pace) == nil)
+	_, ok := a.Next(epoch, func(admitter.Ask) bool { return false })
+	assert.Assert(t, !ok)
+	now := epoch
+	for id := uint64(2); id < 6000; id++ {
+		now = now.Add(100 * time.Millisecond)
+		short := admitter.Ask{ID: id, Team: "b", Share: 1, Tokens: 1000, Output: 1, Arrived: now, Deadline: now.Add(20 * time.Second)}
+		r := a.Offer(now, short, pace)
+		assert.Assert(t, r == nil, "question %d: %v", id, r)
+		got, ok := a.Next(now, func(k admitter.Ask) bool { return k.ID != 1 })
+		assert.Assert(t, ok && got.ID == id)
+	}
+	got, ok := a.Next(now, func(admitter.Ask) bool { return true })
+	assert.Assert(t, ok && got.ID == 1, "its turn is not lost")
+}
--- a/entry/request/admitter/band.go
+++ b/entry/request/admitter/band.go
@@ -14,6 +14,8 @@
 	weight float64
 	// spent is the tokens served over the weight: the band's virtual time.
 	spent float64
+	// stuck says that none of its asks found a place when they were last tried.
+	stuck bool
 	// tag is the virtual time at which its first ask would end.
 	tag  float64
 	load load
--- a/entry/request/admitter/estimate.go
+++ b/entry/request/admitter/estimate.go
@@ -99,18 +99,28 @@
 	return ""
 }
 
-// others is what the other bands are served while this one is served cost.
+// others is what the other bands are served while this one is served cost. A
+// band whose first ask would end later than this one goes after it, whatever it
+// has saved up. One that finds no place keeps its claim to the next one, but what it has not
+// been served so far is not work that goes before this ask: it waits for
+// something else, such as memory, and others go past it meanwhile.
 func (a *Admitter) others(it *item, cost int64) int64 {
 	var sum int64
 	until := max(it.band.spent, a.clock)
 	if it.band.load.asks > 0 {
 		until = it.band.spent
 	}
+	begin := until
 	until += float64(cost) / it.band.weight
 	for _, b := range a.bands {
-		if b != it.band && b.spent < until {
-			sum += min(b.load.cost, int64((until-b.spent)*b.weight))
+		if b == it.band || len(b.heap) == 0 || b.finish(b.heap[0].queue.first().cost) > until {
+			continue
 		}
+		from := b.spent
+		if b.stuck {
+			from = max(from, begin)
+		}
+		sum += min(b.load.cost, int64((until-from)*b.weight))
 	}
 	return sum
 }
--- a/entry/request/router/pace.go
+++ b/entry/request/router/pace.go
@@ -6,7 +6,8 @@
 // counts only those of its kind where some are set apart, and for a short prompt
 // only those that are not reading a long one: their rate is not to be had, and
 // the work unread there does not delay it. Counted in, a few documents made
-// short questions look too late on a fleet that was half idle.
+// short questions look too late on a fleet that was half idle, and on one that
+// reads a document on every engine they made each VM refuse them that saw it so.
 func Pace(cs []Candidate, tokens int) admitter.Pace {
 	n := need{long: Long(tokens), split: split(cs)}
 	var all, free admitter.Pace
@@ -20,7 +21,16 @@
 			c.add(&free)
 		}
 	}
-	if n.long || free.Prefill == 0 {
+	if n.long {
+		return all
+	}
+	if free.Prefill == 0 {
+		if !n.split {
+			// Engines that take everything read short prompts before long ones.
+			// What stands there counts as far as it may be short prompts, of
+			// which the router sends no more than this ahead.
+			all.PrefillLeft = min(all.PrefillLeft, hold*all.Prefill)
+		}
 		return all
 	}
 	free.Slots, free.Running = all.Slots, all.Running
