--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
@@ -54,6 +56,9 @@
 	return m
 }
 
+// No request may leave a goroutine behind, however it ends.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // An engine answers with a script and notes what it was asked.
 type engine struct {
 	*httptest.Server
@@ -189,12 +194,14 @@
 func newRig(t *testing.T, m checker.Manifest) *rig {
 	t.Helper()
 	r := &rig{places: &places{}, cancels: &cancels{}, bodies: bounder.New(budget)}
+	upstream := &http.Transport{}
+	t.Cleanup(upstream.CloseIdleConnections)
 	view := viewer.New(1, m, func(string, string) bool { return false })
 	c := chatter.New(chatter.Config{VM: "vm1", Boot: 3}, chatter.Deps{
 		Views:     func() *viewer.View { return view },
 		Reader:    &reader.Reader{Most: longest, Budget: r.bodies, Patience: 200 * time.Millisecond},
 		Acquirer:  r.places,
-		Streamer:  streamer.New(&http.Client{Transport: &http.Transport{}}),
+		Streamer:  streamer.New(&http.Client{Transport: upstream}),
 		Canceller: r.cancels,
 		Watcher:   deaf{},
 		Retrier:   retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
