Say unknown for a key that could be older than its window

Cause: 'not run' was true of the refused call, but its caller may never have had an answer to an earlier one with the key, and would book again under a new key. Change: such a refusal carries Heathervane-Ran: unknown. Shown: TestAgeOfKeys.

--- a/entry/process/keeper/begin.go
+++ b/entry/process/keeper/begin.go
@@ -98,8 +98,11 @@
 	case ErrMissed.Has(err):
 		return refuser.New(503, "keys_unready", "%v", err).Back(retryAfter)
 	case ErrOld.Has(err):
+		// "Not run" would be true of this call only. Its caller may have been
+		// told nothing about an earlier one with the key, would take it for
+		// the answer to that, and book again under a new key.
 		return refuser.At("Idempotency-Key", "key_old",
-			"%v; this call was not run, whether an earlier one with the key ran is no longer known", err)
+			"%v; this call was not run, whether an earlier one with the key ran is no longer known", err).Having(refuser.Unknown)
 	}
 	return refuser.At("Idempotency-Key", "key_bad", "%v", err)
 }
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -256,16 +256,20 @@
 
 func TestAgeOfKeys(t *testing.T) {
 	k := run(t, newLog(), "a", 1, nobodyGone)
-	tests := []struct{ key, code string }{
-		{"booking 1", "key_bad"},
-		{keyMade(time.Now().Add(-2*time.Hour), 1), "key_old"},
-		{keyMade(time.Now().Add(2*time.Hour), 1), "key_bad"},
+	tests := []struct {
+		key, code string
+		ran       refuser.Ran
+	}{
+		{"booking 1", "key_bad", refuser.No},
+		{keyMade(time.Now().Add(-2*time.Hour), 1), "key_old", refuser.Unknown},
+		{keyMade(time.Now().Add(2*time.Hour), 1), "key_bad", refuser.No},
 	}
 	for _, test := range tests {
 		r := k.Begin(bounded(t), call(test.key)).Refusal
 		assert.Equal(t, r.Code, test.code)
 		assert.Equal(t, r.Status, 400)
 		assert.Equal(t, r.Param, "Idempotency-Key")
+		assert.Equal(t, r.Ran, test.ran)
 	}
 	free := call("booking 1")
 	free.Dated = false
