--- /dev/null
+++ b/entry/process/budgeter/budgeter.go
@@ -0,0 +1,140 @@
+// Package budgeter keeps bounds that hold in sum over all VMs although each VM
+// decides alone: how many requests are sent once more, and how many reach an
+// upstream in cold start. It answers a group of upstreams that fails under many
+// VMs at once: without a common bound every VM adds its own repeats, and the
+// group gets a multiple of its load when it can bear least; and a cold engine
+// that each VM takes for idle gets as many first requests as there are VMs, and
+// falls over.
+//
+// Each VM has a fixed part of the bound, by the number of VMs that live. Where
+// a part would be under one, some VMs have one each and the others none, by a
+// hash of the upstream's and the VM's names, so that different upstreams are
+// open to different VMs. Nothing is lent and no message is on a request's path.
+package budgeter
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is how many of a bound's whole units one of the VMs may use. The VMs are
+// named in the same order on each of them.
+func Part(bound float64, matter, vm string, vms []string) int {
+	n := max(1, len(vms))
+	each := int(bound) / n
+	// What division leaves goes to the VMs that rank first for this matter.
+	left := int(bound) - each*n
+	if left == 0 {
+		return each
+	}
+	mine := rank(matter, vm)
+	before := 0
+	for _, other := range vms {
+		if other != vm && first(rank(matter, other), other, mine, vm) {
+			before++
+		}
+	}
+	if before < left {
+		return each + 1
+	}
+	return each
+}
+
+func rank(matter, vm string) uint64 {
+	return xxhash.Sum64String(matter + "\x00" + vm)
+}
+
+func first(a uint64, aName string, b uint64, bName string) bool {
+	if a != b {
+		return a < b
+	}
+	return aName < bName
+}
+
+// A Window counts events over a sliding span of time.
+type Window struct {
+	span  time.Duration
+	times []time.Time
+}
+
+// NewWindow returns an empty Window.
+func NewWindow(span time.Duration) *Window { return &Window{span: span} }
+
+// Count is how many events the window ending now holds.
+func (w *Window) Count(now time.Time) int {
+	i := 0
+	for i < len(w.times) && now.Sub(w.times[i]) >= w.span {
+		i++
+	}
+	w.times = w.times[i:]
+	return len(w.times)
+}
+
+// Add puts an event into the window.
+func (w *Window) Add(now time.Time) {
+	w.Count(now)
+	w.times = append(w.times, now)
+}
+
+// Repeats bounds the requests of one service that are sent once more.
+type Repeats struct {
+	// Ratio is how many repeats each request adds, Slack how many all VMs
+	// together have besides, in each span.
+	Ratio, Slack float64
+	firsts       *Window
+	again        *Window
+}
+
+// NewRepeats returns a bound over sliding spans.
+func NewRepeats(ratio, slack float64, span time.Duration) *Repeats {
+	return &Repeats{Ratio: ratio, Slack: slack, firsts: NewWindow(span), again: NewWindow(span)}
+}
+
+// Sent counts a request's first sending.
+func (r *Repeats) Sent(now time.Time) { r.firsts.Add(now) }
+
+// Take asks for one repeat, and counts it where it is granted.
+func (r *Repeats) Take(now time.Time, vm string, vms []string) bool {
+	bound := r.Ratio*float64(r.firsts.Count(now)) + float64(Part(r.Slack, "repeats", vm, vms))
+	if float64(r.again.Count(now)+1) > bound {
+		return false
+	}
+	r.again.Add(now)
+	return true
+}
+
+// coldSpan is the span over which requests to a cold upstream are counted. It
+// is a second, by which operators state what such an upstream bears, and a
+// fifth more, because requests sent within one span arrive within a shorter one
+// when the first of them is delayed on its way.
+const coldSpan = 1200 * time.Millisecond
+
+// Cold bounds the requests sent to one upstream in cold start.
+type Cold struct {
+	sent *Window
+}
+
+// NewCold returns a bound for one upstream.
+func NewCold() *Cold { return &Cold{sent: NewWindow(coldSpan)} }
+
+// Room is how many requests this VM may send now of a bound a second over all
+// VMs.
+func (c *Cold) Room(now time.Time, bound float64, upstream, vm string, vms []string) int {
+	return max(0, Part(bound, "cold "+upstream, vm, vms)-c.sent.Count(now))
+}
+
+// Sent counts a request. It is counted for upstreams that are not cold as well,
+// because one may turn out to have been cold already.
+func (c *Cold) Sent(now time.Time) { c.sent.Add(now) }
+
+// Unknown are names for VMs that are assumed to live while a process has not
+// yet heard of the others: n in all, this one included.
+func Unknown(vm string, n int) []string {
+	vms := []string{vm}
+	for i := 1; i < n; i++ {
+		vms = append(vms, "unknown-"+strconv.Itoa(i))
+	}
+	return vms
+}
--- /dev/null
+++ b/entry/process/gossiper/gossiper.go
@@ -0,0 +1,335 @@
+// Package gossiper tells the other VMs over UDP what this one has under way at
+// each upstream and how far it has read the platform's records, and keeps what
+// they tell. It answers reports of upstreams that lag and a view of a ninth of
+// the load or less: without it VMs that each see an engine idle send their
+// prompts to it at the same moment.
+//
+// Everything it tells is the present state and no change of it, so that lost
+// and reordered datagrams do no harm. It decides nothing.
+package gossiper
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+const (
+	// beatEvery is how often a VM tells that it lives, and how far it has read.
+	beatEvery = 250 * time.Millisecond
+	// flushEvery bounds how late a change of work is told, so that changes of
+	// one moment go into one datagram.
+	flushEvery = 4 * time.Millisecond
+	// repeatEvery is how often all work is told again, for lost datagrams.
+	repeatEvery = time.Second
+	// silent is after how long without a word what a VM told of its work no
+	// longer counts, and goneAfter after how long it itself does not: a VM
+	// that cannot be heard may still send to upstreams.
+	silent    = 1500 * time.Millisecond
+	goneAfter = 8 * time.Second
+	// forgotten is after how long an address without a word is tried no more,
+	// and rareEvery how often a silent one is tried until then.
+	forgotten = 3 * time.Minute
+	rareEvery = 2 * time.Second
+	// mostLoads is how many upstreams one datagram tells of: each takes about
+	// 35 bytes, and a datagram should not be split on its way.
+	mostLoads = 32
+	// settling is how long a new process assumes assumed VMs: until it has
+	// heard of the others, its parts of common bounds must be small.
+	settling = 3 * time.Second
+	assumed  = 16
+)
+
+// A Sender sends datagrams. It does not block.
+type Sender interface {
+	Send(to netip.AddrPort, data []byte) error
+}
+
+// load is the wire form of a placer.Load.
+type load struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Streams  int
+	Context  int
+	Unread   float32
+	Starting int
+	Parts    int
+}
+
+// message is one datagram.
+type message struct {
+	VM    string           `cbor:"1,keyasint"`
+	Boot  int64            `cbor:"2,keyasint"`
+	Seq   uint64           `cbor:"3,keyasint"`
+	Loads []load           `cbor:"4,keyasint,omitempty"`
+	Ends  map[string]int64 `cbor:"5,keyasint,omitempty"`
+	Bye   bool             `cbor:"6,keyasint,omitempty"`
+}
+
+// A peer is another VM.
+type peer struct {
+	vm      string
+	boot    int64
+	address netip.AddrPort
+	heard   time.Time
+	known   time.Time
+	tried   time.Time
+	ends    map[string]int64
+	loads   map[string]told
+}
+
+type told struct {
+	placer.Load
+	seq uint64
+	at  time.Time
+}
+
+// A Gossiper is one VM's side of the exchange.
+type Gossiper struct {
+	vm     string
+	boot   int64
+	self   netip.AddrPort
+	sender Sender
+	now    func() time.Time
+	log    zerolog.Logger
+	ends   func() map[string]int64
+
+	mu       sync.Mutex
+	began    time.Time
+	seq      uint64
+	peers    map[netip.AddrPort]*peer
+	dirty    map[string]placer.Load
+	own      map[string]placer.Load
+	beatAt   time.Time
+	repeatAt time.Time
+	vms      []string
+	vmsAt    time.Time
+}
+
+// New returns a Gossiper of a process at an address. ends tells how far it has
+// read each stream of records.
+func New(vm string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]int64, now func() time.Time, log zerolog.Logger) *Gossiper {
+	return &Gossiper{
+		vm: vm, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, began: now(),
+		peers: make(map[netip.AddrPort]*peer), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
+	}
+}
+
+// Meet notes the address of a VM, which need not live.
+func (g *Gossiper) Meet(address netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.meet(address)
+}
+
+func (g *Gossiper) meet(address netip.AddrPort) *peer {
+	if address == g.self {
+		return nil
+	}
+	p, ok := g.peers[address]
+	if !ok {
+		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), loads: make(map[string]told)}
+		g.peers[address] = p
+	}
+	return p
+}
+
+// Share tells the others of this VM's work at an upstream, with the next Tick.
+func (g *Gossiper) Share(upstream string, l placer.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dirty[upstream] = l
+	if l == (placer.Load{}) {
+		delete(g.own, upstream)
+		return
+	}
+	g.own[upstream] = l
+}
+
+// Tick sends what is due.
+func (g *Gossiper) Tick(now time.Time) {
+	// Read before locking: whoever keeps the records may be telling this
+	// package of work at the same moment.
+	ends := g.ends()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.repeatAt) >= repeatEvery {
+		g.repeatAt = now
+		maps.Copy(g.dirty, g.own)
+	}
+	if len(g.dirty) == 0 && now.Sub(g.beatAt) < beatEvery {
+		return
+	}
+	g.beatAt = now
+	names := slices.Sorted(maps.Keys(g.dirty))
+	for first := true; first || len(names) > 0; first = false {
+		n := min(len(names), mostLoads)
+		g.send(now, g.message(ends, names[:n]))
+		names = names[n:]
+	}
+	clear(g.dirty)
+}
+
+// FlushEvery is how often Tick wants to be called.
+func FlushEvery() time.Duration { return flushEvery }
+
+func (g *Gossiper) message(ends map[string]int64, names []string) message {
+	g.seq++
+	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq, Ends: ends}
+	for _, name := range names {
+		l := g.dirty[name]
+		m.Loads = append(m.Loads, load{
+			Upstream: name, Streams: l.Streams, Context: l.Context,
+			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts,
+		})
+	}
+	return m
+}
+
+func (g *Gossiper) send(now time.Time, m message) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		g.log.Error().Err(err).Msg("a message to peers was not encoded")
+		return
+	}
+	for address, p := range g.peers {
+		if quiet := now.Sub(latest(p.heard, p.known)); quiet > silent {
+			if quiet > forgotten {
+				delete(g.peers, address)
+				continue
+			}
+			if now.Sub(p.tried) < rareEvery {
+				continue
+			}
+		}
+		p.tried = now
+		if err := g.sender.Send(address, data); err != nil {
+			g.log.Debug().Str("peer", address.String()).Err(err).Msg("datagram not sent")
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Bye tells the others that this process ends.
+func (g *Gossiper) Bye() {
+	ends := g.ends()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.message(ends, nil)
+	m.Bye = true
+	g.send(g.now(), m)
+}
+
+// Receive takes a datagram in.
+func (g *Gossiper) Receive(from netip.AddrPort, data []byte) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil || m.VM == "" {
+		g.log.Debug().Str("peer", from.String()).Err(err).Msg("datagram not understood")
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.meet(from)
+	if p == nil || (m.VM == p.vm && m.Boot < p.boot) {
+		return
+	}
+	now := g.now()
+	if m.VM != p.vm || m.Boot != p.boot {
+		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
+		p.vm, p.boot = m.VM, m.Boot
+		clear(p.loads)
+		clear(p.ends)
+	} else if now.Sub(p.heard) > silent {
+		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
+	}
+	p.heard = now
+	if m.Bye {
+		p.heard = now.Add(-goneAfter)
+		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
+	}
+	for name, end := range m.Ends {
+		p.ends[name] = max(p.ends[name], end)
+	}
+	for _, l := range m.Loads {
+		if old, ok := p.loads[l.Upstream]; ok && old.seq > m.Seq {
+			continue
+		}
+		p.loads[l.Upstream] = told{seq: m.Seq, at: now, Load: placer.Load{
+			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
+		}}
+	}
+}
+
+// Load is the others' work at an upstream. What a silent VM told does not
+// count, nor what was not told again.
+func (g *Gossiper) Load(upstream string) placer.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var sum placer.Load
+	for _, p := range g.peers {
+		if now.Sub(p.heard) > silent {
+			continue
+		}
+		if l, ok := p.loads[upstream]; ok && now.Sub(l.at) <= repeatEvery+silent {
+			sum.Add(l.Load)
+		}
+	}
+	return sum
+}
+
+// VMs are the names of the VMs that live, this one included, in order.
+func (g *Gossiper) VMs() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if now.Sub(g.vmsAt) < beatEvery && g.vms != nil {
+		return g.vms
+	}
+	vms := []string{g.vm}
+	for _, p := range g.peers {
+		if p.vm != "" && now.Sub(p.heard) <= goneAfter {
+			vms = append(vms, p.vm)
+		}
+	}
+	for i := len(vms); now.Sub(g.began) < settling && i < assumed; i++ {
+		vms = append(vms, "\xffassumed"+string(rune('a'+i)))
+	}
+	slices.Sort(vms)
+	g.vms, g.vmsAt = slices.Compact(vms), now
+	return g.vms
+}
+
+// Ahead is the VM that has read most of a stream beyond an offset, among those
+// that can be heard.
+func (g *Gossiper) Ahead(stream string, than int64) (netip.AddrPort, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var best *peer
+	for _, p := range g.peers {
+		if now.Sub(p.heard) > silent || p.ends[stream] <= than {
+			continue
+		}
+		if best == nil || p.ends[stream] > best.ends[stream] {
+			best = p
+		}
+	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
+	return best.address, true
+}
--- /dev/null
+++ b/entry/process/joiner/fold.go
@@ -0,0 +1,183 @@
+package joiner
+
+import (
+	"context"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/syncer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// configurationWait is how long the platform holds a reading of the
+	// configuration. A connection that falls silent hides changes for as long.
+	configurationWait = 3 * time.Second
+	// upstreamsEvery is how often the list of upstreams is read. Upstreams
+	// write to it all the time, so that waiting there for news would return at
+	// every heartbeat; one that leaves must get nothing after two seconds.
+	upstreamsEvery = 600 * time.Millisecond
+	// vmsEvery is how often the addresses of VMs are read. New VMs make
+	// themselves known, so that this is only for those that could not.
+	vmsEvery = 20 * time.Second
+	// staleAfter is how old the list or the configuration may be before a peer
+	// is asked.
+	staleAfter = 1300 * time.Millisecond
+	// announceAgain is the wait after this VM's address could not be recorded.
+	announceAgain = 500 * time.Millisecond
+	// announceTime bounds that call.
+	announceTime = 2 * time.Second
+	// lapsedUse is how long an upstream is used on whose entry went while the
+	// platform was away: upstreams that live are listed again within two
+	// seconds of its return.
+	lapsedUse = 1800 * time.Millisecond
+	// returning is how long after the platform's return entries that go count
+	// as lapsed.
+	returning = 2500 * time.Millisecond
+)
+
+func (v *Process) newSyncers() {
+	for _, s := range []syncer.Stream{
+		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter},
+		{Name: Upstreams, Every: upstreamsEvery, Stale: staleAfter},
+		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
+	} {
+		s.Copy = v.copies[s.Name]
+		y := syncer.New(s, v.platform, fetcher{v.gossiper}, time.Now, v.log)
+		if s.Name == Upstreams {
+			y.Back = func(now time.Time) { v.backAt.Store(now.UnixNano()) }
+		}
+		v.syncers = append(v.syncers, y)
+	}
+}
+
+func (v *Process) ends() map[string]int64 {
+	ends := make(map[string]int64, len(v.copies))
+	for name, c := range v.copies {
+		if end, _ := c.End(); end > 0 {
+			ends[name] = end
+		}
+	}
+	return ends
+}
+
+// configure folds records of the configuration.
+func (v *Process) configure(rs []replicator.Record) {
+	for _, r := range rs {
+		c, err := v.platform.Change(r)
+		if err != nil {
+			v.log.Error().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("configuration record not understood")
+			continue
+		}
+		if c.Config != nil {
+			v.enforce(*c.Config, r.Offset)
+		}
+		if c.Zone != "" {
+			v.zones[c.Zone] = c.Out
+			v.takeOut(c.Zone, c.Out, r.Offset)
+		}
+	}
+	v.scheduler.Pump()
+}
+
+// enforce puts a version in force, unless a newer one is: whoever brings it, a
+// process never goes back.
+func (v *Process) enforce(c matcher.Config, offset int64) {
+	if old := v.table.Load(); old != nil && c.Version <= old.Version {
+		v.log.Warn().Int64("version", c.Version).Int64("in force", old.Version).Int64("offset", offset).Msg("older configuration passed over")
+		return
+	}
+	v.table.Store(matcher.New(c))
+	v.acceptor.Limit(c.Limits)
+	v.log.Info().Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
+		Int("services", len(c.Services)).Int("teams", len(c.Teams)).Msg("configuration in force")
+}
+
+func (v *Process) takeOut(zone string, out bool, offset int64) {
+	zones := make(map[string]bool, len(v.zones))
+	for name, is := range v.zones {
+		zones[name] = is
+	}
+	v.tracker.TakeOut(zones)
+	v.log.Info().Str("zone", zone).Bool("out", out).Int64("offset", offset).Msg("zone of upstreams")
+}
+
+// list folds entries of upstreams.
+func (v *Process) list(rs []replicator.Record) {
+	now := time.Now()
+	lapsing := now.UnixNano()-v.backAt.Load() < int64(returning)
+	for _, r := range rs {
+		if r.Dropped {
+			if v.tracker.Remove(now, r.Key, lapsing) {
+				v.log.Info().Str("upstream", r.Key).Int64("offset", r.Offset).Bool("lapsed", lapsing).Msg("upstream gone from the list")
+			}
+			continue
+		}
+		u, err := v.platform.Upstream(r)
+		if err != nil {
+			v.log.Warn().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("entry of an upstream not understood")
+			v.tracker.Remove(now, r.Key, false)
+			continue
+		}
+		if v.tracker.Put(now, u) {
+			v.log.Info().Str("upstream", u.ID).Str("service", u.Service).Str("zone", u.Zone).Str("address", u.Address).
+				Bool("draining", u.Draining).Dur("cold", u.Cold).Int64("born", u.Born).Int64("offset", r.Offset).Msg("upstream")
+		}
+	}
+	v.scheduler.Pump()
+}
+
+func (v *Process) expire(now time.Time) {
+	for _, id := range v.tracker.Expire(now, lapsedUse) {
+		v.log.Info().Str("upstream", id).Msg("lapsed upstream was not listed again")
+		v.scheduler.Forget(id)
+	}
+}
+
+// meet folds addresses of VMs.
+func (v *Process) meet(rs []replicator.Record) {
+	for _, r := range rs {
+		if r.Dropped {
+			continue
+		}
+		address, err := v.platform.Peer(r)
+		if err != nil {
+			v.log.Warn().Str("key", r.Key).Err(err).Msg("address of a VM not understood")
+			continue
+		}
+		v.gossiper.Meet(address)
+	}
+}
+
+// announce records this VM's address until that has been done.
+func (v *Process) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		short, cancel := context.WithTimeout(ctx, announceTime)
+		err := v.platform.Announce(short, v.settings.Load().VM, v.address())
+		cancel()
+		if err == nil {
+			return
+		}
+		v.log.Warn().Err(err).Msg("this VM's address was not recorded")
+		t := time.NewTimer(announceAgain)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (v *Process) cold() scheduler.Bounds {
+	b := v.settings.Load().Bounds
+	return scheduler.Bounds{ColdMultiplier: b.ColdMultiplier, ColdSlack: b.ColdSlack}
+}
+
+// leaseSpare is what a lease is shorter than the time in which memory must be
+// free after its VM died.
+const leaseSpare = 600 * time.Millisecond
+
+func (v *Process) lease() time.Duration {
+	return max(time.Second, v.settings.Load().Bounds.Release-leaseSpare)
+}
--- /dev/null
+++ b/entry/process/joiner/joiner.go
@@ -0,0 +1,240 @@
+// Package joiner joins the parts of a process that forwards requests by a
+// platform's own configuration, list of upstreams and dialect. It starts them,
+// folds what the platform's records say into them, and ends them in the order
+// that cuts no request. What the platform's bytes mean is a Platform's matter.
+package joiner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heathervane/heathervane/entry/connection/acceptor"
+	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/bounder"
+	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/syncer"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/relayer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+	"github.com/heathervane/heathervane/library/ticker"
+)
+
+// The streams of records that a Platform keeps.
+const (
+	// Configuration holds the configuration and the zones out of service.
+	Configuration = "configuration"
+	// Upstreams holds an entry for each upstream.
+	Upstreams = "upstreams"
+	// VMs holds the addresses of entry VMs.
+	VMs = "vms"
+)
+
+const (
+	// step is how finely the timer service keeps time: each step wakes the
+	// process.
+	step = 25 * time.Millisecond
+	// pumpEvery bounds how late a waiting request is placed or given up for
+	// which no event calls.
+	pumpEvery = step
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = time.Second
+	// bodyShare is the part of the VM's memory that request bodies may take.
+	bodyShare = 4
+)
+
+// Settings are what one process is started with.
+type Settings struct {
+	// VM is this VM's name and Zone its availability zone.
+	VM, Zone string
+	// Callers, Ready, Peers and Metrics are the addresses to listen on.
+	Callers, Ready, Peers, Metrics string
+	// ReadyPath is where the balancer asks whether this VM takes callers.
+	ReadyPath string
+	// Memory is the VM's memory in bytes.
+	Memory int64
+	Bounds Bounds
+}
+
+// Bounds are what operators demand of all VMs together.
+type Bounds struct {
+	// RetryRatio is how many repeats each request adds to the budget, and
+	// RetrySlack how many there are besides, in each RetryWindow.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// ColdMultiplier and ColdSlack bound the requests a second to an upstream
+	// in cold start.
+	ColdMultiplier, ColdSlack float64
+	// Grace is how long a process may go on after it is told to stop.
+	Grace time.Duration
+	// Release is how soon memory set aside at engines must be free again.
+	Release time.Duration
+}
+
+// A Change is what a record of the configuration says.
+type Change struct {
+	// Config is a version of the configuration, nil where the record is none.
+	Config *matcher.Config
+	// Zone is the zone that is taken out of service or, where Out is false,
+	// brought back.
+	Zone string
+	Out  bool
+}
+
+// A Platform translates a platform's records and calls.
+type Platform interface {
+	syncer.Source
+	reserver.Orderer
+	relayer.Dialect
+	// Announce records this VM's address for the other VMs.
+	Announce(ctx context.Context, vm string, address netip.AddrPort) error
+	// Change, Upstream and Peer read records of the three streams. Errors name
+	// what could not be read; such a record changes nothing.
+	Change(r replicator.Record) (Change, error)
+	Upstream(r replicator.Record) (tracker.Upstream, error)
+	Peer(r replicator.Record) (netip.AddrPort, error)
+}
+
+// A Process is one VM's process.
+type Process struct {
+	settings atomic.Pointer[Settings]
+	platform Platform
+	log      zerolog.Logger
+	boot     int64
+
+	meter     *meter.Meter
+	ticker    *ticker.Ticker
+	tracker   *tracker.Tracker
+	scheduler *scheduler.Scheduler
+	gossiper  *gossiper.Gossiper
+	carrier   *carrier.Carrier
+	relayer   *relayer.Relayer
+	budget    *budget
+	acceptor  *acceptor.Acceptor
+	syncers   []*syncer.Syncer
+	copies    map[string]*replicator.Copy
+
+	table    atomic.Pointer[matcher.Table]
+	leaveAt  atomic.Pointer[time.Time]
+	zones    map[string]bool
+	backAt   atomic.Int64
+	active   atomic.Int64
+	flushing atomic.Bool
+
+	callers, ready, metrics net.Listener
+	datagrams               *net.UDPConn
+	records                 net.Listener
+}
+
+// New joins the parts of a process and opens its addresses.
+func New(s Settings, p Platform, log zerolog.Logger) (*Process, error) {
+	v := &Process{
+		platform: p, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
+		ticker: ticker.New(time.Now, step), tracker: tracker.New(), carrier: carrier.New(time.Now),
+		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy),
+	}
+	v.settings.Store(&s)
+	if err := v.open(s); err != nil {
+		return nil, err
+	}
+	v.copies[Configuration] = replicator.New(v.configure)
+	v.copies[Upstreams] = replicator.New(v.list)
+	v.copies[VMs] = replicator.New(v.meet)
+	self, err := netip.ParseAddrPort(v.datagrams.LocalAddr().String())
+	if err != nil {
+		return nil, err
+	}
+	v.gossiper = gossiper.New(s.VM, v.boot, self, sender{v.datagrams}, v.ends, time.Now, log)
+	v.scheduler = scheduler.New(s.VM, s.Zone, scheduler.Deps{
+		Tracker: v.tracker, Peers: peers{v}, Bounds: v.cold, Now: time.Now,
+	})
+	v.budget = newBudget(v)
+	v.relayer = relayer.New(relayer.Deps{
+		Table: v.table.Load, Dialect: p, Scheduler: v.scheduler, Tracker: v.tracker, Carrier: v.carrier,
+		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
+		Budget:   v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
+		Leaving: v.leaving,
+	})
+	v.acceptor = acceptor.New(v.callers, v, log)
+	v.newSyncers()
+	return v, v.gauges()
+}
+
+// ServeHTTP counts the requests in progress and passes them on.
+func (v *Process) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	v.active.Add(1)
+	defer v.active.Add(-1)
+	v.relayer.ServeHTTP(w, q)
+}
+
+func (v *Process) gauges() error {
+	for name, value := range map[string]func() int64{
+		"waiting":   func() int64 { return int64(v.scheduler.Waiting()) },
+		"active":    v.active.Load,
+		"upstreams": func() int64 { return int64(v.tracker.Len()) },
+		"vms":       func() int64 { return int64(len(v.gossiper.VMs())) },
+		"dials":     v.carrier.Dials,
+		"version":   v.version,
+	} {
+		if err := v.meter.Gauge(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v *Process) version() int64 {
+	if t := v.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Reload puts changed settings in force. Addresses stay as they are until the
+// process starts again.
+func (v *Process) Reload(s Settings) {
+	old := *v.settings.Swap(&s)
+	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Msg("settings reloaded")
+}
+
+// Run serves until the context ends, then leaves without cutting a request.
+func (v *Process) Run(ctx context.Context) {
+	inner, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	v.background(inner, &parts)
+	v.log.Info().Int64("boot", v.boot).Str("callers", v.callers.Addr().String()).Msg("started")
+	<-ctx.Done()
+	v.leave()
+	stop()
+	v.close()
+	parts.Wait()
+	v.log.Info().Msg("stopped")
+}
+
+func (v *Process) background(ctx context.Context, parts *sync.WaitGroup) {
+	v.ticker.Subscribe(pumpEvery, func(time.Time) { v.scheduler.Pump() })
+	v.ticker.Subscribe(sweepEvery, func(time.Time) { v.carrier.Sweep() })
+	v.ticker.Subscribe(beatEvery, v.gossiper.Tick)
+	v.ticker.Subscribe(beatEvery, v.expire)
+	for _, run := range []func(context.Context){v.ticker.Run, v.announce} {
+		parts.Go(func() { run(ctx) })
+	}
+	for _, s := range v.syncers {
+		parts.Go(func() { s.Run(ctx) })
+		parts.Go(func() { s.RunPeers(ctx) })
+	}
+	for _, run := range []func(){v.receive, v.acceptor.Run, v.serveReady, v.serveRecords, v.serveMetrics} {
+		parts.Go(run)
+	}
+}
--- /dev/null
+++ b/entry/process/joiner/peers.go
@@ -0,0 +1,128 @@
+package joiner
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+const (
+	// beatEvery is how often the gossiper is asked what is due.
+	beatEvery = 250 * time.Millisecond
+	// mostDatagram is the longest datagram read, and mostRecords the longest
+	// reading of a peer's records, in bytes.
+	mostDatagram = 64 << 10
+	mostRecords  = 32 << 20
+	// recordsPath is where a VM serves its copies to its peers.
+	recordsPath = "/records"
+)
+
+// A sender sends datagrams over a socket.
+type sender struct{ conn *net.UDPConn }
+
+func (s sender) Send(to netip.AddrPort, data []byte) error {
+	_, err := s.conn.WriteToUDPAddrPort(data, to)
+	return err
+}
+
+// receive takes datagrams in until the socket is closed.
+func (v *Process) receive() {
+	buffer := make([]byte, mostDatagram)
+	for {
+		n, from, err := v.datagrams.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		v.gossiper.Receive(from, buffer[:n])
+		v.scheduler.Pump()
+	}
+}
+
+// peers are the other VMs, as the scheduler knows them.
+type peers struct{ *Process }
+
+// Load is the others' work at an upstream.
+func (p peers) Load(upstream string) placer.Load { return p.gossiper.Load(upstream) }
+
+// VMs are the names of all VMs that live.
+func (p peers) VMs() []string { return p.gossiper.VMs() }
+
+// Share tells the others soon: changes of one moment go together.
+func (p peers) Share(upstream string, l placer.Load) {
+	p.gossiper.Share(upstream, l)
+	if p.flushing.CompareAndSwap(false, true) {
+		time.AfterFunc(gossiper.FlushEvery(), func() {
+			p.flushing.Store(false)
+			p.gossiper.Tick(time.Now())
+		})
+	}
+}
+
+// query is what a peer is asked for.
+type query struct {
+	Stream string `url:"stream"`
+	From   int64  `url:"from"`
+}
+
+// page is a peer's answer.
+type page struct {
+	Records []replicator.Record `cbor:"1,keyasint"`
+	End     int64               `cbor:"2,keyasint"`
+	// Age is how long ago the platform confirmed the end, in milliseconds.
+	Age int64 `cbor:"3,keyasint"`
+}
+
+// serveRecord answers a peer that asks for records.
+func (v *Process) serveRecord(w http.ResponseWriter, q *http.Request) {
+	c, ok := v.copies[q.FormValue("stream")]
+	from, err := strconv.ParseInt(q.FormValue("from"), 10, 64)
+	if !ok || err != nil {
+		http.Error(w, "no such stream or offset", http.StatusBadRequest)
+		return
+	}
+	rs, end, asOf := c.Since(from)
+	data, err := cbor.Marshal(page{Records: rs, End: end, Age: time.Since(asOf).Milliseconds()})
+	if err != nil {
+		v.log.Error().Err(err).Msg("records for a peer were not encoded")
+		http.Error(w, "not encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Write(data)
+}
+
+// A fetcher reads records from peers.
+type fetcher struct{ *gossiper.Gossiper }
+
+// Fetch gets a peer's records from an offset on.
+func (f fetcher) Fetch(ctx context.Context, from netip.AddrPort, stream string, offset int64) ([]replicator.Record, int64, time.Duration, error) {
+	q, err := sling.New().Base("http://" + from.String()).Get(recordsPath).QueryStruct(query{stream, offset}).Request()
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	reply, err := http.DefaultClient.Do(q.WithContext(ctx))
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	defer reply.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(reply.Body, mostRecords))
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	var p page
+	if err := cbor.Unmarshal(data, &p); err != nil {
+		return nil, 0, 0, err
+	}
+	return p.Records, p.End, time.Duration(p.Age) * time.Millisecond, nil
+}
--- /dev/null
+++ b/entry/process/replicator/replicator.go
@@ -0,0 +1,108 @@
+// Package replicator keeps a copy of keyed records that the platform keeps in
+// order, each with its offset, from whoever brings them: the platform or
+// another VM. It answers a platform that refuses some VMs while it serves the
+// others: a VM that read only for itself would honour a key that was taken away
+// and send to upstreams that have left.
+//
+// A record never replaces one with a higher offset, so that it does not matter
+// in which order copies arrive, or how late.
+package replicator
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A Record is the newest value of a key.
+type Record struct {
+	Key string `cbor:"1,keyasint"`
+	// Value is empty where the key was dropped.
+	Value  []byte `cbor:"2,keyasint,omitempty"`
+	Offset int64  `cbor:"3,keyasint"`
+	// Dropped says that the key has no value any more.
+	Dropped bool `cbor:"4,keyasint,omitempty"`
+}
+
+// A Copy is one VM's copy of the records of one stream.
+type Copy struct {
+	mu      sync.Mutex
+	records map[string]Record
+	// end is the offset below which no record is missing here.
+	end int64
+	// asOf is when the platform last confirmed that end was its own, by this
+	// VM's clock; a peer's confirmation counts from when it was made.
+	asOf    time.Time
+	changed func(rs []Record)
+}
+
+// New returns an empty Copy that tells changed of every record it takes, in
+// order and one call at a time.
+func New(changed func(rs []Record)) *Copy {
+	return &Copy{records: make(map[string]Record), changed: changed}
+}
+
+// Merge takes records in. With them all records below end are here, as it was
+// at the time asOf; end is 0 where that is not known.
+func (c *Copy) Merge(rs []Record, end int64, asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var taken []Record
+	for _, r := range rs {
+		old, ok := c.records[r.Key]
+		if ok && r.Offset <= old.Offset {
+			continue
+		}
+		c.records[r.Key] = r
+		taken = append(taken, r)
+	}
+	c.end = max(c.end, end)
+	if end >= c.end && asOf.After(c.asOf) {
+		c.asOf = asOf
+	}
+	if len(taken) == 0 {
+		return
+	}
+	slices.SortFunc(taken, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	c.changed(taken)
+}
+
+// Complete drops every key that a whole reading of the stream did not bring:
+// the platform may forget a dropped key's record before this VM saw it.
+func (c *Copy) Complete(rs []Record, end int64, asOf time.Time) {
+	whole := slices.Clone(rs)
+	have := make(map[string]bool, len(rs))
+	for _, r := range rs {
+		have[r.Key] = true
+	}
+	c.mu.Lock()
+	for key, r := range c.records {
+		// A record at or above end was written after the reading began.
+		if !have[key] && !r.Dropped && r.Offset < end {
+			whole = append(whole, Record{Key: key, Offset: end - 1, Dropped: true})
+		}
+	}
+	c.mu.Unlock()
+	c.Merge(whole, end, asOf)
+}
+
+// End is the offset below which nothing is missing, and when that was so.
+func (c *Copy) End() (end int64, asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end, c.asOf
+}
+
+// Since are the records from an offset on, with the end.
+func (c *Copy) Since(from int64) (rs []Record, end int64, asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.records {
+		if r.Offset >= from {
+			rs = append(rs, r)
+		}
+	}
+	slices.SortFunc(rs, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return rs, c.end, c.asOf
+}
--- /dev/null
+++ b/entry/process/scheduler/scheduler.go
@@ -0,0 +1,291 @@
+// Package scheduler gives requests their places at upstreams. It keeps the work
+// under way at each upstream, this VM's own and what the others told, holds
+// requests that had better wait, in order, and lets go of those that can no
+// longer be answered in time. Where a request goes is the placer's decision,
+// and which upstreams there are is the tracker's knowledge.
+//
+// What waits here can still be ordered and placed elsewhere; what was sent
+// cannot. So a long prompt waits here while engines read another, for as long
+// as that costs its caller nothing.
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// unbounded is the room at an upstream that is not cold.
+const unbounded = 1 << 20
+
+// Peers are the other VMs.
+type Peers interface {
+	// Load is the work that the others have under way at an upstream.
+	Load(upstream string) placer.Load
+	// VMs are those that live, this one included, in the same order on each.
+	VMs() []string
+	// Share tells the others of this VM's work at an upstream.
+	Share(upstream string, own placer.Load)
+}
+
+// Bounds are what operators demand in sum over all VMs.
+type Bounds struct {
+	// ColdMultiplier and ColdSlack make the bound a second at an upstream in
+	// cold start: its own rate times the one, plus the other.
+	ColdMultiplier, ColdSlack float64
+}
+
+// Deps are what a Scheduler works with.
+type Deps struct {
+	Tracker *tracker.Tracker
+	Peers   Peers
+	Bounds  func() Bounds
+	Now     func() time.Time
+}
+
+// A Call is a request for a place.
+type Call struct {
+	Service *matcher.Service
+	Ask     placer.Ask
+	// Priority is the request's rank, 0 being the first.
+	Priority int
+}
+
+// A Refusal says that no place could be given in time. Nothing was sent.
+type Refusal struct { //nolint:errname // the word that callers meet
+	// Code is "late" where it could not be done in time, "gone" where there is
+	// no upstream.
+	Code string
+	// After is when coming back helps.
+	After time.Duration
+}
+
+// Error gives the refusal in one line.
+func (r *Refusal) Error() string { return "no place: " + r.Code }
+
+// Codes of a Refusal.
+const (
+	Late = "late"
+	Gone = "gone"
+)
+
+// A Scheduler places the requests of one VM.
+type Scheduler struct {
+	vm, zone string
+	deps     Deps
+
+	mu      sync.Mutex
+	own     map[string]*placer.Load
+	cold    map[string]*budgeter.Cold
+	waiting []*waiter
+}
+
+type waiter struct {
+	call  Call
+	times times
+	reply chan reply
+}
+
+type reply struct {
+	grant   *Grant
+	refusal *Refusal
+}
+
+// New returns a Scheduler for a VM in a zone.
+func New(vm, zone string, d Deps) *Scheduler {
+	return &Scheduler{
+		vm: vm, zone: zone, deps: d,
+		own: make(map[string]*placer.Load), cold: make(map[string]*budgeter.Cold),
+	}
+}
+
+// Acquire waits for a place, or for the word that there will be none in time.
+func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Grant, *Refusal) {
+	w := &waiter{call: c, times: timesOf(c), reply: make(chan reply, 1)}
+	s.mu.Lock()
+	s.insert(w)
+	s.pump()
+	s.mu.Unlock()
+	select {
+	case r := <-w.reply:
+		return r.grant, r.refusal
+	case <-ctx.Done():
+		return nil, s.leave(w)
+	}
+}
+
+// leave takes out a request whose caller has gone or whose time is over.
+func (s *Scheduler) leave(w *waiter) *Refusal {
+	s.mu.Lock()
+	s.waiting = slices.DeleteFunc(s.waiting, func(o *waiter) bool { return o == w })
+	s.mu.Unlock()
+	select {
+	case r := <-w.reply:
+		// It was given a place in the moment it left.
+		if r.grant != nil {
+			r.grant.Done()
+		}
+	default:
+	}
+	return &Refusal{Code: Late, After: comeBack}
+}
+
+// insert keeps the waiting requests in their order.
+func (s *Scheduler) insert(w *waiter) {
+	i, _ := slices.BinarySearchFunc(s.waiting, w, func(a, b *waiter) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	s.waiting = slices.Insert(s.waiting, i, w)
+}
+
+// before orders by rank, and within a rank by the latest start that is in time.
+func (w *waiter) before(o *waiter) bool {
+	if w.call.Priority != o.call.Priority {
+		return w.call.Priority < o.call.Priority
+	}
+	return w.times.start.Before(o.times.start)
+}
+
+// Pump places what can be placed and refuses what cannot be done in time. It is
+// called when something changed, and now and then.
+func (s *Scheduler) Pump() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pump()
+}
+
+func (s *Scheduler) pump() {
+	if len(s.waiting) == 0 {
+		return
+	}
+	now := s.deps.Now()
+	blocked := make(map[kind]bool)
+	kept := s.waiting[:0:0]
+	for _, w := range s.waiting {
+		if r, done := s.step(now, w, blocked); done {
+			w.reply <- r
+			continue
+		}
+		kept = append(kept, w)
+	}
+	s.waiting = kept
+}
+
+// A kind is what waits for the same places, so that none of it is placed before
+// an earlier one.
+type kind struct {
+	service string
+	long    bool
+}
+
+// step does what can be done for one waiting request.
+func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
+	k := kind{w.call.Service.Name, w.times.long}
+	if !now.Before(w.times.last) {
+		return reply{refusal: &Refusal{Code: Late, After: comeBack}}, true
+	}
+	if blocked[k] {
+		return reply{}, false
+	}
+	states := s.deps.Tracker.Usable(now, w.call.Service.Name)
+	cs := s.candidates(now, w.call.Service, states)
+	choice, ok := s.choose(now, w, cs)
+	if !ok {
+		blocked[k] = true
+		return reply{}, false
+	}
+	return reply{grant: s.grant(now, w, choice, states)}, true
+}
+
+func (s *Scheduler) choose(now time.Time, w *waiter, cs []placer.Candidate) (placer.Choice, bool) {
+	if w.call.Service.Engine == nil {
+		return placer.Plain(w.call.Ask, cs)
+	}
+	return placer.Engine(w.call.Service.Engine, w.call.Ask, cs, w.times.hurry(now))
+}
+
+func (s *Scheduler) candidates(now time.Time, v *matcher.Service, states []tracker.State) []placer.Candidate {
+	cs := make([]placer.Candidate, 0, len(states))
+	for i := range states {
+		u := &states[i]
+		c := placer.Candidate{
+			ID: u.ID, Zone: u.Zone, Slots: u.Slots, Near: u.Zone == s.zone, Room: unbounded,
+			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil), Failures: u.Failures,
+			Load: s.deps.Peers.Load(u.ID),
+		}
+		if own, ok := s.own[u.ID]; ok {
+			c.Load.Add(*own)
+		}
+		if v.ColdRate > 0 && c.Cold {
+			c.Room = s.room(now, v, u.ID)
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+func (s *Scheduler) room(now time.Time, v *matcher.Service, id string) int {
+	b := s.deps.Bounds()
+	return s.coldOf(id).Room(now, v.ColdRate*b.ColdMultiplier+b.ColdSlack, id, s.vm, s.deps.Peers.VMs())
+}
+
+func (s *Scheduler) coldOf(id string) *budgeter.Cold {
+	c, ok := s.cold[id]
+	if !ok {
+		c = budgeter.NewCold()
+		s.cold[id] = c
+	}
+	return c
+}
+
+// add changes this VM's own work at an upstream and tells the others.
+func (s *Scheduler) add(id string, l placer.Load, sign int) {
+	own, ok := s.own[id]
+	if !ok {
+		own = &placer.Load{}
+		s.own[id] = own
+	}
+	if sign > 0 {
+		own.Add(l)
+	} else {
+		own.Take(l)
+	}
+	s.deps.Peers.Share(id, *own)
+	if *own == (placer.Load{}) {
+		delete(s.own, id)
+	}
+}
+
+// Own is this VM's work at all upstreams.
+func (s *Scheduler) Own() map[string]placer.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]placer.Load, len(s.own))
+	for id, l := range s.own {
+		all[id] = *l
+	}
+	return all
+}
+
+// Waiting is how many requests wait.
+func (s *Scheduler) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting)
+}
+
+// Forget drops the count of a cold upstream that is gone.
+func (s *Scheduler) Forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.cold, id)
+}
--- /dev/null
+++ b/entry/process/scheduler/times.go
@@ -0,0 +1,67 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+const (
+	// comeBack is when a refused request may come back: a burst of prompts is
+	// read within about this time.
+	comeBack = 500 * time.Millisecond
+	// usual is the streams and their context that an engine is taken to have
+	// when a request's latest start is worked out.
+	usualStreams, usualContext = 6, 60_000
+	// margin is kept between the latest start and the objective, for the ways
+	// there and back and for what estimates leave out.
+	margin = 60 * time.Millisecond
+	// rush is how long before a request must be given up it takes any place
+	// that there is.
+	rush = 2 * time.Second
+	// plainWork is the time assumed for a plain service's answer, as far as
+	// giving up is concerned.
+	plainWork = 20 * time.Millisecond
+)
+
+// times are the moments that matter while a request waits.
+type times struct {
+	// start is the latest start with which the first event is in time.
+	start time.Time
+	// last is when the request can no longer be done by its deadline.
+	last time.Time
+	long bool
+}
+
+func timesOf(c Call) times {
+	e := c.Service.Engine
+	if e == nil {
+		return times{start: c.Ask.Objective, last: c.Ask.Deadline.Add(-plainWork)}
+	}
+	long := !placer.Short(e, c.Ask.Prompt)
+	read := placer.Read(e, c.Ask.Prompt, 1)
+	if long {
+		read = placer.Read(e, c.Ask.Prompt, placer.MostParts+1)
+	}
+	pass := placer.Pass(e, usualStreams, usualContext)
+	first := milliseconds(1.5*pass + read)
+	answer := milliseconds(pass * float64(c.Ask.Output) / float64(max(1, e.Stride)))
+	return times{
+		start: c.Ask.Objective.Add(-first - margin),
+		last:  c.Ask.Deadline.Add(-first - answer),
+		long:  long,
+	}
+}
+
+// hurry says that the request had better take any place now: its latest start
+// has come, or it is late already and must begin now to end by its deadline.
+func (t times) hurry(now time.Time) bool {
+	if now.Before(t.start) {
+		return false
+	}
+	return now.Sub(t.start) < rush || t.last.Sub(now) < rush
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/entry/process/syncer/syncer.go
@@ -0,0 +1,184 @@
+// Package syncer keeps this VM's copies of the platform's records fresh: it
+// reads the platform, and where that fails or falls behind, a peer that has
+// read further. It answers a platform that is down, slow, silent, or turns away
+// this VM only. Without the second way such a VM would go on with what it knew
+// while the others follow a newer configuration.
+package syncer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heathervane/heathervane/entry/process/replicator"
+)
+
+// ErrForgotten says that the platform no longer keeps the records asked for:
+// the stream has to be read whole again.
+var ErrForgotten = errors.New("the records are no longer kept")
+
+const (
+	// tryAgain is the wait after a failed reading, and mostWait its bound as
+	// it doubles.
+	tryAgain = 200 * time.Millisecond
+	mostWait = 800 * time.Millisecond
+	// spare is how much longer than it was asked to wait a reading may take
+	// before its connection counts as silent.
+	spare = 900 * time.Millisecond
+	// wholeTime bounds a reading of all keys.
+	wholeTime = 4 * time.Second
+	// peerEvery is how often peers are asked whether they have read further,
+	// and peerTime bounds the reading from one.
+	peerEvery = 150 * time.Millisecond
+	peerTime  = time.Second
+	// outage is after how long without a reading the platform counts as lost.
+	outage = 1500 * time.Millisecond
+)
+
+// A Source is the platform.
+type Source interface {
+	// Newest gives the newest record of each key, and an offset below which
+	// nothing is missing in them.
+	Newest(ctx context.Context, stream string) (rs []replicator.Record, end int64, err error)
+	// Read gives the records from an offset on, after at most wait where there
+	// are none.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (rs []replicator.Record, end int64, err error)
+}
+
+// Peers are the other VMs.
+type Peers interface {
+	// Ahead names one that has read further.
+	Ahead(stream string, than int64) (netip.AddrPort, bool)
+	// Fetch gets its records from an offset on, and how old they are.
+	Fetch(ctx context.Context, from netip.AddrPort, stream string, offset int64) (rs []replicator.Record, end int64, age time.Duration, err error)
+}
+
+// A Stream says how one stream of records is read.
+type Stream struct {
+	Name string
+	Copy *replicator.Copy
+	// Wait is how long the platform holds a reading that has nothing new, and
+	// Every how long after a reading the next one begins.
+	Wait, Every time.Duration
+	// Stale is how old a copy may be before a peer is asked.
+	Stale time.Duration
+}
+
+// A Syncer keeps one stream.
+type Syncer struct {
+	stream Stream
+	source Source
+	peers  Peers
+	now    func() time.Time
+	log    zerolog.Logger
+	lost   bool
+	// Back is told when the platform answers again after an outage.
+	Back func(now time.Time)
+}
+
+// New returns a Syncer of one stream.
+func New(s Stream, source Source, p Peers, now func() time.Time, log zerolog.Logger) *Syncer {
+	return &Syncer{
+		stream: s, source: source, peers: p, now: now, Back: func(time.Time) {},
+		log: log.With().Str("stream", s.Name).Logger(),
+	}
+}
+
+// Run reads the platform until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	whole := true
+	wait := tryAgain
+	read := s.now()
+	for ctx.Err() == nil {
+		err := s.read(ctx, whole)
+		now := s.now()
+		switch {
+		case err == nil:
+			if s.lost {
+				s.lost = false
+				s.log.Info().Dur("away", now.Sub(read)).Msg("platform answers again")
+			}
+			whole, wait, read = false, tryAgain, now
+			pause(ctx, s.stream.Every)
+			continue
+		case errors.Is(err, ErrForgotten):
+			s.log.Info().Msg("records forgotten by the platform, reading all")
+			whole = true
+			continue
+		}
+		if !s.lost && ctx.Err() == nil && now.Sub(read) > outage {
+			s.lost = true
+			s.log.Warn().Err(err).Dur("since", now.Sub(read)).Msg("platform does not answer")
+		}
+		pause(ctx, wait)
+		wait = min(mostWait, 2*wait)
+	}
+}
+
+func (s *Syncer) read(ctx context.Context, whole bool) error {
+	from, _ := s.stream.Copy.End()
+	asOf := s.now()
+	if whole {
+		short, cancel := context.WithTimeout(ctx, wholeTime)
+		defer cancel()
+		rs, end, err := s.source.Newest(short, s.stream.Name)
+		if err != nil {
+			return err
+		}
+		s.back()
+		s.stream.Copy.Complete(rs, end, asOf)
+		return nil
+	}
+	short, cancel := context.WithTimeout(ctx, s.stream.Wait+spare)
+	defer cancel()
+	rs, end, err := s.source.Read(short, s.stream.Name, from, s.stream.Wait)
+	if err != nil {
+		return err
+	}
+	s.back()
+	s.stream.Copy.Merge(rs, end, s.now())
+	return nil
+}
+
+func (s *Syncer) back() {
+	if s.lost {
+		s.Back(s.now())
+	}
+}
+
+// RunPeers reads from peers what the platform did not bring, until the context
+// ends.
+func (s *Syncer) RunPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, peerEvery)
+		end, asOf := s.stream.Copy.End()
+		if s.now().Sub(asOf) < s.stream.Stale {
+			continue
+		}
+		from, ok := s.peers.Ahead(s.stream.Name, end)
+		if !ok {
+			continue
+		}
+		short, cancel := context.WithTimeout(ctx, peerTime)
+		rs, end, age, err := s.peers.Fetch(short, from, s.stream.Name, end)
+		cancel()
+		if err != nil {
+			s.log.Info().Err(err).Str("peer", from.String()).Msg("records not read from a peer")
+			continue
+		}
+		s.log.Info().Str("peer", from.String()).Int("records", len(rs)).Int64("end", end).Dur("age", age).Msg("records read from a peer")
+		s.stream.Copy.Merge(rs, end, s.now().Add(-age))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/entry/process/tracker/tracker.go
@@ -0,0 +1,251 @@
+// Package tracker keeps what this VM knows of upstreams: which the platform
+// lists, which are leaving, cold or in a zone taken out of service, and which
+// have failed lately. It answers upstreams that leave, die, turn cold or fail
+// part of their requests while their health check is good. Without it a VM goes
+// on sending to what is gone, and callers wait for answers that never come.
+//
+// It reads no clock and opens no connection. It is safe for concurrent use.
+package tracker
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// halfLife is how fast a failure is forgotten. An upstream that fails a
+	// part of its requests shows about two failures a second under today's
+	// load, so that two seconds keep it disliked while it goes on.
+	halfLife = 2 * time.Second
+	// unreachable is how long an upstream gets nothing after a connection to
+	// it could not be made or broke without an answer; it doubles with each
+	// further failure in a row up to mostUnreachable. An upstream that starts
+	// again does so within some seconds.
+	unreachable     = 300 * time.Millisecond
+	mostUnreachable = 4 * time.Second
+	// mostDoubled bounds the doublings of unreachable.
+	mostDoubled = 8
+)
+
+// An Upstream is one that the platform lists.
+type Upstream struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	// Draining says that it takes no new work and will end.
+	Draining bool
+	// Cold is how much longer it was in cold start when this was read.
+	Cold time.Duration
+	// Born is when it started, in Unix milliseconds; 0 where unknown.
+	Born int64
+	// Sequence counts what it wrote to the list since then.
+	Sequence int64
+}
+
+// A State is an Upstream with what else is known.
+type State struct {
+	Upstream
+	// ColdUntil is when its cold start ends.
+	ColdUntil time.Time
+	// Failures is the number of failures, older ones counting for less.
+	Failures float64
+	// Pace is its measured step time over the promised one: 1 as promised.
+	Pace float64
+	// SilentUntil is until when it gets nothing, after broken connections.
+	SilentUntil time.Time
+	failedAt    time.Time
+	inRow       int
+	// lapsedAt is when its entry went without its having said that it leaves,
+	// after a time without news from the platform.
+	lapsedAt time.Time
+}
+
+// A Tracker keeps upstreams by ID.
+type Tracker struct {
+	mu    sync.Mutex
+	known map[string]*State
+	zones map[string]bool
+	// removed are the last entries of upstreams that went.
+	removed map[string]Upstream
+}
+
+// New returns a Tracker that knows none.
+func New() *Tracker {
+	return &Tracker{known: make(map[string]*State), zones: make(map[string]bool), removed: make(map[string]Upstream)}
+}
+
+// Put notes an upstream's entry, and says whether it changed anything that
+// matters.
+func (t *Tracker) Put(now time.Time, u Upstream) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.known[u.ID]
+	if (ok && s.after(u)) || t.removed[u.ID].after(u) {
+		return false
+	}
+	if !ok || (u.Born != s.Born && u.Born != 0) {
+		// One that started again has nothing left of before.
+		s = &State{Pace: 1}
+		t.known[u.ID] = s
+		changed = true
+	}
+	delete(t.removed, u.ID)
+	old := s.Upstream
+	old.Cold, old.Sequence = u.Cold, u.Sequence
+	changed = changed || old != u || !s.lapsedAt.IsZero()
+	s.Upstream = u
+	s.lapsedAt = time.Time{}
+	if u.Cold > 0 {
+		s.ColdUntil = now.Add(u.Cold)
+	} else {
+		s.ColdUntil = time.Time{}
+	}
+	return changed
+}
+
+// after says that an entry was written after another one of the same upstream.
+// A write that the platform carried out late would bring back as ready an
+// upstream that has said since that it leaves, or is gone.
+func (u Upstream) after(other Upstream) bool {
+	if u.Born != other.Born {
+		return u.Born > other.Born
+	}
+	return u.Sequence > other.Sequence
+}
+
+// Remove forgets an upstream whose entry is gone. After a time without news of
+// the platform an entry may be gone only because it lapsed meanwhile: with
+// lapsed, the upstream is used on until Expire, so that the fleet does not stop
+// in the seconds that upstreams take to be listed again.
+func (t *Tracker) Remove(now time.Time, id string, lapsed bool) (known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.known[id]
+	if !ok {
+		return false
+	}
+	if lapsed && !s.Draining {
+		if s.lapsedAt.IsZero() {
+			s.lapsedAt = now
+		}
+		return true
+	}
+	t.forget(s)
+	return true
+}
+
+// mostRemoved bounds how many upstreams that went are remembered.
+const mostRemoved = 4096
+
+func (t *Tracker) forget(s *State) {
+	delete(t.known, s.ID)
+	if len(t.removed) >= mostRemoved {
+		clear(t.removed)
+	}
+	t.removed[s.ID] = s.Upstream
+}
+
+// Expire forgets upstreams whose entries lapsed longer ago than so, and names
+// them.
+func (t *Tracker) Expire(now time.Time, after time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var gone []string
+	for id, s := range t.known {
+		if !s.lapsedAt.IsZero() && now.Sub(s.lapsedAt) >= after {
+			t.forget(s)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// TakeOut replaces the zones whose upstreams get no new work.
+func (t *Tracker) TakeOut(zones map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.zones = zones
+}
+
+// Usable are the upstreams of a service that may get new work.
+func (t *Tracker) Usable(now time.Time, service string) []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var states []State
+	for _, s := range t.known {
+		if s.Service != service || !t.may(s) {
+			continue
+		}
+		c := *s
+		c.Failures = s.failures(now)
+		states = append(states, c)
+	}
+	return states
+}
+
+// May says whether an upstream may get work at this moment. Whoever sends asks
+// right before, since a process may have stood still since it chose.
+func (t *Tracker) May(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.known[id]
+	return ok && t.may(s)
+}
+
+func (t *Tracker) may(s *State) bool { return !s.Draining && !t.zones[s.Zone] }
+
+func (s *State) failures(now time.Time) float64 {
+	return s.Failures * math.Exp2(-now.Sub(s.failedAt).Seconds()/halfLife.Seconds())
+}
+
+// Failed notes a request that failed there. Broken says that the connection
+// failed, and not the request.
+func (t *Tracker) Failed(now time.Time, id string, broken bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.known[id]
+	if !ok {
+		return
+	}
+	s.Failures = s.failures(now) + 1
+	s.failedAt = now
+	if broken {
+		wait := min(mostUnreachable, unreachable<<min(s.inRow, mostDoubled))
+		s.SilentUntil = now.Add(wait)
+		s.inRow++
+	}
+}
+
+// Answered notes a request that was answered whole.
+func (t *Tracker) Answered(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.known[id]; ok {
+		s.inRow = 0
+		s.SilentUntil = time.Time{}
+	}
+}
+
+// TurnedCold notes that an upstream said it is in cold start.
+func (t *Tracker) TurnedCold(now time.Time, id string, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.known[id]; ok && left > 0 {
+		s.ColdUntil = now.Add(left)
+	}
+}
+
+// Misplaced notes that another process answers at an upstream's address: it is
+// gone, whatever the list says.
+func (t *Tracker) Misplaced(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.known, id)
+}
+
+// Len is how many upstreams are known.
+func (t *Tracker) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.known)
+}
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -18,6 +18,7 @@
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
+	"github.com/heathervane/heathervane/entry/request/trimmer"
 	"github.com/heathervane/heathervane/entry/version/viewer"
 )
 
@@ -170,7 +171,7 @@
 	}
 	c := &call{
 		id: p.id(), method: q.Method, path: "/" + path, service: name, team: team, pool: pool, view: v,
-		header: onward(q.Header), body: body, arrived: arrived, deadline: arrived.Add(limit),
+		header: trimmer.Onward(q.Header), body: body, arrived: arrived, deadline: arrived.Add(limit),
 		repeatable: v.Repeatable(name, q.Method, q.URL.Path[min(len(q.URL.Path), len(Prefix)+len(name)):]),
 	}
 	if q.URL.RawQuery != "" {
@@ -187,22 +188,3 @@
 func (c *call) ask() admitter.Ask {
 	return admitter.Ask{Team: c.team.Name, Share: c.team.Share, Arrived: c.arrived, Deadline: c.deadline}
 }
-
-// hop are the headers that belong to one connection, by RFC 9110, section 7.6.1.
-var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
-// onward are the headers that go on to the other side.
-func onward(h http.Header) http.Header {
-	out := h.Clone()
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hop {
-		out.Del(name)
-	}
-	// The bearer token is between the caller and this system.
-	out.Del("Authorization")
-	return out
-}
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -15,6 +15,7 @@
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
+	"github.com/heathervane/heathervane/entry/request/trimmer"
 )
 
 // mostAnswer is the longest answer of a service, in bytes. Answers are held
@@ -186,7 +187,7 @@
 		return nil, &failure{err: err, sent: true}
 	}
 	g.Done(dispatcher.Completed)
-	a := &answer{status: response.StatusCode, header: onward(response.Header), body: body, upstream: part.Upstream.Name, tries: c.tries}
+	a := &answer{status: response.StatusCode, header: trimmer.Onward(response.Header), body: body, upstream: part.Upstream.Name, tries: c.tries}
 	a.ran = ran(response.StatusCode)
 	return a, nil
 }
--- /dev/null
+++ b/entry/request/relayer/attempt.go
@@ -0,0 +1,322 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// silence is how long an upstream may be silent in a stream that can go on
+	// elsewhere. A pass of a busy engine takes some hundred milliseconds.
+	silence = 1600 * time.Millisecond
+	// firstSpare is how much longer than estimated, and than its objective,
+	// the first event may take before the request goes elsewhere.
+	firstSpare = 1500 * time.Millisecond
+	// reserveAgain is the wait after memory could not be set aside.
+	reserveAgain = 30 * time.Millisecond
+	// leastLeft is the least time that an upstream is given: with less, it
+	// would work for nobody.
+	leastLeft = 20 * time.Millisecond
+)
+
+// A try is one sending that brought the head of an answer.
+type try struct {
+	grant    *scheduler.Grant
+	holding  *reserver.Holding
+	exchange *carrier.Exchange
+	verdict  Verdict
+}
+
+// close ends a try. Memory that was set aside is given back, and the place.
+func (t *try) close() {
+	if t.exchange != nil {
+		t.exchange.Close()
+	}
+	if t.holding != nil {
+		t.holding.Release()
+	}
+	t.grant.Done()
+}
+
+// A step is how one sending ended.
+type step int
+
+const (
+	// answered is a sending whose answer goes to the caller.
+	answered step = iota
+	// failed is one that may be sent again if the bounds allow it.
+	failed
+	// repeated is one for which a repeat was granted already.
+	repeated
+	// over is one after which the request must not be sent again.
+	over
+)
+
+// begin sends the request until an upstream answers it, or gives the refusal
+// with which it ends.
+func (r *Relayer) begin(ctx context.Context, j *job) (*try, *refuser.Refusal) {
+	for {
+		t, refusal := r.place(ctx, j)
+		if refusal != nil {
+			return nil, j.truthful(refusal)
+		}
+		if t == nil {
+			continue
+		}
+		s := r.send(ctx, j, t)
+		if s == answered {
+			return t, nil
+		}
+		t.close()
+		if s == over || (s == failed && !r.mayRepeat(ctx, j)) {
+			return nil, j.failed(ctx)
+		}
+	}
+}
+
+// place gets a place, with memory set aside where the prompt needs it. It gives
+// neither a place nor a refusal where the place is gone already.
+func (r *Relayer) place(ctx context.Context, j *job) (*try, *refuser.Refusal) {
+	from := r.deps.Now()
+	grant, refused := r.deps.Scheduler.Acquire(ctx, scheduler.Call{
+		Service: j.service, Priority: j.priority(),
+		Ask: placer.Ask{
+			Prompt: j.ask.Prompt, Output: j.ask.Output, Tried: j.tried,
+			Arrived: j.arrived, Objective: j.arrived.Add(j.route.Objective), Deadline: j.end,
+		},
+	})
+	now := r.deps.Now()
+	j.trace.waited += now.Sub(from)
+	if refused != nil {
+		return nil, refuser.New(http.StatusServiceUnavailable, refused.Code, "no upstream could answer it in time").Back(refused.After)
+	}
+	t := &try{grant: grant}
+	if !r.reserve(ctx, j, t) {
+		t.close()
+		return nil, pause(ctx)
+	}
+	// The process may have stood still since it chose.
+	if now = r.deps.Now(); !r.deps.Tracker.May(grant.Upstream.ID) || j.end.Sub(now) < leastLeft {
+		t.close()
+		if j.end.Sub(now) < leastLeft {
+			return nil, late()
+		}
+		return nil, nil
+	}
+	j.trace.upstream, j.trace.helpers = grant.Upstream.ID, len(grant.Helpers)
+	j.trace.estimate, j.trace.load = grant.Estimate, grant.Load
+	return t, nil
+}
+
+func late() *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, scheduler.Late, "no upstream could answer it in time").Back(comeBack)
+}
+
+// reserve sets memory aside where the grant asks for it.
+func (r *Relayer) reserve(ctx context.Context, j *job, t *try) bool {
+	var parts []reserver.Part
+	for _, h := range t.grant.Helpers {
+		if h.Tokens > 0 {
+			parts = append(parts, reserver.Part{Address: h.Address, Tokens: h.Tokens})
+		}
+	}
+	if len(parts) == 0 {
+		return true
+	}
+	j.trace.memory = len(parts)
+	holding, err := r.deps.Reserver.Reserve(ctx, j.ask.ID, parts)
+	if err != nil {
+		r.deps.Meter.Count("memory.refused", 1)
+		return false
+	}
+	t.holding = holding
+	return true
+}
+
+func pause(ctx context.Context) *refuser.Refusal {
+	t := time.NewTimer(reserveAgain)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return late()
+	case <-t.C:
+		return nil
+	}
+}
+
+// send sends the request once. After answered the answer's head is in the try.
+func (r *Relayer) send(ctx context.Context, j *job, t *try) step {
+	if j.runs+j.refused == 0 {
+		r.deps.Budget.Sent(j.service.Name)
+	}
+	id := t.grant.Upstream.ID
+	x, failure := r.deps.Carrier.Send(ctx, t.grant.Upstream.Address, r.request(j, t, r.deps.Now()))
+	if failure != nil {
+		return r.unanswered(ctx, j, id, failure)
+	}
+	t.exchange = x
+	t.verdict = r.deps.Dialect.Verdict(x.Status, x.Header)
+	if t.verdict.Cold > 0 {
+		r.deps.Tracker.TurnedCold(r.deps.Now(), id, t.verdict.Cold)
+	}
+	if foreign(j, x, t.verdict) {
+		// It may be the answer to an earlier request on this connection, and
+		// nothing is known of ours.
+		j.runs++
+		r.note(j, id, "foreign answer")
+		return j.unlessOnce()
+	}
+	if t.verdict.NotRun {
+		return r.declined(j, t)
+	}
+	j.runs++
+	if !bad(x.Status) {
+		return answered
+	}
+	r.deps.Tracker.Failed(r.deps.Now(), id, false)
+	if j.route.Repeatable() && r.mayRepeat(ctx, j) {
+		r.note(j, id, "upstream failed")
+		return repeated
+	}
+	return answered
+}
+
+// unlessOnce is the step after a sending that may have run.
+func (j *job) unlessOnce() step {
+	if j.route.Repeatable() {
+		return failed
+	}
+	return over
+}
+
+func bad(status int) bool { return status >= http.StatusInternalServerError }
+
+// foreign says that an answer is not, or may not be, that of this request.
+func foreign(j *job, x *carrier.Exchange, v Verdict) bool {
+	if v.ID != "" {
+		return v.ID != j.ask.ID
+	}
+	return x.Reused || x.Status < http.StatusMultipleChoices
+}
+
+func (r *Relayer) request(j *job, t *try, now time.Time) carrier.Request {
+	o := Onward{
+		Left: j.end.Sub(now), Upstream: t.grant.Upstream.ID, Team: j.teamName(), LastEvent: j.lastEvent,
+		Urgent: j.service.Engine != nil && placer.Short(j.service.Engine, j.ask.Prompt),
+	}
+	named := 0
+	for _, h := range t.grant.Helpers {
+		helper := Helper{Address: h.Address}
+		if h.Tokens > 0 {
+			helper.Memory = t.holding.Names[named]
+			named++
+		}
+		o.Helpers = append(o.Helpers, helper)
+	}
+	q := carrier.Request{
+		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
+		Header: r.deps.Dialect.Onward(j.request.Header, o), Body: j.body.Data,
+		// One that may run only once goes on no kept connection: where that
+		// turns out to be closed, nobody can tell whether it ran.
+		Fresh: !j.route.Repeatable(),
+	}
+	if j.route.Kind == matcher.Stream && j.route.Repeatable() && j.runs+1 < j.route.Attempts {
+		estimate := max(j.route.Objective, time.Duration(t.grant.Estimate*float64(time.Millisecond)))
+		q.Until = now.Add(estimate + firstSpare)
+	}
+	return q
+}
+
+// unanswered handles a sending without an answer.
+func (r *Relayer) unanswered(ctx context.Context, j *job, id string, f *carrier.Failure) step {
+	if f.Sent {
+		j.runs++
+	} else {
+		j.refused++
+	}
+	if ctx.Err() != nil {
+		return over
+	}
+	r.note(j, id, f.Error())
+	// A kept connection that was closed says nothing of the upstream.
+	r.deps.Tracker.Failed(r.deps.Now(), id, !f.Reused)
+	if !f.Sent {
+		return failed
+	}
+	return j.unlessOnce()
+}
+
+// declined handles an upstream that says that it did not run the request.
+func (r *Relayer) declined(j *job, t *try) step {
+	at := t.grant.Upstream.ID
+	for _, h := range t.grant.Helpers {
+		if t.verdict.Fault != "" && h.Address == t.verdict.Fault {
+			at = h.ID
+		}
+	}
+	j.refused++
+	r.note(j, at, "upstream declined")
+	if t.verdict.Misplaced {
+		r.deps.Tracker.Misplaced(at)
+	} else {
+		r.deps.Tracker.Failed(r.deps.Now(), at, false)
+	}
+	return failed
+}
+
+// mayRepeat says whether the request may be sent once more, and takes the
+// repeat from the budget if so.
+func (r *Relayer) mayRepeat(ctx context.Context, j *job) bool {
+	if ctx.Err() != nil || j.refused > mostRefused || j.runs >= max(1, j.route.Attempts) {
+		return false
+	}
+	if !r.deps.Budget.Take(j.service.Name) {
+		r.deps.Meter.Count("repeats.refused", 1)
+		j.trace.cause += ", no budget for a repeat"
+		return false
+	}
+	r.deps.Meter.Count("repeats", 1)
+	return true
+}
+
+// note keeps what failed at an upstream, and that the request was there.
+func (r *Relayer) note(j *job, upstream, cause string) {
+	j.tried = append(j.tried, upstream)
+	j.trace.cause = cause
+	r.deps.Meter.Count("failures", 1)
+	r.deps.Log.Info().Str("id", j.ask.ID).Str("upstream", upstream).Str("cause", cause).
+		Int("runs", j.runs).Int("refused", j.refused).Msg("attempt failed")
+}
+
+// failed is the refusal of a request that no upstream answered.
+func (j *job) failed(ctx context.Context) *refuser.Refusal {
+	switch {
+	case j.runs == 0:
+		return refuser.New(http.StatusServiceUnavailable, "declined", "no upstream took the request").Back(comeBack)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").Having(refuser.Unknown)
+	}
+	return lost()
+}
+
+func lost() *refuser.Refusal {
+	return refuser.New(http.StatusBadGateway, "lost", "an upstream took the request and its answer was lost").Having(refuser.Unknown)
+}
+
+// truthful makes of a refusal that says "not run" one that does not, where the
+// request may have run.
+func (j *job) truthful(f *refuser.Refusal) *refuser.Refusal {
+	if j.runs == 0 || f.Status != http.StatusServiceUnavailable {
+		return f
+	}
+	return lost()
+}
--- /dev/null
+++ b/entry/request/relayer/relayer.go
@@ -0,0 +1,288 @@
+// Package relayer passes requests of any kind on to upstreams, and their
+// answers back, byte for byte. What may be repeated follows from the route and
+// never from the method. "Not run" is said only where nothing was sent, or the
+// upstream said so: a caller who is told so tries again, and a booking made
+// twice charges a member twice.
+//
+// How callers and upstreams say things is a Dialect's matter, where a request
+// goes the scheduler's.
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/request/reader"
+	"github.com/heathervane/heathervane/entry/request/refuser"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// defaultLimit is how long a request may last where neither its caller nor
+	// its route says.
+	defaultLimit = 30 * time.Second
+	// comeBack is when a request refused for a passing reason may come back.
+	comeBack = 300 * time.Millisecond
+	// mostWhole is the longest answer in bytes that is held whole before its
+	// caller gets a byte, so that a cut one is a truthful failure.
+	mostWhole = 1 << 20
+	// mostRefused is how many upstreams may refuse a request, besides those
+	// that it may run at.
+	mostRefused = 3
+	// bodyTime bounds the arrival of a body in a request without a limit.
+	bodyTime = 10 * time.Second
+	// writeSpare is how long after a request's end its answer may still be on
+	// its way to the caller, who may read slowly.
+	writeSpare = time.Second
+)
+
+// An Ask is what a caller says of its request.
+type Ask struct {
+	// ID names the request; its upstream's answer bears it.
+	ID string
+	// Limit is how long the caller waits; 0 where it does not say.
+	Limit time.Duration
+	// Key proves the caller's team.
+	Key string
+	// Prompt and Output are the tokens of the prompt and the most of the
+	// answer.
+	Prompt, Output int
+	// LastEvent is the last event that the caller has of this stream.
+	LastEvent string
+}
+
+// A Helper is an upstream that reads a part of a prompt, and the name of the
+// memory set aside there, if any is.
+type Helper struct {
+	Address, Memory string
+}
+
+// An Onward is what an upstream is told beside the caller's own headers.
+type Onward struct {
+	Left      time.Duration
+	Upstream  string
+	Team      string
+	LastEvent string
+	Helpers   []Helper
+	// Urgent says that the request goes before others at the engine.
+	Urgent bool
+}
+
+// A Verdict is what the head of an upstream's answer says.
+type Verdict struct {
+	// ID is the request that is answered; empty where it does not say.
+	ID string
+	// Sealed says that the answer is the upstream's own and complete in
+	// itself; others are broken.
+	Sealed bool
+	// NotRun says that the upstream did not run the request and will not.
+	NotRun bool
+	// Misplaced says that another upstream has that address now.
+	Misplaced bool
+	// Fault is the address of the upstream at fault where several worked.
+	Fault string
+	// Cold is how long the upstream stays in cold start.
+	Cold time.Duration
+	// After is when the upstream asks to come back.
+	After time.Duration
+}
+
+// A Dialect is how callers and upstreams say things.
+type Dialect interface {
+	Ask(h http.Header) Ask
+	// Onward makes the headers for an upstream from the caller's.
+	Onward(h http.Header, o Onward) http.Header
+	Verdict(status int, h http.Header) Verdict
+	// Event gives the id of an event of a stream; empty where it has none.
+	Event(event []byte) string
+}
+
+// A Meter counts.
+type Meter interface {
+	Count(name string, n int64)
+	Time(name string, d time.Duration)
+}
+
+// A Budget bounds repeats in sum over all VMs.
+type Budget interface {
+	Sent(service string)
+	Take(service string) bool
+}
+
+// Deps are what a Relayer works with.
+type Deps struct {
+	Table     func() *matcher.Table
+	Dialect   Dialect
+	Scheduler *scheduler.Scheduler
+	Tracker   *tracker.Tracker
+	Carrier   *carrier.Carrier
+	Reserver  *reserver.Reserver
+	Budget    Budget
+	Bodies    reader.Budget
+	Meter     Meter
+	Now       func() time.Time
+	Log       zerolog.Logger
+	// Leaving says that this VM is about to stop, and how long it has left.
+	Leaving func() (bool, time.Duration)
+}
+
+// A Relayer passes requests on.
+type Relayer struct {
+	deps Deps
+}
+
+// New returns a Relayer.
+func New(d Deps) *Relayer { return &Relayer{deps: d} }
+
+// A job is one request on its way.
+type job struct {
+	ask     Ask
+	route   *matcher.Route
+	service *matcher.Service
+	team    *matcher.Team
+	version int64
+	request *http.Request
+	body    *reader.Body
+	arrived time.Time
+	// end is when the final answer must be out.
+	end time.Time
+	// tried are the upstreams that failed it, runs those that may have run it,
+	// refused those that said that they did not.
+	tried   []string
+	runs    int
+	refused int
+	// lastEvent is the last event that the caller has, and begun says that it
+	// has the head of its answer.
+	lastEvent string
+	begun     bool
+	trace     trace
+}
+
+// A trace is what the request's log line tells.
+type trace struct {
+	waited   time.Duration
+	first    time.Duration
+	upstream string
+	helpers  int
+	memory   int
+	estimate float64
+	load     placer.Load
+	cause    string
+}
+
+// ServeHTTP passes one request on.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	arrived := r.deps.Now()
+	r.deps.Meter.Count("requests", 1)
+	if leaving, _ := r.deps.Leaving(); leaving {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{ask: r.deps.Dialect.Ask(q.Header), request: q, arrived: arrived}
+	if refusal := r.accept(w, j); refusal != nil {
+		r.refuse(w, j, refusal)
+		return
+	}
+	defer j.body.Release()
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(j.end.Add(writeSpare)); err != nil {
+		r.deps.Log.Warn().Str("id", j.ask.ID).Err(err).Msg("no bound on writing to the caller")
+	}
+	ctx, cancel := context.WithDeadline(q.Context(), j.end)
+	defer cancel()
+	if j.route.Kind == matcher.Stream {
+		r.stream(ctx, w, j)
+		return
+	}
+	r.whole(ctx, w, j)
+}
+
+// accept finds out what a request is, or why it is not served.
+func (r *Relayer) accept(w http.ResponseWriter, j *job) *refuser.Refusal {
+	table := r.deps.Table()
+	if table == nil {
+		return refuser.New(http.StatusServiceUnavailable, "not_ready", "this VM has no configuration yet").Back(comeBack)
+	}
+	j.version = table.Version
+	if refusal := r.identify(table, j); refusal != nil {
+		return refusal
+	}
+	limit := j.route.Timeout
+	if j.ask.Limit > 0 && (limit == 0 || j.ask.Limit < limit) {
+		limit = j.ask.Limit
+	}
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	j.end = j.arrived.Add(limit)
+	if leaving, left := r.deps.Leaving(); leaving && left < r.lasts(j) {
+		return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").Back(comeBack)
+	}
+	bodies := reader.Reader{Most: table.Limits.Body, Budget: r.deps.Bodies, Patience: min(limit, bodyTime)}
+	if bodies.Most <= 0 {
+		bodies.Most = mostWhole
+	}
+	body, refusal := bodies.Read(w, j.request)
+	j.body = body
+	return refusal
+}
+
+func (r *Relayer) identify(table *matcher.Table, j *job) *refuser.Refusal {
+	q := j.request
+	route, ok := table.Route(q.Host, q.RequestURI)
+	if !ok {
+		return refuser.New(http.StatusNotFound, "no_route", "no route serves this host and path")
+	}
+	j.route = route
+	if table.Guarded() && !route.Anonymous {
+		if j.team, ok = table.Team(j.ask.Key); !ok {
+			return refuser.New(http.StatusUnauthorized, "no_key", "the key is not known")
+		}
+	}
+	name, ok := route.Pick()
+	if ok {
+		j.service, ok = table.Service(name)
+	}
+	if !ok {
+		return refuser.New(http.StatusServiceUnavailable, "no_service", "the route leads to no service").Back(comeBack)
+	}
+	j.lastEvent = j.ask.LastEvent
+	return nil
+}
+
+// lasts is how long a request is expected to take at most, where a VM that
+// leaves must know whether it still can end it.
+func (r *Relayer) lasts(j *job) time.Duration {
+	if j.route.Kind != matcher.Stream || j.service.Engine == nil {
+		return min(j.route.Timeout, usualCall)
+	}
+	e := j.service.Engine
+	pass := placer.Pass(e, e.Slots, e.Memory)
+	answer := pass * float64(j.ask.Output) / float64(max(1, e.Stride))
+	return j.route.Objective + time.Duration(answer*float64(time.Millisecond))
+}
+
+// usualCall is how long a call of a plain service lasts at most, but for a few.
+const usualCall = 1500 * time.Millisecond
+
+// priority is the request's rank: its team's, then its route's.
+func (j *job) priority() int {
+	if j.team != nil && j.team.Ranked {
+		return j.team.Priority
+	}
+	return j.route.Priority
+}
+
+func (j *job) teamName() string {
+	if j.team == nil {
+		return ""
+	}
+	return j.team.Name
+}
