Pack short prompts on few engines and weigh what a part costs others

Cause: with 23 engines about alike in load every fourth pass of a short answer met a part of a long prompt, and 431 of 1,355 short answers had a pause over 250 ms, while long prompts waited 1.9 s in the middle for engines that read nothing.

Change: a short prompt goes to the engine that answers most short ones among those that answer it in good time; a long prompt's parts go where the model says that they make the fewest streams late, for each number of parts. VMs tell each other besides how long a pause the streams of each engine bear.

Ruled out: more parts of fewer milliseconds (each adds a pass's own steps, and engines were busy nine tenths of the time already, by the log of waits).

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -61,6 +61,7 @@
 	Unread   float32
 	Starting int
 	Parts    int
+	Pauses   []int
 }
 
 // message is one datagram.
@@ -187,7 +188,7 @@
 		l := g.dirty[name]
 		m.Loads = append(m.Loads, load{
 			Upstream: name, Streams: l.Streams, Context: l.Context,
-			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts,
+			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts, Pauses: l.Pauses[:],
 		})
 	}
 	return m
@@ -267,9 +268,11 @@
 		if old, ok := p.loads[l.Upstream]; ok && old.seq > m.Seq {
 			continue
 		}
-		p.loads[l.Upstream] = told{seq: m.Seq, at: now, Load: placer.Load{
+		t := told{seq: m.Seq, at: now, Load: placer.Load{
 			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
 		}}
+		copy(t.Pauses[:], l.Pauses)
+		p.loads[l.Upstream] = t
 	}
 }
 
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -210,7 +210,7 @@
 	if w.call.Service.Engine == nil {
 		return placer.Plain(w.call.Ask, cs)
 	}
-	return placer.Engine(w.call.Service.Engine, w.call.Ask, cs, w.times.hurry(now))
+	return placer.Engine(w.call.Service.Engine, w.call.Ask, cs, now, w.times.mood(now))
 }
 
 func (s *Scheduler) candidates(now time.Time, v *matcher.Service, states []tracker.State) []placer.Candidate {
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -16,6 +16,9 @@
 	// margin is kept between the latest start and the objective, for the ways
 	// there and back and for what estimates leave out.
 	margin = 60 * time.Millisecond
+	// pressed is how long after its latest start a request still counts as one
+	// that can be in time.
+	pressed = 2 * margin
 	// rush is how long before a request must be given up it takes any place
 	// that there is.
 	rush = 2 * time.Second
@@ -53,13 +56,16 @@
 	}
 }
 
-// hurry says that the request had better take any place now: its latest start
-// has come, or it is late already and must begin now to end by its deadline.
-func (t times) hurry(now time.Time) bool {
-	if now.Before(t.start) {
-		return false
+// mood says what the request may cost others now. One that is late already
+// waits for a place that costs nobody anything, until it must begin.
+func (t times) mood(now time.Time) placer.Mood {
+	switch {
+	case t.last.Sub(now) < rush:
+		return placer.Last
+	case now.Before(t.start) || now.Sub(t.start) > pressed:
+		return placer.Patient
 	}
-	return now.Sub(t.start) < rush || t.last.Sub(now) < rush
+	return placer.Pressed
 }
 
 func milliseconds(ms float64) time.Duration {
--- /dev/null
+++ b/entry/request/placer/group.go
@@ -0,0 +1,186 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// pauseSpare is the part of a pause that a pass may take: an event has to
+	// reach the caller besides.
+	pauseSpare = 0.85
+	// perSecond is what a second until the first event counts for beside
+	// streams made late, and perPart what each engine more does: with more
+	// engines the first event comes sooner, and each has one pass more that is
+	// longer than it would be.
+	perSecond = 0.5
+	perPart   = 0.02
+	// harmless is the harm up to which a patient request takes a place.
+	harmless = 0.3
+	// lateShare is the part of its use that a late answer has lost.
+	lateShare = 0.75
+)
+
+// weights are what a stream of each pause counts for when it is made late:
+// streams whose callers bear long pauses answer long prompts, of which there
+// are fewer, and each is worth several short ones.
+var weights = [len(Limits)]float64{1, 1, 4, 8}
+
+// unit is the objective in milliseconds of a request that counts for one. A
+// caller who is promised an answer after eight times as long asked for more
+// work, and loses more by a late one.
+const unit = 300.0
+
+// group chooses the engines that read a long prompt in parts. It answers long
+// prompts that come while many streams run: each part makes one pass longer at
+// its engine. For each number of parts it takes the engines where that harms
+// least, and of these numbers the one with the least harm in sum.
+func group(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
+	whole := Read(e, a.Prompt, 1)
+	left := float64(a.Objective.Sub(now).Milliseconds())
+	best, least := Choice{}, math.Inf(1)
+	harmOfBest := 0.0
+	for n := 1; n <= MostParts+1; n++ {
+		part := whole / float64(n)
+		order := helpful(e, a, cs, part, m)
+		if len(order) < n {
+			break
+		}
+		choice, ok := memory(e, a, cs, order, n)
+		if !ok {
+			continue
+		}
+		harm, first := weigh(e, cs, choice, part)
+		total := harm + perSecond*first/1000 + perPart*float64(n)
+		if m != Last && first > left {
+			total += lateShare * a.weight()
+		}
+		if total < least {
+			best, least, harmOfBest = choice, total, harm
+			best.Read, best.First = part, first
+		}
+	}
+	if math.IsInf(least, 1) {
+		return Choice{}, false
+	}
+	switch m {
+	case Patient:
+		return best, harmOfBest <= harmless && (best.First <= left || left < 0)
+	case Pressed:
+		return best, harmOfBest <= lateShare*a.weight()
+	}
+	return best, true
+}
+
+// weight is what the request counts for when it is late.
+func (a Ask) weight() float64 {
+	return float64(a.Objective.Sub(a.Arrived).Milliseconds()) / unit
+}
+
+// weigh sums the harm of a choice to others, and estimates its first event.
+func weigh(e *matcher.Engine, cs []Candidate, choice Choice, part float64) (harm, first float64) {
+	for _, i := range append([]int{choice.Main}, choice.Helpers...) {
+		harm += cs[i].harm(e, part)
+		first = math.Max(first, First(e, cs[i].Load, part))
+	}
+	return harm, first
+}
+
+// harm is what the streams of an engine lose by a part that is read there.
+func (c *Candidate) harm(e *matcher.Engine, part float64) float64 {
+	pass := Pass(e, c.Load.Streams, c.Load.Context) + c.Load.Unread + part
+	sum := 0.0
+	for b, n := range c.Load.Pauses {
+		if n > 0 && pass > pauseSpare*Limits[b] {
+			sum += weights[b] * float64(n)
+		}
+	}
+	return lateShare * sum
+}
+
+// helpful are the engines that may read a part of so many milliseconds, those
+// first that it harms least and that have least to read.
+func helpful(e *matcher.Engine, a Ask, cs []Candidate, part float64, m Mood) []int {
+	var order []int
+	costs := make([]float64, len(cs))
+	for i := range cs {
+		c := &cs[i]
+		if c.Room < 1 || c.Silent || c.Cold || !c.slot(m) {
+			continue
+		}
+		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
+		order = append(order, i)
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
+	return order
+}
+
+// memory chooses which of the engines generates, and what is set aside at the
+// others where no engine has room for the whole prompt.
+func memory(e *matcher.Engine, a Ask, cs []Candidate, order []int, n int) (Choice, bool) {
+	need := a.Prompt + a.Output
+	roomiest := -1
+	for _, i := range order {
+		c := &cs[i]
+		if c.Load.Streams >= c.Slots || slices.Contains(a.Tried, c.ID) {
+			continue
+		}
+		if c.fits(e, need) {
+			return Choice{Main: i, Helpers: others(order, i, n-1)}, true
+		}
+		if roomiest < 0 || c.free(e) > cs[roomiest].free(e) {
+			roomiest = i
+		}
+	}
+	if roomiest < 0 {
+		return Choice{}, false
+	}
+	return spread(e, a, cs, order, n, roomiest)
+}
+
+func others(order []int, main, n int) []int {
+	var picked []int
+	for _, i := range order {
+		if i != main && len(picked) < n {
+			picked = append(picked, i)
+		}
+	}
+	return picked
+}
+
+// spread sets aside what main has no room for at as few others as can hold it,
+// those with most room first. It is all or none.
+func spread(e *matcher.Engine, a Ask, cs []Candidate, order []int, n, main int) (Choice, bool) {
+	left := a.Prompt + a.Output - cs[main].free(e)
+	roomy := slices.DeleteFunc(slices.Clone(order), func(i int) bool { return i == main })
+	slices.SortStableFunc(roomy, func(i, j int) int { return cs[j].free(e) - cs[i].free(e) })
+	choice := Choice{Main: main}
+	for _, i := range roomy {
+		if left <= 0 || len(choice.Tickets) == MostParts {
+			break
+		}
+		take := min(max(left, smallTicket), cs[i].free(e)-ticketRound)
+		if take < smallTicket {
+			break
+		}
+		choice.Tickets = append(choice.Tickets, Ticket{Candidate: i, Tokens: take + ticketRound})
+		choice.Helpers = append(choice.Helpers, i)
+		left -= take
+	}
+	if left > 0 {
+		return Choice{}, false
+	}
+	for _, i := range order {
+		if len(choice.Helpers) >= n-1 {
+			break
+		}
+		if i != main && !slices.Contains(choice.Helpers, i) {
+			choice.Helpers = append(choice.Helpers, i)
+		}
+	}
+	return choice, true
+}
--- /dev/null
+++ b/entry/request/placer/single.go
@@ -0,0 +1,67 @@
+package placer
+
+import (
+	"math"
+
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// goodFirst is the part of the objective that the estimated time to the
+	// first event may take at an engine that counts as good. The rest is for
+	// the ways there and back, and for what others send there meanwhile.
+	goodFirst = 0.55
+	// slotsKept is how many of an engine's slots are left free when short
+	// prompts are packed.
+	slotsKept = 1
+)
+
+// single chooses the engine of a short prompt. Among the engines that answer it
+// in good time it takes the one that answers most short prompts already, so
+// that others stay free of them: a part of a long prompt that is read where
+// nobody waits for a short answer harms nobody. It answers short and long
+// prompts in the same hour; spread evenly over all engines, the short ones met
+// a part of a long prompt in every fourth pass.
+func single(e *matcher.Engine, a Ask, cs []Candidate, m Mood) (Choice, bool) {
+	read := Read(e, a.Prompt, 1)
+	good := goodFirst * float64(a.Objective.Sub(a.Arrived).Milliseconds())
+	best, least, fullest := -1, math.Inf(1), -1
+	for i := range cs {
+		c := &cs[i]
+		if c.Room < 1 || !c.slot(m) || !c.fits(e, a.Prompt+a.Output) {
+			continue
+		}
+		cost := First(e, c.Load, read) + c.dislike(a)
+		tight := -1
+		if cost <= good && c.Load.Parts == 0 && c.Load.Streams < c.Slots-slotsKept {
+			tight = c.tight()
+		}
+		if tight > fullest || (tight == fullest && cost < least) {
+			best, least, fullest = i, cost, tight
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return Choice{Main: best, Read: read, First: least}, true
+}
+
+// tight is how many streams bear only the shortest pauses.
+func (c *Candidate) tight() int { return c.Load.Pauses[0] + c.Load.Pauses[1] }
+
+// slot says that the engine can run one request more now, or, where there is no
+// time to wait, that it would wait there behind no more than as many again.
+func (c *Candidate) slot(m Mood) bool {
+	if m == Patient {
+		return c.Load.Streams < c.Slots
+	}
+	return c.Load.Streams < 2*c.Slots
+}
+
+func (c *Candidate) fits(e *matcher.Engine, tokens int) bool {
+	return tokens <= c.free(e)
+}
+
+func (c *Candidate) free(e *matcher.Engine) int {
+	return int(memorySpare*float64(e.Memory)) - c.Load.Context
+}
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -168,8 +168,10 @@
 
 // A trace is what the request's log line tells.
 type trace struct {
-	waited   time.Duration
-	first    time.Duration
+	waited time.Duration
+	first  time.Duration
+	// pause is the longest time between two events.
+	pause    time.Duration
 	upstream string
 	helpers  int
 	memory   int
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -91,9 +91,15 @@
 	}
 	events := bufio.NewReaderSize(x.Body, 1<<10)
 	control := http.NewResponseController(w)
+	var last time.Time
 	for {
 		r.patience(j, t)
 		event, err := next(events)
+		now := r.deps.Now()
+		if !last.IsZero() {
+			j.trace.pause = max(j.trace.pause, now.Sub(last))
+		}
+		last = now
 		if errors.Is(err, io.EOF) {
 			if !j.begun {
 				r.begun(w, j, t)
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -176,5 +176,5 @@
 	if t.cause != "" {
 		line.Str("cause", t.cause)
 	}
-	line.Dur("waited", t.waited).Dur("first", t.first).Dur("took", took).Msg("request")
+	line.Dur("waited", t.waited).Dur("first", t.first).Dur("pause", t.pause).Dur("took", took).Msg("request")
 }
