--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -30,10 +30,14 @@
 // are fewer, and each is worth several short ones.
 var weights = [len(Limits)]float64{1, 1, 4, 8}
 
-// unit is the objective in milliseconds of a request that counts for one. A
-// caller who is promised an answer after eight times as long asked for more
-// work, and loses more by a late one.
-const unit = 300.0
+const (
+	// unit is the prompt in tokens that counts for one, a usual question's, and
+	// growth how what a request counts for grows with its prompt: whoever had
+	// a prompt of thirty times the length read has more work wasted by a late
+	// answer, though not thirty times as much.
+	unit   = 5000.0
+	growth = 0.75
+)
 
 // group chooses the engines that read a long prompt in parts. It answers long
 // prompts that come while many streams run: each part makes one pass longer at
@@ -73,12 +77,12 @@
 	case Pressed:
 		return best, harmOfBest <= lateShare*a.weight()
 	}
-	return best, true
+	return best, harmOfBest <= (1-lateShare)*a.weight()
 }
 
 // weight is what the request counts for when it is late.
 func (a Ask) weight() float64 {
-	return float64(a.Objective.Sub(a.Arrived).Milliseconds()) / unit
+	return math.Pow(float64(a.Prompt)/unit, growth)
 }
 
 // weigh sums the harm of a choice to others, and estimates its first event.
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -131,14 +131,15 @@
 	// Pressed requests must begin now to be in time, and may cost others no
 	// more than they would lose.
 	Pressed
-	// Last requests must begin now to end at all.
+	// Last requests are late and must begin soon to end at all, and may cost
+	// others no more than a late answer is still worth.
 	Last
 )
 
 // Engine chooses engines for a prompt, or says false where it had better wait.
 func Engine(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
 	if Short(e, a.Prompt) {
-		return single(e, a, cs, m)
+		return single(e, a, cs, now, m)
 	}
 	return group(e, a, cs, now, m)
 }
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
@@ -22,9 +23,14 @@
 // nobody waits for a short answer harms nobody. It answers short and long
 // prompts in the same hour; spread evenly over all engines, the short ones met
 // a part of a long prompt in every fourth pass.
-func single(e *matcher.Engine, a Ask, cs []Candidate, m Mood) (Choice, bool) {
+func single(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
 	read := Read(e, a.Prompt, 1)
 	good := goodFirst * float64(a.Objective.Sub(a.Arrived).Milliseconds())
+	bound := math.Inf(1)
+	if left := a.Objective.Sub(now).Milliseconds(); m == Patient && left > 0 {
+		// A slot elsewhere is free sooner than an engine that reads for long.
+		bound = float64(left)
+	}
 	best, least, fullest := -1, math.Inf(1), -1
 	for i := range cs {
 		c := &cs[i]
@@ -32,6 +38,9 @@
 			continue
 		}
 		cost := First(e, c.Load, read) + c.dislike(a)
+		if cost > bound {
+			continue
+		}
 		tight := -1
 		if cost <= good && c.Load.Parts == 0 && c.Load.Streams < c.Slots-slotsKept {
 			tight = c.tight()
