--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -19,6 +19,14 @@
 	// longer than it would be.
 	perSecond = 0.5
 	perPart   = 0.02
+	// mostPart is the longest part in milliseconds, where there are engines for
+	// shorter ones. An engine that is given more is lost for as long to short
+	// prompts that come meanwhile.
+	mostPart = 600.0
+	// perEngineSecond is what a second of an engine's time counts for, and
+	// usualOutput the part of the most output tokens that answers have.
+	perEngineSecond = 1.0
+	usualOutput     = 0.4
 	// harmless is the harm up to which a patient request takes a place.
 	harmless = 0.3
 	// lateShare is the part of its use that a late answer has lost.
@@ -48,13 +56,13 @@
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
 	harmOfBest := 0.0
-	for n := 1; n <= MostParts+1; n++ {
+	for n := min(MostParts+1, int(math.Ceil(whole/mostPart))); n <= MostParts+1; n++ {
 		part := whole / float64(n)
 		order := helpful(e, a, cs, part, m)
 		if len(order) < n {
 			break
 		}
-		choice, ok := memory(e, a, cs, order, n)
+		choice, ok := memory(e, a, cs, order, n, part)
 		if !ok {
 			continue
 		}
@@ -125,25 +133,42 @@
 
 // memory chooses which of the engines generates, and what is set aside at the
 // others where no engine has room for the whole prompt.
-func memory(e *matcher.Engine, a Ask, cs []Candidate, order []int, n int) (Choice, bool) {
+func memory(e *matcher.Engine, a Ask, cs []Candidate, order []int, n int, part float64) (Choice, bool) {
 	need := a.Prompt + a.Output
-	roomiest := -1
+	main, least, roomiest := -1, math.Inf(1), -1
 	for _, i := range order {
 		c := &cs[i]
 		if c.Load.Streams >= c.Slots || slices.Contains(a.Tried, c.ID) {
 			continue
 		}
-		if c.fits(e, need) {
-			return Choice{Main: i, Helpers: others(order, i, n-1)}, true
-		}
 		if roomiest < 0 || c.free(e) > cs[roomiest].free(e) {
 			roomiest = i
 		}
+		if !c.fits(e, need) {
+			continue
+		}
+		if cost := c.mainCost(e, a, part); cost < least {
+			main, least = i, cost
+		}
 	}
-	if roomiest < 0 {
-		return Choice{}, false
+	switch {
+	case main >= 0:
+		return Choice{Main: main, Helpers: others(order, main, n-1)}, true
+	case roomiest >= 0:
+		return spread(e, a, cs, order, n, roomiest)
+	}
+	return Choice{}, false
+}
+
+// mainCost is what it costs to have the engine generate. Token steps cost nearly
+// the same for one stream as for many, so that a stream on an engine that writes
+// none yet takes that engine's time from prompts that it could read.
+func (c *Candidate) mainCost(e *matcher.Engine, a Ask, part float64) float64 {
+	cost := c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
+	if c.Load.Streams == 0 {
+		cost += perEngineSecond * usualOutput * float64(a.Output) * e.Step / 1000
 	}
-	return spread(e, a, cs, order, n, roomiest)
+	return cost
 }
 
 func others(order []int, main, n int) []int {
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -12,6 +12,14 @@
 	// first event may take at an engine that counts as good. The rest is for
 	// the ways there and back, and for what others send there meanwhile.
 	goodFirst = 0.55
+	// goodUnread is the reading time in milliseconds that may come together at
+	// an engine that counts as good. All that is read in one pass gets its
+	// first event at that pass's end, so that what comes later delays what was
+	// sent before it.
+	goodUnread = 60.0
+	// slotWait is how long a request waits for each that waits for a slot
+	// before it, in milliseconds: a usual answer's time over the slots.
+	slotWait = 100.0
 	// slotsKept is how many of an engine's slots are left free when short
 	// prompts are packed.
 	slotsKept = 1
@@ -37,12 +45,12 @@
 		if c.Room < 1 || !c.slot(m) || !c.fits(e, a.Prompt+a.Output) {
 			continue
 		}
-		cost := First(e, c.Load, read) + c.dislike(a)
+		cost := First(e, c.Load, read) + c.dislike(a) + slotWait*float64(max(0, c.Load.Streams+1-c.Slots))
 		if cost > bound {
 			continue
 		}
 		tight := -1
-		if cost <= good && c.Load.Parts == 0 && c.Load.Streams < c.Slots-slotsKept {
+		if cost <= good && c.Load.Parts == 0 && c.Load.Unread+read <= max(goodUnread, read) && c.Load.Streams < c.Slots-slotsKept {
 			tight = c.tight()
 		}
 		if tight > fullest || (tight == fullest && cost < least) {
