Put work that can be in time before late work, and let no length block another

Cause: late prompts had the earliest latest start and so stood first; one that found no place held back every prompt over 15,000 tokens at its VM (one of 23,840 waited 2 s and its caller left). Late long prompts took the engines that short ones needed in the next second.

--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -109,7 +110,7 @@
 func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Grant, *Refusal) {
 	w := &waiter{call: c, times: timesOf(c), reply: make(chan reply, 1)}
 	s.mu.Lock()
-	s.insert(w)
+	s.waiting = append(s.waiting, w)
 	s.pump()
 	s.mu.Unlock()
 	select {
@@ -136,23 +137,18 @@
 	return &Refusal{Code: Late, After: comeBack}
 }
 
-// insert keeps the waiting requests in their order.
-func (s *Scheduler) insert(w *waiter) {
-	i, _ := slices.BinarySearchFunc(s.waiting, w, func(a, b *waiter) int {
-		if a.before(b) {
-			return -1
+// compare orders by rank, then those that can be in time before those that are
+// late already, then by the latest start. Without the second, a backlog of late
+// prompts would stand before everything that could still be in time, and make
+// it late as well.
+func compare(now time.Time, a, b *waiter) int {
+	late := func(w *waiter) int {
+		if w.times.late(now) {
+			return 1
 		}
-		return 1
-	})
-	s.waiting = slices.Insert(s.waiting, i, w)
-}
-
-// before orders by rank, and within a rank by the latest start that is in time.
-func (w *waiter) before(o *waiter) bool {
-	if w.call.Priority != o.call.Priority {
-		return w.call.Priority < o.call.Priority
+		return 0
 	}
-	return w.times.start.Before(o.times.start)
+	return cmp.Or(cmp.Compare(a.call.Priority, b.call.Priority), cmp.Compare(late(a), late(b)), a.times.start.Compare(b.times.start))
 }
 
 // Pump places what can be placed and refuses what cannot be done in time. It is
@@ -169,6 +165,7 @@
 	}
 	now := s.deps.Now()
 	blocked := make(map[kind]bool)
+	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return compare(now, a, b) })
 	kept := s.waiting[:0:0]
 	for _, w := range s.waiting {
 		if r, done := s.step(now, w, blocked); done {
@@ -181,15 +178,17 @@
 }
 
 // A kind is what waits for the same places, so that none of it is placed before
-// an earlier one.
+// an earlier one. Long prompts are of a kind only with those of about their
+// length: one of 600,000 tokens that finds no place must not hold back one of
+// 20,000.
 type kind struct {
 	service string
-	long    bool
+	size    int
 }
 
 // step does what can be done for one waiting request.
 func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
-	k := kind{w.call.Service.Name, w.times.long}
+	k := kind{w.call.Service.Name, w.times.size}
 	if !now.Before(w.times.last) {
 		return reply{refusal: &Refusal{Code: Late, After: comeBack}}, true
 	}
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -22,6 +23,9 @@
 	// rush is how long before a request must be given up it takes any place
 	// that there is.
 	rush = 2 * time.Second
+	// sizeUnit is the reading time in milliseconds of the shortest prompts that
+	// are told apart by length.
+	sizeUnit = 100.0
 	// plainWork is the time assumed for a plain service's answer, as far as
 	// giving up is concerned.
 	plainWork = 20 * time.Millisecond
@@ -34,8 +38,13 @@
 	// last is when the request can no longer be done by its deadline.
 	last time.Time
 	long bool
+	// size is the binary logarithm of the prompt's reading time.
+	size int
 }
 
+// late says that the first event can no longer be in time.
+func (t times) late(now time.Time) bool { return now.Sub(t.start) > pressed }
+
 func timesOf(c Call) times {
 	e := c.Service.Engine
 	if e == nil {
@@ -53,6 +62,7 @@
 		start: c.Ask.Objective.Add(-first - margin),
 		last:  c.Ask.Deadline.Add(-first - answer),
 		long:  long,
+		size:  bits.Len(uint(placer.Read(e, c.Ask.Prompt, 1) / sizeUnit)),
 	}
 }
 
@@ -62,7 +72,7 @@
 	switch {
 	case t.last.Sub(now) < rush:
 		return placer.Last
-	case now.Before(t.start) || now.Sub(t.start) > pressed:
+	case now.Before(t.start) || t.late(now):
 		return placer.Patient
 	}
 	return placer.Pressed
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -27,6 +27,9 @@
 	// usualOutput the part of the most output tokens that answers have.
 	perEngineSecond = 1.0
 	usualOutput     = 0.4
+	// headroom is how many slots must be free for short prompts, for each of
+	// these that runs, where a late long prompt begins.
+	headroom = 0.4
 	// harmless is the harm up to which a patient request takes a place.
 	harmless = 0.3
 	// lateShare is the part of its use that a late answer has lost.
@@ -81,6 +84,9 @@
 	}
 	switch m {
 	case Patient:
+		if left < 0 && !roomy(cs, best) {
+			return Choice{}, false
+		}
 		return best, harmOfBest <= harmless && (best.First <= left || left < 0)
 	case Pressed:
 		return best, harmOfBest <= lateShare*a.weight()
@@ -88,6 +94,23 @@
 	return best, harmOfBest <= (1-lateShare)*a.weight()
 }
 
+// roomy says that with a choice the engines that read nothing long have slots
+// left for the short prompts to come: in a burst of these their number doubles
+// within a second or two, and an engine that a late prompt has taken meanwhile
+// makes many of them late.
+func roomy(cs []Candidate, choice Choice) bool {
+	running, free := 0, 0
+	for i := range cs {
+		c := &cs[i]
+		running += c.tight()
+		if c.Load.Parts > 0 || c.Silent || i == choice.Main || slices.Contains(choice.Helpers, i) {
+			continue
+		}
+		free += max(0, c.Slots-slotsKept-c.Load.Streams)
+	}
+	return float64(free) >= headroom*float64(running)
+}
+
 // weight is what the request counts for when it is late.
 func (a Ask) weight() float64 {
 	return math.Pow(float64(a.Prompt)/unit, growth)
