--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -82,11 +82,11 @@
 	if math.IsInf(least, 1) {
 		return Choice{}, false
 	}
+	if left < 0 && !roomy(cs, best) {
+		return Choice{}, false
+	}
 	switch m {
 	case Patient:
-		if left < 0 && !roomy(cs, best) {
-			return Choice{}, false
-		}
 		return best, harmOfBest <= harmless && (best.First <= left || left < 0)
 	case Pressed:
 		return best, harmOfBest <= lateShare*a.weight()
@@ -147,6 +147,11 @@
 		if c.Room < 1 || c.Silent || c.Cold || !c.slot(m) {
 			continue
 		}
+		// Two parts at one engine are read by turns: each group waits for the
+		// other's part, and neither is read sooner.
+		if m == Patient && c.Load.Parts > 0 {
+			continue
+		}
 		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
 		order = append(order, i)
 	}
