Let VMs place their long prompts in one order

Change: each VM tells the first long prompt that waits there; one for which there is a place leaves it for 12 ms to each VM whose prompt goes first.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -26,7 +26,7 @@
 	beatEvery = 250 * time.Millisecond
 	// flushEvery bounds how late a change of work is told, so that changes of
 	// one moment go into one datagram.
-	flushEvery = 4 * time.Millisecond
+	flushEvery = 2 * time.Millisecond
 	// repeatEvery is how often all work is told again, for lost datagrams.
 	repeatEvery = time.Second
 	// silent is after how long without a word what a VM told of its work no
@@ -72,6 +72,29 @@
 	Loads []load           `cbor:"4,keyasint,omitempty"`
 	Ends  map[string]int64 `cbor:"5,keyasint,omitempty"`
 	Bye   bool             `cbor:"6,keyasint,omitempty"`
+	Head  *head            `cbor:"7,keyasint,omitempty"`
+}
+
+// head is the first of the long prompts that wait at a VM. Its latest start is
+// told as the milliseconds until then: clocks of VMs differ.
+type head struct {
+	_    struct{} `cbor:",toarray"`
+	Late bool
+	In   int64
+}
+
+// A Head is the first of the long prompts that wait at a VM: whether it is late
+// already, and its latest start in time.
+type Head struct {
+	Late  bool
+	Start time.Time
+}
+
+func (h Head) before(o Head) bool {
+	if h.Late != o.Late {
+		return o.Late
+	}
+	return h.Start.Before(o.Start)
 }
 
 // A peer is another VM.
@@ -84,6 +107,8 @@
 	tried   time.Time
 	ends    map[string]int64
 	loads   map[string]told
+	head    *Head
+	headSeq uint64
 }
 
 type told struct {
@@ -108,6 +133,8 @@
 	peers    map[netip.AddrPort]*peer
 	dirty    map[string]placer.Load
 	own      map[string]placer.Load
+	head     *Head
+	headNew  bool
 	beatAt   time.Time
 	repeatAt time.Time
 	vms      []string
@@ -165,10 +192,10 @@
 		g.repeatAt = now
 		maps.Copy(g.dirty, g.own)
 	}
-	if len(g.dirty) == 0 && now.Sub(g.beatAt) < beatEvery {
+	if len(g.dirty) == 0 && !g.headNew && now.Sub(g.beatAt) < beatEvery {
 		return
 	}
-	g.beatAt = now
+	g.beatAt, g.headNew = now, false
 	names := slices.Sorted(maps.Keys(g.dirty))
 	for first := true; first || len(names) > 0; first = false {
 		n := min(len(names), mostLoads)
@@ -184,6 +211,9 @@
 func (g *Gossiper) message(ends map[string]int64, names []string) message {
 	g.seq++
 	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq, Ends: ends}
+	if g.head != nil {
+		m.Head = &head{Late: g.head.Late, In: g.head.Start.Sub(g.now()).Milliseconds()}
+	}
 	for _, name := range names {
 		l := g.dirty[name]
 		m.Loads = append(m.Loads, load{
@@ -250,7 +280,7 @@
 	now := g.now()
 	if m.VM != p.vm || m.Boot != p.boot {
 		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
-		p.vm, p.boot = m.VM, m.Boot
+		p.vm, p.boot, p.head, p.headSeq = m.VM, m.Boot, nil, 0
 		clear(p.loads)
 		clear(p.ends)
 	} else if now.Sub(p.heard) > silent {
@@ -264,6 +294,12 @@
 	for name, end := range m.Ends {
 		p.ends[name] = max(p.ends[name], end)
 	}
+	if m.Seq > p.headSeq {
+		p.head, p.headSeq = nil, m.Seq
+		if m.Head != nil {
+			p.head = &Head{Late: m.Head.Late, Start: now.Add(time.Duration(m.Head.In) * time.Millisecond)}
+		}
+	}
 	for _, l := range m.Loads {
 		if old, ok := p.loads[l.Upstream]; ok && old.seq > m.Seq {
 			continue
@@ -294,6 +330,33 @@
 	return sum
 }
 
+// Wait tells the others, with the next Tick, of the first long prompt that waits
+// here; nil where none does. It says whether that is news.
+func (g *Gossiper) Wait(h *Head) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if (h == nil) == (g.head == nil) && (h == nil || *h == *g.head) {
+		return false
+	}
+	g.head, g.headNew = h, true
+	return true
+}
+
+// Before is how many VMs have a long prompt waiting that goes before one of
+// this VM.
+func (g *Gossiper) Before(h Head) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	n := 0
+	for _, p := range g.peers {
+		if p.head != nil && now.Sub(p.heard) <= silent && p.head.before(h) {
+			n++
+		}
+	}
+	return n
+}
+
 // VMs are the names of the VMs that live, this one included, in order.
 func (g *Gossiper) VMs() []string {
 	g.mu.Lock()
--- a/entry/process/joiner/peers.go
+++ b/entry/process/joiner/peers.go
@@ -62,6 +62,26 @@
 // Share tells the others soon: changes of one moment go together.
 func (p peers) Share(upstream string, l placer.Load) {
 	p.gossiper.Share(upstream, l)
+	p.flush()
+}
+
+// Wait tells the others of the first long prompt that waits here.
+func (p peers) Wait(waits, late bool, start time.Time) {
+	var h *gossiper.Head
+	if waits {
+		h = &gossiper.Head{Late: late, Start: start}
+	}
+	if p.gossiper.Wait(h) {
+		p.flush()
+	}
+}
+
+// Before is how many VMs have a long prompt waiting that goes before this one.
+func (p peers) Before(late bool, start time.Time) int {
+	return p.gossiper.Before(gossiper.Head{Late: late, Start: start})
+}
+
+func (p peers) flush() {
 	if p.flushing.CompareAndSwap(false, true) {
 		time.AfterFunc(gossiper.FlushEvery(), func() {
 			p.flushing.Store(false)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -22,6 +22,10 @@
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
+// turn is how long a VM leaves a place to each VM whose long prompt goes first.
+// It covers a datagram's way there and back with the news of what was placed.
+const turn = 12 * time.Millisecond
+
 // unbounded is the room at an upstream that is not cold.
 const unbounded = 1 << 20
 
@@ -33,6 +37,11 @@
 	VMs() []string
 	// Share tells the others of this VM's work at an upstream.
 	Share(upstream string, own placer.Load)
+	// Wait tells them of the first long prompt that waits here, if one does:
+	// whether it is late already, and its latest start in time.
+	Wait(waits, late bool, start time.Time)
+	// Before is how many VMs have one waiting that goes before such a prompt.
+	Before(late bool, start time.Time) int
 }
 
 // Bounds are what operators demand in sum over all VMs.
@@ -91,6 +100,8 @@
 	call  Call
 	times times
 	reply chan reply
+	// found is since when there has been a place for it, zero where none is.
+	found time.Time
 }
 
 type reply struct {
@@ -175,6 +186,37 @@
 		kept = append(kept, w)
 	}
 	s.waiting = kept
+	s.tell(now)
+}
+
+// tell tells the others of the first long prompt that waits.
+func (s *Scheduler) tell(now time.Time) {
+	for _, w := range s.waiting {
+		if w.times.long {
+			s.deps.Peers.Wait(true, w.times.late(now), w.times.start)
+			return
+		}
+	}
+	s.deps.Peers.Wait(false, false, time.Time{})
+}
+
+// yields says that a long prompt for which there is a place leaves it to the
+// other VMs for a moment. Engines that end a prompt become free for all VMs at
+// once; without an order among these each would send its own prompt there at
+// the same time, and the groups would wait for each other's parts.
+func (s *Scheduler) yields(now time.Time, w *waiter, found bool) bool {
+	if !found {
+		w.found = time.Time{}
+		return true
+	}
+	if !w.times.long || w.times.mood(now) != placer.Patient {
+		return false
+	}
+	if w.found.IsZero() {
+		w.found = now
+	}
+	before := s.deps.Peers.Before(w.times.late(now), w.times.start)
+	return now.Sub(w.found) < time.Duration(before)*turn
 }
 
 // A kind is what waits for the same places, so that none of it is placed before
@@ -198,7 +240,7 @@
 	states := s.deps.Tracker.Usable(now, w.call.Service.Name)
 	cs := s.candidates(now, w.call.Service, states)
 	choice, ok := s.choose(now, w, cs)
-	if !ok {
+	if s.yields(now, w, ok) {
 		blocked[k] = true
 		return reply{}, false
 	}
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -29,7 +29,7 @@
 	usualOutput     = 0.4
 	// headroom is how many slots must be free for short prompts, for each of
 	// these that runs, where a late long prompt begins.
-	headroom = 0.4
+	headroom = 0.7
 	// harmless is the harm up to which a patient request takes a place.
 	harmless = 0.3
 	// lateShare is the part of its use that a late answer has lost.
@@ -89,7 +89,8 @@
 	case Patient:
 		return best, harmOfBest <= harmless && (best.First <= left || left < 0)
 	case Pressed:
-		return best, harmOfBest <= lateShare*a.weight()
+		// Harm that does not even bring the answer in time is for nothing.
+		return best, harmOfBest <= harmless || (best.First <= left && harmOfBest <= lateShare*a.weight())
 	}
 	return best, harmOfBest <= (1-lateShare)*a.weight()
 }
