--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -19,17 +19,18 @@
 	// longer than it would be.
 	perSecond = 0.5
 	perPart   = 0.02
-	// mostPart is the longest part in milliseconds, where there are engines for
-	// shorter ones. An engine that is given more is lost for as long to short
-	// prompts that come meanwhile.
-	mostPart = 600.0
+	// goodPart is the longest part in milliseconds that costs nothing besides,
+	// and perGoodPart what each part as long again counts for. An engine that
+	// reads for long is lost for as long to short prompts that come meanwhile.
+	goodPart    = 600.0
+	perGoodPart = 4.0
 	// perEngineSecond is what a second of an engine's time counts for, and
 	// usualOutput the part of the most output tokens that answers have.
 	perEngineSecond = 1.0
 	usualOutput     = 0.4
 	// headroom is how many slots must be free for short prompts, for each of
 	// these that runs, where a late long prompt begins.
-	headroom = 0.7
+	headroom = 0.4
 	// harmless is the harm up to which a patient request takes a place.
 	harmless = 0.3
 	// lateShare is the part of its use that a late answer has lost.
@@ -59,7 +60,7 @@
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
 	harmOfBest := 0.0
-	for n := min(MostParts+1, int(math.Ceil(whole/mostPart))); n <= MostParts+1; n++ {
+	for n := 1; n <= MostParts+1; n++ {
 		part := whole / float64(n)
 		order := helpful(e, a, cs, part, m)
 		if len(order) < n {
@@ -70,7 +71,7 @@
 			continue
 		}
 		harm, first := weigh(e, cs, choice, part)
-		total := harm + perSecond*first/1000 + perPart*float64(n)
+		total := harm + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
 		if m != Last && first > left {
 			total += lateShare * a.weight()
 		}
@@ -150,7 +151,7 @@
 		}
 		// Two parts at one engine are read by turns: each group waits for the
 		// other's part, and neither is read sooner.
-		if m == Patient && c.Load.Parts > 0 {
+		if (m == Patient && c.Load.Parts > 0) || slices.Contains(a.Tried, c.ID) {
 			continue
 		}
 		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -267,9 +267,11 @@
 	r.note(j, at, "upstream declined")
 	if t.verdict.Misplaced {
 		r.deps.Tracker.Misplaced(at)
-	} else {
-		r.deps.Tracker.Failed(r.deps.Now(), at, false)
+		return failed
 	}
+	// An engine that cannot help is leaving or gone; one that takes no request
+	// itself may just be full.
+	r.deps.Tracker.Failed(r.deps.Now(), at, at != t.grant.Upstream.ID)
 	return failed
 }
 
