Test the decisions of the platform's path; late prompts leave room by number

Each test tells the failure that it stands for: bounds kept in sum (rapid, any number of VMs), entries that land late, lapsed and reborn upstreams, records that never go back (rapid), bursts of short prompts, long prompts beside them, prompts above one memory, places given back (rapid), refusals at once, order, lost and reordered datagrams, silent VMs, peers that have read further. One found that a late prompt asked for all free engines and, refused, did not try fewer: now the number of engines that leaves room is among those weighed.

--- /dev/null
+++ b/entry/process/budgeter/budgeter_test.go
@@ -0,0 +1,131 @@
+package budgeter_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/process/budgeter"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func names(n int) []string {
+	var vms []string
+	for i := range n {
+		vms = append(vms, "vm-"+strconv.Itoa(i))
+	}
+	return vms
+}
+
+// VMs that each take a rounded-up part of a bound send more than it in sum, and
+// a cold engine falls over under first requests that each VM took for its own.
+func TestPartsNeverExceedTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := names(rapid.IntRange(1, 400).Draw(t, "vms"))
+		bound := rapid.Float64Range(0, 500).Draw(t, "bound")
+		matter := rapid.String().Draw(t, "matter")
+		sum := 0
+		for _, vm := range vms {
+			sum += budgeter.Part(bound, matter, vm, vms)
+		}
+		if sum != int(bound) {
+			t.Fatalf("%d VMs have %d of %v", len(vms), sum, bound)
+		}
+	})
+}
+
+// With more VMs than the bound allows, an upstream in cold start must be open to
+// some VMs, and different ones to different VMs: else one VM gets all of the
+// cold engines and the others none.
+func TestSmallPartsSpreadOverVMs(t *testing.T) {
+	vms := names(90)
+	open := 0
+	for _, vm := range vms {
+		for i := range 30 {
+			if budgeter.Part(59, "cold u"+strconv.Itoa(i), vm, vms) > 0 {
+				open++
+				break
+			}
+		}
+	}
+	assert.Equal(t, open, len(vms))
+}
+
+// Requests that come at any times must never be sent on to a cold upstream
+// beyond its bound within any second, over all VMs together.
+func TestColdUpstreamGetsNoMoreThanItsBoundInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := names(rapid.IntRange(1, 12).Draw(t, "vms"))
+		bound := float64(rapid.IntRange(1, 60).Draw(t, "bound"))
+		colds := make([]*budgeter.Cold, len(vms))
+		for i := range colds {
+			colds[i] = budgeter.NewCold()
+		}
+		now := start
+		var sent []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
+			if colds[i].Room(now, bound, "u", vms[i], vms) > 0 {
+				colds[i].Sent(now)
+				sent = append(sent, now)
+			}
+		}
+		for i := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					n++
+				}
+			}
+			if n > int(bound) {
+				t.Fatalf("%d within a second, bound %v", n, bound)
+			}
+		}
+	})
+}
+
+// A service that fails everything makes each VM repeat what it sent: without a
+// bound it gets twice its load when it can bear least.
+func TestRepeatsStayWithinTheBudgetInAnySpan(t *testing.T) {
+	const span = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		vms := names(rapid.IntRange(1, 9).Draw(t, "vms"))
+		slack := float64(rapid.IntRange(0, 40).Draw(t, "slack"))
+		budgets := make([]*budgeter.Repeats, len(vms))
+		for i := range budgets {
+			budgets[i] = budgeter.NewRepeats(0.2, slack, span)
+		}
+		now := start
+		var firsts, again []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
+			budgets[i].Sent(now)
+			firsts = append(firsts, now)
+			if budgets[i].Take(now, vms[i], vms) {
+				again = append(again, now)
+			}
+		}
+		for _, to := range again {
+			repeats, requests := within(again, to, span), within(firsts, to, span)+within(firsts, to.Add(-span), span)
+			if float64(repeats) > 0.2*float64(requests)+slack {
+				t.Fatalf("%d repeats for %d requests", repeats, requests)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, to time.Time, span time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.After(to) && to.Sub(at) < span {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/process/gossiper/gossiper_test.go
@@ -0,0 +1,209 @@
+package gossiper_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+// A net carries datagrams between gossipers when a test says so.
+type network struct {
+	now   time.Time
+	nodes map[netip.AddrPort]*gossiper.Gossiper
+	queue []datagram
+	lose  bool
+}
+
+type datagram struct {
+	from, to netip.AddrPort
+	data     []byte
+}
+
+type wire struct {
+	*network
+	from netip.AddrPort
+}
+
+func (w wire) Send(to netip.AddrPort, data []byte) error {
+	if !w.lose {
+		w.queue = append(w.queue, datagram{w.from, to, data})
+	}
+	return nil
+}
+
+func address(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, i}), 7000)
+}
+
+func (n *network) add(i byte, boot int64, ends map[string]int64) *gossiper.Gossiper {
+	a := address(i)
+	g := gossiper.New("vm"+string(rune('0'+i)), boot, a, wire{n, a}, func() map[string]int64 { return ends },
+		func() time.Time { return n.now }, zerolog.Nop())
+	n.nodes[a] = g
+	return g
+}
+
+func (n *network) deliver() {
+	queue := n.queue
+	n.queue = nil
+	for _, d := range queue {
+		if g, ok := n.nodes[d.to]; ok {
+			g.Receive(d.from, d.data)
+		}
+	}
+}
+
+// run lets time pass, with datagrams delivered.
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
+		for _, g := range n.nodes {
+			g.Tick(n.now)
+		}
+		n.deliver()
+	}
+}
+
+func newNetwork() *network {
+	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}}
+}
+
+var work = placer.Load{Streams: 2, Context: 9000, Unread: 40, Starting: 1, Parts: 1, Pauses: [4]int{0, 1, 0, 1}}
+
+// A VM that sees only its own requests takes an engine for idle to which the
+// others have just sent theirs.
+func TestWorkReachesTheOthers(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	a.Share("u", work)
+	n.run(100 * time.Millisecond)
+	assert.Equal(t, b.Load("u"), work)
+	assert.Equal(t, b.Load("v"), placer.Load{})
+	a.Share("u", placer.Load{})
+	n.run(100 * time.Millisecond)
+	assert.Equal(t, b.Load("u"), placer.Load{})
+	n.run(4 * time.Second)
+	assert.DeepEqual(t, b.VMs(), []string{"vm1", "vm2"})
+}
+
+// Datagrams are lost and arrive out of order. What is told later must not be
+// undone by what was told before, and a lost word is said again.
+func TestLostAndReorderedDatagramsDoNoHarm(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	a.Share("u", work)
+	a.Tick(n.now)
+	a.Share("u", placer.Load{})
+	a.Tick(n.now)
+	n.queue[0], n.queue[1] = n.queue[1], n.queue[0]
+	n.deliver()
+	assert.Equal(t, b.Load("u"), placer.Load{})
+
+	n.lose = true
+	a.Share("u", work)
+	n.run(100 * time.Millisecond)
+	n.lose = false
+	n.run(1200 * time.Millisecond)
+	assert.Equal(t, b.Load("u"), work)
+}
+
+// A VM dies and says nothing. Its work ends with it, and counted on it would
+// keep engines idle; but it may only be unheard, and still send, so that its
+// part of common bounds is not given away at once.
+func TestSilentVMsWorkIsForgottenBeforeItself(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	a.Share("u", work)
+	n.run(4 * time.Second)
+	delete(n.nodes, address(1))
+	n.run(2 * time.Second)
+	assert.Equal(t, b.Load("u"), placer.Load{})
+	assert.DeepEqual(t, b.VMs(), []string{"vm1", "vm2"})
+	n.run(8 * time.Second)
+	assert.DeepEqual(t, b.VMs(), []string{"vm2"})
+}
+
+// One that says that it leaves need not be waited for, and one that starts again
+// has nothing left of before.
+func TestLeavingAndReturningVMs(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	a.Share("u", work)
+	n.run(4 * time.Second)
+	a.Bye()
+	n.deliver()
+	n.now = n.now.Add(time.Second)
+	assert.DeepEqual(t, b.VMs(), []string{"vm2"})
+	again := n.add(1, 2, nil)
+	again.Meet(address(2))
+	n.run(time.Second)
+	assert.Equal(t, b.Load("u"), placer.Load{})
+	assert.DeepEqual(t, b.VMs(), []string{"vm1", "vm2"})
+}
+
+// A process that has just started knows no other. If it took the whole of each
+// common bound for itself, all that start together would send a multiple.
+func TestNewProcessAssumesOthers(t *testing.T) {
+	n := newNetwork()
+	a := n.add(1, 1, nil)
+	assert.Assert(t, len(a.VMs()) >= 9)
+	n.run(4 * time.Second)
+	assert.DeepEqual(t, a.VMs(), []string{"vm1"})
+}
+
+// The platform refuses this VM and serves another: that one is ahead, and has
+// to be asked.
+func TestAheadNamesWhoHasReadFurther(t *testing.T) {
+	n := newNetwork()
+	a := n.add(1, 1, map[string]int64{"s": 5})
+	n.add(2, 1, map[string]int64{"s": 9})
+	n.add(3, 1, map[string]int64{"s": 7})
+	a.Meet(address(2))
+	a.Meet(address(3))
+	n.run(time.Second)
+	at, ok := a.Ahead("s", 5)
+	assert.Assert(t, ok)
+	assert.Equal(t, at, address(2))
+	_, ok = a.Ahead("s", 9)
+	assert.Assert(t, !ok)
+	_, ok = a.Ahead("other", 0)
+	assert.Assert(t, !ok)
+}
+
+// Long prompts wait at several VMs for the same engines. Without an order each
+// VM sends its own there in the same moment.
+func TestWaitingPromptsHaveOneOrder(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	first := gossiper.Head{Start: n.now.Add(time.Second)}
+	second := gossiper.Head{Start: n.now.Add(2 * time.Second)}
+	late := gossiper.Head{Late: true, Start: n.now.Add(-time.Second)}
+	assert.Assert(t, a.Wait(&first))
+	assert.Assert(t, !a.Wait(&first), "it is no news")
+	n.run(300 * time.Millisecond)
+	assert.Equal(t, b.Before(second), 1)
+	assert.Equal(t, b.Before(late), 1, "what can be in time goes before what cannot")
+	assert.Equal(t, b.Before(gossiper.Head{Start: n.now}), 0)
+	assert.Assert(t, a.Wait(nil))
+	n.run(300 * time.Millisecond)
+	assert.Equal(t, b.Before(second), 0)
+}
+
+// Anybody may send a datagram.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x61, 0x78})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		n := newNetwork()
+		n.add(1, 1, nil).Receive(address(2), data)
+	})
+}
--- /dev/null
+++ b/entry/process/replicator/replicator_test.go
@@ -0,0 +1,84 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/process/replicator"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// Records come from the platform and from peers, in any order, twice, and from
+// readings that are seconds old. A VM that took an older one for the newer
+// would honour a key that was taken away.
+func TestCopiesNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seen := map[string]int64{}
+		c := replicator.New(func(rs []replicator.Record) {
+			for _, r := range rs {
+				if r.Offset <= seen[r.Key] {
+					t.Fatalf("%s went back from %d to %d", r.Key, seen[r.Key], r.Offset)
+				}
+				seen[r.Key] = r.Offset
+			}
+		})
+		newest := map[string]int64{}
+		for range rapid.IntRange(1, 30).Draw(t, "readings") {
+			var rs []replicator.Record
+			end := int64(0)
+			for range rapid.IntRange(0, 5).Draw(t, "records") {
+				r := replicator.Record{
+					Key:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"),
+					Offset:  rapid.Int64Range(1, 40).Draw(t, "offset"),
+					Dropped: rapid.Bool().Draw(t, "dropped"),
+				}
+				rs = append(rs, r)
+				newest[r.Key] = max(newest[r.Key], r.Offset)
+				end = max(end, r.Offset+1)
+			}
+			c.Merge(rs, end, now)
+		}
+		for key, offset := range newest {
+			if seen[key] != offset {
+				t.Fatalf("%s is at %d and not %d", key, seen[key], offset)
+			}
+		}
+	})
+}
+
+// The platform forgets its history, and with it that a key was dropped: only the
+// whole list shows it, by what is not there.
+func TestWholeReadingDropsWhatItLacks(t *testing.T) {
+	dropped := map[string]bool{}
+	c := replicator.New(func(rs []replicator.Record) {
+		for _, r := range rs {
+			dropped[r.Key] = r.Dropped
+		}
+	})
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}}, 3, now)
+	c.Merge([]replicator.Record{{Key: "new", Offset: 12}}, 0, now)
+	c.Complete([]replicator.Record{{Key: "b", Offset: 2}}, 10, now)
+	assert.DeepEqual(t, dropped, map[string]bool{"a": true, "b": false, "new": false})
+	end, asOf := c.End()
+	assert.Equal(t, end, int64(10))
+	assert.Equal(t, asOf, now)
+}
+
+// A peer gets what it lacks and the age of it, so that what goes from VM to VM
+// does not seem fresher each time.
+func TestSinceGivesWhatAPeerLacks(t *testing.T) {
+	c := replicator.New(func([]replicator.Record) {})
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 5}}, 6, now)
+	rs, end, asOf := c.Since(2)
+	assert.Equal(t, len(rs), 1)
+	assert.Equal(t, rs[0].Key, "b")
+	assert.Equal(t, end, int64(6))
+	assert.Equal(t, asOf, now)
+	c.Merge(nil, 4, now.Add(time.Second))
+	_, asOf = c.End()
+	assert.Equal(t, asOf, now, "an older end confirms nothing")
+}
--- /dev/null
+++ b/entry/process/scheduler/scheduler_test.go
@@ -0,0 +1,250 @@
+package scheduler_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+var engine = &matcher.Engine{
+	Slots: 2, Memory: 232_000, Stride: 43, Chunk: 2048,
+	Step: 1.02, PerStream: 0.00226, PerContext: 0.00431, ReadRate: 206, Pairs: 0.138,
+}
+
+// peers are other VMs that say what a test wants.
+type peers struct {
+	mu     sync.Mutex
+	loads  map[string]placer.Load
+	shared map[string]placer.Load
+	before int
+	waits  bool
+}
+
+func (p *peers) Load(u string) placer.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loads[u]
+}
+func (p *peers) VMs() []string { return []string{"me", "other"} }
+func (p *peers) Share(u string, l placer.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shared[u] = l
+}
+func (p *peers) Wait(waits, _ bool, _ time.Time) { p.waits = waits }
+func (p *peers) Before(bool, time.Time) int      { return p.before }
+
+// A fleet is a scheduler with upstreams and a clock that a test sets.
+type fleet struct {
+	*scheduler.Scheduler
+	tracker *tracker.Tracker
+	peers   *peers
+	now     time.Time
+}
+
+func newFleet(engines int) *fleet {
+	f := &fleet{tracker: tracker.New(), now: time.Unix(1_000_000, 0)}
+	f.peers = &peers{loads: map[string]placer.Load{}, shared: map[string]placer.Load{}}
+	f.Scheduler = scheduler.New("me", "z", scheduler.Deps{
+		Tracker: f.tracker, Peers: f.peers, Now: func() time.Time { return f.now },
+		Bounds: func() scheduler.Bounds { return scheduler.Bounds{ColdMultiplier: 1, ColdSlack: 0} },
+	})
+	for i := range engines {
+		f.tracker.Put(f.now, tracker.Upstream{ID: "u" + strconv.Itoa(i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2})
+	}
+	return f
+}
+
+func (f *fleet) call(prompt int, limit time.Duration) scheduler.Call {
+	return scheduler.Call{Service: &matcher.Service{Name: "s", Engine: engine, ColdRate: 4}, Ask: placer.Ask{
+		Prompt: prompt, Output: 40, Pause: 250, Arrived: f.now, Objective: f.now.Add(limit / 10), Deadline: f.now.Add(limit),
+	}}
+}
+
+type outcome struct {
+	grant   *scheduler.Grant
+	refusal *scheduler.Refusal
+}
+
+// ask acquires beside the test; it returns once the request waits or is over.
+func (f *fleet) ask(t testing.TB, ctx context.Context, c scheduler.Call) chan outcome {
+	t.Helper()
+	before := f.Waiting()
+	out := make(chan outcome, 1)
+	go func() {
+		g, r := f.Acquire(ctx, c)
+		out <- outcome{g, r}
+	}()
+	for f.Waiting() == before && len(out) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return out
+}
+
+// A caller leaves in the moment in which it is given its place. A place that
+// nobody gives back would be lost for good: the engine seems full forever.
+func TestNothingIsLeftWhenAllHaveEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 6).Draw(t, "engines"))
+		var open []*scheduler.Grant
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch {
+			case len(open) > 0 && rapid.Bool().Draw(t, "end"):
+				g := open[0]
+				open = open[1:]
+				if rapid.Bool().Draw(t, "began") {
+					g.Began()
+				}
+				g.Done()
+				g.Done()
+			default:
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel()
+				g, _ := f.Acquire(ctx, f.call(rapid.IntRange(1, 300_000).Draw(t, "prompt"), 10*time.Second))
+				if g != nil {
+					open = append(open, g)
+				}
+			}
+		}
+		for _, g := range open {
+			g.Done()
+		}
+		if len(f.Own()) != 0 || f.Waiting() != 0 {
+			t.Fatalf("left: %v, waiting %d", f.Own(), f.Waiting())
+		}
+		for u, l := range f.peers.shared {
+			if l != (placer.Load{}) {
+				t.Fatalf("peers think that %s has %+v", u, l)
+			}
+		}
+	})
+}
+
+// All slots are taken, and the next request's time runs out here: its caller
+// must learn it in that moment, not when the time is over.
+func TestWhatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(1)
+	for range 2 {
+		_, refusal := f.Acquire(t.Context(), f.call(1000, 10*time.Second))
+		assert.Assert(t, refusal == nil)
+	}
+	waits := f.ask(t, t.Context(), f.call(1000, 10*time.Second))
+	assert.Equal(t, f.Waiting(), 1)
+	f.now = f.now.Add(9950 * time.Millisecond)
+	f.Pump()
+	o := <-waits
+	assert.Assert(t, o.refusal != nil)
+	assert.Equal(t, o.refusal.Code, scheduler.Late)
+	assert.Assert(t, o.refusal.After > 0)
+	_, refusal := f.Acquire(t.Context(), f.call(600_000, 500*time.Millisecond))
+	assert.Assert(t, refusal != nil, "half a second cannot be enough")
+}
+
+// A prompt that no engine has room for waits at the head of the queue. Short
+// prompts, and long ones of other lengths, must go past it.
+func TestPromptWithoutPlaceHoldsBackNoOther(t *testing.T) {
+	f := newFleet(1)
+	huge := f.ask(t, t.Context(), f.call(500_000, 100*time.Second))
+	assert.Equal(t, f.Waiting(), 1)
+	assert.Assert(t, f.peers.waits, "the others are told")
+	g, refusal := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+	assert.Assert(t, refusal == nil)
+	g.Done()
+	g, refusal = f.Acquire(t.Context(), f.call(40_000, 100*time.Second))
+	assert.Assert(t, refusal == nil)
+	g.Done()
+	assert.Equal(t, len(huge), 0)
+}
+
+// Of two that wait, the urgent one goes first; of two alike, the one whose time
+// is shorter; and one that is late already after both.
+func TestPlacesGoByRankThenByTime(t *testing.T) {
+	f := newFleet(1)
+	first, _ := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+	second, _ := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+	late := f.call(1000, 100*time.Second)
+	late.Ask.Objective = f.now.Add(-time.Second)
+	relaxed, urgent := f.call(1000, 200*time.Second), f.call(1000, 100*time.Second)
+	ranked := f.call(1000, 200*time.Second)
+	relaxed.Priority, urgent.Priority, late.Priority = 1, 1, 1
+	var outs []chan outcome
+	for _, c := range []scheduler.Call{late, relaxed, urgent, ranked} {
+		outs = append(outs, f.ask(t, t.Context(), c))
+	}
+	assert.Equal(t, f.Waiting(), 4)
+	first.Done()
+	o := <-outs[3]
+	second.Done()
+	o2 := <-outs[2]
+	o.grant.Done()
+	<-outs[1]
+	assert.Equal(t, len(outs[0]), 0)
+	o2.grant.Done()
+	<-outs[0]
+}
+
+// Engines that end a prompt become free for every VM at once. A VM whose prompt
+// is not the first leaves them to the others for a moment, and no longer.
+func TestLongPromptsYieldToOthersFirst(t *testing.T) {
+	f := newFleet(4)
+	f.peers.before = 2
+	out := f.ask(t, t.Context(), f.call(60_000, 100*time.Second))
+	assert.Equal(t, f.Waiting(), 1)
+	f.now = f.now.Add(20 * time.Millisecond)
+	f.Pump()
+	assert.Equal(t, f.Waiting(), 1)
+	f.now = f.now.Add(5 * time.Millisecond)
+	f.Pump()
+	o := <-out
+	assert.Assert(t, o.grant != nil)
+	g, _ := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+	assert.Assert(t, g != nil, "short prompts do not wait for that")
+}
+
+// What the others have sent is there before any report shows it.
+func TestOthersWorkCounts(t *testing.T) {
+	f := newFleet(2)
+	f.peers.loads["u0"] = placer.Load{Streams: 2, Context: 1000, Pauses: [4]int{0, 2}}
+	for range 2 {
+		g, _ := f.Acquire(t.Context(), f.call(1000, 10*time.Second))
+		assert.Equal(t, g.Upstream.ID, "u1")
+	}
+}
+
+// An upstream turned cold and bears four requests a second from all VMs. Each
+// sends its part and no more, and the rest waits or goes elsewhere.
+func TestColdUpstreamGetsThisVMsPart(t *testing.T) {
+	f := newFleet(1)
+	f.tracker.TurnedCold(f.now, "u0", time.Minute)
+	for range 2 {
+		g, refusal := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+		assert.Assert(t, refusal == nil)
+		g.Done()
+	}
+	out := f.ask(t, t.Context(), f.call(1000, 100*time.Second))
+	assert.Equal(t, f.Waiting(), 1)
+	f.now = f.now.Add(1300 * time.Millisecond)
+	f.Pump()
+	assert.Assert(t, (<-out).grant != nil)
+}
+
+// A caller that gives up takes its request out of the queue.
+func TestCallersWhoLeaveDoNotWaitOn(t *testing.T) {
+	f := newFleet(0)
+	ctx, cancel := context.WithCancel(t.Context())
+	out := f.ask(t, ctx, f.call(1000, 10*time.Second))
+	assert.Equal(t, f.Waiting(), 1)
+	cancel()
+	assert.Assert(t, (<-out).refusal != nil)
+	assert.Equal(t, f.Waiting(), 0)
+}
--- /dev/null
+++ b/entry/process/syncer/syncer_test.go
@@ -0,0 +1,131 @@
+package syncer_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/process/syncer"
+)
+
+var errDown = errors.New("down")
+
+// A platform keeps records and can be down, or have forgotten.
+type platform struct {
+	mu      sync.Mutex
+	records []replicator.Record
+	down    bool
+	forgot  bool
+	wholes  int
+}
+
+func (p *platform) Newest(context.Context, string) ([]replicator.Record, int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, 0, errDown
+	}
+	p.forgot = false
+	p.wholes++
+	return p.records, int64(len(p.records)), nil
+}
+
+func (p *platform) Read(_ context.Context, _ string, from int64, _ time.Duration) ([]replicator.Record, int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.down:
+		return nil, 0, errDown
+	case p.forgot:
+		return nil, 0, syncer.ErrForgotten
+	}
+	return p.records[from:], int64(len(p.records)), nil
+}
+
+func (p *platform) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
+// peers have one VM that has read further.
+type peers struct {
+	records []replicator.Record
+}
+
+func (p peers) Ahead(_ string, than int64) (netip.AddrPort, bool) {
+	return netip.AddrPort{}, int64(len(p.records)) > than
+}
+
+func (p peers) Fetch(_ context.Context, _ netip.AddrPort, _ string, from int64) ([]replicator.Record, int64, time.Duration, error) {
+	return p.records[from:], int64(len(p.records)), 30 * time.Millisecond, nil
+}
+
+func record(key string, offset int64) replicator.Record {
+	return replicator.Record{Key: key, Offset: offset}
+}
+
+func start(t *testing.T, p *platform, others peers) *replicator.Copy {
+	t.Helper()
+	c := replicator.New(func([]replicator.Record) {})
+	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Every: time.Millisecond, Stale: 20 * time.Millisecond}, p, others, time.Now, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	var both sync.WaitGroup
+	both.Go(func() { s.Run(ctx) })
+	both.Go(func() { s.RunPeers(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		both.Wait()
+	})
+	return c
+}
+
+func reaches(t *testing.T, c *replicator.Copy, end int64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if at, _ := c.End(); at == end {
+			return poll.Success()
+		}
+		return poll.Continue("not there")
+	}, poll.WithTimeout(20*time.Second))
+}
+
+func TestReadsAllAndThenOn(t *testing.T) {
+	p := &platform{records: []replicator.Record{record("a", 0)}}
+	c := start(t, p, peers{})
+	reaches(t, c, 1)
+	p.set(func() { p.records = append(p.records, record("b", 1)) })
+	reaches(t, c, 2)
+}
+
+// The platform drops its history: what comes after cannot be read from where
+// this VM stood, and a VM that went on asking would learn nothing more.
+func TestForgottenHistoryIsReadWhole(t *testing.T) {
+	p := &platform{records: []replicator.Record{record("a", 0)}}
+	c := start(t, p, peers{})
+	reaches(t, c, 1)
+	p.set(func() {
+		p.forgot = true
+		p.records = append(p.records, record("b", 1), record("c", 2))
+	})
+	reaches(t, c, 3)
+	p.set(func() { assert.Equal(t, p.wholes, 2) })
+}
+
+// The platform turns this VM away and serves the others. What they have read
+// must get here: a key that was taken away opens nothing.
+func TestPeersBringWhatThePlatformDoesNot(t *testing.T) {
+	p := &platform{down: true}
+	c := start(t, p, peers{records: []replicator.Record{record("a", 0), record("b", 1)}})
+	reaches(t, c, 2)
+	_, asOf := c.End()
+	assert.Assert(t, time.Since(asOf) >= 30*time.Millisecond, "it is as old as the peer's reading")
+}
--- /dev/null
+++ b/entry/process/tracker/tracker_test.go
@@ -0,0 +1,147 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/tracker"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func upstream(id string) tracker.Upstream {
+	return tracker.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: "z1", Slots: 4, Born: 100, Sequence: 5}
+}
+
+func ids(t *tracker.Tracker, at time.Time) []string {
+	var out []string
+	for _, s := range t.Usable(at, "s") {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+// An upstream that leaves, whose entry is gone or whose zone is taken out gets
+// no new work, also when a VM had chosen it a moment before.
+func TestLeavingUpstreamsGetNothing(t *testing.T) {
+	tr := tracker.New()
+	tr.Put(now, upstream("a"))
+	assert.DeepEqual(t, ids(tr, now), []string{"a"})
+	assert.Equal(t, len(tr.Usable(now, "other")), 0)
+
+	u := upstream("a")
+	u.Draining, u.Sequence = true, 6
+	assert.Assert(t, tr.Put(now, u))
+	assert.Equal(t, len(ids(tr, now)), 0)
+	assert.Assert(t, !tr.May("a"))
+
+	tr.Put(now, upstream("b"))
+	tr.TakeOut(map[string]bool{"z1": true})
+	assert.Assert(t, !tr.May("b"))
+	tr.TakeOut(map[string]bool{"z1": false})
+	assert.Assert(t, tr.May("b"))
+	assert.Assert(t, tr.Remove(now, "b", false))
+	assert.Assert(t, !tr.May("b"))
+	assert.Assert(t, !tr.Remove(now, "b", false))
+}
+
+// The platform carries a write out seconds late: the entry "ready" that an
+// upstream wrote before "draining", or before it was gone, lands after it. An
+// upstream that came back by it would get work that it never answers.
+func TestEntriesThatLandLateChangeNothing(t *testing.T) {
+	tr := tracker.New()
+	u := upstream("a")
+	u.Draining = true
+	tr.Put(now, u)
+	late := upstream("a")
+	late.Sequence = 4
+	assert.Assert(t, !tr.Put(now, late))
+	assert.Assert(t, !tr.May("a"))
+
+	tr.Remove(now, "a", false)
+	assert.Assert(t, !tr.Put(now, late))
+	assert.Equal(t, tr.Len(), 0)
+
+	born := upstream("a")
+	born.Born, born.Sequence = 200, 0
+	assert.Assert(t, tr.Put(now, born))
+	assert.Assert(t, tr.May("a"))
+	older := upstream("a")
+	older.Sequence = 99
+	assert.Assert(t, !tr.Put(now, older))
+}
+
+// While the platform is down entries lapse although their upstreams live. If all
+// were dropped with the first reading afterwards, the fleet would refuse
+// everything until they are listed again.
+func TestLapsedUpstreamsAreUsedUntilTheyMustBeBack(t *testing.T) {
+	tr := tracker.New()
+	tr.Put(now, upstream("a"))
+	tr.Put(now, upstream("b"))
+	leaving := upstream("c")
+	leaving.Draining = true
+	tr.Put(now, leaving)
+	for _, id := range []string{"a", "b", "c"} {
+		tr.Remove(now, id, true)
+	}
+	assert.Equal(t, len(ids(tr, now)), 2)
+	assert.Equal(t, tr.Len(), 2)
+
+	back := upstream("b")
+	back.Sequence = 9
+	assert.Assert(t, tr.Put(now.Add(time.Second), back))
+	gone := tr.Expire(now.Add(2*time.Second), 1800*time.Millisecond)
+	assert.DeepEqual(t, gone, []string{"a"})
+	assert.DeepEqual(t, ids(tr, now), []string{"b"})
+}
+
+// An upstream that crashed says nothing: only broken connections tell. Tried
+// again by each request, it costs each of them its wait.
+func TestUnreachableUpstreamsRestForLonger(t *testing.T) {
+	tr := tracker.New()
+	tr.Put(now, upstream("a"))
+	rest := func(at time.Time) time.Duration { return tr.Usable(at, "s")[0].SilentUntil.Sub(at) }
+	tr.Failed(now, "a", true)
+	first := rest(now)
+	assert.Assert(t, first > 0)
+	tr.Failed(now, "a", true)
+	assert.Equal(t, rest(now), 2*first)
+	for range 20 {
+		tr.Failed(now, "a", true)
+	}
+	assert.Equal(t, rest(now), 4*time.Second)
+	tr.Answered("a")
+	assert.Assert(t, tr.Usable(now, "s")[0].SilentUntil.IsZero())
+}
+
+// An upstream that fails a part of its requests while its health check is good
+// shows only by these; once it is well again they must not count for long.
+func TestFailuresAreForgotten(t *testing.T) {
+	tr := tracker.New()
+	tr.Put(now, upstream("a"))
+	for range 4 {
+		tr.Failed(now, "a", false)
+	}
+	assert.Equal(t, tr.Usable(now, "s")[0].Failures, 4.0)
+	later := tr.Usable(now.Add(4*time.Second), "s")[0].Failures
+	assert.Assert(t, later > 0.9 && later < 1.1, "%v", later)
+}
+
+// One that starts again under its old name has nothing left of before: neither
+// its failures nor what it held.
+func TestRebornUpstreamIsNew(t *testing.T) {
+	tr := tracker.New()
+	tr.Put(now, upstream("a"))
+	tr.Failed(now, "a", true)
+	again := upstream("a")
+	again.Born, again.Sequence, again.Cold = 300, 1, 3*time.Second
+	assert.Assert(t, tr.Put(now, again))
+	s := tr.Usable(now, "s")[0]
+	assert.Equal(t, s.Failures, 0.0)
+	assert.Assert(t, s.SilentUntil.IsZero())
+	assert.Equal(t, s.ColdUntil, now.Add(3*time.Second))
+	tr.Misplaced("a")
+	assert.Equal(t, tr.Len(), 0)
+}
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -67,7 +67,7 @@
 			break
 		}
 		choice, ok := memory(e, a, cs, order, n, part)
-		if !ok {
+		if !ok || (left < 0 && !roomy(cs, choice)) {
 			continue
 		}
 		harm, first := weigh(e, cs, choice, part)
@@ -83,17 +83,17 @@
 	if math.IsInf(least, 1) {
 		return Choice{}, false
 	}
-	if left < 0 && !roomy(cs, best) {
-		return Choice{}, false
-	}
-	switch m {
-	case Patient:
-		return best, harmOfBest <= harmless && (best.First <= left || left < 0)
-	case Pressed:
+	inTime := best.First <= left
+	switch {
+	case harmOfBest <= harmless:
+		return best, inTime || left < 0 || m != Patient
+	case m == Pressed:
 		// Harm that does not even bring the answer in time is for nothing.
-		return best, harmOfBest <= harmless || (best.First <= left && harmOfBest <= lateShare*a.weight())
+		return best, inTime && harmOfBest <= lateShare*a.weight()
+	case m == Last:
+		return best, harmOfBest <= (1-lateShare)*a.weight()
 	}
-	return best, harmOfBest <= (1-lateShare)*a.weight()
+	return Choice{}, false
 }
 
 // roomy says that with a choice the engines that read nothing long have slots
--- /dev/null
+++ b/entry/request/placer/placer_test.go
@@ -0,0 +1,256 @@
+package placer_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// engine has the figures of today's engines.
+var engine = &matcher.Engine{
+	Slots: 16, Memory: 232_000, Stride: 43, Chunk: 2048,
+	Step: 1.02, PerStream: 0.00226, PerContext: 0.00431, ReadRate: 206, Pairs: 0.138, Hop: 0.075,
+}
+
+var now = time.Unix(1_000_000, 0)
+
+func idle(n int) []placer.Candidate {
+	var cs []placer.Candidate
+	for i := range n {
+		cs = append(cs, placer.Candidate{ID: "e" + strconv.Itoa(i), Slots: 16, Room: 1 << 20, Near: true})
+	}
+	return cs
+}
+
+func short() placer.Ask {
+	return placer.Ask{Prompt: 5000, Output: 3400, Pause: 250, Arrived: now, Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(10 * time.Second)}
+}
+
+func long(tokens int) placer.Ask {
+	return placer.Ask{Prompt: tokens, Output: 1700, Pause: 1000, Arrived: now, Objective: now.Add(2500 * time.Millisecond), Deadline: now.Add(15 * time.Second)}
+}
+
+// place books a choice as the scheduler does.
+func place(cs []placer.Candidate, a placer.Ask, c placer.Choice) {
+	part := placer.Load{Unread: c.Read, Parts: 1}
+	main := placer.Load{Streams: 1, Context: a.Prompt + a.Output, Pauses: placer.Bears(a.Pause)}
+	for _, t := range c.Tickets {
+		main.Context -= t.Tokens
+		cs[t.Candidate].Load.Context += t.Tokens
+	}
+	cs[c.Main].Load.Add(main)
+	if placer.Short(engine, a.Prompt) {
+		return
+	}
+	for _, i := range append([]int{c.Main}, c.Helpers...) {
+		cs[i].Load.Add(part)
+	}
+}
+
+// The model is what decisions rest on: a prompt of 133,000 tokens takes an
+// engine 1.87 s, and 17 engines a seventeenth of that each.
+func TestReadingTimeGrowsWithPairs(t *testing.T) {
+	whole := placer.Read(engine, 133_000, 1)
+	assert.Assert(t, whole > 1860 && whole < 1870, "%v", whole)
+	assert.Equal(t, placer.Read(engine, 133_000, 17), whole/17)
+	assert.Equal(t, placer.Read(engine, 0, 1), 0.0)
+	pass := placer.Pass(engine, 16, 16*6000)
+	assert.Assert(t, pass > 60 && pass < 65, "%v", pass)
+	assert.Equal(t, placer.Pass(engine, 0, 0), 0.0)
+}
+
+// A burst of short prompts comes one after the other. Spread over all engines
+// they would be everywhere in the way of long ones, and each would meet a part
+// of a long prompt in its passes.
+func TestBurstOfShortPromptsFillsFewEngines(t *testing.T) {
+	cs := idle(20)
+	for range 45 {
+		c, ok := placer.Engine(engine, short(), cs, now, placer.Patient)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(c.Helpers), 0)
+		place(cs, short(), c)
+	}
+	used := 0
+	for i := range cs {
+		if cs[i].Load.Streams > 0 {
+			used++
+		}
+		assert.Assert(t, cs[i].Load.Streams < 16, "a slot is left free")
+	}
+	assert.Equal(t, used, 3)
+}
+
+// Short prompts that come in the same moment are read in the same pass, and all
+// get their first token at its end. Sent to one engine they would all be late.
+func TestShortPromptsOfOneMomentSpread(t *testing.T) {
+	cs := idle(6)
+	for range 18 {
+		c, ok := placer.Engine(engine, short(), cs, now, placer.Patient)
+		assert.Assert(t, ok)
+		cs[c.Main].Load.Add(placer.Load{Streams: 1, Starting: 1, Unread: c.Read, Context: 8400, Pauses: placer.Bears(250)})
+	}
+	for i := range cs {
+		assert.Assert(t, cs[i].Load.Unread < 130, "%v", cs[i].Load)
+	}
+}
+
+// A long prompt that comes beside short answers takes the engines where none
+// runs; their streams keep their pace.
+func TestLongPromptLeavesShortAnswersAlone(t *testing.T) {
+	cs := idle(16)
+	for i := range 6 {
+		cs[i].Load = placer.Load{Streams: 12, Context: 100_000, Pauses: [4]int{0, 12}}
+	}
+	c, ok := placer.Engine(engine, long(133_000), cs, now, placer.Patient)
+	assert.Assert(t, ok)
+	for _, i := range append([]int{c.Main}, c.Helpers...) {
+		assert.Assert(t, i >= 6, "engine %d answers short prompts", i)
+	}
+	assert.Assert(t, len(c.Helpers) >= 2)
+	assert.Assert(t, c.First < 2500)
+}
+
+// All engines answer short prompts and a part would stop their streams: a long
+// prompt waits while it has time, goes where it must begin now, and waits again
+// when it is late already, unless the harm is below what is left of its use.
+func TestLongPromptWaitsForEnginesAndThenPresses(t *testing.T) {
+	cs := idle(16)
+	for i := range cs {
+		cs[i].Load = placer.Load{Streams: 1, Context: 8000, Pauses: [4]int{0, 1}}
+	}
+	a := long(260_000)
+	_, ok := placer.Engine(engine, a, cs, now, placer.Patient)
+	assert.Assert(t, !ok)
+	c, ok := placer.Engine(engine, a, cs, now.Add(1500*time.Millisecond), placer.Pressed)
+	assert.Assert(t, ok)
+	assert.Assert(t, c.First < 1000)
+	for i := range cs {
+		cs[i].Load = placer.Load{Streams: 14, Context: 110_000, Pauses: [4]int{0, 14}}
+	}
+	_, ok = placer.Engine(engine, a, cs, now.Add(1500*time.Millisecond), placer.Pressed)
+	assert.Assert(t, !ok, "it would make 200 answers late for one")
+	_, ok = placer.Engine(engine, a, cs, now.Add(9*time.Second), placer.Last)
+	assert.Assert(t, !ok)
+}
+
+// A second group on the same engines is read by turns with the first: both are
+// read later than one after the other.
+func TestPartsDoNotShareEnginesWhileThereIsTime(t *testing.T) {
+	cs := idle(8)
+	first, ok := placer.Engine(engine, long(133_000), cs, now, placer.Patient)
+	assert.Assert(t, ok)
+	place(cs, long(133_000), first)
+	second, ok := placer.Engine(engine, long(133_000), cs, now, placer.Patient)
+	if !ok {
+		return
+	}
+	for _, i := range append([]int{second.Main}, second.Helpers...) {
+		assert.Assert(t, i != first.Main && !slices.Contains(first.Helpers, i))
+	}
+}
+
+// A late prompt that takes the last free engines at the beginning of a burst
+// makes dozens of short answers late that come in the next second.
+func TestLatePromptLeavesRoomForShortOnes(t *testing.T) {
+	cs := idle(8)
+	for i := range 6 {
+		cs[i].Load = placer.Load{Streams: 15, Context: 120_000, Pauses: [4]int{0, 15}}
+	}
+	a := long(133_000)
+	a.Objective = now.Add(-time.Second)
+	_, ok := placer.Engine(engine, a, cs, now, placer.Patient)
+	assert.Assert(t, !ok)
+	_, ok = placer.Engine(engine, a, append(cs[5:], idle(4)...), now, placer.Patient)
+	assert.Assert(t, ok, "with few short answers there is room")
+}
+
+// No engine has the memory of a prompt of 600,000 tokens. What the first has no
+// room for is set aside at others, all of it or nothing.
+func TestPromptAboveOneMemoryIsSpread(t *testing.T) {
+	a := long(600_000)
+	c, ok := placer.Engine(engine, a, idle(16), now, placer.Last)
+	assert.Assert(t, ok)
+	aside := 0
+	for _, ticket := range c.Tickets {
+		aside += ticket.Tokens
+		assert.Assert(t, ticket.Tokens <= engine.Memory)
+		assert.Assert(t, slices.Contains(c.Helpers, ticket.Candidate))
+	}
+	assert.Assert(t, a.Prompt+a.Output-aside <= engine.Memory)
+	for i, ticket := range c.Tickets {
+		assert.Equal(t, c.Helpers[i], ticket.Candidate, "those with memory come first, in order")
+	}
+	_, ok = placer.Engine(engine, a, idle(2), now, placer.Last)
+	assert.Assert(t, !ok)
+}
+
+// An engine that has just failed the request, cannot be reached, is full or may
+// get nothing more this second must not get it while another may.
+func TestUpstreamsThatMayNotAreLeftOut(t *testing.T) {
+	cs := idle(5)
+	cs[0].Room = 0
+	cs[1].Silent = true
+	cs[2].Load = placer.Load{Streams: 16, Context: 1000, Pauses: [4]int{0, 16}}
+	a := short()
+	a.Tried = []string{"e3"}
+	c, ok := placer.Engine(engine, a, cs, now, placer.Patient)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Main, 4)
+	c, ok = placer.Plain(a, cs)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Main, 4)
+	_, ok = placer.Engine(engine, a, cs[:1], now, placer.Last)
+	assert.Assert(t, !ok)
+	_, ok = placer.Plain(a, cs[2:3])
+	assert.Assert(t, !ok)
+}
+
+// Whatever the load, a choice names engines that may take it, each once, no more
+// helpers than engines allow, and never more memory than there is.
+func TestChoicesAreAlwaysPossible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cs := idle(rapid.IntRange(0, 24).Draw(t, "engines"))
+		for i := range cs {
+			tight := rapid.IntRange(0, 20).Draw(t, "tight")
+			cs[i].Load = placer.Load{
+				Streams: tight, Context: rapid.IntRange(0, 250_000).Draw(t, "context"),
+				Unread: rapid.Float64Range(0, 2000).Draw(t, "unread"), Pauses: [4]int{0, tight},
+				Parts: rapid.IntRange(0, 2).Draw(t, "parts"),
+			}
+			cs[i].Room = rapid.IntRange(0, 2).Draw(t, "room")
+		}
+		a := long(rapid.IntRange(1, 700_000).Draw(t, "prompt"))
+		at := now.Add(time.Duration(rapid.IntRange(0, 14_000).Draw(t, "waited")) * time.Millisecond)
+		c, ok := placer.Engine(engine, a, cs, at, placer.Mood(rapid.IntRange(0, 2).Draw(t, "mood")))
+		if !ok {
+			return
+		}
+		seen := map[int]bool{}
+		for _, i := range append([]int{c.Main}, c.Helpers...) {
+			if seen[i] || cs[i].Room < 1 {
+				t.Fatalf("engine %d in %+v", i, c)
+			}
+			seen[i] = true
+		}
+		if len(c.Helpers) > placer.MostParts {
+			t.Fatalf("%d helpers", len(c.Helpers))
+		}
+		need := a.Prompt + a.Output
+		for _, ticket := range c.Tickets {
+			need -= ticket.Tokens
+			if cs[ticket.Candidate].Load.Context+ticket.Tokens > engine.Memory {
+				t.Fatalf("%+v has no such memory", cs[ticket.Candidate])
+			}
+		}
+		if cs[c.Main].Load.Context+need > engine.Memory {
+			t.Fatalf("the first engine has no room for %d", need)
+		}
+	})
+}
--- /dev/null
+++ b/entry/version/matcher/matcher_test.go
@@ -0,0 +1,90 @@
+package matcher_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+func table() *matcher.Table {
+	return matcher.New(matcher.Config{
+		Version: 3,
+		Routes: []matcher.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Split: []matcher.Weight{{Service: "one", Weight: 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Split: []matcher.Weight{{Service: "two", Weight: 1}}},
+			{Name: "shallow", Host: "A.example", Prefix: "/x/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+		Services: []matcher.Service{{Name: "one"}, {Name: "two"}},
+		Teams:    []matcher.Team{{Name: "t", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+// A request that reached a route by what its bytes mean after unescaping, and
+// not by what they are, would run at a service that its path does not name.
+func TestRouteIsThatOfTheLongestPrefix(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example:8080", "/x/y/", "deep"},
+		{"A.EXAMPLE", "/x/z", "shallow"},
+		{"a.example", "/x", "all"},
+		{"a.example", "/x%2fy/", "all"},
+		{"a.example", "/%78/y/", "all"},
+		{"a.example", "/x//y/", "shallow"},
+		{"a.example", "/q?/x/y/", "all"},
+		{"b.example", "/x/y/z", "other"},
+		{"b.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+	}
+	for _, test := range tests {
+		name := ""
+		if r, ok := table().Route(test.host, test.path); ok {
+			name = r.Name
+		}
+		assert.Equal(t, name, test.want, "%s%s", test.host, test.path)
+	}
+}
+
+func TestKeysBelongToTeams(t *testing.T) {
+	m, ok := table().Team("k2")
+	assert.Assert(t, ok)
+	assert.Equal(t, m.Name, "t")
+	_, ok = table().Team("k3")
+	assert.Assert(t, !ok)
+	_, ok = table().Team("")
+	assert.Assert(t, !ok)
+	assert.Assert(t, table().Guarded())
+}
+
+func TestRepeatableFollowsFromTheKind(t *testing.T) {
+	tests := []struct {
+		route matcher.Route
+		want  bool
+	}{
+		{matcher.Route{Kind: matcher.Unsafe}, false},
+		{matcher.Route{Kind: matcher.Unsafe, Resumable: true}, false},
+		{matcher.Route{Kind: matcher.Safe}, true},
+		{matcher.Route{Kind: matcher.Stream}, false},
+		{matcher.Route{Kind: matcher.Stream, Resumable: true}, true},
+	}
+	for _, test := range tests {
+		assert.Equal(t, test.route.Repeatable(), test.want, "%+v", test.route)
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := matcher.Route{Split: []matcher.Weight{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}, {Service: "none"}}}
+	counts := map[string]int{}
+	const draws = 20_000
+	for range draws {
+		name, ok := r.Pick()
+		assert.Assert(t, ok)
+		counts[name]++
+	}
+	assert.Equal(t, counts["none"], 0)
+	assert.Assert(t, counts["two"] > draws*8/100 && counts["two"] < draws*12/100, "%v", counts)
+	_, ok := (&matcher.Route{}).Pick()
+	assert.Assert(t, !ok)
+}
