--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -266,11 +266,15 @@
 		return min(j.route.Timeout, usualCall)
 	}
 	e := j.service.Engine
-	pass := placer.Pass(e, e.Slots, e.Memory)
+	pass := placer.Pass(e, e.Slots, e.Memory/usualShare)
 	answer := pass * float64(j.ask.Output) / float64(max(1, e.Stride))
 	return j.route.Objective + time.Duration(answer*float64(time.Millisecond))
 }
 
+// usualShare is what part of an engine's memory the streams have that run there
+// together, as one over this.
+const usualShare = 4
+
 // usualCall is how long a call of a plain service lasts at most, but for a few.
 const usualCall = 1500 * time.Millisecond
 
