--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -209,7 +209,7 @@
 		w.found = time.Time{}
 		return true
 	}
-	if !w.times.long || w.times.mood(now) != placer.Patient {
+	if m := w.times.mood(now); !w.times.long || (m != placer.Patient && m != placer.Late) {
 		return false
 	}
 	if w.found.IsZero() {
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -72,7 +72,9 @@
 	switch {
 	case t.last.Sub(now) < rush:
 		return placer.Last
-	case now.Before(t.start) || t.late(now):
+	case t.late(now):
+		return placer.Late
+	case now.Before(t.start):
 		return placer.Patient
 	}
 	return placer.Pressed
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -67,7 +67,7 @@
 			break
 		}
 		choice, ok := memory(e, a, cs, order, n, part)
-		if !ok || (left < 0 && !roomy(cs, choice)) {
+		if !ok || (m >= Late && !roomy(cs, choice)) {
 			continue
 		}
 		harm, first := weigh(e, cs, choice, part)
@@ -86,7 +86,7 @@
 	inTime := best.First <= left
 	switch {
 	case harmOfBest <= harmless:
-		return best, inTime || left < 0 || m != Patient
+		return best, inTime || m != Patient
 	case m == Pressed:
 		// Harm that does not even bring the answer in time is for nothing.
 		return best, inTime && harmOfBest <= lateShare*a.weight()
@@ -151,7 +151,7 @@
 		}
 		// Two parts at one engine are read by turns: each group waits for the
 		// other's part, and neither is read sooner.
-		if (m == Patient && c.Load.Parts > 0) || slices.Contains(a.Tried, c.ID) {
+		if ((m == Patient || m == Late) && c.Load.Parts > 0) || slices.Contains(a.Tried, c.ID) {
 			continue
 		}
 		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -131,6 +131,8 @@
 	// Pressed requests must begin now to be in time, and may cost others no
 	// more than they would lose.
 	Pressed
+	// Late requests can no longer be in time, and stand behind those that can.
+	Late
 	// Last requests are late and must begin soon to end at all, and may cost
 	// others no more than a late answer is still worth.
 	Last
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -69,7 +69,7 @@
 // slot says that the engine can run one request more now, or, where there is no
 // time to wait, that it would wait there behind no more than as many again.
 func (c *Candidate) slot(m Mood) bool {
-	if m == Patient {
+	if m == Patient || m == Late {
 		return c.Load.Streams < c.Slots
 	}
 	return c.Load.Streams < 2*c.Slots
--- a/standin/main.go
+++ b/standin/main.go
@@ -40,6 +40,8 @@
 	listen  string
 	handler http.Handler
 	run     func(context.Context) // may be nil
+	// serve makes handler and run where they depend on the address.
+	serve func(address string) (http.Handler, func(context.Context), error)
 }
 
 // greeting is the line that tells a starter where the role serves.
@@ -60,6 +62,11 @@
 	if err != nil {
 		return err
 	}
+	if r.serve != nil {
+		if r.handler, r.run, err = r.serve(l.Addr().String()); err != nil {
+			return err
+		}
+	}
 	server := &http.Server{Handler: r.handler, ReadHeaderTimeout: headerLimit}
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	if r.run != nil {
--- a/standin/main_test.go
+++ b/standin/main_test.go
@@ -36,6 +36,7 @@
 		{"log", "/streams/a"},
 		{"list", "/vms"},
 		{"weights", "/faults"},
+		{"store", "/api/log-newest?Topic=keyed.op"},
 	}
 	for _, test := range tests {
 		t.Run(test.role, func(t *testing.T) {
