End no stream for silence alone, refuse what cannot end before a stop

A watch takes the repeat from the budget before it ends a try; what cannot end before the stop is refused.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -78,8 +78,6 @@
 	Body   []byte
 	// Fresh asks for a connection that has served no other request.
 	Fresh bool
-	// Until bounds the wait for the answer's head; zero for the context's own.
-	Until time.Time
 }
 
 // A Carrier keeps connections to upstreams.
@@ -143,7 +141,6 @@
 	// The answer may come before the body is read, and the upstream may stop
 	// reading then: who wrote first and read afterwards would wait forever.
 	go func() { x.written <- write(n, q) }()
-	x.Patience(q.Until)
 	if err := x.head(q.Method); err != nil {
 		x.Close()
 		if cause := ctx.Err(); cause != nil {
@@ -189,14 +186,6 @@
 	}
 }
 
-// Patience bounds the wait for the next byte.
-func (x *Exchange) Patience(until time.Time) {
-	if err := x.conn.SetReadDeadline(until); err != nil {
-		// A connection that is closed already shows at the next read.
-		return
-	}
-}
-
 // A body notes that the answer was read to its end.
 type body struct {
 	exchange *Exchange
@@ -224,7 +213,6 @@
 	if said, ok := keepAlive(x.Header); ok {
 		keep = said - idleMargin
 	}
-	x.Patience(time.Time{})
 	x.carrier.put(x.address, x.conn, keep)
 }
 
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -21,9 +21,12 @@
 	// vmsEvery is how often the addresses of VMs are read. New VMs make
 	// themselves known, so that this is only for those that could not.
 	vmsEvery = 20 * time.Second
-	// staleAfter is how old the list or the configuration may be before a peer
-	// is asked.
-	staleAfter = 1300 * time.Millisecond
+	// staleAfter is how much older than its reading takes the list or the
+	// configuration may be before a peer is asked. An upstream that leaves must
+	// get nothing two seconds later, also from a VM that the platform turns
+	// away: a peer's reading, its word of that and the fetch take another
+	// second.
+	staleAfter = 200 * time.Millisecond
 	// announceAgain is the wait after this VM's address could not be recorded.
 	announceAgain = 500 * time.Millisecond
 	// announceTime bounds that call.
@@ -40,7 +43,7 @@
 func (v *Process) newSyncers() {
 	for _, s := range []syncer.Stream{
 		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter},
-		{Name: Upstreams, Every: upstreamsEvery, Stale: staleAfter},
+		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter},
 		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
 	} {
 		s.Copy = v.copies[s.Name]
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -26,6 +26,11 @@
 // It covers a datagram's way there and back with the news of what was placed.
 const turn = 12 * time.Millisecond
 
+// lookEvery is how often a place is looked for for one long prompt that waits. A
+// decision takes some tens of microseconds, and under load hundreds of events a
+// second could each change it.
+const lookEvery = 4 * time.Millisecond
+
 // unbounded is the room at an upstream that is not cold.
 const unbounded = 1 << 20
 
@@ -94,6 +99,8 @@
 	own     map[string]*placer.Load
 	cold    map[string]*budgeter.Cold
 	waiting []*waiter
+	// until is when this VM stops; zero while it does not.
+	until time.Time
 }
 
 type waiter struct {
@@ -102,6 +109,8 @@
 	reply chan reply
 	// found is since when there has been a place for it, zero where none is.
 	found time.Time
+	// looked is when a place was last looked for.
+	looked time.Time
 }
 
 type reply struct {
@@ -231,12 +240,17 @@
 // step does what can be done for one waiting request.
 func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
 	k := kind{w.call.Service.Name, w.times.size}
-	if !now.Before(w.times.last) {
+	if !now.Before(w.times.lastBefore(s.until)) {
 		return reply{refusal: &Refusal{Code: Late, After: comeBack}}, true
 	}
 	if blocked[k] {
 		return reply{}, false
 	}
+	if w.times.long && now.Sub(w.looked) < lookEvery {
+		blocked[k] = true
+		return reply{}, false
+	}
+	w.looked = now
 	states := s.deps.Tracker.Usable(now, w.call.Service.Name)
 	cs := s.candidates(now, w.call.Service, states)
 	choice, ok := s.choose(now, w, cs)
@@ -317,6 +331,15 @@
 	return all
 }
 
+// Until has requests that cannot end before a time refused: this VM stops then,
+// and they still have time to go to another.
+func (s *Scheduler) Until(stop time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = stop
+	s.pump()
+}
+
 // Waiting is how many requests wait.
 func (s *Scheduler) Waiting() int {
 	s.mu.Lock()
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -237,6 +237,22 @@
 	assert.Assert(t, (<-out).grant != nil)
 }
 
+// This VM stops in two seconds. What waits and cannot end by then is told at
+// once, while it has time to go to another VM.
+func TestWhatCannotEndBeforeTheStopIsRefused(t *testing.T) {
+	f := newFleet(1)
+	for range 2 {
+		_, refusal := f.Acquire(t.Context(), f.call(1000, 100*time.Second))
+		assert.Assert(t, refusal == nil)
+	}
+	out := f.ask(t.Context(), f.call(1000, 100*time.Second))
+	f.Until(f.now.Add(2 * time.Second))
+	assert.Equal(t, f.Waiting(), 1, "two seconds are enough")
+	f.now = f.now.Add(1950 * time.Millisecond)
+	f.Pump()
+	assert.Assert(t, (<-out).refusal != nil)
+}
+
 // A caller that gives up takes its request out of the queue.
 func TestCallersWhoLeaveDoNotWaitOn(t *testing.T) {
 	f := newFleet(0)
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -35,20 +35,30 @@
 type times struct {
 	// start is the latest start with which the first event is in time.
 	start time.Time
-	// last is when the request can no longer be done by its deadline.
-	last time.Time
-	long bool
+	// last is when the request can no longer be done by its deadline, and takes
+	// the time that it needs.
+	last  time.Time
+	takes time.Duration
+	long  bool
 	// size is the binary logarithm of the prompt's reading time.
 	size int
 }
 
+// lastBefore is last where the VM stops at a time, unless that is zero.
+func (t times) lastBefore(stop time.Time) time.Time {
+	if by := stop.Add(-t.takes); !stop.IsZero() && by.Before(t.last) {
+		return by
+	}
+	return t.last
+}
+
 // late says that the first event can no longer be in time.
 func (t times) late(now time.Time) bool { return now.Sub(t.start) > pressed }
 
 func timesOf(c Call) times {
 	e := c.Service.Engine
 	if e == nil {
-		return times{start: c.Ask.Objective, last: c.Ask.Deadline.Add(-plainWork)}
+		return times{start: c.Ask.Objective, last: c.Ask.Deadline.Add(-plainWork), takes: plainWork}
 	}
 	long := !placer.Short(e, c.Ask.Prompt)
 	read := placer.Read(e, c.Ask.Prompt, 1)
@@ -61,6 +71,7 @@
 	return times{
 		start: c.Ask.Objective.Add(-first - margin),
 		last:  c.Ask.Deadline.Add(-first - answer),
+		takes: first + answer,
 		long:  long,
 		size:  bits.Len(uint(placer.Read(e, c.Ask.Prompt, 1) / sizeUnit)),
 	}
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -51,6 +51,10 @@
 	growth = 0.75
 )
 
+// sizes are the numbers of parts that are weighed. Between the larger ones parts
+// differ by little, and each costs as much to weigh.
+var sizes = [...]int{1, 2, 3, 4, 5, 6, 8, 11, MostParts + 1}
+
 // group chooses the engines that read a long prompt in parts. It answers long
 // prompts that come while many streams run: each part makes one pass longer at
 // its engine. For each number of parts it takes the engines where that harms
@@ -60,7 +64,7 @@
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
 	harmOfBest := 0.0
-	for n := 1; n <= MostParts+1; n++ {
+	for _, n := range sizes {
 		part := whole / float64(n)
 		order := helpful(e, a, cs, part, m)
 		if len(order) < n {
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
@@ -11,7 +12,6 @@
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/refuser"
-	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
 const (
@@ -34,13 +34,21 @@
 	holding  *reserver.Holding
 	exchange *carrier.Exchange
 	verdict  Verdict
+	watch    *watch
+	cancel   context.CancelFunc
 }
 
 // close ends a try. Memory that was set aside is given back, and the place.
 func (t *try) close() {
+	if t.watch != nil {
+		t.watch.stop()
+	}
 	if t.exchange != nil {
 		t.exchange.Close()
 	}
+	if t.cancel != nil {
+		t.cancel()
+	}
 	if t.holding != nil {
 		t.holding.Release()
 	}
@@ -100,6 +108,13 @@
 		return nil, refuser.New(http.StatusServiceUnavailable, refused.Code, "no upstream could answer it in time").Back(refused.After)
 	}
 	t := &try{grant: grant}
+	// The end of the caller's connection is noticed by another goroutine, which
+	// on a busy VM may not have run since.
+	runtime.Gosched()
+	if ctx.Err() != nil {
+		t.close()
+		return nil, late()
+	}
 	if !r.reserve(ctx, j, t) {
 		t.close()
 		return nil, pause(ctx)
@@ -159,9 +174,17 @@
 		r.deps.Budget.Sent(j.service.Name)
 	}
 	id := t.grant.Upstream.ID
-	x, failure := r.deps.Carrier.Send(ctx, t.grant.Upstream.Address, r.request(j, t, r.deps.Now()))
+	inner, cancel := context.WithCancel(ctx)
+	t.cancel = cancel
+	estimate := max(j.route.Objective, time.Duration(t.grant.Estimate*float64(time.Millisecond)))
+	t.watch = r.watch(j, estimate+firstSpare, cancel)
+	x, failure := r.deps.Carrier.Send(inner, t.grant.Upstream.Address, r.request(j, t, r.deps.Now()))
 	if failure != nil {
-		return r.unanswered(ctx, j, id, failure)
+		s := r.unanswered(ctx, j, id, failure)
+		if s == failed && t.watch.granted.Load() {
+			return repeated
+		}
+		return s
 	}
 	t.exchange = x
 	t.verdict = r.deps.Dialect.Verdict(x.Status, x.Header)
@@ -229,10 +252,6 @@
 		// turns out to be closed, nobody can tell whether it ran.
 		Fresh: !j.route.Repeatable(),
 	}
-	if j.route.Kind == matcher.Stream && j.route.Repeatable() && j.runs+1 < j.route.Attempts {
-		estimate := max(j.route.Objective, time.Duration(t.grant.Estimate*float64(time.Millisecond)))
-		q.Until = now.Add(estimate + firstSpare)
-	}
 	return q
 }
 
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -58,7 +58,7 @@
 			r.note(j, t.grant.Upstream.ID, "stream cut: "+err.Error())
 			r.deps.Tracker.Failed(r.deps.Now(), t.grant.Upstream.ID, true)
 		}
-		if j.route.Repeatable() && r.mayRepeat(ctx, j) {
+		if t.watch.granted.Load() || (j.route.Repeatable() && r.mayRepeat(ctx, j)) {
 			continue
 		}
 		if j.begun {
@@ -93,13 +93,13 @@
 	control := http.NewResponseController(w)
 	var last time.Time
 	for {
-		r.patience(j, t)
 		event, err := next(events)
 		now := r.deps.Now()
 		if !last.IsZero() {
 			j.trace.pause = max(j.trace.pause, now.Sub(last))
 		}
 		last = now
+		t.watch.heard(max(silence, 2*j.route.Gap))
 		if errors.Is(err, io.EOF) {
 			if !j.begun {
 				r.begun(w, j, t)
@@ -134,22 +134,6 @@
 	r.deps.Meter.Time("first", j.trace.first)
 }
 
-// patience bounds the wait for the next event where the stream can go on
-// elsewhere. An upstream that has lost its power sends no end.
-func (r *Relayer) patience(j *job, t *try) {
-	if !j.route.Repeatable() || j.runs >= j.route.Attempts {
-		t.exchange.Patience(time.Time{})
-		return
-	}
-	now := r.deps.Now()
-	if !j.begun {
-		estimate := max(j.route.Objective, time.Duration(t.grant.Estimate*float64(time.Millisecond)))
-		t.exchange.Patience(now.Add(estimate + firstSpare))
-		return
-	}
-	t.exchange.Patience(now.Add(max(silence, 2*j.route.Gap)))
-}
-
 // next reads one event with the blank line that ends it.
 func next(r *bufio.Reader) ([]byte, error) {
 	var event []byte
