--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -73,6 +73,8 @@
 	Ends  map[string]int64 `cbor:"5,keyasint,omitempty"`
 	Bye   bool             `cbor:"6,keyasint,omitempty"`
 	Head  *head            `cbor:"7,keyasint,omitempty"`
+	// Silent are upstreams that the sender cannot reach.
+	Silent []string `cbor:"8,keyasint,omitempty"`
 }
 
 // head is the first of the long prompts that wait at a VM. Its latest start is
@@ -109,6 +111,7 @@
 	loads   map[string]told
 	head    *Head
 	headSeq uint64
+	silent  map[string]bool
 }
 
 type told struct {
@@ -126,6 +129,8 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	ends   func() map[string]int64
+	// unreachable are the upstreams that this VM cannot reach.
+	unreachable func() []string
 
 	mu       sync.Mutex
 	began    time.Time
@@ -142,10 +147,10 @@
 }
 
 // New returns a Gossiper of a process at an address. ends tells how far it has
-// read each stream of records.
-func New(vm string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]int64, now func() time.Time, log zerolog.Logger) *Gossiper {
+// read each stream of records, unreachable which upstreams it cannot reach.
+func New(vm string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]int64, unreachable func() []string, now func() time.Time, log zerolog.Logger) *Gossiper {
 	return &Gossiper{
-		vm: vm, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, began: now(),
+		vm: vm, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, unreachable: unreachable, began: now(),
 		peers: make(map[netip.AddrPort]*peer), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
 	}
 }
@@ -185,7 +190,7 @@
 func (g *Gossiper) Tick(now time.Time) {
 	// Read before locking: whoever keeps the records may be telling this
 	// package of work at the same moment.
-	ends := g.ends()
+	ends, unreachable := g.ends(), g.unreachable()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.repeatAt) >= repeatEvery {
@@ -199,7 +204,7 @@
 	names := slices.Sorted(maps.Keys(g.dirty))
 	for first := true; first || len(names) > 0; first = false {
 		n := min(len(names), mostLoads)
-		g.send(now, g.message(ends, names[:n]))
+		g.send(now, g.message(ends, unreachable, names[:n]))
 		names = names[n:]
 	}
 	clear(g.dirty)
@@ -208,9 +213,9 @@
 // FlushEvery is how often Tick wants to be called.
 func FlushEvery() time.Duration { return flushEvery }
 
-func (g *Gossiper) message(ends map[string]int64, names []string) message {
+func (g *Gossiper) message(ends map[string]int64, unreachable, names []string) message {
 	g.seq++
-	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq, Ends: ends}
+	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq, Ends: ends, Silent: unreachable}
 	if g.head != nil {
 		m.Head = &head{Late: g.head.Late, In: g.head.Start.Sub(g.now()).Milliseconds()}
 	}
@@ -259,7 +264,7 @@
 	ends := g.ends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.message(ends, nil)
+	m := g.message(ends, nil, nil)
 	m.Bye = true
 	g.send(g.now(), m)
 }
@@ -296,6 +301,10 @@
 	}
 	if m.Seq > p.headSeq {
 		p.head, p.headSeq = nil, m.Seq
+		p.silent = make(map[string]bool, len(m.Silent))
+		for _, id := range m.Silent {
+			p.silent[id] = true
+		}
 		if m.Head != nil {
 			p.head = &Head{Late: m.Head.Late, Start: now.Add(time.Duration(m.Head.In) * time.Millisecond)}
 		}
@@ -342,6 +351,19 @@
 	return true
 }
 
+// Silent says that another VM cannot reach an upstream.
+func (g *Gossiper) Silent(upstream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, p := range g.peers {
+		if p.silent[upstream] && now.Sub(p.heard) <= 2*beatEvery {
+			return true
+		}
+	}
+	return false
+}
+
 // Before is how many VMs have a long prompt waiting that goes before one of
 // this VM.
 func (g *Gossiper) Before(h Head) int {
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -18,6 +18,8 @@
 	nodes map[netip.AddrPort]*gossiper.Gossiper
 	queue []datagram
 	lose  bool
+	// silent are upstreams that no VM reaches.
+	silent []string
 }
 
 type datagram struct {
@@ -43,7 +45,7 @@
 
 func (n *network) add(i byte, boot int64, ends map[string]int64) *gossiper.Gossiper {
 	a := address(i)
-	g := gossiper.New("vm"+string(rune('0'+i)), boot, a, wire{n, a}, func() map[string]int64 { return ends },
+	g := gossiper.New("vm"+string(rune('0'+i)), boot, a, wire{n, a}, func() map[string]int64 { return ends }, func() []string { return n.silent },
 		func() time.Time { return n.now }, zerolog.Nop())
 	n.nodes[a] = g
 	return g
@@ -114,6 +116,20 @@
 	assert.Equal(t, b.Load("u"), work)
 }
 
+// An upstream dies. The first VM that finds out spares the others' requests, as
+// long as it says so.
+func TestUnreachableUpstreamIsTold(t *testing.T) {
+	n := newNetwork()
+	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	n.silent = []string{"u"}
+	n.run(300 * time.Millisecond)
+	assert.Assert(t, b.Silent("u") && !b.Silent("v"))
+	n.silent = nil
+	n.run(300 * time.Millisecond)
+	assert.Assert(t, !b.Silent("u"))
+}
+
 // A VM dies and says nothing. Its work ends with it, and counted on it would
 // keep engines idle; but it may only be unheard, and still send, so that its
 // part of common bounds is not given away at once.
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -65,6 +65,8 @@
 	return ends
 }
 
+func (v *Process) unreachable() []string { return v.tracker.Silent(time.Now()) }
+
 // configure folds records of the configuration.
 func (v *Process) configure(rs []replicator.Record) {
 	for _, r := range rs {
--- a/entry/process/joiner/peers.go
+++ b/entry/process/joiner/peers.go
@@ -65,6 +65,9 @@
 	p.flush()
 }
 
+// Silent says that another VM cannot reach an upstream.
+func (p peers) Silent(upstream string) bool { return p.gossiper.Silent(upstream) }
+
 // Wait tells the others of the first long prompt that waits here.
 func (p peers) Wait(waits, late bool, start time.Time) {
 	var h *gossiper.Head
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -38,6 +38,8 @@
 type Peers interface {
 	// Load is the work that the others have under way at an upstream.
 	Load(upstream string) placer.Load
+	// Silent says that another VM cannot reach an upstream.
+	Silent(upstream string) bool
 	// VMs are those that live, this one included, in the same order on each.
 	VMs() []string
 	// Share tells the others of this VM's work at an upstream.
@@ -274,7 +276,7 @@
 		u := &states[i]
 		c := placer.Candidate{
 			ID: u.ID, Zone: u.Zone, Slots: u.Slots, Near: u.Zone == s.zone, Room: unbounded,
-			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil), Failures: u.Failures,
+			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil) || s.deps.Peers.Silent(u.ID), Failures: u.Failures,
 			Load: s.deps.Peers.Load(u.ID),
 		}
 		if own, ok := s.own[u.ID]; ok {
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -35,7 +35,8 @@
 	defer p.mu.Unlock()
 	return p.loads[u]
 }
-func (p *peers) VMs() []string { return []string{"me", "other"} }
+func (p *peers) Silent(string) bool { return false }
+func (p *peers) VMs() []string      { return []string{"me", "other"} }
 func (p *peers) Share(u string, l placer.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -55,6 +55,7 @@
 	SilentUntil time.Time
 	failedAt    time.Time
 	inRow       int
+	heardAt     time.Time
 	// lapsedAt is when its entry went without its having said that it leaves,
 	// after a time without news from the platform.
 	lapsedAt time.Time
@@ -217,15 +218,56 @@
 }
 
 // Answered notes a request that was answered whole.
-func (t *Tracker) Answered(id string) {
+func (t *Tracker) Answered(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.known[id]; ok {
 		s.inRow = 0
 		s.SilentUntil = time.Time{}
+		s.heardAt = now
 	}
 }
 
+// Heard notes a sign of life.
+func (t *Tracker) Heard(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.known[id]; ok {
+		s.heardAt = now
+	}
+}
+
+// Stalled notes that work has not gone on since a time which needs several
+// upstreams. One of them may have died, and none says which: it is one that has
+// given no sign of life since then. Without this it would stall each prompt that
+// it is asked to help with, while the one that was asked gets the blame.
+func (t *Tracker) Stalled(now, since time.Time, ids []string) (blamed []string) {
+	for _, id := range ids {
+		t.mu.Lock()
+		s, ok := t.known[id]
+		quiet := ok && s.heardAt.Before(since)
+		t.mu.Unlock()
+		if quiet {
+			t.Failed(now, id, true)
+			blamed = append(blamed, id)
+		}
+	}
+	return blamed
+}
+
+// Silent are the upstreams that cannot be reached now.
+func (t *Tracker) Silent(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, s := range t.known {
+		if now.Before(s.SilentUntil) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // TurnedCold notes that an upstream said it is in cold start.
 func (t *Tracker) TurnedCold(now time.Time, id string, left time.Duration) {
 	t.mu.Lock()
--- a/entry/process/tracker/tracker_test.go
+++ b/entry/process/tracker/tracker_test.go
@@ -112,7 +112,7 @@
 		tr.Failed(now, "a", true)
 	}
 	assert.Equal(t, rest(now), 4*time.Second)
-	tr.Answered("a")
+	tr.Answered(now, "a")
 	assert.Assert(t, tr.Usable(now, "s")[0].SilentUntil.IsZero())
 }
 
@@ -145,3 +145,18 @@
 	tr.Misplaced("a")
 	assert.Equal(t, tr.Len(), 0)
 }
+
+// One of the engines that read a prompt together has died. The others still
+// answer their own requests, so that it can be told from them.
+func TestStalledWorkBlamesWhoIsQuiet(t *testing.T) {
+	tr := tracker.New()
+	for _, id := range []string{"a", "b", "c"} {
+		tr.Put(now, upstream(id))
+	}
+	later := now.Add(time.Second)
+	tr.Heard(later, "a")
+	tr.Answered(later, "c")
+	assert.DeepEqual(t, tr.Stalled(later, now.Add(500*time.Millisecond), []string{"a", "b", "c", "gone"}), []string{"b"})
+	assert.DeepEqual(t, tr.Silent(later), []string{"b"})
+	assert.Equal(t, len(tr.Silent(later.Add(time.Second))), 0)
+}
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
@@ -36,6 +37,16 @@
 	verdict  Verdict
 	watch    *watch
 	cancel   context.CancelFunc
+	sent     time.Time
+}
+
+// upstreams are all that work on a try.
+func (t *try) upstreams() []string {
+	ids := []string{t.grant.Upstream.ID}
+	for _, h := range t.grant.Helpers {
+		ids = append(ids, h.ID)
+	}
+	return ids
 }
 
 // close ends a try. Memory that was set aside is given back, and the place.
@@ -127,7 +138,10 @@
 		}
 		return nil, nil
 	}
-	j.trace.upstream, j.trace.helpers = grant.Upstream.ID, len(grant.Helpers)
+	j.trace.upstream, j.trace.helpers = grant.Upstream.ID, nil
+	for _, h := range grant.Helpers {
+		j.trace.helpers = append(j.trace.helpers, h.ID)
+	}
 	j.trace.estimate, j.trace.load = grant.Estimate, grant.Load
 	return t, nil
 }
@@ -175,16 +189,12 @@
 	}
 	id := t.grant.Upstream.ID
 	inner, cancel := context.WithCancel(ctx)
-	t.cancel = cancel
+	t.cancel, t.sent = cancel, r.deps.Now()
 	estimate := max(j.route.Objective, time.Duration(t.grant.Estimate*float64(time.Millisecond)))
 	t.watch = r.watch(j, estimate+firstSpare, cancel)
 	x, failure := r.deps.Carrier.Send(inner, t.grant.Upstream.Address, r.request(j, t, r.deps.Now()))
 	if failure != nil {
-		s := r.unanswered(ctx, j, id, failure)
-		if s == failed && t.watch.granted.Load() {
-			return repeated
-		}
-		return s
+		return r.unanswered(ctx, j, t, failure)
 	}
 	t.exchange = x
 	t.verdict = r.deps.Dialect.Verdict(x.Status, x.Header)
@@ -256,7 +266,8 @@
 }
 
 // unanswered handles a sending without an answer.
-func (r *Relayer) unanswered(ctx context.Context, j *job, id string, f *carrier.Failure) step {
+func (r *Relayer) unanswered(ctx context.Context, j *job, t *try, f *carrier.Failure) step {
+	id := t.grant.Upstream.ID
 	if f.Sent {
 		j.runs++
 	} else {
@@ -265,6 +276,10 @@
 	if ctx.Err() != nil {
 		return over
 	}
+	if t.watch.granted.Load() {
+		r.stalled(j, t)
+		return repeated
+	}
 	r.note(j, id, f.Error())
 	// A kept connection that was closed says nothing of the upstream.
 	r.deps.Tracker.Failed(r.deps.Now(), id, !f.Reused)
@@ -274,6 +289,13 @@
 	return j.unlessOnce()
 }
 
+// stalled notes a try that its watch has ended.
+func (r *Relayer) stalled(j *job, t *try) {
+	blamed := r.deps.Tracker.Stalled(r.deps.Now(), t.sent, t.upstreams())
+	r.note(j, t.grant.Upstream.ID, "silent; blamed: "+strings.Join(blamed, " "))
+	j.tried = append(j.tried, blamed...)
+}
+
 // declined handles an upstream that says that it did not run the request.
 func (r *Relayer) declined(j *job, t *try) step {
 	at := t.grant.Upstream.ID
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -70,6 +70,7 @@
 type nobody struct{}
 
 func (nobody) Load(string) placer.Load     { return placer.Load{} }
+func (nobody) Silent(string) bool          { return false }
 func (nobody) VMs() []string               { return []string{"me"} }
 func (nobody) Share(string, placer.Load)   {}
 func (nobody) Wait(_, _ bool, _ time.Time) {}
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -173,7 +173,7 @@
 	// pause is the longest time between two events.
 	pause    time.Duration
 	upstream string
-	helpers  int
+	helpers  []string
 	memory   int
 	estimate float64
 	load     placer.Load
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -46,7 +46,7 @@
 		err := r.follow(w, j, t)
 		t.close()
 		if err == nil {
-			r.deps.Tracker.Answered(t.grant.Upstream.ID)
+			r.deps.Tracker.Answered(r.deps.Now(), t.grant.Upstream.ID)
 			r.done(j, http.StatusOK)
 			return
 		}
@@ -54,11 +54,15 @@
 		if errors.As(err, &unread) {
 			r.abort(ctx, j, err)
 		}
+		if ctx.Err() == nil && t.watch.granted.Load() {
+			r.stalled(j, t)
+			continue
+		}
 		if ctx.Err() == nil {
 			r.note(j, t.grant.Upstream.ID, "stream cut: "+err.Error())
 			r.deps.Tracker.Failed(r.deps.Now(), t.grant.Upstream.ID, true)
 		}
-		if t.watch.granted.Load() || (j.route.Repeatable() && r.mayRepeat(ctx, j)) {
+		if j.route.Repeatable() && r.mayRepeat(ctx, j) {
 			continue
 		}
 		if j.begun {
@@ -110,6 +114,7 @@
 			return err
 		}
 		t.grant.Began()
+		r.deps.Tracker.Heard(now, t.grant.Upstream.ID)
 		if !j.begun {
 			r.begun(w, j, t)
 		}
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -71,7 +71,7 @@
 		return
 	}
 	a.try.grant.Began()
-	r.deps.Tracker.Answered(a.try.grant.Upstream.ID)
+	r.deps.Tracker.Answered(r.deps.Now(), a.try.grant.Upstream.ID)
 	r.head(w, j, x.Header)
 	if !a.more && (len(a.data) > 0 || x.Header.Get("Content-Length") == "") && bodied(j.request.Method, x.Status) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.data)))
@@ -169,7 +169,7 @@
 		line.Str("service", j.service.Name).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output)
 	}
 	if t.upstream != "" {
-		line.Str("upstream", t.upstream).Int("helpers", t.helpers).Int("memory", t.memory).
+		line.Str("upstream", t.upstream).Strs("helpers", t.helpers).Int("memory", t.memory).
 			Float64("estimate", t.estimate).Int("streams", t.load.Streams).Float64("unread", t.load.Unread).
 			Int("runs", j.runs).Int("declined", j.refused)
 	}
