Refuse a stream that cannot begin before its caller leaves

Callers leave a stream that has not begun after four times its objective or longer; requests were held on until their deadline, answered to nobody.

--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -242,7 +242,7 @@
 // step does what can be done for one waiting request.
 func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
 	k := kind{w.call.Service.Name, w.times.size}
-	if !now.Before(w.times.lastBefore(s.until)) {
+	if w.times.hopeless(now, s.until) {
 		return reply{refusal: &Refusal{Code: Late, After: comeBack}}, true
 	}
 	if blocked[k] {
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -238,6 +238,21 @@
 	assert.Assert(t, (<-out).grant != nil)
 }
 
+// Callers leave a stream that does not begin. One that cannot begin before that
+// is told while it is still there.
+func TestRefusedBeforeTheCallerLeaves(t *testing.T) {
+	f := newFleet(0)
+	c := f.call(1000, 100*time.Second)
+	c.Ask.Leaves = f.now.Add(2 * time.Second)
+	out := f.ask(t.Context(), c)
+	f.now = f.now.Add(1700 * time.Millisecond)
+	f.Pump()
+	assert.Equal(t, f.Waiting(), 1)
+	f.now = f.now.Add(200 * time.Millisecond)
+	f.Pump()
+	assert.Assert(t, (<-out).refusal != nil)
+}
+
 // This VM stops in two seconds. What waits and cannot end by then is told at
 // once, while it has time to go to another VM.
 func TestWhatCannotEndBeforeTheStopIsRefused(t *testing.T) {
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -39,17 +39,25 @@
 	// the time that it needs.
 	last  time.Time
 	takes time.Duration
-	long  bool
+	// leaves is when the caller can no longer have its first event before it
+	// leaves; zero where that is not known. Held on, the request would be
+	// answered to nobody; refused now, it can still come back.
+	leaves time.Time
+	long   bool
 	// size is the binary logarithm of the prompt's reading time.
 	size int
 }
 
-// lastBefore is last where the VM stops at a time, unless that is zero.
-func (t times) lastBefore(stop time.Time) time.Time {
-	if by := stop.Add(-t.takes); !stop.IsZero() && by.Before(t.last) {
-		return by
+// hopeless says that the request had better be refused now, where the VM stops
+// at a time, unless that is zero.
+func (t times) hopeless(now, stop time.Time) bool {
+	switch {
+	case !now.Before(t.last):
+		return true
+	case !stop.IsZero() && !now.Before(stop.Add(-t.takes)):
+		return true
 	}
-	return t.last
+	return !t.leaves.IsZero() && !now.Before(t.leaves)
 }
 
 // late says that the first event can no longer be in time.
@@ -70,12 +78,17 @@
 	// Whether an answer is as long as it may be is not known beforehand: refused
 	// for that, most requests would lose an answer that they could have had.
 	answer := milliseconds(pass * placer.UsualOutput * float64(c.Ask.Output) / float64(max(1, e.Stride)))
+	leaves := time.Time{}
+	if !c.Ask.Leaves.IsZero() {
+		leaves = c.Ask.Leaves.Add(-first - margin)
+	}
 	return times{
-		start: c.Ask.Objective.Add(-first - margin),
-		last:  c.Ask.Deadline.Add(-first - answer),
-		takes: first + answer,
-		long:  long,
-		size:  bits.Len(uint(placer.Read(e, c.Ask.Prompt, 1) / sizeUnit)),
+		start:  c.Ask.Objective.Add(-first - margin),
+		last:   c.Ask.Deadline.Add(-first - answer),
+		leaves: leaves,
+		takes:  first + answer,
+		long:   long,
+		size:   bits.Len(uint(placer.Read(e, c.Ask.Prompt, 1) / sizeUnit)),
 	}
 }
 
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -60,7 +60,9 @@
 	// caller bears.
 	Pause float64
 	// Objective is when a first event is in time, Deadline when all is over.
-	Arrived, Objective, Deadline time.Time
+	// Leaves is when the caller leaves without a first event; zero where that
+	// is not known.
+	Arrived, Objective, Deadline, Leaves time.Time
 	// Tried are upstreams that have failed this request.
 	Tried []string
 }
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -106,11 +106,15 @@
 // neither a place nor a refusal where the place is gone already.
 func (r *Relayer) place(ctx context.Context, j *job) (*try, *refuser.Refusal) {
 	from := r.deps.Now()
+	leaves := time.Time{}
+	if j.route.Patience > 0 && !j.begun {
+		leaves = j.arrived.Add(j.route.Patience)
+	}
 	grant, refused := r.deps.Scheduler.Acquire(ctx, scheduler.Call{
 		Service: j.service, Priority: j.priority(),
 		Ask: placer.Ask{
 			Prompt: j.ask.Prompt, Output: j.ask.Output, Tried: j.tried, Pause: float64(j.route.Gap.Milliseconds()),
-			Arrived: j.arrived, Objective: j.arrived.Add(j.route.Objective), Deadline: j.end,
+			Arrived: j.arrived, Objective: j.arrived.Add(j.route.Objective), Deadline: j.end, Leaves: leaves,
 		},
 	})
 	now := r.deps.Now()
--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -50,6 +50,9 @@
 	// Objective is the time to the answer, or to a stream's first event, that
 	// callers find good, and Gap the same for the pause between events.
 	Objective, Gap time.Duration
+	// Patience is how long callers wait for a stream's next event before they
+	// leave; 0 where that is not known.
+	Patience time.Duration
 	// Priority is the rank of the requests, 0 being the first.
 	Priority int
 	// Attempts is the most upstreams that one request may be sent to.
