Take entries for lapsed only where nobody could read them go

Ruled out: peers too slow (all VMs had read it within 0.6 s). Now a reading tells how long the copy had been without news; only what is gone in the first reading after 1.5 s without any counts as lapsed.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -35,9 +35,11 @@
 	// platform was away: upstreams that live are listed again within two
 	// seconds of its return.
 	lapsedUse = 1800 * time.Millisecond
-	// returning is how long after the platform's return entries that go count
-	// as lapsed.
-	returning = 2500 * time.Millisecond
+	// outage is the time without news of the list after which entries that are
+	// gone count as lapsed. Those that go later are news like any other: an
+	// upstream may leave a moment after the platform's return, and one that was
+	// used on then would get work that it never answers.
+	outage = 1500 * time.Millisecond
 )
 
 func (v *Process) newSyncers() {
@@ -47,11 +49,7 @@
 		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
 	} {
 		s.Copy = v.copies[s.Name]
-		y := syncer.New(s, v.platform, fetcher{v.gossiper}, time.Now, v.log)
-		if s.Name == Upstreams {
-			y.Back = func(now time.Time) { v.backAt.Store(now.UnixNano()) }
-		}
-		v.syncers = append(v.syncers, y)
+		v.syncers = append(v.syncers, syncer.New(s, v.platform, fetcher{v.gossiper}, time.Now, v.log))
 	}
 }
 
@@ -68,7 +66,7 @@
 func (v *Process) unreachable() []string { return v.tracker.Silent(time.Now()) }
 
 // configure folds records of the configuration.
-func (v *Process) configure(rs []replicator.Record) {
+func (v *Process) configure(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
 		c, err := v.platform.Change(r)
 		if err != nil {
@@ -109,9 +107,9 @@
 }
 
 // list folds entries of upstreams.
-func (v *Process) list(rs []replicator.Record) {
+func (v *Process) list(rs []replicator.Record, gap time.Duration) {
 	now := time.Now()
-	lapsing := now.UnixNano()-v.backAt.Load() < int64(returning)
+	lapsing := gap > outage
 	for _, r := range rs {
 		if r.Dropped {
 			if v.tracker.Remove(now, r.Key, lapsing) {
@@ -141,7 +139,7 @@
 }
 
 // meet folds addresses of VMs.
-func (v *Process) meet(rs []replicator.Record) {
+func (v *Process) meet(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
 		if r.Dropped {
 			continue
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -128,7 +128,6 @@
 	table    atomic.Pointer[matcher.Table]
 	leaveAt  atomic.Pointer[time.Time]
 	zones    map[string]bool
-	backAt   atomic.Int64
 	active   atomic.Int64
 	flushing atomic.Bool
 
--- a/entry/process/replicator/replicator.go
+++ b/entry/process/replicator/replicator.go
@@ -34,12 +34,13 @@
 	// asOf is when the platform last confirmed that end was its own, by this
 	// VM's clock; a peer's confirmation counts from when it was made.
 	asOf    time.Time
-	changed func(rs []Record)
+	changed func(rs []Record, gap time.Duration)
 }
 
 // New returns an empty Copy that tells changed of every record it takes, in
-// order and one call at a time.
-func New(changed func(rs []Record)) *Copy {
+// order and one call at a time, and how long the copy had been without news
+// before them.
+func New(changed func(rs []Record, gap time.Duration)) *Copy {
 	return &Copy{records: make(map[string]Record), changed: changed}
 }
 
@@ -57,6 +58,10 @@
 		c.records[r.Key] = r
 		taken = append(taken, r)
 	}
+	gap := time.Duration(0)
+	if !c.asOf.IsZero() {
+		gap = max(0, asOf.Sub(c.asOf))
+	}
 	c.end = max(c.end, end)
 	if end >= c.end && asOf.After(c.asOf) {
 		c.asOf = asOf
@@ -65,7 +70,7 @@
 		return
 	}
 	slices.SortFunc(taken, func(a, b Record) int { return int(a.Offset - b.Offset) })
-	c.changed(taken)
+	c.changed(taken, gap)
 }
 
 // Complete drops every key that a whole reading of the stream did not bring:
--- a/entry/process/replicator/replicator_test.go
+++ b/entry/process/replicator/replicator_test.go
@@ -18,7 +18,7 @@
 func TestCopiesNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seen := map[string]int64{}
-		c := replicator.New(func(rs []replicator.Record) {
+		c := replicator.New(func(rs []replicator.Record, _ time.Duration) {
 			for _, r := range rs {
 				if r.Offset <= seen[r.Key] {
 					t.Fatalf("%s went back from %d to %d", r.Key, seen[r.Key], r.Offset)
@@ -54,7 +54,7 @@
 // whole list shows it, by what is not there.
 func TestWholeReadingDropsWhatItLacks(t *testing.T) {
 	dropped := map[string]bool{}
-	c := replicator.New(func(rs []replicator.Record) {
+	c := replicator.New(func(rs []replicator.Record, _ time.Duration) {
 		for _, r := range rs {
 			dropped[r.Key] = r.Dropped
 		}
@@ -71,7 +71,7 @@
 // A peer gets what it lacks and the age of it, so that what goes from VM to VM
 // does not seem fresher each time.
 func TestSinceGivesWhatAPeerLacks(t *testing.T) {
-	c := replicator.New(func([]replicator.Record) {})
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
 	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 5}}, 6, now)
 	rs, end, asOf := c.Since(2)
 	assert.Equal(t, len(rs), 1)
@@ -82,3 +82,16 @@
 	_, asOf = c.End()
 	assert.Equal(t, asOf, now, "an older end confirms nothing")
 }
+
+// What went while nobody could read was not seen to go. Whoever decides by it
+// must know how long that was; a record that comes a moment after the first
+// reading is ordinary news again.
+func TestGapIsTheTimeWithoutNews(t *testing.T) {
+	var gaps []time.Duration
+	c := replicator.New(func(_ []replicator.Record, gap time.Duration) { gaps = append(gaps, gap) })
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, 2, now)
+	c.Merge(nil, 2, now.Add(time.Second))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 2}}, 3, now.Add(6*time.Second))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 3}}, 4, now.Add(7*time.Second))
+	assert.DeepEqual(t, gaps, []time.Duration{0, 5 * time.Second, time.Second})
+}
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -75,14 +75,12 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	lost   bool
-	// Back is told when the platform answers again after an outage.
-	Back func(now time.Time)
 }
 
 // New returns a Syncer of one stream.
 func New(s Stream, source Source, p Peers, now func() time.Time, log zerolog.Logger) *Syncer {
 	return &Syncer{
-		stream: s, source: source, peers: p, now: now, Back: func(time.Time) {},
+		stream: s, source: source, peers: p, now: now,
 		log: log.With().Str("stream", s.Name).Logger(),
 	}
 }
@@ -128,7 +126,6 @@
 		if err != nil {
 			return err
 		}
-		s.back()
 		s.stream.Copy.Complete(rs, end, asOf)
 		return nil
 	}
@@ -138,17 +135,10 @@
 	if err != nil {
 		return err
 	}
-	s.back()
 	s.stream.Copy.Merge(rs, end, s.now())
 	return nil
 }
 
-func (s *Syncer) back() {
-	if s.lost {
-		s.Back(s.now())
-	}
-}
-
 // RunPeers reads from peers what the platform did not bring, until the context
 // ends.
 func (s *Syncer) RunPeers(ctx context.Context) {
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -75,7 +75,7 @@
 
 func start(t *testing.T, p *platform, others peers) *replicator.Copy {
 	t.Helper()
-	c := replicator.New(func([]replicator.Record) {})
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
 	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Every: time.Millisecond, Stale: 20 * time.Millisecond}, p, others, time.Now, zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	var both sync.WaitGroup
