--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -59,12 +59,11 @@
 // group chooses the engines that read a long prompt in parts. It answers long
 // prompts that come while many streams run: each part makes one pass longer at
 // its engine. For each number of parts it takes the engines where that harms
-// least, and of these numbers the one with the least harm in sum.
+// least, and of the numbers that the request's mood allows the cheapest.
 func group(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
 	whole := Read(e, a.Prompt, 1)
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
-	harmOfBest := 0.0
 	for _, n := range sizes {
 		part := whole / float64(n)
 		order := helpful(e, a, cs, part, m)
@@ -76,29 +75,31 @@
 			continue
 		}
 		harm, first := weigh(e, cs, choice, part)
-		total := harm + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
-		if m != Last && first > left {
-			total += lateShare * a.weight()
+		if !a.allows(m, harm, first <= left) {
+			continue
 		}
-		if total < least {
-			best, least, harmOfBest = choice, total, harm
+		cost := harm + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
+		if cost < least {
+			best, least = choice, cost
 			best.Read, best.First = part, first
 		}
 	}
-	if math.IsInf(least, 1) {
-		return Choice{}, false
-	}
-	inTime := best.First <= left
+	return best, !math.IsInf(least, 1)
+}
+
+// allows says whether a request may do harm to others for an answer that comes
+// in time, or does not.
+func (a Ask) allows(m Mood, harm float64, inTime bool) bool {
 	switch {
-	case harmOfBest <= harmless:
-		return best, inTime || m != Patient
+	case harm <= harmless:
+		return inTime || m != Patient
 	case m == Pressed:
 		// Harm that does not even bring the answer in time is for nothing.
-		return best, inTime && harmOfBest <= lateShare*a.weight()
+		return inTime && harm <= lateShare*a.weight()
 	case m == Last:
-		return best, harmOfBest <= (1-lateShare)*a.weight()
+		return harm <= (1-lateShare)*a.weight()
 	}
-	return Choice{}, false
+	return false
 }
 
 // roomy says that with a choice the engines that read nothing long have slots
