Let one VM read the list of upstreams for its zone

Change: the first VM of a zone by hash reads; the others get its records over the links, and each VM tells what the platform confirmed to itself and when.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
@@ -75,6 +76,9 @@
 	Head  *head            `cbor:"7,keyasint,omitempty"`
 	// Silent are upstreams that the sender cannot reach.
 	Silent []string `cbor:"8,keyasint,omitempty"`
+	Zone   string   `cbor:"9,keyasint,omitempty"`
+	// Ages are how long ago the platform confirmed Ends, in milliseconds.
+	Ages map[string]int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // head is the first of the long prompts that wait at a VM. Its latest start is
@@ -108,6 +112,9 @@
 	known   time.Time
 	tried   time.Time
 	ends    map[string]int64
+	// asOf is when the platform confirmed ends, by this VM's clock.
+	asOf    map[string]time.Time
+	zone    string
 	loads   map[string]told
 	head    *Head
 	headSeq uint64
@@ -123,12 +130,13 @@
 // A Gossiper is one VM's side of the exchange.
 type Gossiper struct {
 	vm     string
+	zone   string
 	boot   int64
 	self   netip.AddrPort
 	sender Sender
 	now    func() time.Time
 	log    zerolog.Logger
-	ends   func() map[string]int64
+	ends   func() map[string]End
 	// unreachable are the upstreams that this VM cannot reach.
 	unreachable func() []string
 
@@ -148,9 +156,9 @@
 
 // New returns a Gossiper of a process at an address. ends tells how far it has
 // read each stream of records, unreachable which upstreams it cannot reach.
-func New(vm string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]int64, unreachable func() []string, now func() time.Time, log zerolog.Logger) *Gossiper {
+func New(vm, zone string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]End, unreachable func() []string, now func() time.Time, log zerolog.Logger) *Gossiper {
 	return &Gossiper{
-		vm: vm, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, unreachable: unreachable, began: now(),
+		vm: vm, zone: zone, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, unreachable: unreachable, began: now(),
 		peers: make(map[netip.AddrPort]*peer), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
 	}
 }
@@ -168,7 +176,7 @@
 	}
 	p, ok := g.peers[address]
 	if !ok {
-		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), loads: make(map[string]told)}
+		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), asOf: make(map[string]time.Time), loads: make(map[string]told)}
 		g.peers[address] = p
 	}
 	return p
@@ -213,9 +221,18 @@
 // FlushEvery is how often Tick wants to be called.
 func FlushEvery() time.Duration { return flushEvery }
 
-func (g *Gossiper) message(ends map[string]int64, unreachable, names []string) message {
+func (g *Gossiper) message(ends map[string]End, unreachable, names []string) message {
 	g.seq++
-	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq, Ends: ends, Silent: unreachable}
+	m := message{
+		VM: g.vm, Zone: g.zone, Boot: g.boot, Seq: g.seq, Silent: unreachable,
+		Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends)),
+	}
+	for stream, end := range ends {
+		m.Ends[stream] = end.Offset
+		if !end.AsOf.IsZero() {
+			m.Ages[stream] = g.now().Sub(end.AsOf).Milliseconds()
+		}
+	}
 	if g.head != nil {
 		m.Head = &head{Late: g.head.Late, In: g.head.Start.Sub(g.now()).Milliseconds()}
 	}
@@ -288,6 +305,7 @@
 		p.vm, p.boot, p.head, p.headSeq = m.VM, m.Boot, nil, 0
 		clear(p.loads)
 		clear(p.ends)
+		clear(p.asOf)
 	} else if now.Sub(p.heard) > silent {
 		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
 	}
@@ -296,8 +314,15 @@
 		p.heard = now.Add(-goneAfter)
 		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
 	}
-	for name, end := range m.Ends {
-		p.ends[name] = max(p.ends[name], end)
+	p.zone = m.Zone
+	for stream, end := range m.Ends {
+		if end < p.ends[stream] {
+			continue
+		}
+		p.ends[stream] = end
+		if age, ok := m.Ages[stream]; ok {
+			p.asOf[stream] = now.Add(-time.Duration(age) * time.Millisecond)
+		}
 	}
 	if m.Seq > p.headSeq {
 		p.head, p.headSeq = nil, m.Seq
@@ -401,8 +426,54 @@
 	return g.vms
 }
 
+// An End is how far a stream of records has been read, and when the platform
+// confirmed it to this VM itself; zero where it never did. What others confirmed
+// is not told on: with each VM that it passed it would seem younger by the time
+// on its way, and VMs that all hear nothing would keep one another sure.
+type End struct {
+	Offset int64
+	AsOf   time.Time
+}
+
+// Reads says that this VM reads a stream from the platform for the others of its
+// zone: the one of those that can be heard which ranks first for it. A process
+// that has not heard of the others yet reads for itself.
+func (g *Gossiper) Reads(stream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if now.Sub(g.began) < settling {
+		return true
+	}
+	mine := rank(stream, g.vm)
+	for _, p := range g.peers {
+		if p.zone == g.zone && now.Sub(p.heard) <= silent && rank(stream, p.vm) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+func rank(stream, vm string) uint64 { return xxhash.Sum64String(stream + "\x00" + vm) }
+
+// Confirmed is when the platform last confirmed, to a VM that can be heard, that
+// a stream went no further than an offset.
+func (g *Gossiper) Confirmed(stream string, offset int64) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var asOf time.Time
+	for _, p := range g.peers {
+		if now.Sub(p.heard) <= silent && p.ends[stream] <= offset && p.asOf[stream].After(asOf) {
+			asOf = p.asOf[stream]
+		}
+	}
+	return asOf
+}
+
 // Ahead is the VM that has read most of a stream beyond an offset, among those
-// that can be heard.
+// that can be heard; one of this zone where there is any, as bytes between zones
+// are dear.
 func (g *Gossiper) Ahead(stream string, than int64) (netip.AddrPort, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -412,7 +483,7 @@
 		if now.Sub(p.heard) > silent || p.ends[stream] <= than {
 			continue
 		}
-		if best == nil || p.ends[stream] > best.ends[stream] {
+		if best == nil || p.near(g.zone, stream) > best.near(g.zone, stream) {
 			best = p
 		}
 	}
@@ -421,3 +492,13 @@
 	}
 	return best.address, true
 }
+
+// near orders peers to read from: those of a zone first, then by how far they
+// have read.
+func (p *peer) near(zone, stream string) float64 {
+	const zoneFirst = 1e15
+	if p.zone == zone {
+		return zoneFirst + float64(p.ends[stream])
+	}
+	return float64(p.ends[stream])
+}
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/syncer"
@@ -45,7 +46,7 @@
 func (v *Process) newSyncers() {
 	for _, s := range []syncer.Stream{
 		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter},
-		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter},
+		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter, Shared: true},
 		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
 	} {
 		s.Copy = v.copies[s.Name]
@@ -53,11 +54,11 @@
 	}
 }
 
-func (v *Process) ends() map[string]int64 {
-	ends := make(map[string]int64, len(v.copies))
+func (v *Process) ends() map[string]gossiper.End {
+	ends := make(map[string]gossiper.End, len(v.copies))
 	for name, c := range v.copies {
 		if end, _ := c.End(); end > 0 {
-			ends[name] = end
+			ends[name] = gossiper.End{Offset: end, AsOf: c.ReadAt()}
 		}
 	}
 	return ends
--- a/entry/process/replicator/replicator.go
+++ b/entry/process/replicator/replicator.go
@@ -33,7 +33,9 @@
 	end int64
 	// asOf is when the platform last confirmed that end was its own, by this
 	// VM's clock; a peer's confirmation counts from when it was made.
-	asOf    time.Time
+	asOf time.Time
+	// readAt is the same for confirmations that the platform made to this VM.
+	readAt  time.Time
 	changed func(rs []Record, gap time.Duration)
 }
 
@@ -73,6 +75,30 @@
 	c.changed(taken, gap)
 }
 
+// Read notes that the platform confirmed the copy's end to this VM itself.
+func (c *Copy) Read(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAt = at
+}
+
+// ReadAt is when the platform last confirmed the end to this VM itself; zero
+// where it never did.
+func (c *Copy) ReadAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAt
+}
+
+// Confirm notes that the platform went no further than this copy at a time.
+func (c *Copy) Confirm(asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if asOf.After(c.asOf) {
+		c.asOf = asOf
+	}
+}
+
 // Complete drops every key that a whole reading of the stream did not bring:
 // the platform may forget a dropped key's record before this VM saw it.
 func (c *Copy) Complete(rs []Record, end int64, asOf time.Time) {
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -50,6 +50,11 @@
 
 // Peers are the other VMs.
 type Peers interface {
+	// Reads says that this VM reads a stream from the platform for others.
+	Reads(stream string) bool
+	// Confirmed is when a VM was last told that a stream went no further than
+	// an offset; zero where none was.
+	Confirmed(stream string, offset int64) time.Time
 	// Ahead names one that has read further.
 	Ahead(stream string, than int64) (netip.AddrPort, bool)
 	// Fetch gets its records from an offset on, and how old they are.
@@ -63,8 +68,11 @@
 	// Wait is how long the platform holds a reading that has nothing new, and
 	// Every how long after a reading the next one begins.
 	Wait, Every time.Duration
-	// Stale is how old a copy may be before a peer is asked.
+	// Stale is how old a copy may be before this VM looks for another way: one
+	// that reads asks a peer, one for which another reads does so itself.
 	Stale time.Duration
+	// Shared says that one VM of a zone reads for the others.
+	Shared bool
 }
 
 // A Syncer keeps one stream.
@@ -91,6 +99,11 @@
 	wait := tryAgain
 	read := s.now()
 	for ctx.Err() == nil {
+		if !whole && s.served() {
+			read = s.now()
+			pause(ctx, peerEvery)
+			continue
+		}
 		err := s.read(ctx, whole)
 		now := s.now()
 		switch {
@@ -116,6 +129,17 @@
 	}
 }
 
+// served says that another VM reads for this one, and that its news are fresh.
+// Each reading is paid for, and the platform bears only so many: where each of 91
+// VMs read for itself, calls cost 0.139 of a day's worth.
+func (s *Syncer) served() bool {
+	if !s.stream.Shared || s.peers.Reads(s.stream.Name) {
+		return false
+	}
+	_, asOf := s.stream.Copy.End()
+	return s.now().Sub(asOf) < s.stream.Stale
+}
+
 func (s *Syncer) read(ctx context.Context, whole bool) error {
 	from, _ := s.stream.Copy.End()
 	asOf := s.now()
@@ -127,6 +151,7 @@
 			return err
 		}
 		s.stream.Copy.Complete(rs, end, asOf)
+		s.stream.Copy.Read(asOf)
 		return nil
 	}
 	short, cancel := context.WithTimeout(ctx, s.stream.Wait+spare)
@@ -135,7 +160,9 @@
 	if err != nil {
 		return err
 	}
-	s.stream.Copy.Merge(rs, end, s.now())
+	now := s.now()
+	s.stream.Copy.Merge(rs, end, now)
+	s.stream.Copy.Read(now)
 	return nil
 }
 
@@ -145,7 +172,10 @@
 	for ctx.Err() == nil {
 		pause(ctx, peerEvery)
 		end, asOf := s.stream.Copy.End()
-		if s.now().Sub(asOf) < s.stream.Stale {
+		if confirmed := s.peers.Confirmed(s.stream.Name, end); confirmed.After(asOf) {
+			s.stream.Copy.Confirm(confirmed)
+		}
+		if s.now().Sub(asOf) < s.stream.Stale && !s.served() {
 			continue
 		}
 		from, ok := s.peers.Ahead(s.stream.Name, end)
@@ -159,7 +189,7 @@
 			s.log.Info().Err(err).Str("peer", from.String()).Msg("records not read from a peer")
 			continue
 		}
-		s.log.Info().Str("peer", from.String()).Int("records", len(rs)).Int64("end", end).Dur("age", age).Msg("records read from a peer")
+		s.log.Debug().Str("peer", from.String()).Int("records", len(rs)).Int64("end", end).Dur("age", age).Msg("records read from a peer")
 		s.stream.Copy.Merge(rs, end, s.now().Add(-age))
 	}
 }
