--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -15,6 +15,10 @@
 	// configurationWait is how long the platform holds a reading of the
 	// configuration. A connection that falls silent hides changes for as long.
 	configurationWait = 3 * time.Second
+	// configurationBehind is how long another VM may have a newer configuration
+	// before it is asked for it: the platform's own answer takes some
+	// milliseconds, and versions must be in force within two seconds.
+	configurationBehind = 200 * time.Millisecond
 	// upstreamsEvery is how often the list of upstreams is read. Upstreams
 	// write to it all the time, so that waiting there for news would return at
 	// every heartbeat; one that leaves must get nothing after two seconds.
@@ -45,7 +49,7 @@
 
 func (v *Process) newSyncers() {
 	for _, s := range []syncer.Stream{
-		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter},
+		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter, Behind: configurationBehind},
 		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter, Shared: true},
 		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
 	} {
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -71,6 +71,10 @@
 	// Stale is how old a copy may be before this VM looks for another way: one
 	// that reads asks a peer, one for which another reads does so itself.
 	Stale time.Duration
+	// Behind is how long a peer may be ahead before it is asked, also while the
+	// copy is not stale: a long reading that the platform forgets to answer looks
+	// like one that has nothing new. Zero where only age counts.
+	Behind time.Duration
 	// Shared says that one VM of a zone reads for the others.
 	Shared bool
 }
@@ -169,17 +173,23 @@
 // RunPeers reads from peers what the platform did not bring, until the context
 // ends.
 func (s *Syncer) RunPeers(ctx context.Context) {
+	var behind time.Time
 	for ctx.Err() == nil {
 		pause(ctx, peerEvery)
 		end, asOf := s.stream.Copy.End()
 		if confirmed := s.peers.Confirmed(s.stream.Name, end); confirmed.After(asOf) {
 			s.stream.Copy.Confirm(confirmed)
 		}
-		if s.now().Sub(asOf) < s.stream.Stale && !s.served() {
-			continue
-		}
 		from, ok := s.peers.Ahead(s.stream.Name, end)
 		if !ok {
+			behind = time.Time{}
+			continue
+		}
+		if behind.IsZero() {
+			behind = s.now()
+		}
+		overdue := s.stream.Behind > 0 && s.now().Sub(behind) >= s.stream.Behind
+		if s.now().Sub(asOf) < s.stream.Stale && !s.served() && !overdue {
 			continue
 		}
 		short, cancel := context.WithTimeout(ctx, peerTime)
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -87,10 +87,16 @@
 	return replicator.Record{Key: key, Offset: offset}
 }
 
-func start(t *testing.T, p *platform, others peers) *replicator.Copy {
+func start(t *testing.T, p syncer.Source, others peers) *replicator.Copy {
 	t.Helper()
 	c := replicator.New(func([]replicator.Record, time.Duration) {})
-	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Every: time.Millisecond, Stale: 200 * time.Millisecond, Shared: true}, p, others, time.Now, zerolog.Nop())
+	return run(t, syncer.Stream{Name: "s", Copy: c, Every: time.Millisecond, Stale: 200 * time.Millisecond, Shared: true}, p, others)
+}
+
+func run(t *testing.T, stream syncer.Stream, p syncer.Source, others peers) *replicator.Copy {
+	t.Helper()
+	c := stream.Copy
+	s := syncer.New(stream, p, others, time.Now, zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	var both sync.WaitGroup
 	both.Go(func() { s.Run(ctx) })
@@ -163,3 +169,28 @@
 	p.set(func() { p.records = append(p.records, record("b", 1), record("c", 2)) })
 	reaches(t, c, 3)
 }
+
+// forgetful does not answer a long reading when there is news.
+type forgetful struct{ platform }
+
+func (f *forgetful) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]replicator.Record, int64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+		return nil, from, nil
+	}
+}
+
+// The platform holds a long reading although there is something new. The copy is
+// not old yet, but the others have read further, and a version of the
+// configuration has to be in force within two seconds.
+func TestPeersAreAskedWhenTheyAreAhead(t *testing.T) {
+	p := &forgetful{platform{records: []replicator.Record{record("a", 0)}}}
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
+	began := time.Now()
+	run(t, syncer.Stream{Name: "s", Copy: c, Wait: 10 * time.Second, Stale: time.Minute, Behind: 100 * time.Millisecond}, p,
+		peers{records: []replicator.Record{record("a", 0), record("b", 1)}})
+	reaches(t, c, 2)
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+}
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -31,7 +31,7 @@
 	UsualOutput = 0.4
 	// headroom is how many slots must be free for short prompts, for each of
 	// these that runs, where a late long prompt begins.
-	headroom = 0.4
+	headroom = 0.7
 	// harmless is the harm up to which a patient request takes a place.
 	harmless = 0.3
 	// lateShare is the part of its use that a late answer has lost.
