--- /dev/null
+++ b/entry/process/gossiper/known.go
@@ -0,0 +1,168 @@
+package gossiper
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+// Load is the others' work at an upstream. What a silent VM told does not
+// count, nor what was not told again.
+func (g *Gossiper) Load(upstream string) placer.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var sum placer.Load
+	for _, p := range g.peers {
+		if now.Sub(p.heard) > silent {
+			continue
+		}
+		if l, ok := p.loads[upstream]; ok && now.Sub(l.at) <= repeatEvery+silent {
+			sum.Add(l.Load)
+		}
+	}
+	return sum
+}
+
+// Wait tells the others, with the next Tick, of the first long prompt that waits
+// here; nil where none does. It says whether that is news.
+func (g *Gossiper) Wait(h *Head) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if (h == nil) == (g.head == nil) && (h == nil || *h == *g.head) {
+		return false
+	}
+	g.head, g.headNew = h, true
+	return true
+}
+
+// Silent says that another VM cannot reach an upstream.
+func (g *Gossiper) Silent(upstream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, p := range g.peers {
+		if p.silent[upstream] && now.Sub(p.heard) <= 2*beatEvery {
+			return true
+		}
+	}
+	return false
+}
+
+// Before is how many VMs have a long prompt waiting that goes before one of
+// this VM.
+func (g *Gossiper) Before(h Head) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	n := 0
+	for _, p := range g.peers {
+		if p.head != nil && now.Sub(p.heard) <= silent && p.head.before(h) {
+			n++
+		}
+	}
+	return n
+}
+
+// VMs are the names of the VMs that live, this one included, in order.
+func (g *Gossiper) VMs() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if now.Sub(g.vmsAt) < beatEvery && g.vms != nil {
+		return g.vms
+	}
+	vms := []string{g.vm}
+	for _, p := range g.peers {
+		if p.vm != "" && now.Sub(p.heard) <= goneAfter {
+			vms = append(vms, p.vm)
+		}
+	}
+	for i := len(vms); now.Sub(g.began) < settling && i < assumed; i++ {
+		vms = append(vms, "\xffassumed"+string(rune('a'+i)))
+	}
+	slices.Sort(vms)
+	g.vms, g.vmsAt = slices.Compact(vms), now
+	return g.vms
+}
+
+// An End is how far a stream of records has been read, and when the platform
+// confirmed it to this VM itself; zero where it never did. What others confirmed
+// is not told on: with each VM that it passed it would seem younger by the time
+// on its way, and VMs that all hear nothing would keep one another sure.
+type End struct {
+	Offset int64
+	AsOf   time.Time
+}
+
+// Reads says that this VM reads a stream from the platform for the others of its
+// zone: the one of those that can be heard which ranks first for it. A process
+// that has not heard of the others yet reads for itself.
+func (g *Gossiper) Reads(stream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if now.Sub(g.began) < settling {
+		return true
+	}
+	mine := rank(stream, g.vm)
+	for _, p := range g.peers {
+		if p.zone == g.zone && now.Sub(p.heard) <= silent && rank(stream, p.vm) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+func rank(stream, vm string) uint64 { return xxhash.Sum64String(stream + "\x00" + vm) }
+
+// Confirmed is when the platform last confirmed, to a VM that can be heard, that
+// a stream went no further than an offset.
+func (g *Gossiper) Confirmed(stream string, offset int64) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var asOf time.Time
+	for _, p := range g.peers {
+		if now.Sub(p.heard) <= silent && p.ends[stream] <= offset && p.asOf[stream].After(asOf) {
+			asOf = p.asOf[stream]
+		}
+	}
+	return asOf
+}
+
+// Ahead is the VM that has read most of a stream beyond an offset, among those
+// that can be heard; one of this zone where there is any, as bytes between zones
+// are dear.
+func (g *Gossiper) Ahead(stream string, than int64) (netip.AddrPort, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var best *peer
+	for _, p := range g.peers {
+		if now.Sub(p.heard) > silent || p.ends[stream] <= than {
+			continue
+		}
+		if best == nil || p.near(g.zone, stream) > best.near(g.zone, stream) {
+			best = p
+		}
+	}
+	if best == nil {
+		return netip.AddrPort{}, false
+	}
+	return best.address, true
+}
+
+// near orders peers to read from: those of a zone first, then by how far they
+// have read.
+func (p *peer) near(zone, stream string) float64 {
+	const zoneFirst = 1e15
+	if p.zone == zone {
+		return zoneFirst + float64(p.ends[stream])
+	}
+	return float64(p.ends[stream])
+}
--- /dev/null
+++ b/entry/process/gossiper/message.go
@@ -0,0 +1,55 @@
+package gossiper
+
+import (
+	"time"
+)
+
+// load is the wire form of a placer.Load.
+type load struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Streams  int
+	Context  int
+	Unread   float32
+	Starting int
+	Parts    int
+	Pauses   []int
+}
+
+// message is one datagram.
+type message struct {
+	VM    string           `cbor:"1,keyasint"`
+	Boot  int64            `cbor:"2,keyasint"`
+	Seq   uint64           `cbor:"3,keyasint"`
+	Loads []load           `cbor:"4,keyasint,omitempty"`
+	Ends  map[string]int64 `cbor:"5,keyasint,omitempty"`
+	Bye   bool             `cbor:"6,keyasint,omitempty"`
+	Head  *head            `cbor:"7,keyasint,omitempty"`
+	// Silent are upstreams that the sender cannot reach.
+	Silent []string `cbor:"8,keyasint,omitempty"`
+	Zone   string   `cbor:"9,keyasint,omitempty"`
+	// Ages are how long ago the platform confirmed Ends, in milliseconds.
+	Ages map[string]int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// head is the first of the long prompts that wait at a VM. Its latest start is
+// told as the milliseconds until then: clocks of VMs differ.
+type head struct {
+	_    struct{} `cbor:",toarray"`
+	Late bool
+	In   int64
+}
+
+// A Head is the first of the long prompts that wait at a VM: whether it is late
+// already, and its latest start in time.
+type Head struct {
+	Late  bool
+	Start time.Time
+}
+
+func (h Head) before(o Head) bool {
+	if h.Late != o.Late {
+		return o.Late
+	}
+	return h.Start.Before(o.Start)
+}
--- /dev/null
+++ b/entry/process/gossiper/receive.go
@@ -0,0 +1,94 @@
+package gossiper
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+// A peer is another VM.
+type peer struct {
+	vm      string
+	boot    int64
+	address netip.AddrPort
+	heard   time.Time
+	known   time.Time
+	tried   time.Time
+	ends    map[string]int64
+	// asOf is when the platform confirmed ends, by this VM's clock.
+	asOf    map[string]time.Time
+	zone    string
+	loads   map[string]told
+	head    *Head
+	headSeq uint64
+	silent  map[string]bool
+}
+
+type told struct {
+	placer.Load
+	seq uint64
+	at  time.Time
+}
+
+// Receive takes a datagram in.
+func (g *Gossiper) Receive(from netip.AddrPort, data []byte) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil || m.VM == "" {
+		g.log.Debug().Str("peer", from.String()).Err(err).Msg("datagram not understood")
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.meet(from)
+	if p == nil || (m.VM == p.vm && m.Boot < p.boot) {
+		return
+	}
+	now := g.now()
+	if m.VM != p.vm || m.Boot != p.boot {
+		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
+		p.vm, p.boot, p.head, p.headSeq = m.VM, m.Boot, nil, 0
+		clear(p.loads)
+		clear(p.ends)
+		clear(p.asOf)
+	} else if now.Sub(p.heard) > silent {
+		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
+	}
+	p.heard = now
+	if m.Bye {
+		p.heard = now.Add(-goneAfter)
+		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
+	}
+	p.zone = m.Zone
+	for stream, end := range m.Ends {
+		if end < p.ends[stream] {
+			continue
+		}
+		p.ends[stream] = end
+		if age, ok := m.Ages[stream]; ok {
+			p.asOf[stream] = now.Add(-time.Duration(age) * time.Millisecond)
+		}
+	}
+	if m.Seq > p.headSeq {
+		p.head, p.headSeq = nil, m.Seq
+		p.silent = make(map[string]bool, len(m.Silent))
+		for _, id := range m.Silent {
+			p.silent[id] = true
+		}
+		if m.Head != nil {
+			p.head = &Head{Late: m.Head.Late, Start: now.Add(time.Duration(m.Head.In) * time.Millisecond)}
+		}
+	}
+	for _, l := range m.Loads {
+		if old, ok := p.loads[l.Upstream]; ok && old.seq > m.Seq {
+			continue
+		}
+		t := told{seq: m.Seq, at: now, Load: placer.Load{
+			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
+		}}
+		copy(t.Pauses[:], l.Pauses)
+		p.loads[l.Upstream] = t
+	}
+}
