Let a team over its share of a service stand behind the others where work waits

The product's ranker, which the other side asks for priorities at engines, now orders what waits here as well; the platform's configuration names no shares, so that every team has one.

--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -65,6 +65,7 @@
 		s.add(h.id, h.held, 1)
 	}
 	s.coldOf(main.ID).Sent(now)
+	s.rankerOf(w.call.Service.Name).Note(now, w.call.Team, oneShare, max(1, w.call.Ask.Prompt+w.call.Ask.Output))
 	return g
 }
 
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/request/ranker"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
@@ -72,6 +73,8 @@
 	Ask     placer.Ask
 	// Priority is the request's rank, 0 being the first.
 	Priority int
+	// Team is whose it is.
+	Team string
 }
 
 // A Refusal says that no place could be given in time. Nothing was sent.
@@ -97,6 +100,8 @@
 	own     map[string]*placer.Load
 	cold    map[string]*budgeter.Cold
 	waiting []*waiter
+	// rankers keep the teams' use of each service.
+	rankers map[string]*ranker.Ranker
 	// until is when this VM stops; zero while it does not.
 	until time.Time
 }
@@ -109,6 +114,9 @@
 	found time.Time
 	// looked is when a place was last looked for.
 	looked time.Time
+	// late and over are 1 where it can no longer be in time, and where its team
+	// uses more than its share, when it was last sorted.
+	late, over int
 }
 
 type reply struct {
@@ -120,7 +128,7 @@
 func New(vm, zone string, d Deps) *Scheduler {
 	return &Scheduler{
 		vm: vm, zone: zone, deps: d,
-		own: make(map[string]*placer.Load), cold: make(map[string]*budgeter.Cold),
+		own: make(map[string]*placer.Load), cold: make(map[string]*budgeter.Cold), rankers: make(map[string]*ranker.Ranker),
 	}
 }
 
@@ -156,17 +164,41 @@
 }
 
 // compare orders by rank, then those that can be in time before those that are
-// late already, then by the latest start. Without the second, a backlog of late
-// prompts would stand before everything that could still be in time, and make
-// it late as well.
-func compare(now time.Time, a, b *waiter) int {
-	late := func(w *waiter) int {
+// late already, then teams within their share before those over it, then by the
+// latest start. Without the second, a backlog of late prompts would stand before
+// everything that could still be in time, and make it late as well; without the
+// third, one team's burst stands before the others' questions.
+func compare(a, b *waiter) int {
+	return cmp.Or(
+		cmp.Compare(a.call.Priority, b.call.Priority), cmp.Compare(a.late, b.late), cmp.Compare(a.over, b.over),
+		a.times.start.Compare(b.times.start),
+	)
+}
+
+// sort puts what waits in its order.
+func (s *Scheduler) sort(now time.Time) {
+	for _, w := range s.waiting {
+		w.late, w.over = 0, 0
 		if w.times.late(now) {
-			return 1
+			w.late = 1
 		}
-		return 0
+		if s.rankerOf(w.call.Service.Name).Over(now, w.call.Team) {
+			w.over = 1
+		}
+	}
+	slices.SortStableFunc(s.waiting, compare)
+}
+
+// oneShare is every team's share: the platform's configuration names none.
+const oneShare = 1
+
+func (s *Scheduler) rankerOf(service string) *ranker.Ranker {
+	r, ok := s.rankers[service]
+	if !ok {
+		r = ranker.New()
+		s.rankers[service] = r
 	}
-	return cmp.Or(cmp.Compare(a.call.Priority, b.call.Priority), cmp.Compare(late(a), late(b)), a.times.start.Compare(b.times.start))
+	return r
 }
 
 // Pump places what can be placed and refuses what cannot be done in time. It is
@@ -183,7 +215,7 @@
 	}
 	now := s.deps.Now()
 	blocked := make(map[kind]bool)
-	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return compare(now, a, b) })
+	s.sort(now)
 	kept := s.waiting[:0:0]
 	for _, w := range s.waiting {
 		if r, done := s.step(now, w, blocked); done {
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -193,6 +193,36 @@
 	<-outs[0]
 }
 
+// One team sends most of the load. What waits of the others goes before the rest
+// of its burst, however early that came.
+func TestTeamOverItsShareStandsBehind(t *testing.T) {
+	f := newFleet(1)
+	var open []*scheduler.Grant
+	busy, quiet := f.call(1000, 100*time.Second), f.call(1000, 100*time.Second)
+	busy.Team, quiet.Team = "busy", "quiet"
+	for range 2 {
+		g, _ := f.Acquire(t.Context(), quiet)
+		g.Done()
+	}
+	for range 12 {
+		g, _ := f.Acquire(t.Context(), busy)
+		g.Done()
+	}
+	for range 2 {
+		g, _ := f.Acquire(t.Context(), busy)
+		open = append(open, g)
+	}
+	first := f.ask(t.Context(), busy)
+	quiet.Ask.Objective = quiet.Ask.Objective.Add(time.Millisecond)
+	second := f.ask(t.Context(), quiet)
+	open[0].Done()
+	o := <-second
+	assert.Assert(t, o.grant != nil)
+	assert.Equal(t, len(first), 0)
+	open[1].Done()
+	<-first
+}
+
 // Engines that end a prompt become free for every VM at once. A VM whose prompt
 // is not the first leaves them to the others for a moment, and no longer.
 func TestLongPromptsYieldToOthersFirst(t *testing.T) {
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -111,7 +111,7 @@
 		leaves = j.arrived.Add(j.route.Patience)
 	}
 	grant, refused := r.deps.Scheduler.Acquire(ctx, scheduler.Call{
-		Service: j.service, Priority: j.priority(),
+		Service: j.service, Priority: j.priority(), Team: j.teamName(),
 		Ask: placer.Ask{
 			Prompt: j.ask.Prompt, Output: j.ask.Output, Tried: j.tried, Pause: float64(j.route.Gap.Milliseconds()),
 			Arrived: j.arrived, Objective: j.arrived.Add(j.route.Objective), Deadline: j.end, Leaves: leaves,
