--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -151,6 +151,8 @@
 func (s *Scheduler) leave(w *waiter) *Refusal {
 	s.mu.Lock()
 	s.waiting = slices.DeleteFunc(s.waiting, func(o *waiter) bool { return o == w })
+	// Else the others would go on leaving places to a prompt that is gone.
+	s.tell(s.deps.Now())
 	s.mu.Unlock()
 	select {
 	case r := <-w.reply:
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -309,3 +309,15 @@
 	assert.Assert(t, (<-out).refusal != nil)
 	assert.Equal(t, f.Waiting(), 0)
 }
+
+// The same for a long prompt, for which the other VMs leave places: they must
+// learn that it waits no more.
+func TestOthersLearnThatAPromptHasLeft(t *testing.T) {
+	f := newFleet(0)
+	ctx, cancel := context.WithCancel(t.Context())
+	out := f.ask(ctx, f.call(60_000, 10*time.Second))
+	assert.Assert(t, f.peers.waits)
+	cancel()
+	<-out
+	assert.Assert(t, !f.peers.waits)
+}
