Count places after the requests of a test have ended

Cause: cleanups run last first, so that the check for places that were not given back ran before the server waited for its requests; a request whose caller had just left still held its place.

--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -183,8 +183,10 @@
 		Leaving: func() (bool, time.Duration) { return b.left > 0, b.left },
 	})
 	b.server = httptest.NewServer(r)
-	t.Cleanup(b.server.Close)
+	// Cleanups run last first: places are counted once all requests have ended,
+	// which the server's Close waits for.
 	t.Cleanup(func() { assert.Check(t, len(s.Own()) == 0, "places were not given back: %v", s.Own()) })
+	t.Cleanup(b.server.Close)
 	return b
 }
 
