--- a/bench/freeze_test.go
+++ b/bench/freeze_test.go
@@ -30,6 +30,9 @@
 	b.until("the woken VM serves again", func() (bool, error) {
 		q := b.ask(vm, "after the pause", 1000, 8)
 		<-q.done
+		if !q.answer.Whole {
+			t.Logf("the woken VM: status %d, %s %q, after %v: %v", q.answer.Status, q.answer.Code, q.answer.Text, q.answer.End, q.answer.Err)
+		}
 		return q.answer.Whole, nil
 	})
 }
