Keep the sums of the others' work instead of adding them up for each decision

Cause: a decision asks for the others' work at every upstream of a service, and each question went through all VMs: 0.074 ms at 9 VMs, 0.74 ms at 91 and 4.6 ms at 330 for 78 upstreams (BenchmarkLoad, before), on VMs of a fifth of a core and at each datagram while something waits. Every datagram also said how far its VM had read and which upstreams it cannot reach.

Change: sums are kept as words arrive and expire at each beat; how far a VM has read goes with beats only.

Ruled out: a lower rate of datagrams, which makes the sums older.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -69,6 +69,7 @@
 	began    time.Time
 	seq      uint64
 	peers    map[netip.AddrPort]*peer
+	sums     map[string]*sum
 	dirty    map[string]placer.Load
 	own      map[string]placer.Load
 	head     *Head
@@ -77,6 +78,8 @@
 	repeatAt time.Time
 	vms      []string
 	vmsAt    time.Time
+	// expiredAt is when what is too old to count was last taken back.
+	expiredAt time.Time
 }
 
 // New returns a Gossiper of a process at an address. ends tells how far it has
@@ -84,7 +87,7 @@
 func New(vm, zone string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]End, unreachable func() []string, now func() time.Time, log zerolog.Logger) *Gossiper {
 	return &Gossiper{
 		vm: vm, zone: zone, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, unreachable: unreachable, began: now(),
-		peers: make(map[netip.AddrPort]*peer), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
+		peers: make(map[netip.AddrPort]*peer), sums: make(map[string]*sum), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
 	}
 }
 
@@ -121,40 +124,57 @@
 
 // Tick sends what is due.
 func (g *Gossiper) Tick(now time.Time) {
-	// Read before locking: whoever keeps the records may be telling this
-	// package of work at the same moment.
-	ends, unreachable := g.ends(), g.unreachable()
+	b := g.dueBeat(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if now.Sub(g.repeatAt) >= repeatEvery {
 		g.repeatAt = now
 		maps.Copy(g.dirty, g.own)
 	}
-	if len(g.dirty) == 0 && !g.headNew && now.Sub(g.beatAt) < beatEvery {
+	if len(g.dirty) == 0 && !g.headNew && b == nil {
 		return
 	}
-	g.beatAt, g.headNew = now, false
+	g.headNew = false
 	names := slices.Sorted(maps.Keys(g.dirty))
 	for first := true; first || len(names) > 0; first = false {
 		n := min(len(names), mostLoads)
-		g.send(now, g.message(ends, unreachable, names[:n]))
+		m := g.message(names[:n])
+		if first {
+			m.Beat = b
+		}
+		g.send(now, m)
 		names = names[n:]
 	}
 	clear(g.dirty)
 }
 
-func (g *Gossiper) message(ends map[string]End, unreachable, names []string) message {
-	g.seq++
-	m := message{
-		VM: g.vm, Zone: g.zone, Boot: g.boot, Seq: g.seq, Silent: unreachable,
-		Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends)),
+// dueBeat is the next beat where it is due. It takes the lock only for the time
+// of the last one: whoever keeps the records may be telling this package of work
+// at the same moment, and would wait for this one while this one waits for it.
+func (g *Gossiper) dueBeat(now time.Time) *beat {
+	g.mu.Lock()
+	due := now.Sub(g.beatAt) >= beatEvery
+	if due {
+		g.beatAt = now
 	}
+	g.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ends := g.ends()
+	b := &beat{Zone: g.zone, Silent: g.unreachable(), Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends))}
 	for stream, end := range ends {
-		m.Ends[stream] = end.Offset
+		b.Ends[stream] = end.Offset
 		if !end.AsOf.IsZero() {
-			m.Ages[stream] = g.now().Sub(end.AsOf).Milliseconds()
+			b.Ages[stream] = now.Sub(end.AsOf).Milliseconds()
 		}
 	}
+	return b
+}
+
+func (g *Gossiper) message(names []string) message {
+	g.seq++
+	m := message{VM: g.vm, Boot: g.boot, Seq: g.seq}
 	if g.head != nil {
 		m.Head = &head{Late: g.head.Late, In: g.head.Start.Sub(g.now()).Milliseconds()}
 	}
@@ -177,6 +197,7 @@
 	for address, p := range g.peers {
 		if quiet := now.Sub(latest(p.heard, p.known)); quiet > silent {
 			if quiet > forgotten {
+				g.forget(p)
 				delete(g.peers, address)
 				continue
 			}
@@ -200,10 +221,9 @@
 
 // Bye tells the others that this process ends.
 func (g *Gossiper) Bye() {
-	ends := g.ends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.message(ends, nil, nil)
+	m := g.message(nil)
 	m.Bye = true
 	g.send(g.now(), m)
 }
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -6,28 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
-// Load is the others' work at an upstream. What a silent VM told does not
-// count, nor what was not told again.
-func (g *Gossiper) Load(upstream string) placer.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	var sum placer.Load
-	for _, p := range g.peers {
-		if now.Sub(p.heard) > silent {
-			continue
-		}
-		if l, ok := p.loads[upstream]; ok && now.Sub(l.at) <= repeatEvery+silent {
-			sum.Add(l.Load)
-		}
-	}
-	return sum
-}
-
 // Wait tells the others, with the next Tick, of the first long prompt that waits
 // here; nil where none does. It says whether that is news.
 func (g *Gossiper) Wait(h *Head) bool {
@@ -40,19 +20,6 @@
 	return true
 }
 
-// Silent says that another VM cannot reach an upstream.
-func (g *Gossiper) Silent(upstream string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	for _, p := range g.peers {
-		if p.silent[upstream] && now.Sub(p.heard) <= 2*beatEvery {
-			return true
-		}
-	}
-	return false
-}
-
 // Before is how many VMs have a long prompt waiting that goes before one of
 // this VM.
 func (g *Gossiper) Before(h Head) int {
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -16,20 +16,26 @@
 	Pauses   []int
 }
 
-// message is one datagram.
+// message is one datagram. Changes of work are told as they come, to every VM,
+// so that such a datagram holds nothing else.
 type message struct {
-	VM    string           `cbor:"1,keyasint"`
-	Boot  int64            `cbor:"2,keyasint"`
-	Seq   uint64           `cbor:"3,keyasint"`
-	Loads []load           `cbor:"4,keyasint,omitempty"`
-	Ends  map[string]int64 `cbor:"5,keyasint,omitempty"`
-	Bye   bool             `cbor:"6,keyasint,omitempty"`
-	Head  *head            `cbor:"7,keyasint,omitempty"`
-	// Silent are upstreams that the sender cannot reach.
-	Silent []string `cbor:"8,keyasint,omitempty"`
-	Zone   string   `cbor:"9,keyasint,omitempty"`
+	VM    string `cbor:"1,keyasint"`
+	Boot  int64  `cbor:"2,keyasint"`
+	Seq   uint64 `cbor:"3,keyasint"`
+	Loads []load `cbor:"4,keyasint,omitempty"`
+	Beat  *beat  `cbor:"5,keyasint,omitempty"`
+	Bye   bool   `cbor:"6,keyasint,omitempty"`
+	Head  *head  `cbor:"7,keyasint,omitempty"`
+}
+
+// beat is what a VM tells every beatEvery.
+type beat struct {
+	Zone string           `cbor:"1,keyasint"`
+	Ends map[string]int64 `cbor:"2,keyasint,omitempty"`
 	// Ages are how long ago the platform confirmed Ends, in milliseconds.
-	Ages map[string]int64 `cbor:"10,keyasint,omitempty"`
+	Ages map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// Silent are upstreams that the sender cannot reach.
+	Silent []string `cbor:"4,keyasint,omitempty"`
 }
 
 // head is the first of the long prompts that wait at a VM. Its latest start is
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -24,7 +24,9 @@
 	loads   map[string]told
 	head    *Head
 	headSeq uint64
-	silent  map[string]bool
+	beatSeq uint64
+	// silent are the upstreams that it cannot reach.
+	silent []string
 }
 
 type told struct {
@@ -49,8 +51,8 @@
 	now := g.now()
 	if m.VM != p.vm || m.Boot != p.boot {
 		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
-		p.vm, p.boot, p.head, p.headSeq = m.VM, m.Boot, nil, 0
-		clear(p.loads)
+		p.vm, p.boot, p.head, p.headSeq, p.beatSeq = m.VM, m.Boot, nil, 0, 0
+		g.forget(p)
 		clear(p.ends)
 		clear(p.asOf)
 	} else if now.Sub(p.heard) > silent {
@@ -59,36 +61,42 @@
 	p.heard = now
 	if m.Bye {
 		p.heard = now.Add(-goneAfter)
+		g.forget(p)
 		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
-	}
-	p.zone = m.Zone
-	for stream, end := range m.Ends {
-		if end < p.ends[stream] {
-			continue
-		}
-		p.ends[stream] = end
-		if age, ok := m.Ages[stream]; ok {
-			p.asOf[stream] = now.Add(-time.Duration(age) * time.Millisecond)
-		}
+		return
 	}
 	if m.Seq > p.headSeq {
 		p.head, p.headSeq = nil, m.Seq
-		p.silent = make(map[string]bool, len(m.Silent))
-		for _, id := range m.Silent {
-			p.silent[id] = true
-		}
 		if m.Head != nil {
 			p.head = &Head{Late: m.Head.Late, Start: now.Add(time.Duration(m.Head.In) * time.Millisecond)}
 		}
 	}
+	if m.Beat != nil {
+		g.beat(now, p, m.Seq, m.Beat)
+	}
 	for _, l := range m.Loads {
-		if old, ok := p.loads[l.Upstream]; ok && old.seq > m.Seq {
-			continue
-		}
-		t := told{seq: m.Seq, at: now, Load: placer.Load{
+		t := placer.Load{
 			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
-		}}
+		}
 		copy(t.Pauses[:], l.Pauses)
-		p.loads[l.Upstream] = t
+		g.tell(now, p, l.Upstream, m.Seq, t)
+	}
+}
+
+// beat takes in what a VM tells with each beat.
+func (g *Gossiper) beat(now time.Time, p *peer, seq uint64, b *beat) {
+	p.zone = b.Zone
+	for stream, end := range b.Ends {
+		if end < p.ends[stream] {
+			continue
+		}
+		p.ends[stream] = end
+		if age, ok := b.Ages[stream]; ok {
+			p.asOf[stream] = now.Add(-time.Duration(age) * time.Millisecond)
+		}
+	}
+	if seq >= p.beatSeq {
+		p.beatSeq = seq
+		g.cannotReach(p, b.Silent)
 	}
 }
--- /dev/null
+++ b/entry/process/gossiper/sum.go
@@ -0,0 +1,113 @@
+package gossiper
+
+import (
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+// A sum is what all other VMs together say of one upstream. It is kept with each
+// word that arrives: a decision looks at every upstream of a service, and adding
+// up what each VM told took 0.74 ms at 91 VMs and 78 upstreams, and 4.6 ms at 330
+// VMs, where looking up kept sums takes 0.011 ms at either (BenchmarkLoad).
+type sum struct {
+	load placer.Load
+	// silent is how many VMs cannot reach the upstream.
+	silent int
+}
+
+// kept is how long a VM's word of an upstream counts that is not said again.
+const kept = repeatEvery + silent
+
+// Load is the others' work at an upstream. What a silent VM told does not
+// count, nor what was not told again.
+func (g *Gossiper) Load(upstream string) placer.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire(g.now())
+	if s, ok := g.sums[upstream]; ok {
+		return s.load
+	}
+	return placer.Load{}
+}
+
+// Silent says that another VM cannot reach an upstream.
+func (g *Gossiper) Silent(upstream string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire(g.now())
+	s, ok := g.sums[upstream]
+	return ok && s.silent > 0
+}
+
+func (g *Gossiper) sum(upstream string) *sum {
+	s, ok := g.sums[upstream]
+	if !ok {
+		s = &sum{}
+		g.sums[upstream] = s
+	}
+	return s
+}
+
+// tell notes a VM's work at an upstream, unless it has told of a later one.
+func (g *Gossiper) tell(now time.Time, p *peer, upstream string, seq uint64, l placer.Load) {
+	old, ok := p.loads[upstream]
+	if ok && old.seq > seq {
+		return
+	}
+	s := g.sum(upstream)
+	if ok {
+		s.load.Take(old.Load)
+	}
+	s.load.Add(l)
+	p.loads[upstream] = told{Load: l, seq: seq, at: now}
+}
+
+// cannotReach notes the upstreams that a VM cannot reach.
+func (g *Gossiper) cannotReach(p *peer, upstreams []string) {
+	for _, id := range p.silent {
+		g.sum(id).silent--
+	}
+	p.silent = upstreams
+	for _, id := range upstreams {
+		g.sum(id).silent++
+	}
+}
+
+// forget takes back all that a VM has told.
+func (g *Gossiper) forget(p *peer) {
+	for id, l := range p.loads {
+		g.sum(id).load.Take(l.Load)
+	}
+	clear(p.loads)
+	g.cannotReach(p, nil)
+}
+
+// expire takes back what is too old to count, at each beat.
+func (g *Gossiper) expire(now time.Time) {
+	if now.Sub(g.expiredAt) < beatEvery {
+		return
+	}
+	g.expiredAt = now
+	for _, p := range g.peers {
+		quiet := now.Sub(p.heard)
+		if quiet > silent {
+			g.forget(p)
+			continue
+		}
+		if quiet > 2*beatEvery {
+			g.cannotReach(p, nil)
+		}
+		for id, l := range p.loads {
+			if now.Sub(l.at) > kept {
+				g.sum(id).load.Take(l.Load)
+				delete(p.loads, id)
+			}
+		}
+	}
+	for id, s := range g.sums {
+		if *s == (sum{}) {
+			delete(g.sums, id)
+		}
+	}
+}
