Tell the other VMs how requests end at each upstream, and let late prompts leave slots

Engines of which one VM heard nothing for two seconds were blamed although they answered the others.

Change: datagrams of work carry each VM's counts of failed and answered requests there; the placer weighs the part that fails, squared. Answers at other VMs are a sign of life. Late short prompts go only where a fifth of all slots is free. The configuration and the VMs' addresses are read by one VM of a zone like the list, by another where its reading fails, and records go compressed between VMs.

What is left: VMs that wait meet at the same slot.

--- a/entry/process/gossiper/bench_test.go
+++ b/entry/process/gossiper/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
@@ -21,7 +22,7 @@
 	}
 	for i := 1; i < vms; i++ {
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 7000)
-		other := gossiper.New(fmt.Sprintf("front-%d", i), "z", 1, a, wire{n, a}, func() map[string]gossiper.End { return nil }, func() []string { return nil }, func() time.Time { return n.now }, zerolog.Nop())
+		other := gossiper.New(fmt.Sprintf("front-%d", i), "z", 1, a, wire{n, a}, func() map[string]gossiper.End { return nil }, tracker.New(), func() time.Time { return n.now }, zerolog.Nop())
 		other.Meet(address(0))
 		for _, name := range names {
 			other.Share(name, work)
@@ -43,7 +44,7 @@
 			for b.Loop() {
 				for _, name := range names {
 					sum.Add(g.Load(name))
-					if g.Silent(name) {
+					if o := g.Outcomes(name); g.Silent(name) || o.Failed > 0 {
 						b.Fatal("silent")
 					}
 				}
--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -52,6 +52,16 @@
 	Send(to netip.AddrPort, data []byte) error
 }
 
+// Upstreams is what this VM knows of upstreams.
+type Upstreams interface {
+	// Silent are those that it cannot reach.
+	Silent(now time.Time) []string
+	// Counts are how many of its requests one has failed and answered.
+	Counts(upstream string) (failed, answered uint32)
+	// Heard notes that one has given a sign of life.
+	Heard(now time.Time, upstream string)
+}
+
 // A Gossiper is one VM's side of the exchange.
 type Gossiper struct {
 	vm     string
@@ -62,8 +72,8 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	ends   func() map[string]End
-	// unreachable are the upstreams that this VM cannot reach.
-	unreachable func() []string
+	// upstreams is what this VM knows of upstreams.
+	upstreams Upstreams
 
 	mu       sync.Mutex
 	began    time.Time
@@ -83,10 +93,10 @@
 }
 
 // New returns a Gossiper of a process at an address. ends tells how far it has
-// read each stream of records, unreachable which upstreams it cannot reach.
-func New(vm, zone string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]End, unreachable func() []string, now func() time.Time, log zerolog.Logger) *Gossiper {
+// read each stream of records, us what it knows of upstreams.
+func New(vm, zone string, boot int64, self netip.AddrPort, s Sender, ends func() map[string]End, us Upstreams, now func() time.Time, log zerolog.Logger) *Gossiper {
 	return &Gossiper{
-		vm: vm, zone: zone, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, unreachable: unreachable, began: now(),
+		vm: vm, zone: zone, boot: boot, self: self, sender: s, now: now, log: log, ends: ends, upstreams: us, began: now(),
 		peers: make(map[netip.AddrPort]*peer), sums: make(map[string]*sum), dirty: make(map[string]placer.Load), own: make(map[string]placer.Load),
 	}
 }
@@ -104,7 +114,7 @@
 	}
 	p, ok := g.peers[address]
 	if !ok {
-		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), asOf: make(map[string]time.Time), loads: make(map[string]told)}
+		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), asOf: make(map[string]time.Time), failing: make(map[string]bool), loads: make(map[string]told)}
 		g.peers[address] = p
 	}
 	return p
@@ -162,12 +172,15 @@
 		return nil
 	}
 	ends := g.ends()
-	b := &beat{Zone: g.zone, Silent: g.unreachable(), Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends))}
+	b := &beat{Zone: g.zone, Silent: g.upstreams.Silent(now), Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends))}
 	for stream, end := range ends {
 		b.Ends[stream] = end.Offset
 		if !end.AsOf.IsZero() {
 			b.Ages[stream] = now.Sub(end.AsOf).Milliseconds()
 		}
+		if end.Failing {
+			b.Failing = append(b.Failing, stream)
+		}
 	}
 	return b
 }
@@ -180,9 +193,11 @@
 	}
 	for _, name := range names {
 		l := g.dirty[name]
+		failed, answered := g.upstreams.Counts(name)
 		m.Loads = append(m.Loads, load{
 			Upstream: name, Streams: l.Streams, Context: l.Context,
 			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts, Pauses: l.Pauses[:],
+			Failed: failed, Answered: answered,
 		})
 	}
 	return m
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
@@ -16,10 +17,11 @@
 type network struct {
 	now   time.Time
 	nodes map[netip.AddrPort]*gossiper.Gossiper
+	ends  map[netip.AddrPort]map[string]gossiper.End
 	queue []datagram
 	lose  bool
-	// silent are upstreams that no VM reaches.
-	silent []string
+	// known is what each VM knows of upstreams.
+	known map[netip.AddrPort]*tracker.Tracker
 }
 
 type datagram struct {
@@ -49,7 +51,11 @@
 	for stream, end := range ends {
 		read[stream] = gossiper.End{Offset: end, AsOf: n.now.Add(-time.Second)}
 	}
-	g := gossiper.New("vm"+string(rune('0'+i)), "z", boot, a, wire{n, a}, func() map[string]gossiper.End { return read }, func() []string { return n.silent },
+	n.ends[a], n.known[a] = read, tracker.New()
+	for _, id := range []string{"u", "v"} {
+		n.known[a].Put(n.now, tracker.Upstream{ID: id})
+	}
+	g := gossiper.New("vm"+string(rune('0'+i)), "z", boot, a, wire{n, a}, func() map[string]gossiper.End { return read }, n.known[a],
 		func() time.Time { return n.now }, zerolog.Nop())
 	n.nodes[a] = g
 	return g
@@ -76,7 +82,7 @@
 }
 
 func newNetwork() *network {
-	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}}
+	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}, ends: map[netip.AddrPort]map[string]gossiper.End{}, known: map[netip.AddrPort]*tracker.Tracker{}}
 }
 
 var work = placer.Load{Streams: 2, Context: 9000, Unread: 40, Starting: 1, Parts: 1, Pauses: [4]int{0, 1, 0, 1}}
@@ -126,14 +132,53 @@
 	n := newNetwork()
 	a, b := n.add(1, 1, nil), n.add(2, 1, nil)
 	a.Meet(address(2))
-	n.silent = []string{"u"}
-	n.run(300 * time.Millisecond)
+	n.known[address(1)].Failed(n.now, "u", true)
+	n.run(280 * time.Millisecond)
 	assert.Assert(t, b.Silent("u") && !b.Silent("v"))
-	n.silent = nil
-	n.run(300 * time.Millisecond)
+	n.run(600 * time.Millisecond)
 	assert.Assert(t, !b.Silent("u"))
 }
 
+// An upstream fails its requests at once while its health is good. Of many VMs
+// each sends it a request now and then, and each would take its own failure for
+// the first.
+func TestOutcomesAreTold(t *testing.T) {
+	n := newNetwork()
+	a, b, c := n.add(1, 1, nil), n.add(2, 1, nil), n.add(3, 1, nil)
+	a.Meet(address(2))
+	a.Meet(address(3))
+	b.Meet(address(3))
+	for i, g := range []*gossiper.Gossiper{a, b} {
+		known := n.known[address(byte(1+i))]
+		g.Share("u", work)
+		n.run(50 * time.Millisecond)
+		known.Failed(n.now, "u", false)
+		known.Failed(n.now, "u", false)
+		known.Answered(n.now, "u")
+		g.Share("u", placer.Load{})
+		n.run(50 * time.Millisecond)
+	}
+	o := c.Outcomes("u")
+	assert.Assert(t, o.Failed > 3.7 && o.Failed <= 4 && o.Answered > 1.8 && o.Answered <= 2, "%+v", o)
+	n.run(20 * time.Second)
+	assert.Assert(t, c.Outcomes("u").Failed < 0.01)
+}
+
+// An engine reads for long, and this VM hears nothing of it. Another VM gets its
+// answers from there, so that the engine lives and is not to be blamed.
+func TestAnswersElsewhereAreASignOfLife(t *testing.T) {
+	n := newNetwork()
+	a, _ := n.add(1, 1, nil), n.add(2, 1, nil)
+	a.Meet(address(2))
+	a.Share("u", work)
+	n.run(50 * time.Millisecond)
+	sent := n.now
+	n.known[address(1)].Answered(n.now, "u")
+	a.Share("u", placer.Load{Streams: 1})
+	n.run(50 * time.Millisecond)
+	assert.DeepEqual(t, n.known[address(2)].Stalled(n.now, sent, []string{"u", "v"}), []string{"v"})
+}
+
 // A VM dies and says nothing. Its work ends with it, and counted on it would
 // keep engines idle; but it may only be unheard, and still send, so that its
 // part of common bounds is not given away at once.
@@ -239,6 +284,29 @@
 	assert.Equal(t, readers, 1)
 }
 
+// The platform turns away the VM that reads for its zone and serves the others.
+// If they waited until what they have is too old, a key that was taken away
+// meanwhile would open for as long.
+func TestVMThatIsTurnedAwayReadsForNobody(t *testing.T) {
+	n := newNetwork()
+	all := []*gossiper.Gossiper{n.add(1, 1, nil), n.add(2, 1, nil)}
+	all[0].Meet(address(2))
+	n.run(1200 * time.Millisecond)
+	reader := 0
+	if all[1].Reads("s") {
+		reader = 1
+	}
+	assert.Assert(t, all[reader].Reads("s") && !all[1-reader].Reads("s"))
+	ends := n.ends[address(byte(1+reader))]
+	ends["s"] = gossiper.End{Failing: true}
+	n.run(300 * time.Millisecond)
+	assert.Assert(t, all[1-reader].Reads("s"))
+	assert.Assert(t, all[reader].Reads("s"), "it has to learn that it is served again")
+	delete(ends, "s")
+	n.run(300 * time.Millisecond)
+	assert.Assert(t, !all[1-reader].Reads("s"))
+}
+
 // What a peer confirms holds for whoever has read as far, and is as old as it
 // was there.
 func TestConfirmedIsAsOldAsAtThePeer(t *testing.T) {
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -57,28 +57,35 @@
 	return g.vms
 }
 
-// An End is how far a stream of records has been read, and when the platform
-// confirmed it to this VM itself; zero where it never did. What others confirmed
+// An End is how far a stream of records has been read, when the platform
+// confirmed it to this VM itself, zero where it never did, and whether the last
+// reading failed. What others confirmed
 // is not told on: with each VM that it passed it would seem younger by the time
 // on its way, and VMs that all hear nothing would keep one another sure.
 type End struct {
-	Offset int64
-	AsOf   time.Time
+	Offset  int64
+	AsOf    time.Time
+	Failing bool
 }
 
+// meeting is how long a new process reads for itself, until it has heard of the
+// others of its zone: VMs that start together are all there in a third of that.
+const meeting = time.Second
+
 // Reads says that this VM reads a stream from the platform for the others of its
-// zone: the one of those that can be heard which ranks first for it. A process
-// that has not heard of the others yet reads for itself.
+// zone: the one that ranks first for it of those that can be heard and whose own
+// last reading did not fail. A process that has not heard of the others yet
+// reads for itself.
 func (g *Gossiper) Reads(stream string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if now.Sub(g.began) < settling {
+	if now.Sub(g.began) < meeting {
 		return true
 	}
 	mine := rank(stream, g.vm)
 	for _, p := range g.peers {
-		if p.zone == g.zone && now.Sub(p.heard) <= silent && rank(stream, p.vm) < mine {
+		if p.zone == g.zone && now.Sub(p.heard) <= silent && !p.failing[stream] && rank(stream, p.vm) < mine {
 			return false
 		}
 	}
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -14,6 +14,9 @@
 	Starting int
 	Parts    int
 	Pauses   []int
+	// Failed and Answered count the sender's requests there since it knows the
+	// upstream, so that a lost datagram loses no count.
+	Failed, Answered uint32
 }
 
 // message is one datagram. Changes of work are told as they come, to every VM,
@@ -34,6 +37,8 @@
 	Ends map[string]int64 `cbor:"2,keyasint,omitempty"`
 	// Ages are how long ago the platform confirmed Ends, in milliseconds.
 	Ages map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// Failing are the streams whose last reading failed.
+	Failing []string `cbor:"5,keyasint,omitempty"`
 	// Silent are upstreams that the sender cannot reach.
 	Silent []string `cbor:"4,keyasint,omitempty"`
 }
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -19,7 +19,9 @@
 	tried   time.Time
 	ends    map[string]int64
 	// asOf is when the platform confirmed ends, by this VM's clock.
-	asOf    map[string]time.Time
+	asOf map[string]time.Time
+	// failing are the streams that the platform does not let it read.
+	failing map[string]bool
 	zone    string
 	loads   map[string]told
 	head    *Head
@@ -31,8 +33,9 @@
 
 type told struct {
 	placer.Load
-	seq uint64
-	at  time.Time
+	failed, answered uint32
+	seq              uint64
+	at               time.Time
 }
 
 // Receive takes a datagram in.
@@ -75,11 +78,11 @@
 		g.beat(now, p, m.Seq, m.Beat)
 	}
 	for _, l := range m.Loads {
-		t := placer.Load{
+		t := told{seq: m.Seq, at: now, failed: l.Failed, answered: l.Answered, Load: placer.Load{
 			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
-		}
+		}}
 		copy(t.Pauses[:], l.Pauses)
-		g.tell(now, p, l.Upstream, m.Seq, t)
+		g.tell(now, p, l.Upstream, t)
 	}
 }
 
@@ -98,5 +101,9 @@
 	if seq >= p.beatSeq {
 		p.beatSeq = seq
 		g.cannotReach(p, b.Silent)
+		clear(p.failing)
+		for _, stream := range b.Failing {
+			p.failing[stream] = true
+		}
 	}
 }
--- a/entry/process/gossiper/sum.go
+++ b/entry/process/gossiper/sum.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
@@ -14,11 +15,16 @@
 	load placer.Load
 	// silent is how many VMs cannot reach the upstream.
 	silent int
+	// outcomes are those of the others' requests.
+	outcomes tracker.Outcomes
 }
 
 // kept is how long a VM's word of an upstream counts that is not said again.
 const kept = repeatEvery + silent
 
+// forgettable is the count of outcomes below which they are as good as none.
+const forgettable = 0.01
+
 // Load is the others' work at an upstream. What a silent VM told does not
 // count, nor what was not told again.
 func (g *Gossiper) Load(upstream string) placer.Load {
@@ -40,6 +46,20 @@
 	return ok && s.silent > 0
 }
 
+// Outcomes are those of the others' requests at an upstream. One VM of many sees
+// too few of an upstream's answers to tell that it fails them, and would find it
+// out anew every few seconds.
+func (g *Gossiper) Outcomes(upstream string) tracker.Outcomes {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.sums[upstream]
+	if !ok {
+		return tracker.Outcomes{}
+	}
+	s.outcomes.Age(g.now())
+	return s.outcomes
+}
+
 func (g *Gossiper) sum(upstream string) *sum {
 	s, ok := g.sums[upstream]
 	if !ok {
@@ -50,17 +70,25 @@
 }
 
 // tell notes a VM's work at an upstream, unless it has told of a later one.
-func (g *Gossiper) tell(now time.Time, p *peer, upstream string, seq uint64, l placer.Load) {
+func (g *Gossiper) tell(now time.Time, p *peer, upstream string, t told) {
 	old, ok := p.loads[upstream]
-	if ok && old.seq > seq {
+	if ok && old.seq > t.seq {
 		return
 	}
 	s := g.sum(upstream)
 	if ok {
 		s.load.Take(old.Load)
 	}
-	s.load.Add(l)
-	p.loads[upstream] = told{Load: l, seq: seq, at: now}
+	s.load.Add(t.Load)
+	p.loads[upstream] = t
+	if !ok || t.failed < old.failed || t.answered < old.answered {
+		// What it counted before this VM heard of it may be old.
+		return
+	}
+	if t.answered > old.answered {
+		g.upstreams.Heard(now, upstream)
+	}
+	s.outcomes.Add(now, float64(t.failed-old.failed), float64(t.answered-old.answered))
 }
 
 // cannotReach notes the upstreams that a VM cannot reach.
@@ -106,7 +134,8 @@
 		}
 	}
 	for id, s := range g.sums {
-		if *s == (sum{}) {
+		s.outcomes.Age(now)
+		if s.load == (placer.Load{}) && s.silent == 0 && s.outcomes.Failed+s.outcomes.Answered < forgettable {
 			delete(g.sums, id)
 		}
 	}
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -13,8 +13,10 @@
 
 const (
 	// configurationWait is how long the platform holds a reading of the
-	// configuration. A connection that falls silent hides changes for as long.
-	configurationWait = 3 * time.Second
+	// configuration. Where all that read for a zone have fallen silent, the
+	// others notice after as long, and versions must be in force within two
+	// seconds.
+	configurationWait = 1200 * time.Millisecond
 	// configurationBehind is how long another VM may have a newer configuration
 	// before it is asked for it: the platform's own answer takes some
 	// milliseconds, and versions must be in force within two seconds.
@@ -49,9 +51,9 @@
 
 func (v *Process) newSyncers() {
 	for _, s := range []syncer.Stream{
-		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter, Behind: configurationBehind},
+		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter, Behind: configurationBehind, Shared: true},
 		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter, Shared: true},
-		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery},
+		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery, Shared: true},
 	} {
 		s.Copy = v.copies[s.Name]
 		v.syncers = append(v.syncers, syncer.New(s, v.platform, fetcher{v.gossiper}, time.Now, v.log))
@@ -59,17 +61,16 @@
 }
 
 func (v *Process) ends() map[string]gossiper.End {
-	ends := make(map[string]gossiper.End, len(v.copies))
-	for name, c := range v.copies {
-		if end, _ := c.End(); end > 0 {
-			ends[name] = gossiper.End{Offset: end, AsOf: c.ReadAt()}
+	ends := make(map[string]gossiper.End, len(v.syncers))
+	for _, s := range v.syncers {
+		c := v.copies[s.Stream()]
+		if end, _ := c.End(); end > 0 || s.Failing() {
+			ends[s.Stream()] = gossiper.End{Offset: end, AsOf: c.ReadAt(), Failing: s.Failing()}
 		}
 	}
 	return ends
 }
 
-func (v *Process) unreachable() []string { return v.tracker.Silent(time.Now()) }
-
 // configure folds records of the configuration.
 func (v *Process) configure(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v.gossiper = gossiper.New(s.VM, s.Zone, v.boot, self, sender{v.datagrams}, v.ends, v.unreachable, time.Now, log)
+	v.gossiper = gossiper.New(s.VM, s.Zone, v.boot, self, sender{v.datagrams}, v.ends, v.tracker, time.Now, log)
 	v.scheduler = scheduler.New(s.VM, s.Zone, scheduler.Deps{
 		Tracker: v.tracker, Peers: peers{v}, Bounds: v.cold, Now: time.Now,
 	})
--- a/entry/process/joiner/peers.go
+++ b/entry/process/joiner/peers.go
@@ -1,12 +1,15 @@
 package joiner
 
 import (
+	"compress/gzip"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -14,6 +17,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
@@ -24,6 +28,10 @@
 	// reading of a peer's records, in bytes.
 	mostDatagram = 64 << 10
 	mostRecords  = 32 << 20
+	// leastPacked is the size in bytes from which records are compressed: all
+	// VMs of a zone ask for a new version at once, and some have links of 20
+	// Mbit/s, on which thirty times 100 KB take more than a second.
+	leastPacked = 2 << 10
 	// recordsPath is where a VM serves its copies to its peers.
 	recordsPath = "/records"
 )
@@ -68,6 +76,9 @@
 // Silent says that another VM cannot reach an upstream.
 func (p peers) Silent(upstream string) bool { return p.gossiper.Silent(upstream) }
 
+// Outcomes are those of the others' requests at an upstream.
+func (p peers) Outcomes(upstream string) tracker.Outcomes { return p.gossiper.Outcomes(upstream) }
+
 // Wait tells the others of the first long prompt that waits here.
 func (p peers) Wait(waits, late bool, start time.Time) {
 	var h *gossiper.Head
@@ -123,7 +134,19 @@
 		http.Error(w, "not encoded", http.StatusInternalServerError)
 		return
 	}
-	w.Write(data)
+	if len(data) < leastPacked || !strings.Contains(q.Header.Get("Accept-Encoding"), "gzip") {
+		w.Write(data)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	packed, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err == nil {
+		_, err = packed.Write(data)
+		err = errors.Join(err, packed.Close())
+	}
+	if err != nil {
+		v.log.Info().Err(err).Str("peer", q.RemoteAddr).Msg("records not sent to a peer")
+	}
 }
 
 // A fetcher reads records from peers.
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	Load(upstream string) placer.Load
 	// Silent says that another VM cannot reach an upstream.
 	Silent(upstream string) bool
+	// Outcomes are those of the others' requests at an upstream.
+	Outcomes(upstream string) tracker.Outcomes
 	// VMs are those that live, this one included, in the same order on each.
 	VMs() []string
 	// Share tells the others of this VM's work at an upstream.
@@ -304,9 +306,11 @@
 	cs := make([]placer.Candidate, 0, len(states))
 	for i := range states {
 		u := &states[i]
+		others := s.deps.Peers.Outcomes(u.ID)
 		c := placer.Candidate{
 			ID: u.ID, Zone: u.Zone, Slots: u.Slots, Near: u.Zone == s.zone, Room: unbounded,
-			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil) || s.deps.Peers.Silent(u.ID), Failures: u.Failures,
+			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil) || s.deps.Peers.Silent(u.ID),
+			Failed: u.Outcomes.Failed + others.Failed, Answered: u.Outcomes.Answered + others.Answered,
 			Load: s.deps.Peers.Load(u.ID),
 		}
 		if own, ok := s.own[u.ID]; ok {
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -28,6 +28,9 @@
 	shared map[string]placer.Load
 	before int
 	waits  bool
+	// outcomes are the others', and silent is an upstream that they cannot reach.
+	outcomes map[string]tracker.Outcomes
+	silent   string
 }
 
 func (p *peers) Load(u string) placer.Load {
@@ -35,8 +38,9 @@
 	defer p.mu.Unlock()
 	return p.loads[u]
 }
-func (p *peers) Silent(string) bool { return false }
-func (p *peers) VMs() []string      { return []string{"me", "other"} }
+func (p *peers) Silent(u string) bool               { return p.silent == u }
+func (p *peers) Outcomes(u string) tracker.Outcomes { return p.outcomes[u] }
+func (p *peers) VMs() []string                      { return []string{"me", "other"} }
 func (p *peers) Share(u string, l placer.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -251,6 +255,22 @@
 	}
 }
 
+// An engine fails what it gets at once, while its health is good and it has
+// nothing under way, so that it looks the best. Other VMs have found that out;
+// this one must not send it a request to see for itself.
+func TestOthersFailuresCount(t *testing.T) {
+	f := newFleet(2)
+	f.peers.outcomes = map[string]tracker.Outcomes{"u0": {Failed: 3}}
+	for range 2 {
+		r := <-f.ask(t.Context(), f.call(5000, 10*time.Second))
+		assert.Assert(t, r.grant != nil)
+		assert.Equal(t, r.grant.Upstream.ID, "u1")
+	}
+	f.peers.outcomes, f.peers.silent = nil, "u1"
+	r := <-f.ask(t.Context(), f.call(5000, 10*time.Second))
+	assert.Equal(t, r.grant.Upstream.ID, "u0")
+}
+
 // An upstream turned cold and bears four requests a second from all VMs. Each
 // sends its part and no more, and the rest waits or goes elsewhere.
 func TestColdUpstreamGetsThisVMsPart(t *testing.T) {
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -75,7 +76,8 @@
 	// copy is not stale: a long reading that the platform forgets to answer looks
 	// like one that has nothing new. Zero where only age counts.
 	Behind time.Duration
-	// Shared says that one VM of a zone reads for the others.
+	// Shared says that one VM of a zone reads for the others, which take what
+	// it has as soon as it says that there is more.
 	Shared bool
 }
 
@@ -87,6 +89,7 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	lost   bool
+	failed atomic.Bool
 }
 
 // New returns a Syncer of one stream.
@@ -109,6 +112,7 @@
 			continue
 		}
 		err := s.read(ctx, whole)
+		s.failed.Store(err != nil && !errors.Is(err, ErrForgotten))
 		now := s.now()
 		switch {
 		case err == nil:
@@ -133,6 +137,13 @@
 	}
 }
 
+// Failing says that the last reading of the platform failed. A VM that the
+// platform turns away must not go on reading for its zone.
+func (s *Syncer) Failing() bool { return s.failed.Load() }
+
+// Stream is the name of the stream.
+func (s *Syncer) Stream() string { return s.stream.Name }
+
 // served says that another VM reads for this one, and that its news are fresh.
 // Each reading is paid for, and the platform bears only so many: 91 VMs that each
 // read for themselves made 190 calls a second, and make 56 so.
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -8,16 +8,11 @@
 package tracker
 
 import (
-	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// halfLife is how fast a failure is forgotten. An upstream that fails a
-	// part of its requests shows about two failures a second under today's
-	// load, so that two seconds keep it disliked while it goes on.
-	halfLife = 2 * time.Second
 	// unreachable is how long an upstream gets nothing after a connection to
 	// it could not be made or broke without an answer; it doubles with each
 	// further failure in a row up to mostUnreachable. An upstream that starts
@@ -47,13 +42,14 @@
 	Upstream
 	// ColdUntil is when its cold start ends.
 	ColdUntil time.Time
-	// Failures is the number of failures, older ones counting for less.
-	Failures float64
+	// Outcomes are those of this VM's requests there.
+	Outcomes Outcomes
+	// Failed and Answered count the same since this VM knows the upstream.
+	Failed, Answered uint32
 	// Pace is its measured step time over the promised one: 1 as promised.
 	Pace float64
 	// SilentUntil is until when it gets nothing, after broken connections.
 	SilentUntil time.Time
-	failedAt    time.Time
 	inRow       int
 	heardAt     time.Time
 	// lapsedAt is when its entry went without its having said that it leaves,
@@ -178,7 +174,7 @@
 			continue
 		}
 		c := *s
-		c.Failures = s.failures(now)
+		c.Outcomes.Age(now)
 		states = append(states, c)
 	}
 	return states
@@ -195,10 +191,6 @@
 
 func (t *Tracker) may(s *State) bool { return !s.Draining && !t.zones[s.Zone] }
 
-func (s *State) failures(now time.Time) float64 {
-	return s.Failures * math.Exp2(-now.Sub(s.failedAt).Seconds()/halfLife.Seconds())
-}
-
 // Failed notes a request that failed there. Broken says that the connection
 // failed, and not the request.
 func (t *Tracker) Failed(now time.Time, id string, broken bool) {
@@ -208,8 +200,8 @@
 	if !ok {
 		return
 	}
-	s.Failures = s.failures(now) + 1
-	s.failedAt = now
+	s.Outcomes.Add(now, 1, 0)
+	s.Failed++
 	if broken {
 		wait := min(mostUnreachable, unreachable<<min(s.inRow, mostDoubled))
 		s.SilentUntil = now.Add(wait)
@@ -217,7 +209,7 @@
 	}
 }
 
-// Answered notes a request that was answered whole.
+// Answered notes a request that the upstream has begun to answer.
 func (t *Tracker) Answered(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -225,6 +217,8 @@
 		s.inRow = 0
 		s.SilentUntil = time.Time{}
 		s.heardAt = now
+		s.Outcomes.Add(now, 0, 1)
+		s.Answered++
 	}
 }
 
@@ -268,6 +262,16 @@
 	return ids
 }
 
+// Counts are how many of this VM's requests an upstream has failed and answered.
+func (t *Tracker) Counts(id string) (failed, answered uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.known[id]; ok {
+		return s.Failed, s.Answered
+	}
+	return 0, 0
+}
+
 // TurnedCold notes that an upstream said it is in cold start.
 func (t *Tracker) TurnedCold(now time.Time, id string, left time.Duration) {
 	t.mu.Lock()
--- a/entry/process/tracker/tracker_test.go
+++ b/entry/process/tracker/tracker_test.go
@@ -124,9 +124,11 @@
 	for range 4 {
 		tr.Failed(now, "a", false)
 	}
-	assert.Equal(t, tr.Usable(now, "s")[0].Failures, 4.0)
-	later := tr.Usable(now.Add(4*time.Second), "s")[0].Failures
+	assert.Equal(t, tr.Usable(now, "s")[0].Outcomes.Failed, 4.0)
+	later := tr.Usable(now.Add(4*time.Second), "s")[0].Outcomes.Failed
 	assert.Assert(t, later > 0.9 && later < 1.1, "%v", later)
+	failed, answered := tr.Counts("a")
+	assert.Assert(t, failed == 4 && answered == 0)
 }
 
 // One that starts again under its old name has nothing left of before: neither
@@ -139,7 +141,7 @@
 	again.Born, again.Sequence, again.Cold = 300, 1, 3*time.Second
 	assert.Assert(t, tr.Put(now, again))
 	s := tr.Usable(now, "s")[0]
-	assert.Equal(t, s.Failures, 0.0)
+	assert.Equal(t, s.Outcomes.Failed, 0.0)
 	assert.Assert(t, s.SilentUntil.IsZero())
 	assert.Equal(t, s.ColdUntil, now.Add(3*time.Second))
 	tr.Misplaced("a")
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -160,7 +160,7 @@
 		if ((m == Patient || m == Late) && c.Load.Parts > 0) || slices.Contains(a.Tried, c.ID) {
 			continue
 		}
-		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
+		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
 		order = append(order, i)
 	}
 	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
@@ -200,7 +200,7 @@
 // the same for one stream as for many, so that a stream on an engine that writes
 // none yet takes that engine's time from prompts that it could read.
 func (c *Candidate) mainCost(e *matcher.Engine, a Ask, part float64) float64 {
-	cost := c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a))/1000
+	cost := c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
 	if c.Load.Streams == 0 {
 		cost += perEngineSecond * UsualOutput * float64(a.Output) * e.Step / 1000
 	}
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -18,10 +18,17 @@
 	// far is what another availability zone costs in milliseconds: the way
 	// there and back.
 	far = 3.0
-	// failure is what each recent failure of an upstream counts for in
-	// milliseconds, and cold what a cold start does.
-	failure = 150.0
-	cold    = 100.0
+	// failure is what a failed try at an engine counts for in milliseconds. It
+	// is above the longest wait for an engine that answers: one that fails at
+	// once has no work, and is the nearest place in a burst. plainFailure is the
+	// same at a plain service, of whose answers some are failures by themselves.
+	failure      = 10_000.0
+	plainFailure = 300.0
+	// doubt is how many answered requests an upstream is given besides those
+	// that are known, so that one failure after many answers counts for little.
+	doubt = 1.0
+	// cold is what a cold start counts for in milliseconds.
+	cold = 100.0
 	// plainSlot is the estimated time in milliseconds that each request under
 	// way at a plain service adds for the next.
 	plainSlot = 20.0
@@ -46,8 +53,9 @@
 	Room   int
 	Cold   bool
 	Silent bool
-	// Failures is the number of recent failures, older ones counting less.
-	Failures float64
+	// Failed and Answered are recent requests of all VMs that failed there or
+	// were answered, older ones counting less.
+	Failed, Answered float64
 	// Near says that it is in this VM's zone.
 	Near bool
 }
@@ -94,7 +102,7 @@
 		if c.Room < 1 || c.Load.Streams >= max(1, c.Slots) {
 			continue
 		}
-		cost := plainSlot*float64(c.Load.Streams) + c.dislike(a)
+		cost := plainSlot*float64(c.Load.Streams) + plainFailure*c.failing() + c.dislike(a)
 		if cost < least {
 			best, least = i, cost
 		}
@@ -105,9 +113,9 @@
 // dislike is what counts against an upstream beside its work, in milliseconds.
 // Those that failed this request, or cannot be reached, come after all others.
 func (c *Candidate) dislike(a Ask) float64 {
-	cost := failure * c.Failures
+	cost := 0.0
 	if !c.Near {
-		cost += far
+		cost = far
 	}
 	if c.Cold {
 		cost += cold
@@ -121,6 +129,14 @@
 	return cost
 }
 
+// failing is the part of its requests that an upstream seems to fail, squared:
+// one that fails few costs a second try now and then, and one that fails most
+// fails that as well.
+func (c *Candidate) failing() float64 {
+	p := c.Failed / (c.Failed + c.Answered + doubt)
+	return p * p
+}
+
 // Short says that a prompt is read by one engine.
 func Short(e *matcher.Engine, prompt int) bool { return Read(e, prompt, 1) <= shortRead }
 
--- a/entry/request/placer/placer_test.go
+++ b/entry/request/placer/placer_test.go
@@ -212,6 +212,32 @@
 	assert.Assert(t, !ok)
 }
 
+// One engine fails two requests in five while it answers the others and its
+// health check. It has fewer streams than the rest, since what fails ends soon,
+// and without a look at the failures it is the emptiest and gets the most.
+func TestEngineThatFailsAPartGetsLittle(t *testing.T) {
+	cs := idle(4)
+	cs[0].Failed, cs[0].Answered = 4, 6
+	for i := 1; i < 4; i++ {
+		cs[i].Load = placer.Load{Streams: 4, Context: 30_000, Pauses: [4]int{0, 4}}
+		cs[i].Answered = 10
+	}
+	for range 24 {
+		c, ok := placer.Engine(engine, short(), cs, now, placer.Patient)
+		assert.Assert(t, ok)
+		assert.Assert(t, c.Main != 0)
+		place(cs, short(), c)
+	}
+	// Failures among many answers, as any service has them, are no reason to
+	// leave an upstream to the others' cost.
+	cs = idle(2)
+	cs[0].Failed, cs[0].Answered = 0.5, 60
+	cs[1].Load = placer.Load{Streams: 3, Pauses: [4]int{0, 3}}
+	c, ok := placer.Plain(short(), cs)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Main, 0)
+}
+
 // Whatever the load, a choice names engines that may take it, each once, no more
 // helpers than engines allow, and never more memory than there is.
 func TestChoicesAreAlwaysPossible(t *testing.T) {
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -38,17 +38,20 @@
 	read := Read(e, a.Prompt, 1)
 	good := goodFirst * float64(a.Objective.Sub(a.Arrived).Milliseconds())
 	bound := math.Inf(1)
-	if left := a.Objective.Sub(now).Milliseconds(); m == Patient && left > 0 {
+	if m == Patient || m == Pressed {
 		// A slot elsewhere is free sooner than an engine that reads for long.
-		bound = float64(left)
+		bound = float64(a.Objective.Sub(now).Milliseconds())
 	}
 	best, least, fullest := -1, math.Inf(1), -1
+	if m == Late && !spare(cs) {
+		return Choice{}, false
+	}
 	for i := range cs {
 		c := &cs[i]
 		if c.Room < 1 || !c.slot(m) || !c.fits(e, a.Prompt+a.Output) {
 			continue
 		}
-		cost := First(e, c.Load, read) + c.dislike(a) + slotWait*float64(max(0, c.Load.Streams+1-c.Slots))
+		cost := First(e, c.Load, read) + c.dislike(a) + failure*c.failing() + slotWait*float64(max(0, c.Load.Streams+1-c.Slots))
 		if cost > bound {
 			continue
 		}
@@ -72,6 +75,25 @@
 // tight is how many streams bear only the shortest pauses.
 func (c *Candidate) tight() int { return c.Load.Pauses[0] + c.Load.Pauses[1] }
 
+// spare says that a fifth of the engines' slots is free. Late prompts leave as
+// many. In a burst that is more than the engines bear each slot that comes free
+// would go to one that waits, and is late, while a prompt that comes now finds
+// none and is late as well: all were late by a second for want of a twentieth of
+// the capacity. So most are in time, and the late ones follow when the burst is
+// over, or are told to come back.
+func spare(cs []Candidate) bool {
+	free, slots := 0, 0
+	for i := range cs {
+		c := &cs[i]
+		if c.Room < 1 || c.Silent {
+			continue
+		}
+		free += max(0, c.Slots-c.Load.Streams)
+		slots += c.Slots
+	}
+	return keptShare*free >= slots
+}
+
 // slot says that the engine can run one request more now, or, where there is no
 // time to wait, that it would wait there behind no more than as many again.
 func (c *Candidate) slot(m Mood) bool {
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -38,6 +38,8 @@
 	watch    *watch
 	cancel   context.CancelFunc
 	sent     time.Time
+	// began says that the first event has come.
+	began bool
 }
 
 // upstreams are all that work on a try.
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -69,12 +69,13 @@
 // nobody are no peers.
 type nobody struct{}
 
-func (nobody) Load(string) placer.Load     { return placer.Load{} }
-func (nobody) Silent(string) bool          { return false }
-func (nobody) VMs() []string               { return []string{"me"} }
-func (nobody) Share(string, placer.Load)   {}
-func (nobody) Wait(_, _ bool, _ time.Time) {}
-func (nobody) Before(bool, time.Time) int  { return 0 }
+func (nobody) Load(string) placer.Load          { return placer.Load{} }
+func (nobody) Silent(string) bool               { return false }
+func (nobody) Outcomes(string) tracker.Outcomes { return tracker.Outcomes{} }
+func (nobody) VMs() []string                    { return []string{"me"} }
+func (nobody) Share(string, placer.Load)        {}
+func (nobody) Wait(_, _ bool, _ time.Time)      {}
+func (nobody) Before(bool, time.Time) int       { return 0 }
 
 // A purse counts repeats and grants so many.
 type purse struct {
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -46,7 +46,6 @@
 		err := r.follow(w, j, t)
 		t.close()
 		if err == nil {
-			r.deps.Tracker.Answered(r.deps.Now(), t.grant.Upstream.ID)
 			r.done(j, http.StatusOK)
 			return
 		}
@@ -113,8 +112,7 @@
 		if err != nil {
 			return err
 		}
-		t.grant.Began()
-		r.deps.Tracker.Heard(now, t.grant.Upstream.ID)
+		r.heard(now, t)
 		if !j.begun {
 			r.begun(w, j, t)
 		}
@@ -130,6 +128,17 @@
 	}
 }
 
+// heard notes an event of an upstream.
+func (r *Relayer) heard(now time.Time, t *try) {
+	if t.began {
+		r.deps.Tracker.Heard(now, t.grant.Upstream.ID)
+		return
+	}
+	t.began = true
+	r.deps.Tracker.Answered(now, t.grant.Upstream.ID)
+	t.grant.Began()
+}
+
 // begun sends the head of the answer. A later upstream that goes on with the
 // stream does not change it.
 func (r *Relayer) begun(w http.ResponseWriter, j *job, t *try) {
