Bound callers' connections, and end the servers of old limits

Cause: a VM has 4,100 descriptors. Callers that open that many connections, idle or with half a request on each, left none for upstreams: accepting failed and was tried again for ever.

Change: half of the descriptors may be callers' connections. Above that the one that has been without a whole request for longest is closed. A server goes with the last connection that came under its limits.

Ruled out: leaving callers in the listener's queue, where new ones wait behind those that do nothing.

--- a/entry/connection/acceptor/acceptor.go
+++ b/entry/connection/acceptor/acceptor.go
@@ -2,7 +2,10 @@
 // change while the process runs: connections that come after a change are held
 // to the new limits, and those that are open keep theirs until they end.
 // net/http reads a server's limits without a lock, so that each set of limits
-// has a server of its own.
+// has a server of its own, which goes with its last connection.
+//
+// The connections are bounded. Callers that open more than a VM has descriptors
+// for would else leave none for upstreams, so that no request is served at all.
 package acceptor
 
 import (
@@ -10,6 +13,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +34,7 @@
 	// queued is how many accepted connections may wait for their server.
 	queued = 64
 	// acceptAgain is the wait after a failed accept, as when no descriptor is
-	// free.
+	// free, and while all connections that may be open have a request.
 	acceptAgain = 20 * time.Millisecond
 )
 
@@ -38,9 +42,12 @@
 type Acceptor struct {
 	listener net.Listener
 	handler  http.Handler
+	most     int
+	now      func() time.Time
 	log      zerolog.Logger
 
 	mu      sync.Mutex
+	open    map[net.Conn]*held
 	limits  matcher.Limits
 	servers []*generation
 	current atomic.Pointer[generation]
@@ -51,16 +58,22 @@
 // A generation is the server of one set of limits, and the listener through
 // which it is handed connections.
 type generation struct {
-	server  *http.Server
+	server *http.Server
+	// open is how many of its connections are.
+	open    int
 	address net.Addr
 	conns   chan net.Conn
 	done    chan struct{}
 	once    sync.Once
 }
 
-// New returns an Acceptor that serves a listener's connections.
-func New(l net.Listener, h http.Handler, log zerolog.Logger) *Acceptor {
-	a := &Acceptor{listener: l, handler: h, log: log, done: make(chan struct{})}
+// New returns an Acceptor that serves a listener's connections, at most so many
+// at a time.
+func New(l net.Listener, h http.Handler, most int, now func() time.Time, log zerolog.Logger) *Acceptor {
+	a := &Acceptor{
+		listener: l, handler: h, most: most, now: now, log: log,
+		open: make(map[net.Conn]*held), done: make(chan struct{}),
+	}
 	a.Limit(matcher.Limits{HeaderTime: headerTime, IdleTime: idleTime})
 	return a
 }
@@ -75,7 +88,9 @@
 	a.limits = l
 	g := &generation{address: a.listener.Addr(), conns: make(chan net.Conn, queued), done: make(chan struct{})}
 	g.server = &http.Server{
-		Handler:           a.handler,
+		Handler:           http.HandlerFunc(a.serve),
+		ConnContext:       a.context,
+		ConnState:         a.state,
 		ReadHeaderTimeout: l.HeaderTime,
 		IdleTimeout:       l.IdleTime + idleSpare,
 		MaxHeaderBytes:    int(l.Header),
@@ -86,12 +101,24 @@
 		}
 	}()
 	a.servers = append(a.servers, g)
-	a.current.Store(g)
+	old := a.current.Swap(g)
+	a.retire(old)
+}
+
+// retire ends a server that has no connection and gets none any more. Without it
+// each change of the limits would leave one behind.
+func (a *Acceptor) retire(g *generation) {
+	if g == nil || g.open > 0 || g == a.current.Load() {
+		return
+	}
+	a.servers = slices.DeleteFunc(a.servers, func(o *generation) bool { return o == g })
+	g.server.Close()
 }
 
 // Run accepts connections until Shutdown.
 func (a *Acceptor) Run() {
 	for {
+		a.makeRoom()
 		c, err := a.listener.Accept()
 		select {
 		case <-a.done:
@@ -107,7 +134,7 @@
 			continue
 		}
 		select {
-		case a.current.Load().conns <- c:
+		case a.hold(c).conns <- c:
 		case <-a.done:
 			c.Close()
 			return
@@ -121,7 +148,7 @@
 	a.once.Do(func() { close(a.done) })
 	a.listener.Close()
 	a.mu.Lock()
-	servers := a.servers
+	servers := slices.Clone(a.servers)
 	a.mu.Unlock()
 	var all []error
 	for _, g := range servers {
--- a/entry/connection/acceptor/acceptor_test.go
+++ b/entry/connection/acceptor/acceptor_test.go
@@ -3,26 +3,36 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/heathervane/heathervane/entry/connection/acceptor"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
 func start(t *testing.T, h http.Handler) (*acceptor.Acceptor, string) {
+	t.Helper()
+	return startWith(t, h, 1000)
+}
+
+func startWith(t *testing.T, h http.Handler, most int) (*acceptor.Acceptor, string) {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	a := acceptor.New(l, h, zerolog.Nop())
+	a := acceptor.New(l, h, most, time.Now, zerolog.Nop())
 	go a.Run()
 	t.Cleanup(func() { assert.Check(t, a.Shutdown(context.Background())) })
 	return a, l.Addr().String()
@@ -99,3 +109,65 @@
 	assert.Equal(t, <-statuses, http.StatusOK)
 	assert.Equal(t, <-statuses, http.StatusOK)
 }
+
+// Callers open connections and leave them idle, or send half a request on each.
+// Without a bound they take every descriptor, and no request goes to an upstream.
+// Those that have waited longest give way, and whoever has a request keeps it.
+func TestIdleAndHalfSentConnectionsGiveWay(t *testing.T) {
+	const most = 20
+	begun, end := make(chan struct{}, 1), make(chan struct{})
+	_, address := startWith(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get("X-Wait") != "" {
+			begun <- struct{}{}
+			<-end
+		}
+		w.WriteHeader(http.StatusOK)
+	}), most)
+	release := sync.OnceFunc(func() { close(end) })
+	t.Cleanup(release)
+	busy, busyReader := dial(t, address)
+	statuses := make(chan int, 1)
+	go func() { statuses <- ask(t, busy, busyReader, "X-Wait: 1\r\n") }()
+	<-begun
+	var idle []net.Conn
+	for i := range 3 * most {
+		c, _ := dial(t, address)
+		idle = append(idle, c)
+		if i%2 == 0 {
+			fmt.Fprint(c, "GET / HTTP/1.1\r\nHost")
+		}
+	}
+	last, lastReader := dial(t, address)
+	assert.Equal(t, ask(t, last, lastReader, ""), http.StatusOK)
+	still := 0
+	for _, c := range idle {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			still++
+		}
+	}
+	assert.Assert(t, still <= most-2, "%d are open beside the two that were served", still)
+	release()
+	assert.Equal(t, <-statuses, http.StatusOK)
+}
+
+// Versions of the configuration come all day, and each may change the limits. A
+// server left behind by each would in time take the VM's memory.
+func TestServersOfOldLimitsEnd(t *testing.T) {
+	a, address := start(t, ok)
+	before := runtime.NumGoroutine()
+	for i := range 200 {
+		a.Limit(matcher.Limits{Header: int64(1000 + i), HeaderTime: time.Minute, IdleTime: time.Minute})
+		if i%50 == 0 {
+			c, r := dial(t, address)
+			assert.Equal(t, ask(t, c, r, ""), http.StatusOK)
+			c.Close()
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := runtime.NumGoroutine(); n > before+10 {
+			return poll.Continue("%d goroutines, %d before", n, before)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -52,6 +52,9 @@
 	sweepEvery = time.Second
 	// bodyShare is the part of the VM's memory that request bodies may take.
 	bodyShare = 4
+	// callersShare is the part of the descriptors that callers' connections may
+	// take, as one over this: a request may need one more to its upstream.
+	callersShare = 2
 )
 
 // Settings are what one process is started with.
@@ -62,9 +65,11 @@
 	Callers, Ready, Peers, Metrics string
 	// ReadyPath is where the balancer asks whether this VM takes callers.
 	ReadyPath string
-	// Memory is the VM's memory in bytes.
-	Memory int64
-	Bounds Bounds
+	// Memory is the VM's memory in bytes, Descriptors how many sockets the
+	// process may have open.
+	Memory      int64
+	Descriptors int
+	Bounds      Bounds
 }
 
 // Bounds are what operators demand of all VMs together.
@@ -165,7 +170,7 @@
 		Budget:   v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
 		Leaving: v.leaving,
 	})
-	v.acceptor = acceptor.New(v.callers, v, log)
+	v.acceptor = acceptor.New(v.callers, v, s.Descriptors/callersShare, time.Now, log)
 	v.newSyncers()
 	return v, v.gauges()
 }
