--- a/standin/broker/broker.go
+++ b/standin/broker/broker.go
@@ -115,6 +115,9 @@
 		case Reset:
 			panic(http.ErrAbortHandler)
 		case Silent:
+			// Only once the body has been read does the server notice that the
+			// caller leaves, and end this.
+			io.Copy(io.Discard, q.Body) //nolint:errcheck // nobody is answered
 			<-q.Context().Done()
 		case Lost, Late:
 			if q.Method != http.MethodPost {
