Dial anew where a kept connection has fallen silent

Cause: an upstream that answers other VMs is no longer blamed when one VM hears nothing of it. Where only this VM's way there is cut without a word, each kept connection would cost a caller its patience, up to four in turn, before a connection is made that shows it.

Change: when a try ends for silence, the kept connections to its upstream are closed.

TestDroppedAddressIsDialledAnew fails without the closing.

--- a/entry/connection/carrier/carrier_test.go
+++ b/entry/connection/carrier/carrier_test.go
@@ -332,3 +332,20 @@
 	})
 	assert.Equal(t, c.Dials(), int64(1))
 }
+
+// The way to an upstream is cut without a word, on this VM's side only. Others
+// get its answers, so that it is not blamed, and each kept connection would cost
+// a caller its patience until none is left.
+func TestDroppedAddressIsDialledAnew(t *testing.T) {
+	address, _ := upstream(t, serve(ok))
+	c := carrier.New(time.Now)
+	for range 2 {
+		_, err := whole(t, c, address, get())
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, c.Dials(), int64(1))
+	c.Drop(address)
+	_, err := whole(t, c, address, get())
+	assert.NilError(t, err)
+	assert.Equal(t, c.Dials(), int64(2))
+}
--- a/entry/connection/carrier/pool.go
+++ b/entry/connection/carrier/pool.go
@@ -101,6 +101,17 @@
 	c.idle[address] = append(c.idle[address], n)
 }
 
+// Drop closes the idle connections to an address. They may have fallen silent
+// together with one that did; a new one shows whether the upstream is reached.
+func (c *Carrier) Drop(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.idle[address] {
+		n.Close()
+	}
+	delete(c.idle, address)
+}
+
 // Sweep closes idle connections whose time is over.
 func (c *Carrier) Sweep() {
 	c.mu.Lock()
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -58,9 +58,9 @@
 
 // An End is how far a stream of records has been read, when the platform
 // confirmed it to this VM itself, zero where it never did, and whether the last
-// reading failed. What others confirmed
-// is not told on: with each VM that it passed it would seem younger by the time
-// on its way, and VMs that all hear nothing would keep one another sure.
+// reading failed. What others confirmed is not told on: with each VM that it
+// passed it would seem younger by the time on its way, and VMs that all hear
+// nothing would keep one another sure.
 type End struct {
 	Offset  int64
 	AsOf    time.Time
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -295,8 +295,11 @@
 	return j.unlessOnce()
 }
 
-// stalled notes a try that its watch has ended.
+// stalled notes a try that its watch has ended. An upstream that answers others
+// is not blamed for it; where only the way from here is cut, kept connections
+// are silent one after the other, and a new one shows it.
 func (r *Relayer) stalled(j *job, t *try) {
+	r.deps.Carrier.Drop(t.grant.Upstream.Address)
 	blamed := r.deps.Tracker.Stalled(r.deps.Now(), t.sent, t.upstreams())
 	r.note(j, t.grant.Upstream.ID, "silent; blamed: "+strings.Join(blamed, " "))
 	j.tried = append(j.tried, blamed...)
