--- a/entry/connection/acceptor/acceptor.go
+++ b/entry/connection/acceptor/acceptor.go
@@ -34,7 +34,7 @@
 	// queued is how many accepted connections may wait for their server.
 	queued = 64
 	// acceptAgain is the wait after a failed accept, as when no descriptor is
-	// free, and while all connections that may be open have a request.
+	// free.
 	acceptAgain = 20 * time.Millisecond
 )
 
@@ -46,8 +46,10 @@
 	now      func() time.Time
 	log      zerolog.Logger
 
-	mu      sync.Mutex
-	open    map[net.Conn]*held
+	mu   sync.Mutex
+	open map[net.Conn]*held
+	// ended tells that a connection has ended.
+	ended   chan struct{}
 	limits  matcher.Limits
 	servers []*generation
 	current atomic.Pointer[generation]
@@ -72,7 +74,7 @@
 func New(l net.Listener, h http.Handler, most int, now func() time.Time, log zerolog.Logger) *Acceptor {
 	a := &Acceptor{
 		listener: l, handler: h, most: most, now: now, log: log,
-		open: make(map[net.Conn]*held), done: make(chan struct{}),
+		open: make(map[net.Conn]*held), ended: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	a.Limit(matcher.Limits{HeaderTime: headerTime, IdleTime: idleTime})
 	return a
--- a/entry/connection/acceptor/acceptor_test.go
+++ b/entry/connection/acceptor/acceptor_test.go
@@ -130,7 +130,8 @@
 	go func() { statuses <- ask(t, busy, busyReader, "X-Wait: 1\r\n") }()
 	<-begun
 	var idle []net.Conn
-	for i := range 3 * most {
+	began := time.Now()
+	for i := range 10 * most {
 		c, _ := dial(t, address)
 		idle = append(idle, c)
 		if i%2 == 0 {
@@ -139,6 +140,7 @@
 	}
 	last, lastReader := dial(t, address)
 	assert.Equal(t, ask(t, last, lastReader, ""), http.StatusOK)
+	assert.Assert(t, time.Since(began) < 5*time.Second, "a caller waits behind those that do nothing")
 	still := 0
 	for _, c := range idle {
 		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
--- a/entry/connection/acceptor/held.go
+++ b/entry/connection/acceptor/held.go
@@ -14,6 +14,8 @@
 	// ended; since is when that last changed.
 	serving bool
 	since   time.Time
+	// closed says that it has been closed to make room, and ends soon.
+	closed bool
 }
 
 // heldKey finds a request's connection in its context.
@@ -48,6 +50,10 @@
 		return
 	}
 	delete(a.open, c)
+	select {
+	case a.ended <- struct{}{}:
+	default:
+	}
 	h.generation.open--
 	a.retire(h.generation)
 }
@@ -76,32 +82,33 @@
 	for {
 		a.mu.Lock()
 		full := len(a.open) >= a.most
-		var oldest net.Conn
 		if full {
-			oldest = a.oldest()
+			a.closeOldest()
 		}
 		a.mu.Unlock()
-		switch {
-		case !full:
+		if !full {
 			return
-		case oldest != nil:
-			a.log.Info().Str("caller", oldest.RemoteAddr().String()).Int("most", a.most).Msg("connection closed to make room")
-			oldest.Close()
 		}
 		select {
 		case <-a.done:
 			return
-		case <-time.After(acceptAgain):
+		case <-a.ended:
 		}
 	}
 }
 
-func (a *Acceptor) oldest() (oldest net.Conn) {
+func (a *Acceptor) closeOldest() {
+	var oldest net.Conn
 	var since time.Time
 	for c, h := range a.open {
-		if !h.serving && (oldest == nil || h.since.Before(since)) {
+		if !h.serving && !h.closed && (oldest == nil || h.since.Before(since)) {
 			oldest, since = c, h.since
 		}
 	}
-	return oldest
+	if oldest == nil {
+		return
+	}
+	a.open[oldest].closed = true
+	a.log.Info().Str("caller", oldest.RemoteAddr().String()).Int("most", a.most).Msg("connection closed to make room")
+	oldest.Close()
 }
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -277,8 +277,9 @@
 	late.Ask.Objective = f.now.Add(-time.Second)
 	fresh := f.ask(t.Context(), f.call(1000, 10*time.Second))
 	assert.Equal(t, f.Waiting(), 1)
-	g, _ := f.Acquire(t.Context(), late)
-	assert.Assert(t, g != nil)
+	placed := f.ask(t.Context(), late)
+	assert.Equal(t, f.Waiting(), 1, "the late one waits as well")
+	assert.Assert(t, (<-placed).grant != nil)
 	assert.Equal(t, len(fresh), 0)
 }
 
