Keep a connection whose answer comes before the word that its request is written

Ruled out: bytes after the answer, and the upstream's wish to close (the case is a plain whole answer).

Change: a whole answer waits up to 5 ms for that word.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -39,6 +39,11 @@
 	// say how long it keeps it, and idleMargin what is taken off where it does.
 	idleTime   = 4 * time.Second
 	idleMargin = 300 * time.Millisecond
+	// writtenTime is how long a whole answer waits for the word that its request
+	// is written. On a busy VM the answer may be read before whoever wrote the
+	// request has run again; without the wait its connection would be closed for
+	// nothing, and an upstream that answered early is rare.
+	writtenTime = 5 * time.Millisecond
 	// mostIdle is how many idle connections are kept to one address. A VM has
 	// a few requests at a time at one upstream, whose connections it shares
 	// with all other VMs.
@@ -220,10 +225,12 @@
 	if !x.whole || x.reply.Close || x.conn.reader.Buffered() > 0 {
 		return false
 	}
+	late := time.NewTimer(writtenTime)
+	defer late.Stop()
 	select {
 	case err := <-x.written:
 		return err == nil
-	default:
+	case <-late.C:
 		return false
 	}
 }
