Count a pause of the VM against no engine, and try slow engines again

Cause: TestFrozenVMEndsItsStreamsTruthfully failed when the woken VM refused every question for 60 s as late. The observer reckons how long engines have not answered by the clock, which goes on while the process is paused; on waking, the first tick gauges every engine that it waited for at 0.01 of its speed. With that speed no question fits its limit, nothing is sent, and a speed rose only with answers, so that it stayed for the ten minutes until it is swept.

Ruled out: load (it failed on an idle machine, with all questions refused at once).

Change: time in which the process did not run, seen by the gap between its ticks, counts for no wait, whether the timer, an answer or a new request is the first to notice; and a low speed without a new measure doubles every 5 s, so that every engine is measured again.

The table of the gauger asks for the speed at the time of its steps, so that its bounds are as before.

--- a/entry/process/gauger/gauger.go
+++ b/entry/process/gauger/gauger.go
@@ -3,10 +3,12 @@
 // it such an engine looks idle, because few requests end there, and draws ever
 // more of them; and when it recovers, all VMs would return to it at once.
 //
-// The measure falls quickly and rises slowly, and rises only with answers.
+// The measure falls quickly and rises slowly: with answers, and where none can
+// come, because nothing is sent to an upstream that counts as slow, with time.
 package gauger
 
 import (
+	"math"
 	"time"
 )
 
@@ -22,6 +24,12 @@
 	// grace is how long beyond what was promised an answer may take before its
 	// absence says anything: lag, scheduling and batching take that much.
 	grace = 100 * time.Millisecond
+	// renewal is the time without a measure in which a low speed doubles. An
+	// upstream taken for too slow for every limit gets nothing, and so would
+	// never be measured again: its VM would refuse all questions for as long as
+	// it lives. Five seconds bring the lowest speed back to 1 in 33 s, and
+	// give an engine that still is ten times slower a request every few seconds.
+	renewal = 5 * time.Second
 	// memory is how long a speed is kept for an upstream that gives no
 	// further measure, after which Sweep forgets it.
 	memory = 10 * time.Minute
@@ -51,15 +59,13 @@
 	if tokens <= 0 || promised <= 0 {
 		return
 	}
-	s := g.speed(name)
+	value := g.Speed(now, name)
 	ratio := ratio(tokens, took, promised)
 	weight := rise
-	if ratio < s.value {
+	if ratio < value {
 		weight = fall
 	}
-	s.value += weight * (ratio - s.value)
-	s.at = now
-	g.speeds[name] = s
+	g.speeds[name] = speed{value: value + weight*(ratio-value), at: now}
 }
 
 // Waiting takes an answer that has not come: of the tokens asked for nothing
@@ -69,17 +75,20 @@
 	if tokens <= 0 || promised <= 0 {
 		return
 	}
-	s := g.speed(name)
-	if ratio := ratio(tokens, since, promised); ratio < s.value {
-		s.value = ratio
-		s.at = now
-		g.speeds[name] = s
+	if ratio := ratio(tokens, since, promised); ratio < g.Speed(now, name) {
+		g.speeds[name] = speed{value: ratio, at: now}
 	}
 }
 
-// Speed is the measured speed: 1 as promised, 0.1 ten times slower.
-func (g *Gauger) Speed(name string) float64 {
-	return g.speed(name).value
+// Speed is the speed at a time by the last measure: 1 as promised, 0.1 ten times
+// slower.
+func (g *Gauger) Speed(now time.Time, name string) float64 {
+	s, ok := g.speeds[name]
+	if !ok {
+		return 1
+	}
+	doubled := max(0, now.Sub(s.at).Seconds()) / renewal.Seconds()
+	return min(1, s.value*math.Exp2(doubled))
 }
 
 // Forget drops an upstream that has gone.
@@ -94,13 +103,6 @@
 	}
 }
 
-func (g *Gauger) speed(name string) speed {
-	if s, ok := g.speeds[name]; ok {
-		return s
-	}
-	return speed{value: 1}
-}
-
 // ratio is the speed that one measure shows, from least to 1.
 func ratio(tokens int, took time.Duration, promised float64) float64 {
 	expected := float64(tokens) / promised
--- a/entry/process/gauger/gauger_test.go
+++ b/entry/process/gauger/gauger_test.go
@@ -53,8 +53,22 @@
 			for _, s := range tt.steps {
 				s(g)
 			}
-			got := g.Speed(name)
+			got := g.Speed(epoch, name)
 			assert.Assert(t, got >= tt.least && got <= tt.most, "speed %.3f", got)
 		})
 	}
 }
+
+// An engine answered nothing for long, and counts as too slow for every limit, so
+// that nothing is sent there and nothing can be measured. It must come back, or
+// its VM refuses questions for good; and not so soon that an engine which is
+// still slow draws a burst.
+func TestUnmeasuredEngineComesBack(t *testing.T) {
+	g := gauger.New()
+	g.Waiting(epoch, name, 1000, time.Hour, rate)
+	assert.Assert(t, g.Speed(epoch.Add(5*time.Second), name) < 0.05)
+	assert.Assert(t, g.Speed(epoch.Add(20*time.Second), name) > 0.1)
+	assert.Equal(t, g.Speed(epoch.Add(time.Minute), name), 1.0)
+	g.Waiting(epoch.Add(time.Minute), name, 1000, 10*time.Second, rate)
+	assert.Assert(t, g.Speed(epoch.Add(time.Minute), name) < 0.2, "a new measure counts at once")
+}
--- a/entry/process/observer/observer.go
+++ b/entry/process/observer/observer.go
@@ -10,6 +10,11 @@
 	"github.com/heathervane/heathervane/entry/process/gauger"
 )
 
+// stoodStill is the time between two ticks above which this process did not run:
+// several times that between ticks of a busy VM. What upstreams did meanwhile is
+// not known, and a pause of a VM says nothing of their speed.
+const stoodStill = time.Second
+
 // An Observer follows the requests that wait for a first token. It is safe for
 // concurrent use, and so is the gauger through it.
 type Observer struct {
@@ -18,6 +23,8 @@
 	mu      sync.Mutex
 	gauger  *gauger.Gauger
 	waiting map[string]wait
+	// ticked is when this process last was known to run.
+	ticked time.Time
 	turned  func(upstream string, boot uint64, cause string)
 }
 
@@ -31,14 +38,14 @@
 // New returns an Observer over a gauger that nobody else uses. Evidence that an
 // upstream has turned cold goes to turned.
 func New(g *gauger.Gauger, now func() time.Time, turned func(upstream string, boot uint64, cause string)) *Observer {
-	return &Observer{gauger: g, now: now, waiting: make(map[string]wait), turned: turned}
+	return &Observer{gauger: g, now: now, waiting: make(map[string]wait), ticked: now(), turned: turned}
 }
 
 // Speed is an upstream's measured speed, as the gauger has it.
 func (o *Observer) Speed(upstream string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.gauger.Speed(upstream)
+	return o.gauger.Speed(o.now(), upstream)
 }
 
 // Turned hears evidence that an upstream has turned cold.
@@ -51,7 +58,9 @@
 func (o *Observer) Begun(upstream, id string, tokens int, rate float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.waiting[id] = wait{upstream: upstream, tokens: tokens, rate: rate, since: o.now()}
+	now := o.now()
+	o.run(now)
+	o.waiting[id] = wait{upstream: upstream, tokens: tokens, rate: rate, since: now}
 }
 
 // First hears that the first token came.
@@ -64,6 +73,9 @@
 	}
 	delete(o.waiting, id)
 	now := o.now()
+	if now.Sub(o.ticked) > stoodStill {
+		return
+	}
 	o.gauger.Observe(now, w.upstream, w.tokens, now.Sub(w.since), w.rate)
 }
 
@@ -78,8 +90,24 @@
 func (o *Observer) Tick(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.run(now)
 	for _, w := range o.waiting {
 		o.gauger.Waiting(now, w.upstream, w.tokens, now.Sub(w.since), w.rate)
 	}
 	o.gauger.Sweep(now)
 }
+
+// run notes that this process runs, and counts no wait for a time in which it
+// did not. Its timers and its callers' answers come in any order after a pause,
+// so that whichever comes first has to look. Without it a VM that was paused for
+// ten seconds takes all engines that it waited for to be a hundred times slower
+// than they are, and refuses every question.
+func (o *Observer) run(now time.Time) {
+	if missed := now.Sub(o.ticked); missed > stoodStill {
+		for id, w := range o.waiting {
+			w.since = w.since.Add(missed)
+			o.waiting[id] = w
+		}
+	}
+	o.ticked = now
+}
--- a/entry/request/router/fleet_test.go
+++ b/entry/request/router/fleet_test.go
@@ -276,7 +276,7 @@
 		k := router.Candidate{
 			Name: e.name, Near: true, Free: slots/f.play.vms - len(m.calls), Slots: slots, Mine: len(m.calls), Unread: m.unread,
 			Running: r.running, Waiting: r.waiting, Used: r.used, Memory: memory, PrefillLeft: int(r.left),
-			Age: f.now - r.at, Prefill: prefill, Decode: decode, Speed: v.gauge.Speed(e.name), Long: i < f.long,
+			Age: f.now - r.at, Prefill: prefill, Decode: decode, Speed: v.gauge.Speed(f.clock(), e.name), Long: i < f.long,
 		}
 		k.Home = f.homes[e.name] == v.name
 		k.Guest = f.guest(i) == v.name
