--- a/entry/process/observer/observer.go
+++ b/entry/process/observer/observer.go
@@ -25,7 +25,7 @@
 	waiting map[string]wait
 	// ticked is when this process last was known to run.
 	ticked time.Time
-	turned  func(upstream string, boot uint64, cause string)
+	turned func(upstream string, boot uint64, cause string)
 }
 
 type wait struct {
