Say in the log of a request what it waited for

Change: the placer says which of a place's conditions fell short, the scheduler adds up the time by reason, and the line of a request names the reason for which it waited longest ("wait", "longest").

--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -22,6 +22,8 @@
 	// Load the work at the upstream when it was chosen.
 	Estimate float64
 	Load     placer.Load
+	// Waits is how long it was waited for, and why.
+	Waits Waits
 
 	scheduler *Scheduler
 	shares    []share
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -85,6 +85,8 @@
 	Code string
 	// After is when coming back helps.
 	After time.Duration
+	// Waits is how long it waited for what.
+	Waits Waits
 }
 
 // Error gives the refusal in one line.
@@ -116,6 +118,8 @@
 	found time.Time
 	// looked is when a place was last looked for.
 	looked time.Time
+	// waits is why it waits, and since when for this reason.
+	waits wait
 	// late and over are 1 where it can no longer be in time, and where its team
 	// uses more than its share, when it was last sorted.
 	late, over int
@@ -137,6 +141,7 @@
 // Acquire waits for a place, or for the word that there will be none in time.
 func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Grant, *Refusal) {
 	w := &waiter{call: c, times: timesOf(c), reply: make(chan reply, 1)}
+	w.waits.since = s.deps.Now()
 	s.mu.Lock()
 	s.waiting = append(s.waiting, w)
 	s.pump()
@@ -164,7 +169,7 @@
 		}
 	default:
 	}
-	return &Refusal{Code: Late, After: comeBack}
+	return &Refusal{Code: Late, After: comeBack, Waits: w.waits.end(s.deps.Now())}
 }
 
 // compare orders by rank, then those that can be in time before those that are
@@ -288,9 +293,10 @@
 func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
 	k := kind{w.call.Service.Name, w.times.size, !w.times.long && w.times.late(now)}
 	if w.times.hopeless(now, s.until) {
-		return reply{refusal: &Refusal{Code: Late, After: comeBack}}, true
+		return reply{refusal: &Refusal{Code: Late, After: comeBack, Waits: w.waits.end(now)}}, true
 	}
 	if blocked[k] {
+		w.waits.turn(now, waitBehind)
 		return reply{}, false
 	}
 	if w.times.long && now.Sub(w.looked) < lookEvery {
@@ -303,9 +309,12 @@
 	choice, ok := s.choose(now, w, cs)
 	if s.yields(now, w, ok) {
 		blocked[k] = true
+		w.waits.turn(now, reasonOf(choice, ok))
 		return reply{}, false
 	}
-	return reply{grant: s.grant(now, w, choice, states)}, true
+	g := s.grant(now, w, choice, states)
+	g.Waits = w.waits.end(now)
+	return reply{grant: g}, true
 }
 
 func (s *Scheduler) choose(now time.Time, w *waiter, cs []placer.Candidate) (placer.Choice, bool) {
@@ -327,7 +336,7 @@
 	for range s.deps.Peers.Before(w.head(now)) {
 		theirs, ok := placer.Engine(w.call.Service.Engine, w.call.Ask, cs, now, m)
 		if !ok {
-			return placer.Choice{}, false
+			return placer.Choice{Lack: theirs.Lack}, false
 		}
 		l := &cs[theirs.Main].Load
 		l.Streams++
--- /dev/null
+++ b/entry/process/scheduler/wait.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
+)
+
+// A reason is why a request waits: what its place lacks, or one of those below.
+type reason int
+
+const (
+	// waitBehind is that an earlier request for the same places waits.
+	waitBehind = reason(placer.Lacks) + iota
+	// waitTurn is that there is a place, which other VMs' prompts go to first.
+	waitTurn
+	reasons
+)
+
+// String gives the reason in one word.
+func (r reason) String() string {
+	switch r {
+	case waitBehind:
+		return "behind"
+	case waitTurn:
+		return "turn"
+	}
+	return placer.Lack(r).String()
+}
+
+// reasonOf is why a request is not placed after a look for a place.
+func reasonOf(c placer.Choice, found bool) reason {
+	if found {
+		return waitTurn
+	}
+	return reason(c.Lack)
+}
+
+// Waits is how long a request waited, by reason.
+type Waits [reasons]time.Duration
+
+// Longest is the reason for which it waited longest, in one word, and how long;
+// empty where it did not wait.
+func (w Waits) Longest() (why string, long time.Duration) {
+	for r, d := range w {
+		if d > long {
+			why, long = reason(r).String(), d
+		}
+	}
+	return why, long
+}
+
+// A wait adds up why a request waits. Without it one knows of a late prompt that
+// it waited, and not whether engines were missing, or peace for other streams.
+type wait struct {
+	past   Waits
+	reason reason
+	since  time.Time
+}
+
+// turn notes that it waits for a reason from now on.
+func (w *wait) turn(now time.Time, r reason) {
+	w.past[w.reason] += now.Sub(w.since)
+	w.reason, w.since = r, now
+}
+
+// end gives the sum.
+func (w *wait) end(now time.Time) Waits {
+	w.turn(now, w.reason)
+	return w.past
+}
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -64,18 +64,32 @@
 	whole := Read(e, a.Prompt, 1)
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
+	lack := LackEngine
 	for _, n := range sizes {
 		part := whole / float64(n)
-		order := helpful(e, a, cs, part, m)
+		order, reading := helpful(e, a, cs, part, m)
 		if len(order) < n {
+			if reading {
+				lack = max(lack, LackReader)
+			}
 			break
 		}
 		choice, ok := memory(e, a, cs, order, n, part)
-		if !ok || (m >= Late && !roomy(cs, choice)) {
+		if !ok {
+			lack = max(lack, LackMemory)
+			continue
+		}
+		if m >= Late && !roomy(cs, choice) {
+			lack = max(lack, LackSpare)
 			continue
 		}
 		harm, first := weigh(e, cs, choice, part)
 		if !a.allows(m, harm, first <= left) {
+			if harm <= harmless {
+				lack = max(lack, LackTime)
+			} else {
+				lack = max(lack, LackPeace)
+			}
 			continue
 		}
 		cost := harm + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
@@ -84,7 +98,10 @@
 			best.Read, best.First = part, first
 		}
 	}
-	return best, !math.IsInf(least, 1)
+	if math.IsInf(least, 1) {
+		return Choice{Lack: lack}, false
+	}
+	return best, true
 }
 
 // allows says whether a request may do harm to others for an answer that comes
@@ -146,9 +163,9 @@
 }
 
 // helpful are the engines that may read a part of so many milliseconds, those
-// first that it harms least and that have least to read.
-func helpful(e *matcher.Engine, a Ask, cs []Candidate, part float64, m Mood) []int {
-	var order []int
+// first that it harms least and that have least to read. It also says whether
+// some were left out because they read already.
+func helpful(e *matcher.Engine, a Ask, cs []Candidate, part float64, m Mood) (order []int, reading bool) {
 	costs := make([]float64, len(cs))
 	for i := range cs {
 		c := &cs[i]
@@ -157,14 +174,18 @@
 		}
 		// Two parts at one engine are read by turns: each group waits for the
 		// other's part, and neither is read sooner.
-		if ((m == Patient || m == Late) && c.Load.Parts > 0) || slices.Contains(a.Tried, c.ID) {
+		if (m == Patient || m == Late) && c.Load.Parts > 0 {
+			reading = true
+			continue
+		}
+		if slices.Contains(a.Tried, c.ID) {
 			continue
 		}
 		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
 		order = append(order, i)
 	}
 	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
-	return order
+	return order, reading
 }
 
 // memory chooses which of the engines generates, and what is set aside at the
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -91,6 +91,38 @@
 	Read float64
 	// First is the estimated time to the first event in milliseconds.
 	First float64
+	// Lack says why there is no place, where there is none.
+	Lack Lack
+}
+
+// A Lack is why there is no place for a request: of the conditions that a place
+// must meet, the furthest one at which it fell short.
+type Lack int
+
+const (
+	// LackEngine is that no upstream may be used, or none has a slot.
+	LackEngine Lack = iota
+	// LackReader is that those read parts of other long prompts.
+	LackReader
+	// LackMemory is that none, and no group, has the memory.
+	LackMemory
+	// LackSpare is that too little would be left for what comes next.
+	LackSpare
+	// LackTime is that the first event would be late.
+	LackTime
+	// LackPeace is that too many streams of others would become late.
+	LackPeace
+	// Lacks is how many there are.
+	Lacks
+)
+
+// String gives the reason in one word.
+func (l Lack) String() string {
+	words := [Lacks]string{"engine", "reader", "memory", "spare", "time", "peace"}
+	if l < 0 || l >= Lacks {
+		return "unknown"
+	}
+	return words[l]
 }
 
 // Plain chooses among the upstreams of a plain service: the one with the fewest
@@ -107,7 +139,10 @@
 			best, least = i, cost
 		}
 	}
-	return Choice{Main: best, First: least}, best >= 0
+	if best < 0 {
+		return Choice{Lack: LackEngine}, false
+	}
+	return Choice{Main: best, First: least}, true
 }
 
 // dislike is what counts against an upstream beside its work, in milliseconds.
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -43,8 +43,9 @@
 		bound = float64(a.Objective.Sub(now).Milliseconds())
 	}
 	best, least, fullest := -1, math.Inf(1), -1
+	lack := LackEngine
 	if m == Late && !spare(cs) {
-		return Choice{}, false
+		return Choice{Lack: LackSpare}, false
 	}
 	for i := range cs {
 		c := &cs[i]
@@ -53,6 +54,7 @@
 		}
 		cost := First(e, c.Load, read) + c.dislike(a) + failure*c.failing() + slotWait*float64(max(0, c.Load.Streams+1-c.Slots))
 		if cost > bound {
+			lack = LackTime
 			continue
 		}
 		tight := -1
@@ -64,7 +66,7 @@
 		}
 	}
 	if best < 0 {
-		return Choice{}, false
+		return Choice{Lack: lack}, false
 	}
 	return Choice{Main: best, Read: read, First: least}, true
 }
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -122,8 +122,10 @@
 	now := r.deps.Now()
 	j.trace.waited += now.Sub(from)
 	if refused != nil {
+		j.trace.waits = refused.Waits
 		return nil, refuser.New(http.StatusServiceUnavailable, refused.Code, "no upstream could answer it in time").Back(refused.After)
 	}
+	j.trace.waits = grant.Waits
 	t := &try{grant: grant}
 	// The end of the caller's connection is noticed by another goroutine, which
 	// on a busy VM may not have run since.
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -167,7 +167,9 @@
 // A trace is what the request's log line tells.
 type trace struct {
 	waited time.Duration
-	first  time.Duration
+	// waits is why, for the last place.
+	waits scheduler.Waits
+	first time.Duration
 	// pause is the longest time between two events.
 	pause    time.Duration
 	upstream string
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/trimmer"
@@ -158,6 +159,10 @@
 	r.done(j, f.Status)
 }
 
+// worthTelling is the wait from which the log says its reason: shorter ones are
+// those of one look for a place.
+const worthTelling = 5 * time.Millisecond
+
 // done writes the request's log line.
 func (r *Relayer) done(j *job, status int) {
 	took := r.deps.Now().Sub(j.arrived)
@@ -178,5 +183,8 @@
 	if t.cause != "" {
 		line.Str("cause", t.cause)
 	}
+	if why, long := t.waits.Longest(); long >= worthTelling {
+		line.Str("wait", why).Dur("longest", long)
+	}
 	line.Dur("waited", t.waited).Dur("first", t.first).Dur("pause", t.pause).Dur("took", took).Msg("request")
 }
