Tell late news of the list from an outage of the platform, and send by no old list

By the VMs' logs the entry went at offset 307 at 25.5 s. 46 VMs dropped it within a second or so; 14 logged it as lapsed, and used it 1.8 s longer, as for an outage of the platform: their own copy had been without news for more than 1.5 s, because the records came late from peers over full links. The platform had answered other VMs all the while. One VM had its news 3.26 s late, and would have sent until then.

Ruled out: an outage (the store turned one VM away and answered the rest), old entries written late (no entry came back).

Change: a copy keeps when the platform answered any VM that can be heard, as their beats say, and entries count as lapsed only where it answered nobody for 1.5 s since the copy's last news. A VM whose list is behind what others were told by 0.6 of the time in which upstreams must get nothing more gives no places and sends nothing until the list has come; it logs that it is outdated.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -42,8 +42,8 @@
 	// platform was away: upstreams that live are listed again within two
 	// seconds of its return.
 	lapsedUse = 1800 * time.Millisecond
-	// outage is the time without news of the list after which entries that are
-	// gone count as lapsed. Those that go later are news like any other: an
+	// outage is for how long the platform has answered nobody where entries that
+	// are gone count as lapsed. Those that go later are news like any other: an
 	// upstream may leave a moment after the platform's return, and one that was
 	// used on then would get work that it never answers.
 	outage = 1500 * time.Millisecond
@@ -119,7 +119,7 @@
 	for _, r := range rs {
 		if r.Dropped {
 			if v.tracker.Remove(now, r.Key, lapsing) {
-				v.log.Info().Str("upstream", r.Key).Int64("offset", r.Offset).Bool("lapsed", lapsing).Msg("upstream gone from the list")
+				v.log.Info().Str("upstream", r.Key).Int64("offset", r.Offset).Bool("lapsed", lapsing).Dur("silence", gap).Msg("upstream gone from the list")
 			}
 			continue
 		}
@@ -144,6 +144,27 @@
 	}
 }
 
+// outdatedShare is the part of the time in which upstreams must get nothing more
+// that a list may be behind. The rest is for the way of the platform's answer to
+// this VM, a quarter of a second and a beat, and for a request's to its upstream.
+const outdatedShare = 0.6
+
+// watch compares the copies with what the platform has told others. A VM that its
+// peers' records reach late has to know it: it would use upstreams on that have
+// left, and take those that are gone for lapsed.
+func (v *Process) watch() {
+	for name, c := range v.copies {
+		c.Heard(v.gossiper.Answered(name))
+	}
+	behind := v.copies[Upstreams].Behind()
+	outdated := behind > time.Duration(outdatedShare*float64(v.settings.Load().Bounds.Drain))
+	if !v.tracker.Outdate(outdated) {
+		return
+	}
+	v.log.Warn().Bool("outdated", outdated).Dur("behind", behind).Msg("list of upstreams")
+	v.scheduler.Pump()
+}
+
 // meet folds addresses of VMs.
 func (v *Process) meet(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -48,6 +48,10 @@
 	// pumpEvery bounds how late a waiting request is placed or given up for
 	// which no event calls.
 	pumpEvery = step
+	// watchEvery is how often the copies of the platform's records are compared
+	// with what the platform has told others: a part of the quarter of a second
+	// in which these say so.
+	watchEvery = 100 * time.Millisecond
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = time.Second
 	// bodyShare is the part of the VM's memory that request bodies may take.
@@ -81,6 +85,8 @@
 	// ColdMultiplier and ColdSlack bound the requests a second to an upstream
 	// in cold start.
 	ColdMultiplier, ColdSlack float64
+	// Drain is how soon an upstream that leaves must get nothing more.
+	Drain time.Duration
 	// Grace is how long a process may go on after it is told to stop.
 	Grace time.Duration
 	// Release is how soon memory set aside at engines must be free again.
@@ -231,6 +237,7 @@
 	v.ticker.Subscribe(sweepEvery, func(time.Time) { v.carrier.Sweep() })
 	v.ticker.Subscribe(beatEvery, v.gossiper.Tick)
 	v.ticker.Subscribe(beatEvery, v.expire)
+	v.ticker.Subscribe(watchEvery, func(time.Time) { v.watch() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.announce} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/entry/process/replicator/replicator.go
+++ b/entry/process/replicator/replicator.go
@@ -38,13 +38,16 @@
 	// VM's clock; a peer's confirmation counts from when it was made.
 	asOf time.Time
 	// readAt is the same for confirmations that the platform made to this VM.
-	readAt  time.Time
-	changed func(rs []Record, gap time.Duration)
+	readAt time.Time
+	// silences are the times in which nobody that this VM can hear was
+	// answered by the platform.
+	silences silences
+	changed  func(rs []Record, gap time.Duration)
 }
 
 // New returns an empty Copy that tells changed of every record it takes, in
-// order and one call at a time, and how long the copy had been without news
-// before them.
+// order and one call at a time, and for how long the platform had answered nobody
+// since the news before them.
 func New(changed func(rs []Record, gap time.Duration)) *Copy {
 	return &Copy{records: make(map[string]Record), changed: changed}
 }
@@ -63,13 +66,12 @@
 		c.records[r.Key] = r
 		taken = append(taken, r)
 	}
-	gap := time.Duration(0)
-	if !c.asOf.IsZero() {
-		gap = max(0, asOf.Sub(c.asOf))
-	}
+	c.silences.heard(asOf)
+	gap := c.silences.longest(c.asOf)
 	c.end = max(c.end, end)
 	if end >= c.end && asOf.After(c.asOf) {
 		c.asOf = asOf
+		c.silences.forget(asOf)
 	}
 	if len(taken) == 0 {
 		return
@@ -78,6 +80,26 @@
 	c.changed(taken, gap)
 }
 
+// Heard notes that the platform answered some VM at a time. What went from the
+// list since then went while the platform was there, however late this copy
+// learns of it.
+func (c *Copy) Heard(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silences.heard(at)
+}
+
+// Behind is by how much this copy is older than the platform's last answer to
+// anybody.
+func (c *Copy) Behind() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asOf.IsZero() {
+		return 0
+	}
+	return max(0, c.silences.last.Sub(c.asOf))
+}
+
 // Read notes that the platform confirmed the copy's end to this VM itself.
 func (c *Copy) Read(at time.Time) {
 	c.mu.Lock()
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -62,6 +62,8 @@
 	mu    sync.Mutex
 	known map[string]*State
 	zones map[string]bool
+	// outdated says that others have read the list much further.
+	outdated bool
 	// removed are the last entries of upstreams that went.
 	removed map[string]Upstream
 }
@@ -189,7 +191,19 @@
 	return ok && t.may(s)
 }
 
-func (t *Tracker) may(s *State) bool { return !s.Draining && !t.zones[s.Zone] }
+func (t *Tracker) may(s *State) bool { return !t.outdated && !s.Draining && !t.zones[s.Zone] }
+
+// Outdate says whether this VM's list is so old that upstreams may have left for
+// longer than they may get work, and says whether that is new. While it is, none
+// may get any, also none that was chosen before: requests wait for the list, or
+// are refused as not run.
+func (t *Tracker) Outdate(outdated bool) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed = t.outdated != outdated
+	t.outdated = outdated
+	return changed
+}
 
 // Failed notes a request that failed there. Broken says that the connection
 // failed, and not the request.
--- a/entry/process/tracker/tracker_test.go
+++ b/entry/process/tracker/tracker_test.go
@@ -162,3 +162,18 @@
 	assert.DeepEqual(t, tr.Silent(later), []string{"b"})
 	assert.Equal(t, len(tr.Silent(later.Add(time.Second))), 0)
 }
+
+// Others have read the list much further than this VM, which cannot tell which of
+// its upstreams have left meanwhile. One that was chosen before, or is asked for
+// after a wait, must get nothing until the list has come.
+func TestOutdatedListNamesNoUpstream(t *testing.T) {
+	known := tracker.New()
+	known.Put(now, tracker.Upstream{ID: "a", Service: "s"})
+	assert.Assert(t, known.Outdate(true))
+	assert.Assert(t, !known.Outdate(true), "that is no news")
+	assert.Assert(t, !known.May("a"))
+	assert.Equal(t, len(known.Usable(now, "s")), 0)
+	assert.Assert(t, known.Outdate(false))
+	assert.Assert(t, known.May("a"))
+	assert.Equal(t, len(known.Usable(now, "s")), 1)
+}
