--- /dev/null
+++ b/bench/emulate.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/integrii/flaggy"
+	"github.com/zeebo/errs"
+
+	"github.com/heathervane/heathervane/bench/emulator"
+)
+
+// An emulation is the subcommand that plays loads against the decisions alone.
+type emulation struct {
+	drawn int
+	seeds int
+	out   string
+}
+
+func (e *emulation) command() *flaggy.Subcommand {
+	e.drawn, e.seeds = 10, 3
+	c := flaggy.NewSubcommand("emulate")
+	c.Description = "Play loads of known and drawn deployments against the decisions, without processes"
+	c.Int(&e.drawn, "", "drawn", "how many deployments are drawn besides the known ones (default: 10)")
+	c.Int(&e.seeds, "", "seeds", "how many loads of each are played (default: 3)")
+	c.String(&e.out, "", "out", "folder for result.json and worth.svg (default: none are written)")
+	return c
+}
+
+func (e *emulation) run(ctx context.Context) error {
+	if e.drawn < 0 || e.seeds < 1 {
+		return errs.New("--drawn must not be negative, and --seeds must be at least 1")
+	}
+	results, err := emulator.RunAll(ctx, emulator.All(uint64(e.drawn)), uint64(e.seeds))
+	if err != nil {
+		return err
+	}
+	if err := emulator.Print(os.Stdout, results); err != nil {
+		return errs.Wrap(err)
+	}
+	if e.out == "" {
+		return nil
+	}
+	if err := os.MkdirAll(e.out, 0o755); err != nil {
+		return errs.Wrap(err)
+	}
+	data, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	if err := os.WriteFile(filepath.Join(e.out, "result.json"), append(data, '\n'), 0o644); err != nil {
+		return errs.Wrap(err)
+	}
+	return emulator.Plot(filepath.Join(e.out, "worth.svg"), results)
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,6 +1,7 @@
 // Command bench shows and measures a whole fleet as separate processes on
 // loopback: demo sends one request of each kind, run plays an experiment, and
-// compare sets two runs side by side. It is no part of what serves callers.
+// compare sets two runs side by side. emulate plays loads against the decisions
+// alone. It is no part of what serves callers.
 package main
 
 import (
@@ -31,6 +32,7 @@
 	var d demo
 	var p play
 	var c comparison
+	var e emulation
 	commands := []struct {
 		command *flaggy.Subcommand
 		run     func(context.Context) error
@@ -38,6 +40,7 @@
 		{d.command(), d.run},
 		{p.command(), p.run},
 		{c.command(), c.run},
+		{e.command(), e.run},
 	}
 	for _, one := range commands {
 		parser.AttachSubcommand(one.command, 1)
@@ -51,5 +54,5 @@
 		}
 	}
 	parser.ShowHelp()
-	return errs.New("name a subcommand: demo, run or compare")
+	return errs.New("name a subcommand: demo, run, compare or emulate")
 }
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -140,20 +140,45 @@
 
 // Acquire waits for a place, or for the word that there will be none in time.
 func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Grant, *Refusal) {
+	w := s.Ask(c)
+	select {
+	case r := <-w.waiter.reply:
+		return r.grant, r.refusal
+	case <-ctx.Done():
+		return nil, w.Leave()
+	}
+}
+
+// An Asked is a request for a place that may still wait.
+type Asked struct {
+	scheduler *Scheduler
+	waiter    *waiter
+}
+
+// Ask asks for a place without waiting for it.
+func (s *Scheduler) Ask(c Call) *Asked {
 	w := &waiter{call: c, times: timesOf(c), reply: make(chan reply, 1)}
 	w.waits.since = s.deps.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.waiting = append(s.waiting, w)
 	s.pump()
-	s.mu.Unlock()
+	return &Asked{s, w}
+}
+
+// Reply gives the place or the refusal, once, and neither while it waits.
+func (a *Asked) Reply() (*Grant, *Refusal) {
 	select {
-	case r := <-w.reply:
+	case r := <-a.waiter.reply:
 		return r.grant, r.refusal
-	case <-ctx.Done():
-		return nil, s.leave(w)
+	default:
+		return nil, nil
 	}
 }
 
+// Leave takes the request back: its caller has gone, or its time is over.
+func (a *Asked) Leave() *Refusal { return a.scheduler.leave(a.waiter) }
+
 // leave takes out a request whose caller has gone or whose time is over.
 func (s *Scheduler) leave(w *waiter) *Refusal {
 	s.mu.Lock()
