Count what streams have to lose by the pauses that their callers bear

Cause: pauses were told apart by three fixed steps (250, 500 and 1,000 ms), made for the callers of two deployments, and streams of each step counted by a fixed weight. Callers who bear 200 ms fell into the step 0, so that every part of a long prompt counted as harm to them, however short.

Change: each stream counts by its own prompt, as the request that it came from does, at one of 24 steps from 50 ms to 2.7 s, a quarter of an octave apart. The datagram names only the steps that are used. Short prompts are packed by all streams of an engine, and not by those of the shortest two steps.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -196,7 +196,7 @@
 		failed, answered := g.upstreams.Counts(name)
 		m.Loads = append(m.Loads, load{
 			Upstream: name, Streams: l.Streams, Context: l.Context,
-			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts, Pauses: l.Pauses[:],
+			Unread: float32(l.Unread), Starting: l.Starting, Parts: l.Parts, Stakes: sparse(l.Stakes),
 			Failed: failed, Answered: answered,
 		})
 	}
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -85,7 +85,7 @@
 	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}, ends: map[netip.AddrPort]map[string]gossiper.End{}, known: map[netip.AddrPort]*tracker.Tracker{}}
 }
 
-var work = placer.Load{Streams: 2, Context: 9000, Unread: 40, Starting: 1, Parts: 1, Pauses: [4]int{0, 1, 0, 1}}
+var work = placer.Load{Streams: 2, Context: 9000, Unread: 40, Starting: 1, Parts: 1, Stakes: placer.Stakes{3: 100, 9: 250}}
 
 // A VM that sees only its own requests takes an engine for idle to which the
 // others have just sent theirs.
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
 // load is the wire form of a placer.Load.
@@ -13,7 +15,8 @@
 	Unread   float32
 	Starting int
 	Parts    int
-	Pauses   []int
+	// Stakes are steps, each followed by what is at stake there.
+	Stakes []int32
 	// Failed and Answered count the sender's requests there since it knows the
 	// upstream, so that a lost datagram loses no count.
 	Failed, Answered uint32
@@ -73,3 +76,25 @@
 	}
 	return h.Start.Before(o.Start)
 }
+
+// sparse is the wire form of stakes: streams at one upstream bear few different
+// pauses, so that most steps are empty.
+func sparse(s placer.Stakes) []int32 {
+	var out []int32
+	for step, n := range s {
+		if n != 0 {
+			out = append(out, int32(step), n)
+		}
+	}
+	return out
+}
+
+// dense is the inverse of sparse. Steps that this VM does not know are left out.
+func dense(pairs []int32) (s placer.Stakes) {
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if step := pairs[i]; step >= 0 && step < placer.Steps {
+			s[step] = pairs[i+1]
+		}
+	}
+	return s
+}
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -82,7 +82,7 @@
 		t := told{seq: m.Seq, at: now, failed: l.Failed, answered: l.Answered, Load: placer.Load{
 			Streams: l.Streams, Context: l.Context, Unread: float64(l.Unread), Starting: l.Starting, Parts: l.Parts,
 		}}
-		copy(t.Pauses[:], l.Pauses)
+		t.Stakes = dense(l.Stakes)
 		g.tell(now, p, l.Upstream, t)
 	}
 }
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -57,7 +57,7 @@
 	}
 	first := part
 	first.Starting = 1
-	g.shares = append(g.shares, share{main.ID, first, placer.Load{Streams: 1, Context: max(0, context), Pauses: placer.Bears(w.call.Ask.Pause)}})
+	g.shares = append(g.shares, share{main.ID, first, placer.Load{Streams: 1, Context: max(0, context), Stakes: w.call.Ask.Stake()}})
 	for _, i := range c.Helpers {
 		g.Helpers = append(g.Helpers, Helper{states[i].Upstream, aside[i]})
 		g.shares = append(g.shares, share{states[i].ID, part, placer.Load{Context: aside[i]}})
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -286,7 +286,7 @@
 // What the others have sent is there before any report shows it.
 func TestOthersWorkCounts(t *testing.T) {
 	f := newFleet(2)
-	f.peers.loads["u0"] = placer.Load{Streams: 2, Context: 1000, Pauses: [4]int{0, 2}}
+	f.peers.loads["u0"] = placer.Load{Streams: 2, Context: 1000}
 	for range 2 {
 		g, _ := f.Acquire(t.Context(), f.call(1000, 10*time.Second))
 		assert.Equal(t, g.Upstream.ID, "u1")
--- a/entry/request/placer/bench_test.go
+++ b/entry/request/placer/bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkLongPrompt(b *testing.B) {
 	cs := idle(23)
 	for i := range cs {
-		cs[i].Load = placer.Load{Streams: i % 14, Context: 8000 * (i % 14), Pauses: [4]int{0, i % 14}}
+		cs[i].Load = placer.Load{Streams: i % 14, Context: 8000 * (i % 14), Stakes: stakes(i % 14)}
 	}
 	for b.Loop() {
 		placer.Engine(engine, long(133_000), cs, now, placer.Patient)
--- a/entry/request/placer/engine.go
+++ b/entry/request/placer/engine.go
@@ -64,25 +64,9 @@
 	Starting int
 	// Parts is how many parts of long prompts it reads.
 	Parts int
-	// Pauses counts the streams by the pause between two events that their
-	// callers bear: each by the longest of Limits that is no longer than that.
-	Pauses [len(Limits)]int
-}
-
-// Limits are the pauses in milliseconds by which streams are counted. Today's
-// callers bear 250, 600 and 1,000 ms; the steps between are as wide as what a
-// part of a prompt adds to a pass.
-var Limits = [...]float64{0, 250, 500, 1000}
-
-// Bears counts one stream whose caller bears a pause.
-func Bears(pause float64) (counts [len(Limits)]int) {
-	for i := len(Limits) - 1; i >= 0; i-- {
-		if pause >= Limits[i] {
-			counts[i] = 1
-			break
-		}
-	}
-	return counts
+	// Stakes are what the streams there have to lose if they stand still for
+	// longer than their callers bear.
+	Stakes Stakes
 }
 
 // Add sums two loads.
@@ -92,8 +76,8 @@
 	l.Unread += o.Unread
 	l.Starting += o.Starting
 	l.Parts += o.Parts
-	for i, n := range o.Pauses {
-		l.Pauses[i] += n
+	for i, n := range o.Stakes {
+		l.Stakes[i] += n
 	}
 }
 
@@ -104,8 +88,8 @@
 	l.Unread -= o.Unread
 	l.Starting -= o.Starting
 	l.Parts -= o.Parts
-	for i, n := range o.Pauses {
-		l.Pauses[i] -= n
+	for i, n := range o.Stakes {
+		l.Stakes[i] -= n
 	}
 	if l.Starting == 0 && l.Parts == 0 {
 		// Nothing is being read, so that sums of fractions leave nothing behind.
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -38,11 +38,6 @@
 	lateShare = 0.75
 )
 
-// weights are what a stream of each pause counts for when it is made late:
-// streams whose callers bear long pauses answer long prompts, of which there
-// are fewer, and each is worth several short ones.
-var weights = [len(Limits)]float64{1, 1, 4, 8}
-
 const (
 	// unit is the prompt in tokens that counts for one, a usual question's, and
 	// growth how what a request counts for grows with its prompt: whoever had
@@ -139,7 +134,7 @@
 	running, free := 0, 0
 	for i := range cs {
 		c := &cs[i]
-		running += c.tight()
+		running += c.Load.Streams
 		if c.Load.Parts > 0 || c.Silent || i == choice.Main || slices.Contains(choice.Helpers, i) {
 			continue
 		}
@@ -165,13 +160,7 @@
 // harm is what the streams of an engine lose by a part that is read there.
 func (c *Candidate) harm(e *matcher.Engine, part float64) float64 {
 	pass := Pass(e, c.Load.Streams, c.Load.Context) + c.Load.Unread + part
-	sum := 0.0
-	for b, n := range c.Load.Pauses {
-		if n > 0 && pass > pauseSpare*Limits[b] {
-			sum += weights[b] * float64(n)
-		}
-	}
-	return lateShare * sum
+	return lateShare * c.Load.Stakes.below(pass)
 }
 
 // helpful are the engines that may read a part of so many milliseconds, those
--- a/entry/request/placer/placer_test.go
+++ b/entry/request/placer/placer_test.go
@@ -37,10 +37,19 @@
 	return placer.Ask{Prompt: tokens, Output: 1700, Pause: 1000, Arrived: now, Objective: now.Add(2500 * time.Millisecond), Deadline: now.Add(15 * time.Second)}
 }
 
+// stakes are those of so many short answers.
+func stakes(n int) (sum placer.Stakes) {
+	var l placer.Load
+	for range n {
+		l.Add(placer.Load{Stakes: short().Stake()})
+	}
+	return l.Stakes
+}
+
 // place books a choice as the scheduler does.
 func place(cs []placer.Candidate, a placer.Ask, c placer.Choice) {
 	part := placer.Load{Unread: c.Read, Parts: 1}
-	main := placer.Load{Streams: 1, Context: a.Prompt + a.Output, Pauses: placer.Bears(a.Pause)}
+	main := placer.Load{Streams: 1, Context: a.Prompt + a.Output, Stakes: a.Stake()}
 	for _, t := range c.Tickets {
 		main.Context -= t.Tokens
 		cs[t.Candidate].Load.Context += t.Tokens
@@ -94,7 +103,7 @@
 	for range 18 {
 		c, ok := placer.Engine(engine, short(), cs, now, placer.Patient)
 		assert.Assert(t, ok)
-		cs[c.Main].Load.Add(placer.Load{Streams: 1, Starting: 1, Unread: c.Read, Context: 8400, Pauses: placer.Bears(250)})
+		cs[c.Main].Load.Add(placer.Load{Streams: 1, Starting: 1, Unread: c.Read, Context: 8400, Stakes: stakes(1)})
 	}
 	for i := range cs {
 		assert.Assert(t, cs[i].Load.Unread < 130, "%v", cs[i].Load)
@@ -106,7 +115,7 @@
 func TestLongPromptLeavesShortAnswersAlone(t *testing.T) {
 	cs := idle(16)
 	for i := range 6 {
-		cs[i].Load = placer.Load{Streams: 12, Context: 100_000, Pauses: [4]int{0, 12}}
+		cs[i].Load = placer.Load{Streams: 12, Context: 100_000, Stakes: stakes(12)}
 	}
 	c, ok := placer.Engine(engine, long(133_000), cs, now, placer.Patient)
 	assert.Assert(t, ok)
@@ -123,7 +132,7 @@
 func TestLongPromptWaitsForEnginesAndThenPresses(t *testing.T) {
 	cs := idle(16)
 	for i := range cs {
-		cs[i].Load = placer.Load{Streams: 1, Context: 8000, Pauses: [4]int{0, 1}}
+		cs[i].Load = placer.Load{Streams: 1, Context: 8000, Stakes: stakes(1)}
 	}
 	a := long(260_000)
 	_, ok := placer.Engine(engine, a, cs, now, placer.Patient)
@@ -132,7 +141,7 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, c.First < 1000)
 	for i := range cs {
-		cs[i].Load = placer.Load{Streams: 14, Context: 110_000, Pauses: [4]int{0, 14}}
+		cs[i].Load = placer.Load{Streams: 14, Context: 110_000, Stakes: stakes(14)}
 	}
 	_, ok = placer.Engine(engine, a, cs, now.Add(1500*time.Millisecond), placer.Pressed)
 	assert.Assert(t, !ok, "it would make 200 answers late for one")
@@ -147,7 +156,7 @@
 func TestLongPromptBearsMoreHarmAsItsTimePasses(t *testing.T) {
 	cs := idle(16)
 	for i := range cs {
-		cs[i].Load = placer.Load{Streams: 3, Context: 24_000, Pauses: [4]int{0, 3}}
+		cs[i].Load = placer.Load{Streams: 3, Context: 24_000, Stakes: stakes(3)}
 	}
 	a := long(133_000)
 	_, ok := placer.Engine(engine, a, cs, now.Add(100*time.Millisecond), placer.Patient)
@@ -182,7 +191,7 @@
 func TestLatePromptLeavesRoomForShortOnes(t *testing.T) {
 	cs := idle(8)
 	for i := range 6 {
-		cs[i].Load = placer.Load{Streams: 15, Context: 120_000, Pauses: [4]int{0, 15}}
+		cs[i].Load = placer.Load{Streams: 15, Context: 120_000, Stakes: stakes(15)}
 	}
 	a := long(133_000)
 	a.Objective = now.Add(-time.Second)
@@ -218,7 +227,7 @@
 	cs := idle(5)
 	cs[0].Room = 0
 	cs[1].Silent = true
-	cs[2].Load = placer.Load{Streams: 16, Context: 1000, Pauses: [4]int{0, 16}}
+	cs[2].Load = placer.Load{Streams: 16, Context: 1000, Stakes: stakes(16)}
 	a := short()
 	a.Tried = []string{"e3"}
 	c, ok := placer.Engine(engine, a, cs, now, placer.Patient)
@@ -240,7 +249,7 @@
 	cs := idle(4)
 	cs[0].Failed, cs[0].Answered = 4, 6
 	for i := 1; i < 4; i++ {
-		cs[i].Load = placer.Load{Streams: 4, Context: 30_000, Pauses: [4]int{0, 4}}
+		cs[i].Load = placer.Load{Streams: 4, Context: 30_000, Stakes: stakes(4)}
 		cs[i].Answered = 10
 	}
 	for range 24 {
@@ -253,7 +262,7 @@
 	// leave an upstream to the others' cost.
 	cs = idle(2)
 	cs[0].Failed, cs[0].Answered = 0.5, 60
-	cs[1].Load = placer.Load{Streams: 3, Pauses: [4]int{0, 3}}
+	cs[1].Load = placer.Load{Streams: 3, Stakes: stakes(3)}
 	c, ok := placer.Plain(short(), cs)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.Main, 0)
@@ -268,7 +277,7 @@
 			tight := rapid.IntRange(0, 20).Draw(t, "tight")
 			cs[i].Load = placer.Load{
 				Streams: tight, Context: rapid.IntRange(0, 250_000).Draw(t, "context"),
-				Unread: rapid.Float64Range(0, 2000).Draw(t, "unread"), Pauses: [4]int{0, tight},
+				Unread: rapid.Float64Range(0, 2000).Draw(t, "unread"), Stakes: stakes(tight),
 				Parts: rapid.IntRange(0, 2).Draw(t, "parts"),
 			}
 			cs[i].Room = rapid.IntRange(0, 2).Draw(t, "room")
@@ -308,7 +317,7 @@
 func TestLatePromptTakesTheIdleEngines(t *testing.T) {
 	cs := idle(16)
 	for i := range 10 {
-		cs[i].Load = placer.Load{Streams: 3, Context: 25_000, Pauses: [4]int{0, 3}}
+		cs[i].Load = placer.Load{Streams: 3, Context: 25_000, Stakes: stakes(3)}
 	}
 	c, ok := placer.Engine(engine, long(374_000), cs, now.Add(4*time.Second), placer.Late)
 	assert.Assert(t, ok)
@@ -316,3 +325,36 @@
 		assert.Assert(t, i >= 10, "engine %d answers short prompts", i)
 	}
 }
+
+// Two deployments' callers bear other pauses, and a third's prompts are longer.
+// A part of a prompt harms those streams whose callers bear less than its pass,
+// by what each counts for, and no others; what has ended leaves nothing.
+func TestStakesFollowFromWhatCallersBear(t *testing.T) {
+	load := func(pause float64, prompt, n int) (l placer.Load) {
+		for range n {
+			l.Add(placer.Load{Streams: 1, Context: prompt, Stakes: placer.Ask{Prompt: prompt, Pause: pause}.Stake()})
+		}
+		return l
+	}
+	for _, tt := range []struct {
+		name  string
+		load  placer.Load
+		place bool
+	}{
+		{"callers who bear 200 ms", load(200, 5000, 10), false},
+		{"callers who bear 800 ms", load(800, 5000, 10), true},
+		{"callers who bear less than any step", load(20, 5000, 10), false},
+		{"one short answer that bears 1,500 ms", load(1500, 1000, 1), true},
+		{"one long answer that bears 200 ms", load(200, 300_000, 1), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			cs := idle(1)
+			cs[0].Load = tt.load
+			a := long(45_000)
+			_, ok := placer.Engine(engine, a, cs, now, placer.Patient)
+			assert.Equal(t, ok, tt.place)
+			cs[0].Load.Take(tt.load)
+			assert.Equal(t, cs[0].Load, placer.Load{})
+		})
+	}
+}
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -57,12 +57,12 @@
 			lack = LackTime
 			continue
 		}
-		tight := -1
+		filled := -1
 		if cost <= good && c.Load.Parts == 0 && c.Load.Unread+read <= max(goodUnread, read) && c.Load.Streams < c.packed() {
-			tight = c.tight()
+			filled = c.Load.Streams
 		}
-		if tight > fullest || (tight == fullest && cost < least) {
-			best, least, fullest = i, cost, tight
+		if filled > fullest || (filled == fullest && cost < least) {
+			best, least, fullest = i, cost, filled
 		}
 	}
 	if best < 0 {
@@ -74,9 +74,6 @@
 // packed is how many streams an engine is filled to.
 func (c *Candidate) packed() int { return c.Slots - max(1, c.Slots/keptShare) }
 
-// tight is how many streams bear only the shortest pauses.
-func (c *Candidate) tight() int { return c.Load.Pauses[0] + c.Load.Pauses[1] }
-
 // spare says that a fifth of the engines' slots is free. Late prompts leave as
 // many. In a burst that is more than the engines bear each slot that comes free
 // would go to one that waits, and is late, while a prompt that comes now finds
