Tell VMs of other zones less often that this one lives

By count most of it is beats: 56 VMs of other zones, four times a second, from each of 83; work is told some four times a second by each.

Change: beats to other zones come every 20 ms for each VM there, between a quarter of a second and a second; at six to nine VMs nothing changes. A VM of another zone counts as silent later by as much, so that one lost beat is no death. Work, and prompts that wait, are told at once as before.

Test: gossiper.TestFarVMsHearFewerBeats (60 VMs in three zones) fails with beats to all.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -24,6 +24,11 @@
 const (
 	// beatEvery is how often a VM tells that it lives, and how far it has read.
 	beatEvery = 250 * time.Millisecond
+	// perFar is the time between beats to VMs of other zones for each of these,
+	// and mostFar its bound. Bytes between zones are dear, and with beats of a
+	// quarter of a second each VM of 83 sent 224 of them a second there.
+	perFar  = 20 * time.Millisecond
+	mostFar = time.Second
 	// FlushEvery is how long after a change of work Tick should be called, so
 	// that changes of one moment go into one datagram.
 	FlushEvery = 2 * time.Millisecond
@@ -75,16 +80,20 @@
 	// upstreams is what this VM knows of upstreams.
 	upstreams Upstreams
 
-	mu       sync.Mutex
-	began    time.Time
-	seq      uint64
-	peers    map[netip.AddrPort]*peer
-	sums     map[string]*sum
-	dirty    map[string]placer.Load
-	own      map[string]placer.Load
-	heads    []Head
-	headNew  bool
-	beatAt   time.Time
+	mu      sync.Mutex
+	began   time.Time
+	seq     uint64
+	peers   map[netip.AddrPort]*peer
+	sums    map[string]*sum
+	dirty   map[string]placer.Load
+	own     map[string]placer.Load
+	heads   []Head
+	headNew bool
+	beatAt  time.Time
+	farAt   time.Time
+	// farEvery is the time between beats to VMs of other zones, as last
+	// worked out.
+	farEvery time.Duration
 	repeatAt time.Time
 	vms      []string
 	vmsAt    time.Time
@@ -144,20 +153,62 @@
 	if len(g.dirty) == 0 && !g.headNew && b == nil {
 		return
 	}
-	g.headNew = false
 	names := slices.Sorted(maps.Keys(g.dirty))
-	for first := true; first || len(names) > 0; first = false {
+	if b != nil {
+		g.beat(now, b, g.headNew && len(names) == 0)
+	}
+	for first := b == nil; first || len(names) > 0; first = false {
 		n := min(len(names), mostLoads)
-		m := g.message(names[:n])
-		if first {
-			m.Beat = b
-		}
-		g.send(now, m)
+		g.send(now, g.message(names[:n]), everybody)
 		names = names[n:]
 	}
+	g.headNew = false
 	clear(g.dirty)
 }
 
+// beat tells that this VM lives. VMs of other zones are told less often, but at
+// once where what waits here is news that no other message brings.
+func (g *Gossiper) beat(now time.Time, b *beat, news bool) {
+	m := g.message(nil)
+	m.Beat = b
+	g.farEvery = g.farGap()
+	if now.Sub(g.farAt) >= g.farEvery {
+		g.farAt = now
+		g.send(now, m, everybody)
+		return
+	}
+	g.send(now, m, g.near)
+	if news {
+		m.Beat = nil
+		g.send(now, m, func(p *peer) bool { return !g.near(p) })
+	}
+}
+
+func everybody(*peer) bool { return true }
+
+// near says that a VM is in this zone, as far as is known.
+func (g *Gossiper) near(p *peer) bool { return p.zone == "" || p.zone == g.zone }
+
+// farGap is the time between beats to VMs of other zones, by how many there are.
+func (g *Gossiper) farGap() time.Duration {
+	far := 0
+	for _, p := range g.peers {
+		if !g.near(p) {
+			far++
+		}
+	}
+	return min(mostFar, max(beatEvery, time.Duration(far)*perFar))
+}
+
+// quietFor is for how long a VM that lives may be silent: as many of its beats may
+// be lost as of those of this zone.
+func (g *Gossiper) quietFor(p *peer) time.Duration {
+	if g.near(p) {
+		return silent
+	}
+	return silent + max(0, g.farEvery-beatEvery)
+}
+
 // dueBeat is the next beat where it is due. It takes the lock only for the time
 // of the last one: whoever keeps the records may be telling this package of work
 // at the same moment, and would wait for this one while this one waits for it.
@@ -203,14 +254,17 @@
 	return m
 }
 
-func (g *Gossiper) send(now time.Time, m message) {
+func (g *Gossiper) send(now time.Time, m message, to func(*peer) bool) {
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		g.log.Error().Err(err).Msg("a message to peers was not encoded")
 		return
 	}
 	for address, p := range g.peers {
-		if quiet := now.Sub(latest(p.heard, p.known)); quiet > silent {
+		if !to(p) {
+			continue
+		}
+		if quiet := now.Sub(latest(p.heard, p.known)); quiet > g.quietFor(p) {
 			if quiet > forgotten {
 				g.forget(p)
 				delete(g.peers, address)
@@ -240,5 +294,5 @@
 	defer g.mu.Unlock()
 	m := g.message(nil)
 	m.Bye = true
-	g.send(g.now(), m)
+	g.send(g.now(), m, everybody)
 }
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -20,6 +20,10 @@
 	ends  map[netip.AddrPort]map[string]gossiper.End
 	queue []datagram
 	lose  bool
+	// zone is that of the VMs that are added next.
+	zone string
+	// sent counts the datagrams to each VM.
+	sent map[netip.AddrPort]int
 	// known is what each VM knows of upstreams.
 	known map[netip.AddrPort]*tracker.Tracker
 }
@@ -35,6 +39,7 @@
 }
 
 func (w wire) Send(to netip.AddrPort, data []byte) error {
+	w.sent[to]++
 	if !w.lose {
 		w.queue = append(w.queue, datagram{w.from, to, data})
 	}
@@ -55,7 +60,11 @@
 	for _, id := range []string{"u", "v"} {
 		n.known[a].Put(n.now, tracker.Upstream{ID: id})
 	}
-	g := gossiper.New("vm"+string(rune('0'+i)), "z", boot, a, wire{n, a}, func() map[string]gossiper.End { return read }, n.known[a],
+	zone := n.zone
+	if zone == "" {
+		zone = "z"
+	}
+	g := gossiper.New("vm"+string(rune('0'+i)), zone, boot, a, wire{n, a}, func() map[string]gossiper.End { return read }, n.known[a],
 		func() time.Time { return n.now }, zerolog.Nop())
 	n.nodes[a] = g
 	return g
@@ -82,7 +91,7 @@
 }
 
 func newNetwork() *network {
-	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}, ends: map[netip.AddrPort]map[string]gossiper.End{}, known: map[netip.AddrPort]*tracker.Tracker{}}
+	return &network{now: time.Unix(1_000_000, 0), nodes: map[netip.AddrPort]*gossiper.Gossiper{}, sent: map[netip.AddrPort]int{}, ends: map[netip.AddrPort]map[string]gossiper.End{}, known: map[netip.AddrPort]*tracker.Tracker{}}
 }
 
 var work = placer.Load{Streams: 2, Context: 9000, Unread: 40, Starting: 1, Parts: 1, Stakes: placer.Stakes{3: 100, 9: 250}}
@@ -351,3 +360,40 @@
 		n.add(1, 1, nil).Receive(address(2), data)
 	})
 }
+
+// A fleet of many VMs in three zones. Bytes between zones are dear, and most of
+// what crossed them was that VMs live. They say so less often there, and are not
+// taken for dead when a beat is lost; work is told at once as before.
+func TestFarVMsHearFewerBeats(t *testing.T) {
+	const zones, each = 3, 20
+	n := newNetwork()
+	var all []*gossiper.Gossiper
+	for z := range byte(zones) {
+		n.zone = string(rune('a' + z))
+		for i := range byte(each) {
+			all = append(all, n.add(1+z*each+i, 1, nil))
+		}
+	}
+	for _, g := range all {
+		for i := range byte(zones * each) {
+			g.Meet(address(1 + i))
+		}
+	}
+	n.run(2 * time.Second)
+	clear(n.sent)
+	n.run(4 * time.Second)
+	toOne := n.sent[address(1)]
+	near, far := 4*4*(each-1), 4*(zones-1)*each
+	assert.Assert(t, toOne >= near+far*3/4 && toOne <= near+far*2, "%d datagrams, of which %d are due from its zone", toOne, near)
+
+	all[zones*each-1].Share("u", work)
+	n.run(60 * time.Millisecond)
+	assert.Equal(t, all[0].Load("u"), work)
+	n.lose = true
+	n.run(time.Second)
+	n.lose = false
+	assert.Equal(t, all[0].Load("u"), work, "one beat that is lost is no death")
+	n.lose = true
+	n.run(4 * time.Second)
+	assert.Equal(t, all[0].Load("u"), placer.Load{})
+}
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -27,7 +27,7 @@
 	now := g.now()
 	n := 0
 	for _, p := range g.peers {
-		if now.Sub(p.heard) <= silent && slices.ContainsFunc(p.heads, func(o Head) bool { return o.before(h) }) {
+		if now.Sub(p.heard) <= g.quietFor(p) && slices.ContainsFunc(p.heads, func(o Head) bool { return o.before(h) }) {
 			n++
 		}
 	}
@@ -84,7 +84,7 @@
 	}
 	mine := rank(stream, g.vm)
 	for _, p := range g.peers {
-		if p.zone == g.zone && now.Sub(p.heard) <= silent && !p.failing[stream] && rank(stream, p.vm) < mine {
+		if p.zone == g.zone && now.Sub(p.heard) <= g.quietFor(p) && !p.failing[stream] && rank(stream, p.vm) < mine {
 			return false
 		}
 	}
@@ -101,7 +101,7 @@
 	now := g.now()
 	var asOf time.Time
 	for _, p := range g.peers {
-		if now.Sub(p.heard) <= silent && p.ends[stream] <= offset && p.asOf[stream].After(asOf) {
+		if now.Sub(p.heard) <= g.quietFor(p) && p.ends[stream] <= offset && p.asOf[stream].After(asOf) {
 			asOf = p.asOf[stream]
 		}
 	}
@@ -116,7 +116,7 @@
 	now := g.now()
 	var at time.Time
 	for _, p := range g.peers {
-		if now.Sub(p.heard) <= silent {
+		if now.Sub(p.heard) <= g.quietFor(p) {
 			at = latest(at, p.asOf[stream])
 		}
 	}
@@ -132,7 +132,7 @@
 	now := g.now()
 	var best *peer
 	for _, p := range g.peers {
-		if now.Sub(p.heard) > silent || p.ends[stream] <= than {
+		if now.Sub(p.heard) > g.quietFor(p) || p.ends[stream] <= than {
 			continue
 		}
 		if best == nil || p.near(g.zone, stream) > best.near(g.zone, stream) {
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -58,7 +58,7 @@
 		g.forget(p)
 		clear(p.ends)
 		clear(p.asOf)
-	} else if now.Sub(p.heard) > silent {
+	} else if now.Sub(p.heard) > g.quietFor(p) {
 		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
 	}
 	p.heard = now
@@ -76,7 +76,7 @@
 		}
 	}
 	if m.Beat != nil {
-		g.beat(now, p, m.Seq, m.Beat)
+		g.heed(now, p, m.Seq, m.Beat)
 	}
 	for _, l := range m.Loads {
 		t := told{seq: m.Seq, at: now, failed: l.Failed, answered: l.Answered, Load: placer.Load{
@@ -87,8 +87,8 @@
 	}
 }
 
-// beat takes in what a VM tells with each beat.
-func (g *Gossiper) beat(now time.Time, p *peer, seq uint64, b *beat) {
+// heed takes in what a VM tells with each beat.
+func (g *Gossiper) heed(now time.Time, p *peer, seq uint64, b *beat) {
 	p.zone = b.Zone
 	for stream, end := range b.Ends {
 		if end < p.ends[stream] {
--- a/entry/process/gossiper/sum.go
+++ b/entry/process/gossiper/sum.go
@@ -119,11 +119,11 @@
 	g.expiredAt = now
 	for _, p := range g.peers {
 		quiet := now.Sub(p.heard)
-		if quiet > silent {
+		if quiet > g.quietFor(p) {
 			g.forget(p)
 			continue
 		}
-		if quiet > 2*beatEvery {
+		if quiet > 2*beatEvery+g.quietFor(p)-silent {
 			g.cannotReach(p, nil)
 		}
 		for id, l := range p.loads {
