Refuse at once where a service has no upstream that may be used

Each booking was held for the 800 ms of its route and refused as late, with no time left to come back.

Change: where the list, which is up to date, names no upstream that may be used, the request is refused at once as no_upstream with the time to come back. A VM whose list is outdated cannot know and waits for it.

Tests: scheduler.TestServiceWithoutUpstreamsRefusesAtOnce. Three tests that took a fleet of no engines for one without a free place now take one whose slots are taken: what they check (the refusal before the caller leaves, and that a caller who leaves is taken out and the others told) is the same.

--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -92,6 +92,9 @@
 // Error gives the refusal in one line.
 func (r *Refusal) Error() string { return "no place: " + r.Code }
 
+// None is the code of a request for a service of which no upstream may be used.
+const None = "no_upstream"
+
 // Late is the code of a request that could not be done in time.
 const Late = "late"
 
@@ -330,6 +333,9 @@
 	}
 	w.looked = now
 	states := s.deps.Tracker.Usable(now, w.call.Service.Name)
+	if len(states) == 0 && !s.deps.Tracker.Outdated() {
+		return reply{refusal: &Refusal{Code: None, After: comeBack, Waits: w.waits.end(now)}}, true
+	}
 	cs := s.candidates(now, w.call.Service, states)
 	choice, ok := s.choose(now, w, cs)
 	if s.yields(now, w, ok) {
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -84,6 +84,14 @@
 	}}
 }
 
+// full is a fleet of one engine whose slots are taken.
+func full(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(1)
+	f.peers.loads["u0"] = placer.Load{Streams: 2, Context: 2000}
+	return f
+}
+
 type outcome struct {
 	grant   *scheduler.Grant
 	refusal *scheduler.Refusal
@@ -329,7 +337,7 @@
 // Callers leave a stream that does not begin. One that cannot begin before that
 // is told while it is still there.
 func TestRefusedBeforeTheCallerLeaves(t *testing.T) {
-	f := newFleet(0)
+	f := full(t)
 	c := f.call(1000, 100*time.Second)
 	c.Ask.Leaves = f.now.Add(2 * time.Second)
 	out := f.ask(t.Context(), c)
@@ -359,7 +367,7 @@
 
 // A caller that gives up takes its request out of the queue.
 func TestCallersWhoLeaveDoNotWaitOn(t *testing.T) {
-	f := newFleet(0)
+	f := full(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	out := f.ask(ctx, f.call(1000, 10*time.Second))
 	assert.Equal(t, f.Waiting(), 1)
@@ -371,7 +379,7 @@
 // The same for a long prompt, for which the other VMs leave places: they must
 // learn that it waits no more.
 func TestOthersLearnThatAPromptHasLeft(t *testing.T) {
-	f := newFleet(0)
+	f := full(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	out := f.ask(ctx, f.call(60_000, 10*time.Second))
 	assert.Assert(t, f.peers.waits)
@@ -379,3 +387,25 @@
 	<-out
 	assert.Assert(t, !f.peers.waits)
 }
+
+// All upstreams of a booking service have gone, as a zone is out and the others
+// were emptied. A booking that was held for its 800 ms and refused then had no
+// time left to come back; told at once, it comes back when there may be one. A
+// VM that has not read the list for long cannot say so, and waits.
+func TestServiceWithoutUpstreamsRefusesAtOnce(t *testing.T) {
+	f := newFleet(0)
+	plain := scheduler.Call{Service: &matcher.Service{Name: "s"}, Ask: placer.Ask{Arrived: f.now, Objective: f.now.Add(300 * time.Millisecond), Deadline: f.now.Add(800 * time.Millisecond)}}
+	for _, c := range []scheduler.Call{plain, f.call(1000, 10*time.Second), f.call(60_000, 10*time.Second)} {
+		g, refusal := f.Acquire(t.Context(), c)
+		assert.Assert(t, g == nil)
+		assert.Equal(t, refusal.Code, scheduler.None)
+		assert.Assert(t, refusal.After > 0)
+	}
+	f.tracker.Outdate(true)
+	waits := f.ask(t.Context(), plain)
+	assert.Equal(t, f.Waiting(), 1)
+	f.tracker.Outdate(false)
+	f.tracker.Put(f.now, tracker.Upstream{ID: "u", Service: "s", Slots: 2})
+	f.Pump()
+	assert.Assert(t, (<-waits).grant != nil)
+}
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -193,6 +193,13 @@
 
 func (t *Tracker) may(s *State) bool { return !t.outdated && !s.Draining && !t.zones[s.Zone] }
 
+// Outdated says that the list is too old to tell which upstreams there are.
+func (t *Tracker) Outdated() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outdated
+}
+
 // Outdate says whether this VM's list is so old that upstreams may have left for
 // longer than they may get work, and says whether that is new. While it is, none
 // may get any, also none that was chosen before: requests wait for the list, or
