--- a/bench/emulator/request.go
+++ b/bench/emulator/request.go
@@ -29,7 +29,7 @@
 	ended   bool
 	gone    bool
 	refused bool
-	// unpaused is set with the first event until the VM has been told.
+	// fresh is set with the first event until the VM has been told.
 	fresh bool
 }
 
--- a/bench/emulator/result.go
+++ b/bench/emulator/result.go
@@ -67,7 +67,7 @@
 		room := usable * float64(engines) * step
 		still := active[:0]
 		for _, r := range active {
-			use := min(room, left[r], step*(maxParts))
+			use := min(room, left[r], step*maxParts)
 			room -= use
 			left[r] -= use
 			switch {
--- a/entry/process/scheduler/wait.go
+++ b/entry/process/scheduler/wait.go
@@ -19,10 +19,10 @@
 
 // String gives the reason in one word.
 func (r reason) String() string {
-	switch r {
-	case waitBehind:
+	if r == waitBehind {
 		return "behind"
-	case waitTurn:
+	}
+	if r == waitTurn {
 		return "turn"
 	}
 	return placer.Lack(r).String()
