--- a/bench/auditor/auditor.go
+++ b/bench/auditor/auditor.go
@@ -25,7 +25,7 @@
 // least; fewer say nothing to a reader.
 const leastReason = 3
 
-// named finds the tests that a cell names, such as `keeper.TestWinnerGone`.
+// named finds the tests that a cell names, such as `deduplicator.TestWinnerGone`.
 var named = regexp.MustCompile("`([a-z]+\\.(?:Test|Fuzz)[A-Za-z0-9_]*)`")
 
 // rule is the row that parts a table's header from its body.
--- a/bench/auditor/auditor_test.go
+++ b/bench/auditor/auditor_test.go
@@ -43,12 +43,12 @@
 func TestCheckNamesWhatIsWrong(t *testing.T) {
 	const head = "## A call\n| step | killed | cold |\n|---|---|---|\n"
 	for _, c := range []struct{ name, page, want string }{
-		{"whole", head + "| send | `keeper.TestA` | no: it keeps nothing |\n", ""},
+		{"whole", head + "| send | `deduplicator.TestA` | no: it keeps nothing |\n", ""},
 		{"not proved", head + "| send | not proved | not proved: nothing kills it there |\n", ""},
-		{"blank", head + "| send | | `keeper.TestA` |\n", "line 4: send, killed: the cell is blank"},
-		{"unknown test", head + "| send | `keeper.TestA`, `keeper.TestB` | not proved |\n", "there is no test keeper.TestB"},
+		{"blank", head + "| send | | `deduplicator.TestA` |\n", "line 4: send, killed: the cell is blank"},
+		{"unknown test", head + "| send | `deduplicator.TestA`, `deduplicator.TestB` | not proved |\n", "there is no test deduplicator.TestB"},
 		{"unknown test in another folder", head + "| send | `lender.TestA` | not proved |\n", "there is no test lender.TestA"},
-		{"unknown test in a reason", head + "| send | no: see `keeper.TestB` for it | not proved |\n", "there is no test keeper.TestB"},
+		{"unknown test in a reason", head + "| send | no: see `deduplicator.TestB` for it | not proved |\n", "there is no test deduplicator.TestB"},
 		{"no reason", head + "| send | no: | not proved |\n", "the cell gives no reason"},
 		{"words alone", head + "| send | surely | not proved |\n", `"surely" names no test`},
 		{"too few cells", head + "| send | not proved |\n", "line 4: send: 2 cells under a header of 3"},
@@ -60,7 +60,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			page, err := auditor.Read(strings.NewReader(c.page))
 			assert.NilError(t, err)
-			err = page.Check([]string{"A call"}, []string{"killed", "cold"}, map[string]bool{"keeper.TestA": true}).Err()
+			err = page.Check([]string{"A call"}, []string{"killed", "cold"}, map[string]bool{"deduplicator.TestA": true}).Err()
 			if c.want == "" {
 				assert.NilError(t, err)
 				return
@@ -74,7 +74,7 @@
 // nothing, and go test passes.
 func TestTestsThatDoNotRunAreNotListed(t *testing.T) {
 	root := t.TempDir()
-	folder := filepath.Join(root, "keeper")
+	folder := filepath.Join(root, "deduplicator")
 	assert.NilError(t, os.Mkdir(folder, 0o700))
 	const file = `package keeper_test
 func TestMain(m *testing.M) {}
@@ -87,7 +87,7 @@
 	assert.NilError(t, os.WriteFile(filepath.Join(folder, "keeper_test.go"), []byte(file), 0o600))
 	tests, err := auditor.Tests(root)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, tests, map[string]bool{"keeper.TestA": true, "keeper.FuzzD": true})
+	assert.DeepEqual(t, tests, map[string]bool{"deduplicator.TestA": true, "deduplicator.FuzzD": true})
 	_, err = auditor.Workspace(root)
 	assert.ErrorContains(t, err, "no go.work")
 }
--- a/entry/process/keeper/batcher.go
+++ b/entry/process/deduplicator/batcher.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -145,7 +145,7 @@
 		return len(b.intents)+len(b.notes) > 0
 	}
 	b.failed++
-	b.meter.Count("keeper.append.failed", 1)
+	b.meter.Count("deduplicator.append.failed", 1)
 	b.again(items, appender.ErrRefused.Has(err))
 	return len(b.intents)+len(b.notes) > 0
 }
@@ -216,8 +216,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendLimit)
 	defer cancel()
-	b.meter.Count("keeper.appends", 1)
-	b.meter.Count("keeper.entries", int64(len(items)))
+	b.meter.Count("deduplicator.appends", 1)
+	b.meter.Count("deduplicator.entries", int64(len(items)))
 	_, err = b.log.Append(ctx, recorder.Calls, data)
 	return err
 }
--- a/entry/process/keeper/begin.go
+++ b/entry/process/deduplicator/begin.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -45,7 +45,7 @@
 
 // Begin judges a call. It waits, within the context, for the log and for the
 // outcome of a call with the same key that is under way.
-func (k *Keeper) Begin(ctx context.Context, c Call) Answer {
+func (k *Deduplicator) Begin(ctx context.Context, c Call) Answer {
 	begun := k.timer.Now()
 	key, finger := c.hashes()
 	w, stop := k.watch(key)
@@ -75,7 +75,7 @@
 
 // judge looks a key up. A key that is free is also checked for its age: that
 // it is not known must prove that it was not used.
-func (k *Keeper) judge(c Call, key, finger recorder.Hash) (Verdict, *refuser.Refusal) {
+func (k *Deduplicator) judge(c Call, key, finger recorder.Hash) (Verdict, *refuser.Refusal) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	v := k.ledger.Judge(key, finger)
@@ -122,7 +122,7 @@
 
 // claim appends an intent and waits until the log has decided it. It is not
 // decided where another attempt came first.
-func (k *Keeper) claim(ctx context.Context, c Call, begun time.Time, w <-chan struct{}) (Answer, bool) {
+func (k *Deduplicator) claim(ctx context.Context, c Call, begun time.Time, w <-chan struct{}) (Answer, bool) {
 	key, finger := c.hashes()
 	attempt := k.attempt()
 	refused := make(chan struct{}, 1)
--- a/entry/process/keeper/bench_test.go
+++ b/entry/process/deduplicator/bench_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"runtime"
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/library/appender"
 	"github.com/heathervane/heathervane/library/recorder"
 )
@@ -48,9 +48,9 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	var l *keeper.Ledger
+	var l *deduplicator.Ledger
 	for b.Loop() {
-		l = keeper.NewLedger(time.Hour)
+		l = deduplicator.NewLedger(time.Hour)
 		l.Read(read, start)
 	}
 	runtime.GC()
@@ -63,11 +63,11 @@
 	runtime.KeepAlive(records)
 }
 
-// BenchmarkKeeper judges calls, 64 at once, on a log in memory, and reports how
+// BenchmarkDeduplicator judges calls, 64 at once, on a log in memory, and reports how
 // many calls share an append.
-func BenchmarkKeeper(b *testing.B) {
+func BenchmarkDeduplicator(b *testing.B) {
 	log := newLog()
-	k := runAt(b, log, "a", 1, nobodyGone, keeper.DefaultPace)
+	k := runAt(b, log, "a", 1, nobodyGone, deduplicator.DefaultPace)
 	keys := make(chan string, b.N)
 	for n := range b.N {
 		keys <- keyMade(time.Now(), n)
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/deduplicator/deduplicator.go
@@ -1,4 +1,4 @@
-// Package keeper has calls that may not be repeated run at most once per key.
+// Package deduplicator has calls that may not be repeated run at most once per key.
 //
 // The judge is the platform's log. A VM appends an intent before it sends such
 // a call, reads it back, and sends only if its intent is the key's first in the
@@ -16,7 +16,7 @@
 //
 // The package does not send calls, and does not judge calls without a key: the
 // VM that has one sends it once.
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -47,7 +47,7 @@
 	Count(name string, n int64)
 }
 
-// A Config sets up a Keeper.
+// A Config sets up a Deduplicator.
 type Config struct {
 	// VM and Boot name this process; no two processes share both.
 	VM   string
@@ -82,8 +82,8 @@
 	recheck = 500 * time.Millisecond
 )
 
-// A Keeper judges calls with keys for one VM. It is safe for concurrent use.
-type Keeper struct {
+// A Deduplicator judges calls with keys for one VM. It is safe for concurrent use.
+type Deduplicator struct {
 	config Config
 	timer  Timer
 	gone   func(vm string, boot uint64) bool
@@ -99,16 +99,16 @@
 	watchers map[recorder.Hash]map[chan struct{}]struct{}
 }
 
-// New returns a Keeper. It judges nothing until Run has read the log. gone says
+// New returns a Deduplicator. It judges nothing until Run has read the log. gone says
 // whether a VM's process has certainly ended.
-func New(c Config, log Log, timer Timer, gone func(vm string, boot uint64) bool, meter Meter) *Keeper {
+func New(c Config, log Log, timer Timer, gone func(vm string, boot uint64) bool, meter Meter) *Deduplicator {
 	if c.Body == 0 {
 		c.Body = DefaultBody
 	}
 	if c.Pace == 0 {
 		c.Pace = DefaultPace
 	}
-	k := &Keeper{
+	k := &Deduplicator{
 		config:   c,
 		timer:    timer,
 		gone:     gone,
@@ -117,12 +117,12 @@
 		ledger:   NewLedger(c.Limits.Keep()),
 		watchers: make(map[recorder.Hash]map[chan struct{}]struct{}),
 	}
-	k.tail = &tailer{log: log, keeper: k, tick: make(chan struct{}, 1)}
+	k.tail = &tailer{log: log, deduplicator: k, tick: make(chan struct{}, 1)}
 	return k
 }
 
 // Run reads and appends until the context ends.
-func (k *Keeper) Run(ctx context.Context) error {
+func (k *Deduplicator) Run(ctx context.Context) error {
 	defer k.timer.Subscribe(k.config.Pace, func(time.Time) { poke(k.queue.tick) })()
 	defer k.timer.Subscribe(recheck, k.check)()
 	g, ctx := errgroup.WithContext(ctx)
@@ -132,7 +132,7 @@
 }
 
 // check wakes what time alone moves on.
-func (k *Keeper) check(now time.Time) {
+func (k *Deduplicator) check(now time.Time) {
 	poke(k.tail.tick)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -148,14 +148,14 @@
 // that starts takes the first kept record's time for the time from which it
 // knows all calls; in a stream without records it would have to refuse keys
 // that are long made. VMs take different times, so that one does it for all.
-func (k *Keeper) quiet() time.Duration {
+func (k *Deduplicator) quiet() time.Duration {
 	least := k.config.Limits.Window / 8
 	spread := hashOf([]byte(k.config.VM))[0]
 	return least + least*time.Duration(spread)/256
 }
 
 // Limit changes how long keys are known.
-func (k *Keeper) Limit(l Limits) {
+func (k *Deduplicator) Limit(l Limits) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.config.Limits = l
@@ -165,13 +165,13 @@
 var errUnready = errs.Class("calls with a key")
 
 // Ready says why calls with a key can't be judged now, nil where they can.
-func (k *Keeper) Ready() error {
+func (k *Deduplicator) Ready() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.ready(k.timer.Now())
 }
 
-func (k *Keeper) ready(now time.Time) error {
+func (k *Deduplicator) ready(now time.Time) error {
 	switch {
 	case k.read.IsZero():
 		return errUnready.New("the log has not been read")
@@ -186,35 +186,35 @@
 }
 
 // Pending is how many outcomes and abandonments are still to be appended.
-func (k *Keeper) Pending() int { return k.queue.pending() }
+func (k *Deduplicator) Pending() int { return k.queue.pending() }
 
 // Wait returns when none is pending, or when the context ends. A VM that leaves
 // without it takes the last outcomes with it: whoever repeats those calls gets
 // "unknown" instead of the answer.
-func (k *Keeper) Wait(ctx context.Context) error { return k.queue.wait(ctx) }
+func (k *Deduplicator) Wait(ctx context.Context) error { return k.queue.wait(ctx) }
 
-func (k *Keeper) attempt() recorder.Attempt {
+func (k *Deduplicator) attempt() recorder.Attempt {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.seq++
 	return recorder.Attempt{VM: k.config.VM, Boot: k.config.Boot, Seq: k.seq}
 }
 
-func (k *Keeper) decide(key recorder.Hash, a recorder.Attempt) Standing {
+func (k *Deduplicator) decide(key recorder.Hash, a recorder.Attempt) Standing {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.ledger.Decide(key, a)
 }
 
 // since is the time from which on no call was missed.
-func (k *Keeper) since() time.Time {
+func (k *Deduplicator) since() time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.ledger.Since()
 }
 
 // learn settles a key by this VM's own call.
-func (k *Keeper) learn(key recorder.Hash, a recorder.Attempt, o recorder.Outcome) {
+func (k *Deduplicator) learn(key recorder.Hash, a recorder.Attempt, o recorder.Outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.ledger.Learn(key, a, o)
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/deduplicator/deduplicator_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/library/appender"
 )
@@ -34,9 +34,9 @@
 	upper := c
 	upper.Key = strings.ToUpper(c.Key)
 	assert.Assert(t, b.Begin(bounded(t), upper).Outcome != nil, "the same UUID")
-	for name, change := range map[string]func(*keeper.Call){
-		"path": func(c *keeper.Call) { c.Path = "/rooms" },
-		"body": func(c *keeper.Call) { c.Body = []byte("seat 8") },
+	for name, change := range map[string]func(*deduplicator.Call){
+		"path": func(c *deduplicator.Call) { c.Path = "/rooms" },
+		"body": func(c *deduplicator.Call) { c.Body = []byte("seat 8") },
 	} {
 		other := c
 		change(&other)
@@ -64,7 +64,7 @@
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
 	first := a.Begin(bounded(t), c).Ticket
-	answers := make(chan keeper.Answer)
+	answers := make(chan deduplicator.Answer)
 	go func() { answers <- b.Begin(bounded(t), c) }()
 	first.Done(ok("booked"))
 	assert.Equal(t, string((<-answers).Outcome.Body), "booked")
@@ -87,7 +87,7 @@
 	a, b := run(t, log, "a", 1, nobodyGone), run(t, log, "b", 1, nobodyGone)
 	c := call(keyMade(time.Now(), 1))
 	first := a.Begin(bounded(t), c).Ticket
-	answers := make(chan keeper.Answer)
+	answers := make(chan deduplicator.Answer)
 	go func() { answers <- b.Begin(bounded(t), c) }()
 	first.Abandon()
 	second := (<-answers).Ticket
@@ -234,7 +234,7 @@
 // new calls are refused, though the log keeps up.
 func TestRush(t *testing.T) {
 	const callers, calls = 768, 5
-	k := runAt(t, newLog(), "a", 1, nobodyGone, keeper.DefaultPace)
+	k := runAt(t, newLog(), "a", 1, nobodyGone, deduplicator.DefaultPace)
 	ctx := bounded(t)
 	var refusals atomic.Int64
 	var all sync.WaitGroup
@@ -283,7 +283,7 @@
 	free.Dated = false
 	tests := []struct {
 		name  string
-		call  keeper.Call
+		call  deduplicator.Call
 		limit time.Duration
 		fresh time.Duration // a freeze that does no harm
 		stale time.Duration
@@ -301,7 +301,7 @@
 			k.skip(test.fresh)
 			assert.NilError(t, ticket.Check())
 			k.skip(test.stale - test.fresh)
-			assert.Assert(t, keeper.ErrStale.Has(ticket.Check()))
+			assert.Assert(t, deduplicator.ErrStale.Has(ticket.Check()))
 		})
 	}
 }
@@ -313,5 +313,5 @@
 	ticket := k.Begin(ctx, call(keyMade(time.Now(), 1))).Ticket
 	assert.NilError(t, ticket.Check())
 	cancel()
-	assert.Assert(t, keeper.ErrStale.Has(ticket.Check()))
+	assert.Assert(t, deduplicator.ErrStale.Has(ticket.Check()))
 }
--- a/entry/process/keeper/fake_test.go
+++ b/entry/process/deduplicator/fake_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/library/appender"
 	"github.com/heathervane/heathervane/library/recorder"
 	"github.com/heathervane/heathervane/library/ticker"
@@ -137,9 +137,9 @@
 // pace is the pace of most tests, to keep them short.
 const pace = 2 * time.Millisecond
 
-// A vm is a running Keeper.
+// A vm is a running Deduplicator.
 type vm struct {
-	*keeper.Keeper
+	*deduplicator.Deduplicator
 	stop    func()
 	skipped *atomic.Int64 // how far its clock was put forward
 }
@@ -147,21 +147,21 @@
 // skip lets time pass at one VM, as a freeze does.
 func (v vm) skip(d time.Duration) { v.skipped.Add(int64(d)) }
 
-// run starts a Keeper on a log and waits until it is ready.
-func run(t testing.TB, log keeper.Log, name string, boot uint64, gone func(string, uint64) bool) vm {
+// run starts a Deduplicator on a log and waits until it is ready.
+func run(t testing.TB, log deduplicator.Log, name string, boot uint64, gone func(string, uint64) bool) vm {
 	t.Helper()
 	return runAt(t, log, name, boot, gone, pace)
 }
 
 // runAt is run with a pace.
-func runAt(t testing.TB, log keeper.Log, name string, boot uint64, gone func(string, uint64) bool, pace time.Duration) vm {
+func runAt(t testing.TB, log deduplicator.Log, name string, boot uint64, gone func(string, uint64) bool, pace time.Duration) vm {
 	t.Helper()
 	var skipped atomic.Int64
 	now := func() time.Time { return time.Now().Add(time.Duration(skipped.Load())) }
 	timer := ticker.New(now, time.Millisecond)
-	k := keeper.New(keeper.Config{
+	k := deduplicator.New(deduplicator.Config{
 		VM: name, Boot: boot, Body: 100, Pace: pace,
-		Limits: keeper.Limits{Window: time.Hour, Margin: keeper.DefaultMargin},
+		Limits: deduplicator.Limits{Window: time.Hour, Margin: deduplicator.DefaultMargin},
 	}, log, timer, gone, noMeter{})
 	ctx, cancel := context.WithCancel(t.Context())
 	var all sync.WaitGroup
@@ -198,8 +198,8 @@
 func nobodyGone(string, uint64) bool { return false }
 
 // call is a booking with a key.
-func call(key string) keeper.Call {
-	return keeper.Call{Team: "t", Service: "s", Key: key, Method: "POST", Path: "/seats", Body: []byte("seat 7"), Dated: true}
+func call(key string) deduplicator.Call {
+	return deduplicator.Call{Team: "t", Service: "s", Key: key, Method: "POST", Path: "/seats", Body: []byte("seat 7"), Dated: true}
 }
 
 func ok(body string) recorder.Outcome {
--- a/entry/process/keeper/history_test.go
+++ b/entry/process/deduplicator/history_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"context"
--- a/entry/process/keeper/ledger.go
+++ b/entry/process/deduplicator/ledger.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"slices"
--- a/entry/process/keeper/ledger_test.go
+++ b/entry/process/deduplicator/ledger_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"encoding/binary"
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/library/appender"
 	"github.com/heathervane/heathervane/library/recorder"
 )
@@ -60,27 +60,27 @@
 	tests := []struct {
 		name    string
 		entries []recorder.CallEntry
-		want    keeper.Standing
+		want    deduplicator.Standing
 		winner  recorder.Attempt
-		a, b    keeper.Standing
+		a, b    deduplicator.Standing
 	}{
-		{"nothing", nil, keeper.Free, recorder.Attempt{}, keeper.Free, keeper.Free},
-		{"first wins", []recorder.CallEntry{intent(1, a), intent(1, b)}, keeper.Claimed, a, keeper.Won, keeper.Lost},
-		{"twice is once", []recorder.CallEntry{intent(1, a), intent(1, a)}, keeper.Claimed, a, keeper.Won, keeper.Free},
-		{"settled", []recorder.CallEntry{intent(1, a), outcome(a, 200)}, keeper.Settled, a, keeper.Won, keeper.Free},
-		{"first word stands", []recorder.CallEntry{intent(1, a), outcome(a, 200), outcome(a, 500), abandon(a)}, keeper.Settled, a, keeper.Won, keeper.Free},
-		{"loser's outcome", []recorder.CallEntry{intent(1, a), intent(1, b), outcome(b, 500)}, keeper.Claimed, a, keeper.Won, keeper.Lost},
-		{"abandoned", []recorder.CallEntry{intent(1, a), abandon(a)}, keeper.Free, recorder.Attempt{}, keeper.Lost, keeper.Free},
-		{"second stays dead", []recorder.CallEntry{intent(1, a), intent(1, b), abandon(a)}, keeper.Free, recorder.Attempt{}, keeper.Lost, keeper.Lost},
-		{"second lands again", []recorder.CallEntry{intent(1, a), intent(1, b), abandon(a), intent(1, b)}, keeper.Free, recorder.Attempt{}, keeper.Lost, keeper.Lost},
-		{"next may win", []recorder.CallEntry{intent(1, a), abandon(a), intent(1, c)}, keeper.Claimed, c, keeper.Lost, keeper.Free},
-		{"abandoned before it lands", []recorder.CallEntry{abandon(a), intent(1, a)}, keeper.Free, recorder.Attempt{}, keeper.Lost, keeper.Free},
-		{"outcome without intent", []recorder.CallEntry{outcome(a, 200), intent(1, b)}, keeper.Settled, a, keeper.Won, keeper.Lost},
-		{"another key", []recorder.CallEntry{intent(2, a)}, keeper.Free, recorder.Attempt{}, keeper.Free, keeper.Free},
+		{"nothing", nil, deduplicator.Free, recorder.Attempt{}, deduplicator.Free, deduplicator.Free},
+		{"first wins", []recorder.CallEntry{intent(1, a), intent(1, b)}, deduplicator.Claimed, a, deduplicator.Won, deduplicator.Lost},
+		{"twice is once", []recorder.CallEntry{intent(1, a), intent(1, a)}, deduplicator.Claimed, a, deduplicator.Won, deduplicator.Free},
+		{"settled", []recorder.CallEntry{intent(1, a), outcome(a, 200)}, deduplicator.Settled, a, deduplicator.Won, deduplicator.Free},
+		{"first word stands", []recorder.CallEntry{intent(1, a), outcome(a, 200), outcome(a, 500), abandon(a)}, deduplicator.Settled, a, deduplicator.Won, deduplicator.Free},
+		{"loser's outcome", []recorder.CallEntry{intent(1, a), intent(1, b), outcome(b, 500)}, deduplicator.Claimed, a, deduplicator.Won, deduplicator.Lost},
+		{"abandoned", []recorder.CallEntry{intent(1, a), abandon(a)}, deduplicator.Free, recorder.Attempt{}, deduplicator.Lost, deduplicator.Free},
+		{"second stays dead", []recorder.CallEntry{intent(1, a), intent(1, b), abandon(a)}, deduplicator.Free, recorder.Attempt{}, deduplicator.Lost, deduplicator.Lost},
+		{"second lands again", []recorder.CallEntry{intent(1, a), intent(1, b), abandon(a), intent(1, b)}, deduplicator.Free, recorder.Attempt{}, deduplicator.Lost, deduplicator.Lost},
+		{"next may win", []recorder.CallEntry{intent(1, a), abandon(a), intent(1, c)}, deduplicator.Claimed, c, deduplicator.Lost, deduplicator.Free},
+		{"abandoned before it lands", []recorder.CallEntry{abandon(a), intent(1, a)}, deduplicator.Free, recorder.Attempt{}, deduplicator.Lost, deduplicator.Free},
+		{"outcome without intent", []recorder.CallEntry{outcome(a, 200), intent(1, b)}, deduplicator.Settled, a, deduplicator.Won, deduplicator.Lost},
+		{"another key", []recorder.CallEntry{intent(2, a)}, deduplicator.Free, recorder.Attempt{}, deduplicator.Free, deduplicator.Free},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := keeper.NewLedger(time.Hour)
+			l := deduplicator.NewLedger(time.Hour)
 			_, skipped := l.Read(batch(t, 1, test.entries...), start)
 			assert.Equal(t, skipped, 0)
 			v := l.Judge(recorder.Hash{1}, recorder.Hash{9})
@@ -93,25 +93,25 @@
 }
 
 func TestMismatch(t *testing.T) {
-	l := keeper.NewLedger(time.Hour)
+	l := deduplicator.NewLedger(time.Hour)
 	l.Read(batch(t, 1, intent(1, attempt("a", 1))), start)
-	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{8}).Standing, keeper.Mismatch)
+	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{8}).Standing, deduplicator.Mismatch)
 }
 
 func TestForgets(t *testing.T) {
-	l := keeper.NewLedger(2500 * time.Millisecond)
+	l := deduplicator.NewLedger(2500 * time.Millisecond)
 	a := attempt("a", 1)
 	l.Read(batch(t, 1, intent(1, a), intent(2, a), intent(3, a)), start)
-	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{9}).Standing, keeper.Claimed)
+	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{9}).Standing, deduplicator.Claimed)
 	l.Apply(start.Add(2600*time.Millisecond), recorder.CallBatch{})
-	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{9}).Standing, keeper.Free)
-	assert.Equal(t, l.Judge(recorder.Hash{2}, recorder.Hash{9}).Standing, keeper.Claimed)
+	assert.Equal(t, l.Judge(recorder.Hash{1}, recorder.Hash{9}).Standing, deduplicator.Free)
+	assert.Equal(t, l.Judge(recorder.Hash{2}, recorder.Hash{9}).Standing, deduplicator.Claimed)
 }
 
 // Operators lengthen the window. Keys that were forgotten under the old one don't
 // come back, so for a while they must not pass for new.
 func TestLongerWindow(t *testing.T) {
-	l := keeper.NewLedger(time.Minute)
+	l := deduplicator.NewLedger(time.Minute)
 	l.Keep(time.Hour) // nothing read yet, nothing forgotten
 	assert.Assert(t, l.Since().IsZero())
 	l.Keep(time.Minute)
@@ -129,30 +129,30 @@
 	assert.NilError(t, err)
 	tests := []struct {
 		name  string
-		reads func(l *keeper.Ledger)
+		reads func(l *deduplicator.Ledger)
 		since time.Time
 	}{
-		{"all read", func(l *keeper.Ledger) { l.Read(batch(t, 1, intent(1, attempt("a", 1))), now) }, time.Time{}},
-		{"dropped before the start", func(l *keeper.Ledger) { l.Read(batch(t, 5, intent(1, attempt("a", 1))), now) }, start},
-		{"all dropped", func(l *keeper.Ledger) { l.Read(appender.Batch{Start: 5, End: 5}, now) }, now},
-		{"fell behind", func(l *keeper.Ledger) {
+		{"all read", func(l *deduplicator.Ledger) { l.Read(batch(t, 1, intent(1, attempt("a", 1))), now) }, time.Time{}},
+		{"dropped before the start", func(l *deduplicator.Ledger) { l.Read(batch(t, 5, intent(1, attempt("a", 1))), now) }, start},
+		{"all dropped", func(l *deduplicator.Ledger) { l.Read(appender.Batch{Start: 5, End: 5}, now) }, now},
+		{"fell behind", func(l *deduplicator.Ledger) {
 			l.Read(batch(t, 1, intent(1, attempt("a", 1))), now)
 			l.Read(batch(t, 9, intent(1, attempt("a", 1))), now)
 		}, start},
-		{"went back", func(l *keeper.Ledger) {
+		{"went back", func(l *deduplicator.Ledger) {
 			l.Read(batch(t, 1, intent(1, attempt("a", 1)), intent(1, attempt("a", 2))), now)
 			l.Read(appender.Batch{Start: 1, End: 2}, now)
 		}, now},
-		{"later version", func(l *keeper.Ledger) {
+		{"later version", func(l *deduplicator.Ledger) {
 			l.Read(appender.Batch{Start: 1, End: 2, Records: []appender.Record{{Offset: 1, At: now, Data: other}}}, now)
 		}, now},
-		{"broken record", func(l *keeper.Ledger) {
+		{"broken record", func(l *deduplicator.Ledger) {
 			l.Read(appender.Batch{Start: 1, End: 2, Records: []appender.Record{{Offset: 1, At: now, Data: []byte("x")}}}, now)
 		}, time.Time{}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := keeper.NewLedger(24 * time.Hour)
+			l := deduplicator.NewLedger(24 * time.Hour)
 			test.reads(l)
 			assert.Assert(t, l.Since().Equal(test.since), "%s", l.Since())
 		})
@@ -160,7 +160,7 @@
 }
 
 func TestCheck(t *testing.T) {
-	l := keeper.Limits{Window: time.Hour, Margin: time.Minute}
+	l := deduplicator.Limits{Window: time.Hour, Margin: time.Minute}
 	now := start
 	since := now.Add(-30 * time.Minute)
 	fresh := keyMade(now, 1)
@@ -172,16 +172,16 @@
 	}{
 		{"fresh", fresh, true, time.Time{}, nil},
 		{"any form", "booking 1", false, time.Time{}, nil},
-		{"not a UUID", "booking 1", true, time.Time{}, &keeper.ErrForm},
-		{"version 4", "f47ac10b-58cc-4372-a567-0e02b2c3d479", true, time.Time{}, &keeper.ErrForm},
-		{"other form of a UUID", "{" + fresh + "}", true, time.Time{}, &keeper.ErrForm},
+		{"not a UUID", "booking 1", true, time.Time{}, &deduplicator.ErrForm},
+		{"version 4", "f47ac10b-58cc-4372-a567-0e02b2c3d479", true, time.Time{}, &deduplicator.ErrForm},
+		{"other form of a UUID", "{" + fresh + "}", true, time.Time{}, &deduplicator.ErrForm},
 		{"just in the window", keyMade(now.Add(-time.Hour), 1), true, time.Time{}, nil},
-		{"old", keyMade(now.Add(-time.Hour-time.Millisecond), 1), true, time.Time{}, &keeper.ErrOld},
+		{"old", keyMade(now.Add(-time.Hour-time.Millisecond), 1), true, time.Time{}, &deduplicator.ErrOld},
 		{"a little ahead", keyMade(now.Add(time.Minute), 1), true, time.Time{}, nil},
-		{"far ahead", keyMade(now.Add(time.Minute+time.Millisecond), 1), true, time.Time{}, &keeper.ErrFuture},
+		{"far ahead", keyMade(now.Add(time.Minute+time.Millisecond), 1), true, time.Time{}, &deduplicator.ErrFuture},
 		{"after what was missed", keyMade(since.Add(3*time.Minute), 1), true, since, nil},
-		{"perhaps among what was missed", keyMade(since.Add(2*time.Minute), 1), true, since, &keeper.ErrMissed},
-		{"any form, missed", "booking 1", false, since, &keeper.ErrMissed},
+		{"perhaps among what was missed", keyMade(since.Add(2*time.Minute), 1), true, since, &deduplicator.ErrMissed},
+		{"any form, missed", "booking 1", false, since, &deduplicator.ErrMissed},
 		{"any form, missed long ago", "booking 1", false, now.Add(-63 * time.Minute), nil},
 	}
 	for _, test := range tests {
@@ -200,14 +200,14 @@
 // first intent of the key among them. The VM wakes and reads its own as the
 // first; were it to send, the member would have two bookings.
 func TestWakesAfterRecordsWereDropped(t *testing.T) {
-	limits := keeper.Limits{Window: time.Hour, Margin: time.Second}
-	l := keeper.NewLedger(limits.Keep())
+	limits := deduplicator.Limits{Window: time.Hour, Margin: time.Second}
+	l := deduplicator.NewLedger(limits.Keep())
 	l.Read(batch(t, 1), start)
 	a := attempt("a", 1)
 	l.Read(batch(t, 3, intent(1, a)), start.Add(time.Minute))
-	assert.Equal(t, l.Decide(recorder.Hash{1}, a), keeper.Won)
+	assert.Equal(t, l.Decide(recorder.Hash{1}, a), deduplicator.Won)
 	err := limits.Check(keyMade(start, 1), true, l.Since(), start.Add(time.Minute))
-	assert.Assert(t, keeper.ErrMissed.Has(err), "%v", err)
+	assert.Assert(t, deduplicator.ErrMissed.Has(err), "%v", err)
 }
 
 func FuzzLedger(f *testing.F) {
@@ -218,14 +218,14 @@
 	f.Add(data, data)
 	f.Fuzz(func(t *testing.T, one, two []byte) {
 		a, b := attempt("a", 1), attempt("b", 2)
-		l := keeper.NewLedger(time.Hour)
+		l := deduplicator.NewLedger(time.Hour)
 		l.Read(batch(t, 1, intent(1, a)), start)
 		l.Read(appender.Batch{Start: 1, End: 4, Records: []appender.Record{
 			{Offset: 2, At: start, Data: one}, {Offset: 3, At: start, Data: two},
 		}}, start)
 		assert.Equal(t, l.Next(), uint64(4))
 		// Whatever the records say, not two attempts hold one key.
-		won := l.Decide(recorder.Hash{1}, a) == keeper.Won && l.Decide(recorder.Hash{1}, b) == keeper.Won
+		won := l.Decide(recorder.Hash{1}, a) == deduplicator.Won && l.Decide(recorder.Hash{1}, b) == deduplicator.Won
 		assert.Assert(t, !won, "%x %x", one, two)
 	})
 }
--- a/entry/process/keeper/model_test.go
+++ b/entry/process/deduplicator/model_test.go
@@ -1,4 +1,4 @@
-package keeper_test
+package deduplicator_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/library/appender"
 	"github.com/heathervane/heathervane/library/recorder"
 )
@@ -15,7 +15,7 @@
 // A model of several VMs with one log. Appends are refused, lost, late and
 // doubled; VMs crash, freeze and lag; clocks differ; the log drops records.
 type model struct {
-	limits keeper.Limits
+	limits deduplicator.Limits
 	now    time.Time // the log's
 	log    []appender.Record
 	start  uint64
@@ -37,7 +37,7 @@
 	skew   time.Duration
 	boot   uint64
 	seq    uint64
-	ledger *keeper.Ledger
+	ledger *deduplicator.Ledger
 	tries  []modelTry
 	sure   []modelTry // won and checked, not yet sent
 }
@@ -50,12 +50,12 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{
-		limits: keeper.Limits{Window: 100 * time.Second, Margin: 5 * time.Second},
+		limits: deduplicator.Limits{Window: 100 * time.Second, Margin: 5 * time.Second},
 		now:    start, start: 1, runs: make(map[string]int),
 	}
 	for i := range 3 {
 		skew := time.Duration(rapid.IntRange(-2500, 2500).Draw(t, "skew")) * time.Millisecond
-		m.vms = append(m.vms, &modelVM{name: fmt.Sprint("v", i), skew: skew, ledger: keeper.NewLedger(m.limits.Keep())})
+		m.vms = append(m.vms, &modelVM{name: fmt.Sprint("v", i), skew: skew, ledger: deduplicator.NewLedger(m.limits.Keep())})
 	}
 	m.newKey(t)
 	return m
@@ -105,7 +105,7 @@
 
 func (m *model) vm(t *rapid.T) *modelVM { return rapid.SampledFrom(m.vms).Draw(t, "vm") }
 
-// begin takes a call with a key, as Keeper.Begin does.
+// begin takes a call with a key, as Deduplicator.Begin does.
 func (m *model) begin(t *rapid.T) {
 	v, k := m.vm(t), rapid.SampledFrom(m.keys[max(0, len(m.keys)-2):]).Draw(t, "key")
 	if !k.dated && m.now.Sub(k.first) > m.limits.Window {
@@ -116,7 +116,7 @@
 	if v.ledger.Next() == 1 || !k.dated {
 		m.read(v, 1000)
 	}
-	if v.ledger.Judge(k.hash, recorder.Hash{9}).Standing != keeper.Free {
+	if v.ledger.Judge(k.hash, recorder.Hash{9}).Standing != deduplicator.Free {
 		return
 	}
 	if m.limits.Check(k.word, k.dated, v.ledger.Since(), m.now.Add(v.skew)) != nil {
@@ -145,7 +145,7 @@
 	var open []modelTry
 	for _, try := range v.tries {
 		switch {
-		case v.ledger.Decide(try.key.hash, try.attempt) != keeper.Won:
+		case v.ledger.Decide(try.key.hash, try.attempt) != deduplicator.Won:
 			open = append(open, try)
 		case m.fresh(v, try):
 			v.sure = append(v.sure, try)
@@ -188,7 +188,7 @@
 	v := m.vm(t)
 	v.boot++
 	v.tries, v.sure = nil, nil
-	v.ledger = keeper.NewLedger(m.limits.Keep())
+	v.ledger = deduplicator.NewLedger(m.limits.Keep())
 	m.read(v, 1000)
 }
 
--- a/entry/process/keeper/tailer.go
+++ b/entry/process/deduplicator/tailer.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -19,9 +19,9 @@
 
 // A tailer follows the stream of calls.
 type tailer struct {
-	log    Log
-	keeper *Keeper
-	tick   chan struct{}
+	log          Log
+	deduplicator *Deduplicator
+	tick         chan struct{}
 }
 
 // run reads until the context ends.
@@ -29,10 +29,10 @@
 	for ctx.Err() == nil {
 		b, err := t.read(ctx)
 		if err == nil {
-			t.keeper.apply(b)
+			t.deduplicator.apply(b)
 			continue
 		}
-		t.keeper.meter.Count("keeper.read.failed", 1)
+		t.deduplicator.meter.Count("deduplicator.read.failed", 1)
 		select {
 		case <-t.tick:
 		case <-ctx.Done():
@@ -44,13 +44,13 @@
 func (t *tailer) read(ctx context.Context) (appender.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
-	from, wait := t.keeper.place()
+	from, wait := t.deduplicator.place()
 	return t.log.Read(ctx, recorder.Calls, from, mostRecords, wait)
 }
 
 // place is where to read on and how long to wait there. The first read only
 // finds out where the end is.
-func (k *Keeper) place() (from uint64, wait time.Duration) {
+func (k *Deduplicator) place() (from uint64, wait time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.read.IsZero() {
@@ -60,7 +60,7 @@
 }
 
 // apply takes in what was read.
-func (k *Keeper) apply(b appender.Batch) {
+func (k *Deduplicator) apply(b appender.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.timer.Now()
@@ -71,6 +71,6 @@
 		wake(k.watchers[key])
 	}
 	if skipped > 0 {
-		k.meter.Count("keeper.skipped", int64(skipped))
+		k.meter.Count("deduplicator.skipped", int64(skipped))
 	}
 }
--- a/entry/process/keeper/ticket.go
+++ b/entry/process/deduplicator/ticket.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -16,25 +16,25 @@
 // A Ticket allows one send of one call. Its holder calls Check right before the
 // send, and Done or Abandon once after it; the first of these counts.
 type Ticket struct {
-	keeper  *Keeper
-	key     recorder.Hash
-	attempt recorder.Attempt
-	word    string // the caller's key
-	dated   bool
-	begun   time.Time
-	limits  Limits
-	ctx     context.Context //nolint:containedctx // a ticket lives as long as its call
-	once    sync.Once
+	deduplicator *Deduplicator
+	key          recorder.Hash
+	attempt      recorder.Attempt
+	word         string // the caller's key
+	dated        bool
+	begun        time.Time
+	limits       Limits
+	ctx          context.Context //nolint:containedctx // a ticket lives as long as its call
+	once         sync.Once
 }
 
 // ticket is the answer to an attempt that won.
-func (k *Keeper) ticket(ctx context.Context, c Call, key recorder.Hash, a recorder.Attempt, begun time.Time) Answer {
+func (k *Deduplicator) ticket(ctx context.Context, c Call, key recorder.Hash, a recorder.Attempt, begun time.Time) Answer {
 	k.mu.Lock()
 	l := k.config.Limits
 	k.mu.Unlock()
-	k.meter.Count("keeper.won", 1)
+	k.meter.Count("deduplicator.won", 1)
 	return Answer{Ticket: &Ticket{
-		keeper: k, key: key, attempt: a, word: c.Key, dated: c.Dated, begun: begun, limits: l, ctx: ctx,
+		deduplicator: k, key: key, attempt: a, word: c.Key, dated: c.Dated, begun: begun, limits: l, ctx: ctx,
 	}}
 }
 
@@ -51,7 +51,7 @@
 // A freeze after Check does no harm: the verdict stands, and by the time that
 // the key is forgotten everyone refuses it as old.
 func (t *Ticket) Check() error {
-	now := t.keeper.timer.Now()
+	now := t.deduplicator.timer.Now()
 	if err := t.ctx.Err(); err != nil {
 		return ErrStale.Wrap(err)
 	}
@@ -59,7 +59,7 @@
 	if d, ok := t.ctx.Deadline(); ok && !now.Before(d) {
 		return ErrStale.Wrap(context.DeadlineExceeded)
 	}
-	if err := t.limits.Check(t.word, t.dated, t.keeper.since(), now); err != nil {
+	if err := t.limits.Check(t.word, t.dated, t.deduplicator.since(), now); err != nil {
 		return ErrStale.Wrap(err)
 	}
 	age := max(now.Sub(t.begun), now.Round(0).Sub(t.begun.Round(0)))
@@ -72,16 +72,16 @@
 // Done says what became of the call once any of it may have been sent.
 func (t *Ticket) Done(o recorder.Outcome) {
 	t.once.Do(func() {
-		o = t.keeper.short(o)
-		t.keeper.learn(t.key, t.attempt, o)
-		t.keeper.queue.post(recorder.CallEntry{Key: t.key, Attempt: t.attempt, Outcome: &o}, nil)
+		o = t.deduplicator.short(o)
+		t.deduplicator.learn(t.key, t.attempt, o)
+		t.deduplicator.queue.post(recorder.CallEntry{Key: t.key, Attempt: t.attempt, Outcome: &o}, nil)
 	})
 }
 
 // Abandon says that nothing of the call was sent, and that nothing will be.
 func (t *Ticket) Abandon() {
 	t.once.Do(func() {
-		t.keeper.queue.post(recorder.CallEntry{Key: t.key, Attempt: t.attempt, Abandon: true}, nil)
+		t.deduplicator.queue.post(recorder.CallEntry{Key: t.key, Attempt: t.attempt, Abandon: true}, nil)
 	})
 }
 
@@ -89,7 +89,7 @@
 const maxHeader = 4 << 10
 
 // short leaves out what is too long to be kept.
-func (k *Keeper) short(o recorder.Outcome) recorder.Outcome {
+func (k *Deduplicator) short(o recorder.Outcome) recorder.Outcome {
 	if o.Unknown {
 		return recorder.Outcome{Unknown: true}
 	}
--- a/entry/process/keeper/waiter.go
+++ b/entry/process/deduplicator/waiter.go
@@ -1,4 +1,4 @@
-package keeper
+package deduplicator
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 )
 
 // watch returns what is poked when a key changes.
-func (k *Keeper) watch(key recorder.Hash) (w <-chan struct{}, stop func()) {
+func (k *Deduplicator) watch(key recorder.Hash) (w <-chan struct{}, stop func()) {
 	c := make(chan struct{}, 1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -69,7 +69,7 @@
 		Unread:      int(p.unreadAt(u.Name).Load()),
 		Home:        p.affinity.home(p.dispatcher.config.VM, u.Name),
 		Guest:       p.affinity.guest(now, p.dispatcher.config.VM, u.Name),
-		Cached:      k.Tokens >= hintTokens && p.hinter.Has(now, k.Head, u.Name, s.Boot),
+		Cached:      k.Tokens >= hintTokens && p.indexer.Has(now, k.Head, u.Name, s.Boot),
 	}
 }
 
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/hinter"
+	"github.com/heathervane/heathervane/entry/process/indexer"
 	"github.com/heathervane/heathervane/entry/process/splitter"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/ranker"
@@ -176,7 +176,7 @@
 		waiting:    make(map[uint64]*waiter),
 		sent:       make(map[string][]sending),
 		unread:     make(map[string]*atomic.Int64),
-		hinter:     hinter.New(mostHints),
+		indexer:    indexer.New(mostHints),
 		affinity:   affinity{way: d.config.Engines, splitter: splitter.New(splitter.Config{})},
 		ranker:     ranker.New(),
 	}
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/hinter"
+	"github.com/heathervane/heathervane/entry/process/indexer"
 	"github.com/heathervane/heathervane/entry/process/lender"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/ranker"
@@ -52,7 +52,7 @@
 	sent      map[string][]sending
 	unread    map[string]*atomic.Int64
 	hold      hold
-	hinter    *hinter.Hinter
+	indexer   *indexer.Indexer
 	ranker    *ranker.Ranker
 	affinity  affinity
 	scratch   []router.Candidate
--- a/entry/process/dispatcher/reading.go
+++ b/entry/process/dispatcher/reading.go
@@ -58,7 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if k.Tokens >= hintTokens {
-		p.hinter.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
+		p.indexer.Note(p.dispatcher.now(), k.Head, part.Upstream.Name, part.Boot)
 	}
 }
 
--- a/entry/process/hinter/hinter.go
+++ b/entry/process/indexer/indexer.go
@@ -1,4 +1,4 @@
-// Package hinter remembers which engine has read which prompt's beginning. It
+// Package indexer remembers which engine has read which prompt's beginning. It
 // answers many questions about one long document: without it each of them is
 // read anew on whichever engine is free, at seconds of prefill each.
 //
@@ -6,7 +6,7 @@
 // and say so late and with gaps; so a hint only makes an engine look nearer to
 // its prompt, for a time. It is this VM's own knowledge: what other VMs sent is not in it, which costs a second reading of
 // a document for each VM that is asked about it, and no message.
-package hinter
+package indexer
 
 import (
 	"container/list"
@@ -17,8 +17,8 @@
 // ordinary load; an older hint is more often wrong than right.
 const life = 5 * time.Minute
 
-// A Hinter holds a bounded number of hints. It is not safe for concurrent use.
-type Hinter struct {
+// A Indexer holds a bounded number of hints. It is not safe for concurrent use.
+type Indexer struct {
 	most  int
 	order *list.List
 	hints map[key]*list.Element
@@ -35,13 +35,13 @@
 	at   time.Time
 }
 
-// New returns a Hinter of at most so many hints; the oldest goes first.
-func New(most int) *Hinter {
-	return &Hinter{most: most, order: list.New(), hints: make(map[key]*list.Element)}
+// New returns a Indexer of at most so many hints; the oldest goes first.
+func New(most int) *Indexer {
+	return &Indexer{most: most, order: list.New(), hints: make(map[key]*list.Element)}
 }
 
 // Note keeps that an engine has read the beginning of a prompt.
-func (h *Hinter) Note(now time.Time, head uint64, upstream string, boot uint64) {
+func (h *Indexer) Note(now time.Time, head uint64, upstream string, boot uint64) {
 	k := key{head, upstream}
 	if e, ok := h.hints[k]; ok {
 		h.order.Remove(e)
@@ -54,7 +54,7 @@
 
 // Has tells whether an engine probably has the beginning of a prompt. One that
 // has started anew since has nothing.
-func (h *Hinter) Has(now time.Time, head uint64, upstream string, boot uint64) bool {
+func (h *Indexer) Has(now time.Time, head uint64, upstream string, boot uint64) bool {
 	e, ok := h.hints[key{head, upstream}]
 	if !ok {
 		return false
@@ -67,7 +67,7 @@
 	return true
 }
 
-func (h *Hinter) remove(e *list.Element) {
+func (h *Indexer) remove(e *list.Element) {
 	delete(h.hints, e.Value.(hint).key) //nolint:forcetypeassert // as above
 	h.order.Remove(e)
 }
--- a/entry/process/hinter/hinter_test.go
+++ b/entry/process/indexer/indexer_test.go
@@ -1,4 +1,4 @@
-package hinter_test
+package indexer_test
 
 import (
 	"testing"
@@ -6,29 +6,29 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/heathervane/heathervane/entry/process/hinter"
+	"github.com/heathervane/heathervane/entry/process/indexer"
 )
 
 func TestHints(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tests := []struct {
 		name string
-		do   func(h *hinter.Hinter)
+		do   func(h *indexer.Indexer)
 		head uint64
 		boot uint64
 		at   time.Duration
 		want bool
 	}{
-		{"read there", func(*hinter.Hinter) {}, 1, 7, time.Second, true},
-		{"another prompt", func(*hinter.Hinter) {}, 2, 7, time.Second, false},
-		{"started anew", func(*hinter.Hinter) {}, 1, 8, time.Second, false},
-		{"boot unknown", func(*hinter.Hinter) {}, 1, 0, time.Second, true},
-		{"long ago", func(*hinter.Hinter) {}, 1, 7, time.Hour, false},
-		{"pushed out", func(h *hinter.Hinter) {
+		{"read there", func(*indexer.Indexer) {}, 1, 7, time.Second, true},
+		{"another prompt", func(*indexer.Indexer) {}, 2, 7, time.Second, false},
+		{"started anew", func(*indexer.Indexer) {}, 1, 8, time.Second, false},
+		{"boot unknown", func(*indexer.Indexer) {}, 1, 0, time.Second, true},
+		{"long ago", func(*indexer.Indexer) {}, 1, 7, time.Hour, false},
+		{"pushed out", func(h *indexer.Indexer) {
 			h.Note(now, 5, "e1", 7)
 			h.Note(now, 6, "e1", 7)
 		}, 1, 7, time.Second, false},
-		{"read again", func(h *hinter.Hinter) {
+		{"read again", func(h *indexer.Indexer) {
 			h.Note(now, 5, "e1", 7)
 			h.Note(now, 1, "e1", 7)
 			h.Note(now, 6, "e1", 7)
@@ -36,7 +36,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			h := hinter.New(2)
+			h := indexer.New(2)
 			h.Note(now, 1, "e1", 7)
 			test.do(h)
 			assert.Equal(t, h.Has(now.Add(test.at), test.head, "e1", test.boot), test.want)
--- a/entry/process/server/configure.go
+++ b/entry/process/server/configure.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/coordinator"
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/entry/version/viewer"
 	"github.com/heathervane/heathervane/library/folder"
 	"github.com/heathervane/heathervane/library/recorder"
@@ -20,7 +20,7 @@
 		v.log.Info().Uint64("version", view.Version).Msg("configuration in force")
 	}
 	v.meter.Count("configuration.changes", 1)
-	v.keeper.Limit(keeper.Limits{Window: time.Duration(view.Manifest.Window), Margin: keeper.DefaultMargin})
+	v.deduplicator.Limit(deduplicator.Limits{Window: time.Duration(view.Manifest.Window), Margin: deduplicator.DefaultMargin})
 	v.coordinator.Configure(upstreams(view), view.Manifest.Seats)
 	if err := v.dispatcher.Configure(view); err != nil {
 		v.log.Error().Err(err).Msg("the configuration could not be put in force")
--- a/entry/process/server/coordination.go
+++ b/entry/process/server/coordination.go
@@ -7,7 +7,7 @@
 	"github.com/heathervane/heathervane/entry/connection/linker"
 	"github.com/heathervane/heathervane/entry/process/canceller"
 	"github.com/heathervane/heathervane/entry/process/coordinator"
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/library/lister"
 )
 
@@ -18,7 +18,7 @@
 	// sweepTime bounds one look.
 	sweepTime = time.Second
 	// firstWindow is how long keys are known until a manifest says so. It is
-	// longer than any manifest's: what the keeper forgot under a shorter one
+	// longer than any manifest's: what the deduplicator forgot under a shorter one
 	// would be missing under the manifest's, and calls refused for it.
 	firstWindow = 30 * 24 * time.Hour
 )
@@ -26,7 +26,7 @@
 // newCoordination joins the parts that act together with other VMs.
 func (v *Server) newCoordination(list *lister.List) {
 	s := v.settings
-	address := v.sides.peers.Addr().String()
+	address := v.listeners.peers.Addr().String()
 	v.linker = linker.New(linker.Config{
 		VM: s.ID, Zone: s.Zone, Address: address, Boot: v.boot, Secret: []byte(s.Peers.Secret), TLS: v.linksTLS,
 	}, v.log, v.meter.Registry())
@@ -39,7 +39,7 @@
 		Ticker: v.ticker, Registry: v.meter.Registry(), Logger: v.log,
 	})
 	v.canceller = canceller.New(v.upstream, v.ticker, v.meter.Registry())
-	v.keeper = keeper.New(keeper.Config{VM: s.ID, Boot: v.boot, Limits: keeper.Limits{Window: firstWindow, Margin: keeper.DefaultMargin}, Body: keeper.DefaultBody}, v.records, v.ticker, v.coordinator.Gone, v.meter)
+	v.deduplicator = deduplicator.New(deduplicator.Config{VM: s.ID, Boot: v.boot, Limits: deduplicator.Limits{Window: firstWindow, Margin: deduplicator.DefaultMargin}, Body: deduplicator.DefaultBody}, v.records, v.ticker, v.coordinator.Gone, v.meter)
 }
 
 // read is how far this VM has read the configuration, for heartbeats.
--- a/entry/process/server/leave.go
+++ b/entry/process/server/leave.go
@@ -50,8 +50,8 @@
 	}
 	<-handed
 	wait(cancelTime, v.canceller.Wait)
-	if !wait(keepTime, v.keeper.Wait) {
-		v.log.Warn().Int("outcomes", v.keeper.Pending()).Msg("the log did not take all outcomes of keyed calls")
+	if !wait(keepTime, v.deduplicator.Wait) {
+		v.log.Warn().Int("outcomes", v.deduplicator.Pending()).Msg("the log did not take all outcomes of keyed calls")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
--- a/entry/process/server/sides.go
+++ b/entry/process/server/listeners.go
@@ -17,15 +17,15 @@
 // watchTime bounds each request at the watch address.
 const watchTime = 10 * time.Second
 
-// sides are the three addresses that a process listens on.
-type sides struct {
+// listeners are the three addresses that a process listens on.
+type listeners struct {
 	callers, peers, watch net.Listener
 	servers               []*http.Server
 }
 
 // open listens on all three, so that a taken port ends the start and not the
 // first request.
-func (s *sides) open(c setter.Settings) error {
+func (s *listeners) open(c setter.Settings) error {
 	var err error
 	if s.callers, err = listen(c.Callers.Address); err != nil {
 		return err
@@ -49,10 +49,10 @@
 	}
 	peers := &http.Server{Handler: v.linker, ReadHeaderTimeout: patience, TLSConfig: v.peersTLS}
 	watch := &http.Server{Handler: v.watcher, ReadTimeout: watchTime, WriteTimeout: watchTime}
-	v.sides.servers = []*http.Server{callers, peers, watch}
-	failed := make(chan error, len(v.sides.servers))
-	for i, l := range []net.Listener{v.sides.callers, v.sides.peers, v.sides.watch} {
-		server := v.sides.servers[i]
+	v.listeners.servers = []*http.Server{callers, peers, watch}
+	failed := make(chan error, len(v.listeners.servers))
+	for i, l := range []net.Listener{v.listeners.callers, v.listeners.peers, v.listeners.watch} {
+		server := v.listeners.servers[i]
 		// What net/http would print of single connections is counted elsewhere
 		// or of no use: lines are for changes of state.
 		server.ErrorLog = log.New(io.Discard, "", 0)
@@ -79,7 +79,7 @@
 // close ends the servers: callers' connections without a request at once, and
 // the others when theirs has ended.
 func (v *Server) close(ctx context.Context) {
-	for _, s := range v.sides.servers {
+	for _, s := range v.listeners.servers {
 		if err := s.Shutdown(ctx); err != nil {
 			s.Close()
 		}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -22,10 +22,10 @@
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/canceller"
 	"github.com/heathervane/heathervane/entry/process/coordinator"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/process/drainer"
 	"github.com/heathervane/heathervane/entry/process/gauger"
-	"github.com/heathervane/heathervane/entry/process/keeper"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/observer"
 	"github.com/heathervane/heathervane/entry/process/setter"
@@ -69,29 +69,29 @@
 	log      zerolog.Logger
 	boot     uint64
 
-	meter       *meter.Meter
-	ticker      *ticker.Ticker
-	records     *appender.Log
-	follower    *follower.Follower
-	linker      *linker.Linker
-	coordinator *coordinator.Coordinator
-	dispatcher  *dispatcher.Dispatcher
-	observer    *observer.Observer
-	canceller   *canceller.Canceller
-	keeper      *keeper.Keeper
-	chatter     *chatter.Chatter
-	drainer     *drainer.Drainer
-	watcher     *watcher.Watcher
-	bodies      *bounder.Bounder
+	meter        *meter.Meter
+	ticker       *ticker.Ticker
+	records      *appender.Log
+	follower     *follower.Follower
+	linker       *linker.Linker
+	coordinator  *coordinator.Coordinator
+	dispatcher   *dispatcher.Dispatcher
+	observer     *observer.Observer
+	canceller    *canceller.Canceller
+	deduplicator *deduplicator.Deduplicator
+	chatter      *chatter.Chatter
+	drainer      *drainer.Drainer
+	watcher      *watcher.Watcher
+	bodies       *bounder.Bounder
 
 	callersTLS, peersTLS, linksTLS *tls.Config
 
-	view     atomic.Pointer[viewer.View]
-	leaving  atomic.Bool
-	fetching atomic.Bool
-	out      outs
-	upstream *http.Client
-	sides    sides
+	view      atomic.Pointer[viewer.View]
+	leaving   atomic.Bool
+	fetching  atomic.Bool
+	out       outs
+	upstream  *http.Client
+	listeners listeners
 }
 
 // New joins the parts of a process. Its boot number is the time of its start:
@@ -105,7 +105,7 @@
 	if err := v.secure(s); err != nil {
 		return nil, err
 	}
-	if err := v.sides.open(s); err != nil {
+	if err := v.listeners.open(s); err != nil {
 		return nil, err
 	}
 	platform := &http.Client{Transport: transport()}
@@ -151,7 +151,7 @@
 	})
 	calls := passer.New(v.settings.ID, v.boot, passer.Deps{
 		Views: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Watcher: v.observer,
-		Retrier: newBudget(), Keeper: v.keeper, Meter: v.meter, Now: time.Now,
+		Retrier: newBudget(), Deduplicator: v.deduplicator, Meter: v.meter, Now: time.Now,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", v.chatter)
@@ -201,7 +201,7 @@
 		parts.Go(func() { run(ctx) })
 	}
 	for name, run := range map[string]func(context.Context) error{
-		"coordinator": v.coordinator.Run, "keeper": v.keeper.Run,
+		"coordinator": v.coordinator.Run, "deduplicator": v.deduplicator.Run,
 	} {
 		parts.Go(func() {
 			if err := run(ctx); err != nil && ctx.Err() == nil {
@@ -234,8 +234,8 @@
 
 func (v *Server) announce(out io.Writer) error {
 	return json.NewEncoder(out).Encode(line{
-		ID: v.settings.ID, Callers: v.sides.callers.Addr().String(), Peers: v.sides.peers.Addr().String(),
-		Watch: v.sides.watch.Addr().String(), PID: os.Getpid(),
+		ID: v.settings.ID, Callers: v.listeners.callers.Addr().String(), Peers: v.listeners.peers.Addr().String(),
+		Watch: v.listeners.watch.Addr().String(), PID: os.Getpid(),
 	})
 }
 
--- a/entry/request/gater/gater.go
+++ b/entry/request/authenticator/authenticator.go
@@ -1,6 +1,6 @@
-// Package gater is what every request passes first: the team that its token
+// Package authenticator is what every request passes first: the team that its token
 // names, and the time limit that it asks for. It reads headers only.
-package gater
+package authenticator
 
 import (
 	"net/http"
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -16,7 +16,7 @@
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/admitter"
-	"github.com/heathervane/heathervane/entry/request/gater"
+	"github.com/heathervane/heathervane/entry/request/authenticator"
 	"github.com/heathervane/heathervane/entry/request/parser"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -159,9 +159,9 @@
 func (c *Chatter) accept(w http.ResponseWriter, q *http.Request, arrived time.Time) (*job, *refuser.Refusal) {
 	v := c.views()
 	if v == nil {
-		return nil, gater.NotReady()
+		return nil, authenticator.NotReady()
 	}
-	team, refusal := gater.Team(v, q)
+	team, refusal := authenticator.Team(v, q)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -213,7 +213,7 @@
 	if !ok {
 		return refuser.At("messages", "context_length_exceeded", "no class of work takes a prompt of %d tokens", j.tokens)
 	}
-	limit, refusal := gater.Limit(q, class.Limit, class.Least, class.Most)
+	limit, refusal := authenticator.Limit(q, class.Limit, class.Least, class.Most)
 	if refusal != nil {
 		return refusal
 	}
--- a/entry/request/chatter/models.go
+++ b/entry/request/chatter/models.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/heathervane/heathervane/entry/request/gater"
+	"github.com/heathervane/heathervane/entry/request/authenticator"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 )
 
@@ -27,10 +27,10 @@
 	w.Header().Set(refuser.VMHeader, c.config.VM)
 	v := c.views()
 	if v == nil {
-		gater.NotReady().Write(w)
+		authenticator.NotReady().Write(w)
 		return
 	}
-	if _, refusal := gater.Team(v, q); refusal != nil {
+	if _, refusal := authenticator.Team(v, q); refusal != nil {
 		c.refuse(w, refusal)
 		return
 	}
--- a/entry/request/passer/keyed.go
+++ b/entry/request/passer/keyed.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/keeper"
+	"github.com/heathervane/heathervane/entry/process/deduplicator"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/library/recorder"
 )
@@ -19,15 +19,15 @@
 // same key it is judged anew.
 const checkRetry = time.Second
 
-// A Keeper judges calls with a key.
-type Keeper interface {
-	Begin(ctx context.Context, c keeper.Call) keeper.Answer
+// A Deduplicator judges calls with a key.
+type Deduplicator interface {
+	Begin(ctx context.Context, c deduplicator.Call) deduplicator.Answer
 }
 
 // keyed answers a call that carries a key: with the outcome of the first call
 // of its key, or by being that first call.
 func (p *Passer) keyed(ctx context.Context, w http.ResponseWriter, c *call, key string) {
-	a := p.deps.Keeper.Begin(ctx, keeper.Call{
+	a := p.deps.Deduplicator.Begin(ctx, deduplicator.Call{
 		Team: c.team.Name, Service: c.service, Key: key, Method: c.method, Path: c.path, Body: c.body.Data,
 		Dated: c.view.Manifest.Services[c.service].Keys != "any",
 	})
@@ -44,7 +44,7 @@
 // first sends a call that is the first of its key. It goes on when its caller
 // goes away: that one will ask again with its key, and should get the outcome
 // instead of "unknown".
-func (p *Passer) first(ctx context.Context, w http.ResponseWriter, c *call, t *keeper.Ticket) {
+func (p *Passer) first(ctx context.Context, w http.ResponseWriter, c *call, t *deduplicator.Ticket) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
 	defer cancel()
 	o := p.run(ctx, c, func() *refuser.Refusal {
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -14,7 +14,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/admitter"
-	"github.com/heathervane/heathervane/entry/request/gater"
+	"github.com/heathervane/heathervane/entry/request/authenticator"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
@@ -57,14 +57,14 @@
 
 // Deps are what a Passer works with.
 type Deps struct {
-	Views    func() *viewer.View
-	Reader   *reader.Reader
-	Acquirer Acquirer
-	Watcher  Watcher
-	Retrier  Retrier
-	Keeper   Keeper
-	Meter    Meter
-	Now      func() time.Time
+	Views        func() *viewer.View
+	Reader       *reader.Reader
+	Acquirer     Acquirer
+	Watcher      Watcher
+	Retrier      Retrier
+	Deduplicator Deduplicator
+	Meter        Meter
+	Now          func() time.Time
 }
 
 // A Passer passes calls through.
@@ -146,9 +146,9 @@
 func (p *Passer) accept(w http.ResponseWriter, q *http.Request, arrived time.Time) (*call, *refuser.Refusal) {
 	v := p.deps.Views()
 	if v == nil {
-		return nil, gater.NotReady()
+		return nil, authenticator.NotReady()
 	}
-	team, refusal := gater.Team(v, q)
+	team, refusal := authenticator.Team(v, q)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -161,7 +161,7 @@
 		return nil, refuser.At("Upgrade", "unsupported", "calls cannot change their protocol")
 	}
 	s := v.Manifest.Services[name]
-	limit, refusal := gater.Limit(q, s.Limit, s.Least, s.Most)
+	limit, refusal := authenticator.Limit(q, s.Limit, s.Least, s.Most)
 	if refusal != nil {
 		return nil, refusal
 	}
