Let a new process wait for its first list of upstreams

Cause: with the refusal of services that have no upstream, a process that has just started and has its configuration before its list refused what it could serve a moment later.

Change: no list counts as an outdated one until the first has come.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -115,6 +115,9 @@
 // list folds entries of upstreams.
 func (v *Process) list(rs []replicator.Record, gap time.Duration) {
 	now := time.Now()
+	if v.listed.CompareAndSwap(false, true) {
+		v.tracker.Outdate(false)
+	}
 	lapsing := gap > outage
 	for _, r := range rs {
 		if r.Dropped {
@@ -151,13 +154,16 @@
 
 // watch compares the copies with what the platform has told others. A VM that its
 // peers' records reach late has to know it: it would use upstreams on that have
-// left, and take those that are gone for lapsed.
+// left, and take those that are gone for lapsed. One that has just started and has
+// no list yet would refuse what it could serve a moment later.
 func (v *Process) watch() {
 	for name, c := range v.copies {
 		c.Heard(v.gossiper.Answered(name))
 	}
-	behind := v.copies[Upstreams].Behind()
-	outdated := behind > time.Duration(outdatedShare*float64(v.settings.Load().Bounds.Drain))
+	copied := v.copies[Upstreams]
+	behind := copied.Behind()
+	_, asOf := copied.End()
+	outdated := asOf.IsZero() || behind > time.Duration(outdatedShare*float64(v.settings.Load().Bounds.Drain))
 	if !v.tracker.Outdate(outdated) {
 		return
 	}
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -134,7 +134,9 @@
 	budget    *budget
 	acceptor  *acceptor.Acceptor
 	syncers   []*syncer.Syncer
-	copies    map[string]*replicator.Copy
+	// listed says that a first list of upstreams has come.
+	listed atomic.Bool
+	copies map[string]*replicator.Copy
 
 	table    atomic.Pointer[matcher.Table]
 	leaveAt  atomic.Pointer[time.Time]
@@ -155,6 +157,8 @@
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy),
 	}
 	v.settings.Store(&s)
+	// No list is one that is too old.
+	v.tracker.Outdate(true)
 	if err := v.open(s); err != nil {
 		return nil, err
 	}
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -68,7 +68,8 @@
 	removed map[string]Upstream
 }
 
-// New returns a Tracker that knows none.
+// New returns a Tracker that knows none, and takes that for the truth until it is
+// told that its list is outdated.
 func New() *Tracker {
 	return &Tracker{known: make(map[string]*State), zones: make(map[string]bool), removed: make(map[string]Upstream)}
 }
