Tell that VMs live through two relays of each zone

Cause: each VM beat to each, 4 times a second in its zone and once a second to the others: 60,000 datagrams a second at 195 VMs, each of which wakes a process.

Ruled out: fewer beats of each to each (still quadratic, and a death would show after several seconds); random gossip (four rounds until a new version's reader is known to be ahead, where 2 s are allowed in all).

Change: VMs beat to two relays of their zone, the first by the order in which VMs lead that live and that the platform serves; these tell their zone, and the relays of the others, what they have read, the freshest reading of another zone, and once a second which VMs live (five bytes each) and some in full. A VM's record in the store has its zone and power, so that it knows the relays from the start. The relay that ranks first reads the platform. The timer service sleeps until something is due, and the allocator looks every 25 ms only while something waits.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -123,6 +123,9 @@
 // Count is the allocator's meter, which nobody reads here.
 func (v *vm) Count(string, int64) {}
 
+// Subscribe is never called back: the emulator calls Tick itself.
+func (v *vm) Subscribe(time.Duration, func(time.Time)) (stop func()) { return func() {} }
+
 // buried is after how long a VM that has died is known to be dead, in
 // milliseconds.
 const buried = 1500
@@ -154,7 +157,7 @@
 	}
 	for _, v := range p.vms {
 		v.allocator = allocator.New(allocator.Member{VM: v.name, Zone: "z", Power: 1}, 1, allocator.Deps{
-			Tracker: p.tracker, Sender: v, Meter: v, Members: v.members,
+			Tracker: p.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
 			Service:  func(string) (*matcher.Service, bool) { return p.service, true },
 			ColdPart: func(string, float64, bool) int { return 0 }, Now: p.clock, Log: zerolog.Nop(),
 		})
--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -33,14 +33,23 @@
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
-// TickEvery is how often Tick should be called.
-const TickEvery = 25 * time.Millisecond
+const (
+	// TickEvery is how often a VM looks at what is due while something waits, and
+	// restEvery while nothing does: each look wakes the process.
+	TickEvery = 25 * time.Millisecond
+	restEvery = 250 * time.Millisecond
+)
 
 // A Sender sends datagrams. It does not block.
 type Sender interface {
 	Send(to netip.AddrPort, data []byte) error
 }
 
+// A Timer calls back every so often, until it is told to stop.
+type Timer interface {
+	Subscribe(every time.Duration, call func(time.Time)) (stop func())
+}
+
 // A Meter counts.
 type Meter interface {
 	Count(name string, n int64)
@@ -50,6 +59,7 @@
 type Deps struct {
 	Tracker *tracker.Tracker
 	Sender  Sender
+	Timer   Timer
 	Meter   Meter
 	// Members are the other VMs that live.
 	Members func() []Member
@@ -86,6 +96,9 @@
 	keptAt time.Time
 	told   map[netip.AddrPort]bool
 	ticked time.Time
+	// rest ends the calls of Tick that come while something waits; nil where they
+	// do not come.
+	rest func()
 
 	// led are the groups that this VM leads or has led, and holders the VMs that
 	// have places from it.
@@ -108,6 +121,7 @@
 		out: make(map[netip.AddrPort]*message),
 	}
 	d.Tracker.Listen(a.found)
+	d.Timer.Subscribe(restEvery, a.Tick)
 	return a
 }
 
@@ -115,8 +129,26 @@
 func (a *Allocator) do(f func(now time.Time)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f(a.deps.Now())
+	now := a.deps.Now()
+	f(now)
 	a.flush()
+	a.wake(now)
+}
+
+// wake has Tick called more often while something waits.
+func (a *Allocator) wake(now time.Time) {
+	busy := len(a.asks) > 0
+	for _, l := range a.led {
+		busy = busy || l.scheduler.Waiting() > 0
+	}
+	switch {
+	case busy && a.rest == nil:
+		a.ticked = now
+		a.rest = a.deps.Timer.Subscribe(TickEvery, a.Tick)
+	case !busy && a.rest != nil:
+		a.rest()
+		a.rest = nil
+	}
 }
 
 // to is the datagram that goes to a VM next.
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -106,7 +106,7 @@
 	me, before := a.self(), 0
 	members := a.deps.Members()
 	for i := range members {
-		if !members[i].Leaving && members[i].before(&me, g) {
+		if !members[i].Leaving && members[i].Before(&me, g) {
 			before++
 		}
 	}
--- a/entry/process/allocator/member.go
+++ b/entry/process/allocator/member.go
@@ -33,8 +33,8 @@
 	return g.Zone == "" || m.Zone == g.Zone, int(m.Power / powerUnit), xxhash.Sum64String(g.Service + "\x00" + g.Zone + "\x00" + m.VM)
 }
 
-// before says that a member leads a group rather than another one.
-func (m *Member) before(o *Member, g Group) bool {
+// Before says that a member leads a group rather than another one.
+func (m *Member) Before(o *Member, g Group) bool {
 	near, power, hash := m.place(g)
 	oNear, oPower, oHash := o.place(g)
 	if near != oNear {
@@ -68,7 +68,7 @@
 		if o.Leaving || now.Before(a.doubts[o.Address].until) {
 			continue
 		}
-		if best.Leaving || o.before(&best, g) {
+		if best.Leaving || o.Before(&best, g) {
 			best, self = *o, false
 		}
 	}
--- a/entry/process/allocator/overflow.go
+++ b/entry/process/allocator/overflow.go
@@ -10,7 +10,7 @@
 const (
 	// summaryEvery is how often leaders tell those of the service's other groups
 	// how much is under way, and freshSummary how old such news may be.
-	summaryEvery = 200 * time.Millisecond
+	summaryEvery = restEvery
 	freshSummary = time.Second
 	// spareSlots is the part of a group's slots that must be free, as one over
 	// this, where short prompts of another group are sent there.
--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -1,7 +1,13 @@
-// Package gossiper has each VM tell the others over UDP that it lives, what it
-// bears and how far it has read the platform's records, and keeps what they tell.
-// It answers a platform's list of VMs that lags: without it a VM would ask those
-// that have died, and go on with old records while others have new ones.
+// Package gossiper has each VM tell others over UDP that it lives, what it bears
+// and how far it has read the platform's records, and keeps what they tell. It
+// answers a platform's list of VMs that lags: without it a VM would ask those that
+// have died, and go on with old records while others have new ones.
+//
+// Two VMs of each zone relay: the others beat to these, and these tell all VMs of
+// their zone, and the relays of other zones, what they have heard. So what a VM
+// sends and hears does not grow with their number, but for one byte and a digest
+// of each that lives. Nobody elects relays: they are the first of those that live
+// and that the platform serves, by the order in which VMs lead.
 //
 // Everything it tells is the present state and no change of it, so that lost
 // and reordered datagrams do no harm. It decides nothing.
@@ -9,6 +15,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,24 +26,26 @@
 )
 
 const (
-	// beatEvery is how often a VM tells that it lives, and how far it has read.
-	beatEvery = 250 * time.Millisecond
-	// perFar is the time between beats to VMs of other zones for each of these,
-	// and mostFar its bound. Bytes between zones are dear, and with beats of a
-	// quarter of a second each VM of 83 sent 224 of them a second there.
-	perFar  = 20 * time.Millisecond
-	mostFar = time.Second
+	// BeatEvery is how often a VM tells that it lives, and how far it has read,
+	// and rollEvery how often relays tell which VMs live.
+	BeatEvery = 250 * time.Millisecond
+	rollEvery = time.Second
+	// relays is how many VMs of a zone relay: when one dies the other goes on.
+	relays = 2
 	// silent is after how long without a word a VM is not asked for anything, and
 	// goneAfter after how long its part of common bounds is free: a VM that
 	// cannot be heard may still send to upstreams.
 	silent    = 1500 * time.Millisecond
 	goneAfter = 8 * time.Second
+	// told is by how much later a VM is heard of that is heard through a relay.
+	told = rollEvery + BeatEvery
 	// forgotten is after how long an address without a word is tried no more,
 	// and rareEvery how often a silent one is tried until then.
 	forgotten = 3 * time.Minute
 	rareEvery = 2 * time.Second
-	// settling is how long a new process assumes assumed VMs: until it has
-	// heard of the others, its parts of common bounds must be small.
+	// settling is how long a new process takes all VMs that it knows by name for
+	// alive, and at least assumed: until it has heard of the others, its parts of
+	// common bounds must be small.
 	settling = 3 * time.Second
 	assumed  = 16
 )
@@ -55,17 +64,18 @@
 	log    zerolog.Logger
 	ends   func() map[string]End
 
-	mu     sync.Mutex
-	began  time.Time
-	seq    uint64
-	peers  map[netip.AddrPort]*peer
+	mu    sync.Mutex
+	began time.Time
+	seq   uint64
+	peers map[netip.AddrPort]*peer
+	// named are peers by the digest of their names.
+	named  map[uint32]*peer
 	beatAt time.Time
-	farAt  time.Time
-	// farEvery is the time between beats to VMs of other zones, as last
-	// worked out.
-	farEvery time.Duration
-	vms      []string
-	vmsAt    time.Time
+	rollAt time.Time
+	// rolled is the address of the last peer that was told of in full.
+	rolled netip.AddrPort
+	vms    []string
+	vmsAt  time.Time
 	// members are those that can be heard, as of membersAt.
 	members   []allocator.Member
 	membersAt time.Time
@@ -76,129 +86,130 @@
 func New(me allocator.Member, boot int64, s Sender, ends func() map[string]End, now func() time.Time, log zerolog.Logger) *Gossiper {
 	return &Gossiper{
 		me: me, boot: boot, sender: s, now: now, log: log, ends: ends, began: now(),
-		peers: make(map[netip.AddrPort]*peer),
+		peers: make(map[netip.AddrPort]*peer), named: make(map[uint32]*peer),
 	}
 }
 
-// Meet notes the address of a VM, which need not live.
-func (g *Gossiper) Meet(address netip.AddrPort) {
+// Meet notes a VM that need not live.
+func (g *Gossiper) Meet(m allocator.Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.meet(address)
+	g.meet(m)
 }
 
-func (g *Gossiper) meet(address netip.AddrPort) *peer {
-	if address == g.me.Address {
+// meet is what is known of a VM; nil for this one.
+func (g *Gossiper) meet(m allocator.Member) *peer {
+	if m.Address == g.me.Address {
 		return nil
 	}
-	p, ok := g.peers[address]
-	if !ok {
-		p = &peer{address: address, known: g.now(), ends: make(map[string]int64), asOf: make(map[string]time.Time), failing: make(map[string]bool)}
-		g.peers[address] = p
+	p, ok := g.peers[m.Address]
+	if ok && p.VM == m.VM {
+		if p.Zone == "" {
+			p.Member = m
+		}
+		return p
 	}
+	p = &peer{Member: m, known: g.now(), streams: make(map[string]reading)}
+	g.peers[m.Address] = p
+	g.named[digest(m.VM)] = p
 	return p
 }
 
-// Tick sends what is due.
+// Tick sends what is due. It reads the streams' ends without the lock: whoever
+// keeps the records may be asking this package at the same moment, and would wait
+// for this one while this one waits for it.
 func (g *Gossiper) Tick(now time.Time) {
-	b := g.dueBeat(now)
-	if b == nil {
+	g.mu.Lock()
+	due := now.Sub(g.beatAt) >= BeatEvery
+	if due {
+		g.beatAt = now
+	}
+	g.mu.Unlock()
+	if !due {
 		return
 	}
+	ends := g.ends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.beat(now, b)
+	g.beat(now, ends)
 }
 
-// beat tells that this VM lives. VMs of other zones are told less often.
-func (g *Gossiper) beat(now time.Time, b *beat) {
+func (g *Gossiper) beat(now time.Time, ends map[string]End) {
 	m := g.message()
-	m.Beat = b
-	g.farEvery = g.farGap()
-	if now.Sub(g.farAt) >= g.farEvery {
-		g.farAt = now
-		g.send(now, m, everybody)
+	m.Streams = wireStreams(now, ends)
+	g.greet(now, m)
+	first := g.first(now)
+	if !names(first[g.me.Zone], g.me.Address) {
+		g.send(now, m, func(p *peer) bool { return p.Zone == g.me.Zone && names(first[p.Zone], p.Address) })
 		return
 	}
-	g.send(now, m, g.near)
+	roll := now.Sub(g.rollAt) >= rollEvery
+	far := m
+	m.Far = g.farReadings(now)
+	if roll {
+		g.rollAt = now
+		m.Alive, m.Peers = g.alive(now, ""), g.some(now)
+		far.Alive, far.Peers = g.alive(now, g.me.Zone), m.Peers
+	}
+	g.send(now, m, func(p *peer) bool { return p.Zone == g.me.Zone })
+	// Where none can be heard in a zone any more, all are tried: nobody knows who
+	// relays there.
+	g.send(now, far, func(p *peer) bool {
+		return p.Zone != g.me.Zone && (len(first[p.Zone]) == 0 || names(first[p.Zone], p.Address))
+	})
 }
 
-func everybody(*peer) bool { return true }
-
-// near says that a VM is in this zone, as far as is known.
-func (g *Gossiper) near(p *peer) bool { return p.zone == "" || p.zone == g.me.Zone }
-
-// farGap is the time between beats to VMs of other zones, by how many there are.
-func (g *Gossiper) farGap() time.Duration {
-	far := 0
-	for _, p := range g.peers {
-		if !g.near(p) {
-			far++
-		}
-	}
-	return min(mostFar, max(beatEvery, time.Duration(far)*perFar))
+func names(all []allocator.Member, at netip.AddrPort) bool {
+	return slices.ContainsFunc(all, func(m allocator.Member) bool { return m.Address == at })
 }
 
-// quietFor is for how long a VM that lives may be silent: as many of its beats may
-// be lost as of those of this zone.
-func (g *Gossiper) quietFor(p *peer) time.Duration {
-	if g.near(p) {
-		return silent
-	}
-	return silent + max(0, g.farEvery-beatEvery)
+// greet tells VMs that this process has not met before that it is there.
+func (g *Gossiper) greet(now time.Time, m message) {
+	g.send(now, m, func(p *peer) bool { return p.tried.IsZero() && p.direct.IsZero() })
 }
 
-// dueBeat is the next beat where it is due. It takes the lock only for the time
-// of the last one: whoever keeps the records may be asking this package at the
-// same moment, and would wait for this one while this one waits for it.
-func (g *Gossiper) dueBeat(now time.Time) *beat {
-	g.mu.Lock()
-	due := now.Sub(g.beatAt) >= beatEvery
-	if due {
-		g.beatAt = now
-	}
-	g.mu.Unlock()
-	if !due {
-		return nil
-	}
-	ends := g.ends()
-	b := &beat{Zone: g.me.Zone, Power: float32(g.me.Power), Ends: make(map[string]int64, len(ends)), Ages: make(map[string]int64, len(ends))}
-	for stream, end := range ends {
-		b.Ends[stream] = end.Offset
+func wireStreams(now time.Time, ends map[string]End) []wireStream {
+	var streams []wireStream
+	for name, end := range ends {
+		w := wireStream{Name: name, End: end.Offset, Age: unconfirmed, Failing: end.Failing}
 		if !end.AsOf.IsZero() {
-			b.Ages[stream] = now.Sub(end.AsOf).Milliseconds()
-		}
-		if end.Failing {
-			b.Failing = append(b.Failing, stream)
+			w.Age = now.Sub(end.AsOf).Milliseconds()
 		}
+		streams = append(streams, w)
 	}
-	return b
+	return streams
 }
 
 func (g *Gossiper) message() message {
 	g.seq++
-	return message{VM: g.me.VM, Boot: g.boot, Seq: g.seq, Leaving: g.me.Leaving}
+	return message{VM: g.me.VM, Boot: g.boot, Seq: g.seq, Zone: g.me.Zone, Power: float32(g.me.Power), Leaving: g.me.Leaving}
 }
 
+// send sends a message to the peers that are chosen, rarely to those that have
+// long been silent.
 func (g *Gossiper) send(now time.Time, m message, to func(*peer) bool) {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		g.log.Error().Err(err).Msg("a message to peers was not encoded")
-		return
-	}
+	var data []byte
 	for address, p := range g.peers {
 		if !to(p) {
 			continue
 		}
-		if quiet := now.Sub(latest(p.heard, p.known)); quiet > g.quietFor(p) {
+		if quiet := now.Sub(latest(p.heard, p.known)); quiet > g.quietFor(p, now) {
 			if quiet > forgotten {
 				delete(g.peers, address)
+				delete(g.named, digest(p.VM))
 				continue
 			}
 			if now.Sub(p.tried) < rareEvery {
 				continue
 			}
 		}
+		if data == nil {
+			var err error
+			if data, err = cbor.Marshal(m); err != nil {
+				g.log.Error().Err(err).Msg("a message to peers was not encoded")
+				return
+			}
+		}
 		p.tried = now
 		if err := g.sender.Send(address, data); err != nil {
 			g.log.Debug().Str("peer", address.String()).Err(err).Msg("datagram not sent")
@@ -213,6 +224,8 @@
 	return b
 }
 
+func everybody(*peer) bool { return true }
+
 // Leave tells the others that this VM is about to stop, and leads nobody.
 func (g *Gossiper) Leave() {
 	g.mu.Lock()
@@ -229,3 +242,13 @@
 	m.Bye = true
 	g.send(g.now(), m, everybody)
 }
+
+// sorted are the addresses of all peers in their order.
+func (g *Gossiper) sorted() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(g.peers))
+	for address := range g.peers {
+		all = append(all, address)
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return all
+}
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/heathervane/heathervane/entry/process/allocator"
 )
 
@@ -15,13 +13,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if g.members != nil && now.Sub(g.membersAt) < beatEvery {
+	if g.members != nil && now.Sub(g.membersAt) < BeatEvery {
 		return g.members
 	}
 	members := make([]allocator.Member, 0, len(g.peers))
 	for _, p := range g.peers {
-		if p.vm != "" && now.Sub(p.heard) <= g.quietFor(p) {
-			members = append(members, allocator.Member{VM: p.vm, Address: p.address, Zone: p.zone, Power: p.power, Leaving: p.leaving})
+		if now.Sub(p.heard) <= g.quietFor(p, now) {
+			members = append(members, p.Member)
 		}
 	}
 	g.members, g.membersAt = members, now
@@ -33,16 +31,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if now.Sub(g.vmsAt) < beatEvery && g.vms != nil {
+	if now.Sub(g.vmsAt) < BeatEvery && g.vms != nil {
 		return g.vms
 	}
+	settles := now.Sub(g.began) < settling
 	vms := []string{g.me.VM}
 	for _, p := range g.peers {
-		if p.vm != "" && now.Sub(p.heard) <= goneAfter {
-			vms = append(vms, p.vm)
+		if settles || now.Sub(p.heard) <= goneAfter+g.quietFor(p, now)-silent {
+			vms = append(vms, p.VM)
 		}
 	}
-	for i := len(vms); now.Sub(g.began) < settling && i < assumed; i++ {
+	for i := len(vms); settles && i < assumed; i++ {
 		vms = append(vms, "\xffassumed"+string(rune('a'+i)))
 	}
 	slices.Sort(vms)
@@ -65,86 +64,61 @@
 // others of its zone: VMs that start together are all there in a third of that.
 const meeting = time.Second
 
-// Reads says that this VM reads a stream from the platform for the others of its
-// zone: the one that ranks first for it of those that can be heard and whose own
-// last reading did not fail. A process that has not heard of the others yet
-// reads for itself.
-func (g *Gossiper) Reads(stream string) bool {
+// Reads says that this VM reads the streams from the platform for the others of
+// its zone: the first of those that relay. A process that has not heard of the
+// others yet reads for itself.
+func (g *Gossiper) Reads(string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	if now.Sub(g.began) < meeting {
 		return true
 	}
-	mine := rank(stream, g.me.VM)
-	for _, p := range g.peers {
-		if p.zone == g.me.Zone && now.Sub(p.heard) <= g.quietFor(p) && !p.failing[stream] && rank(stream, p.vm) < mine {
-			return false
-		}
-	}
-	return true
+	return g.first(now)[g.me.Zone][0].Address == g.me.Address
 }
 
-func rank(stream, vm string) uint64 { return xxhash.Sum64String(stream + "\x00" + vm) }
-
 // Confirmed is when the platform last confirmed, to a VM that can be heard, that
 // a stream went no further than an offset.
-func (g *Gossiper) Confirmed(stream string, offset int64) time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	var asOf time.Time
-	for _, p := range g.peers {
-		if now.Sub(p.heard) <= g.quietFor(p) && p.ends[stream] <= offset && p.asOf[stream].After(asOf) {
-			asOf = p.asOf[stream]
+func (g *Gossiper) Confirmed(stream string, offset int64) (asOf time.Time) {
+	g.readings(stream, func(_ *peer, r reading) {
+		if r.end <= offset {
+			asOf = latest(asOf, r.asOf)
 		}
-	}
+	})
 	return asOf
 }
 
 // Answered is when the platform last confirmed any offset of a stream to a VM that
 // can be heard.
-func (g *Gossiper) Answered(stream string) time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	var at time.Time
-	for _, p := range g.peers {
-		if now.Sub(p.heard) <= g.quietFor(p) {
-			at = latest(at, p.asOf[stream])
-		}
-	}
+func (g *Gossiper) Answered(stream string) (at time.Time) {
+	g.readings(stream, func(_ *peer, r reading) { at = latest(at, r.asOf) })
 	return at
 }
 
 // Ahead is the VM that has read most of a stream beyond an offset, among those
 // that can be heard; one of this zone where there is any, as bytes between zones
 // are dear.
-func (g *Gossiper) Ahead(stream string, than int64) (netip.AddrPort, bool) {
+func (g *Gossiper) Ahead(stream string, than int64) (at netip.AddrPort, ok bool) {
+	var best int64
+	near := false
+	g.readings(stream, func(p *peer, r reading) {
+		here := p.Zone == g.me.Zone
+		if r.end <= than || (near && !here) || (near == here && r.end <= best) {
+			return
+		}
+		at, ok, best, near = p.Address, true, r.end, here
+	})
+	return at, ok
+}
+
+// readings gives the readings of a stream by VMs that can be heard.
+func (g *Gossiper) readings(stream string, give func(*peer, reading)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	var best *peer
 	for _, p := range g.peers {
-		if now.Sub(p.heard) > g.quietFor(p) || p.ends[stream] <= than {
-			continue
-		}
-		if best == nil || p.near(g.me.Zone, stream) > best.near(g.me.Zone, stream) {
-			best = p
+		if r, ok := p.streams[stream]; ok && now.Sub(p.heard) <= g.quietFor(p, now) {
+			give(p, r)
 		}
 	}
-	if best == nil {
-		return netip.AddrPort{}, false
-	}
-	return best.address, true
-}
-
-// near orders peers to read from: those of a zone first, then by how far they
-// have read.
-func (p *peer) near(zone, stream string) float64 {
-	const zoneFirst = 1e15
-	if p.zone == zone {
-		return zoneFirst + float64(p.ends[stream])
-	}
-	return float64(p.ends[stream])
 }
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -5,26 +5,54 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/heathervane/heathervane/entry/process/allocator"
 )
 
 // A peer is another VM.
 type peer struct {
-	vm      string
-	boot    int64
-	address netip.AddrPort
-	heard   time.Time
-	known   time.Time
-	tried   time.Time
-	ends    map[string]int64
-	// asOf is when the platform confirmed ends, by this VM's clock.
-	asOf map[string]time.Time
-	// failing are the streams that the platform does not let it read.
-	failing map[string]bool
-	zone    string
-	power   float64
-	leaving bool
+	allocator.Member
+	boot int64
+	// heard is when it last lived, as far as is known, and direct when it last
+	// spoke to this VM itself.
+	heard, direct time.Time
+	known         time.Time
+	tried         time.Time
+	// changed is when something became known of it that others may not know.
+	changed time.Time
 	seq     uint64
-	beatSeq uint64
+	streams map[string]reading
+}
+
+// A reading is how far a VM has read a stream.
+type reading struct {
+	end int64
+	// asOf is when the platform confirmed the end to it, by this VM's clock.
+	asOf    time.Time
+	failing bool
+}
+
+// failing says that the platform does not let it read.
+func (p *peer) failing() bool {
+	for _, r := range p.streams {
+		if r.failing {
+			return true
+		}
+	}
+	return false
+}
+
+// read notes how far the VM has read a stream.
+func (p *peer) read(now time.Time, w wireStream) {
+	r := p.streams[w.Name]
+	r.failing = w.Failing
+	if w.End >= r.end {
+		r.end = w.End
+		if at := now.Add(-time.Duration(w.Age) * time.Millisecond); w.Age != unconfirmed && at.After(r.asOf) {
+			r.asOf = at
+		}
+	}
+	p.streams[w.Name] = r
 }
 
 // Receive takes a datagram in.
@@ -36,55 +64,46 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.meet(from)
-	if p == nil || (m.VM == p.vm && m.Boot < p.boot) {
+	p := g.meet(allocator.Member{VM: m.VM, Address: from, Zone: m.Zone, Power: float64(m.Power)})
+	if p == nil || m.Boot < p.boot {
 		return
 	}
 	now := g.now()
-	if m.VM != p.vm || m.Boot != p.boot {
+	if m.Boot != p.boot {
 		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
-		p.vm, p.boot, p.seq, p.beatSeq = m.VM, m.Boot, 0, 0
-		g.members = nil
-		clear(p.ends)
-		clear(p.asOf)
-	} else if now.Sub(p.heard) > g.quietFor(p) {
+		p.boot, p.seq, p.changed, g.members = m.Boot, 0, now, nil
+		clear(p.streams)
+	} else if now.Sub(p.heard) > g.quietFor(p, now) {
 		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
+		p.changed, g.members = now, nil
 	}
-	p.heard = now
+	p.heard, p.direct = now, now
 	if m.Bye {
-		p.heard = now.Add(-goneAfter)
-		g.members = nil
+		p.heard, p.direct = now.Add(-goneAfter-2*told), time.Time{}
+		p.known, g.members = p.heard, nil
 		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
 		return
 	}
-	if m.Seq > p.seq {
-		p.seq = m.Seq
-		if p.leaving != m.Leaving {
-			p.leaving, g.members = m.Leaving, nil
-		}
+	if m.Seq <= p.seq {
+		return
 	}
-	if m.Beat != nil {
-		g.heed(now, p, m.Seq, m.Beat)
+	p.seq = m.Seq
+	if p.Leaving != m.Leaving {
+		p.Leaving, p.changed, g.members = m.Leaving, now, nil
 	}
-}
-
-// heed takes in what a VM tells with each beat.
-func (g *Gossiper) heed(now time.Time, p *peer, seq uint64, b *beat) {
-	p.zone, p.power = b.Zone, float64(b.Power)
-	for stream, end := range b.Ends {
-		if end < p.ends[stream] {
-			continue
-		}
-		p.ends[stream] = end
-		if age, ok := b.Ages[stream]; ok {
-			p.asOf[stream] = now.Add(-time.Duration(age) * time.Millisecond)
-		}
+	p.Zone, p.Power = m.Zone, float64(m.Power)
+	for name, r := range p.streams {
+		r.failing = false
+		p.streams[name] = r
+	}
+	for _, w := range m.Streams {
+		p.read(now, w)
 	}
-	if seq >= p.beatSeq {
-		p.beatSeq = seq
-		clear(p.failing)
-		for _, stream := range b.Failing {
-			p.failing[stream] = true
+	for i := range m.Peers {
+		if o, ok := m.Peers[i].member(); ok {
+			g.meet(o)
 		}
 	}
+	g.heedAlive(now, m.Alive)
+	g.heedFar(now, m.Far)
 }
--- /dev/null
+++ b/entry/process/gossiper/relay.go
@@ -0,0 +1,147 @@
+package gossiper
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/allocator"
+)
+
+// first are the VMs that relay for each zone: the first of those that live and
+// that the platform serves. This VM itself counts in any case: what it knows of the
+// platform is its own last reading, and one that never read again for that would
+// never learn that it is served again.
+func (g *Gossiper) first(now time.Time) map[string][]allocator.Member {
+	found := map[string][]allocator.Member{g.me.Zone: {g.me}}
+	for _, p := range g.peers {
+		if !p.Leaving && !p.failing() && now.Sub(latest(p.heard, p.known)) <= g.quietFor(p, now) {
+			found[p.Zone] = rank(found[p.Zone], p.Member)
+		}
+	}
+	return found
+}
+
+// rank puts a VM among the first of its zone, where it belongs there.
+func rank(first []allocator.Member, m allocator.Member) []allocator.Member {
+	at := len(first)
+	for at > 0 && m.Before(&first[at-1], allocator.Group{Zone: m.Zone}) {
+		at--
+	}
+	first = slices.Insert(first, at, m)
+	return first[:min(len(first), relays)]
+}
+
+// quietFor is for how long a VM that lives may be silent. One that does not speak
+// to this VM itself is heard of later.
+func (g *Gossiper) quietFor(p *peer, now time.Time) time.Duration {
+	switch {
+	case now.Sub(p.direct) <= 2*silent:
+		return silent
+	case p.Zone == g.me.Zone:
+		return silent + told
+	}
+	return silent + 2*told
+}
+
+// alive is how long ago VMs of a zone were heard, of all zones where it is empty.
+func (g *Gossiper) alive(now time.Time, zone string) []byte {
+	var data []byte
+	for _, p := range g.peers {
+		age := now.Sub(p.heard) / ageUnit
+		if p.VM == "" || age > mostAge || (zone != "" && p.Zone != zone) {
+			continue
+		}
+		data = append(binary.BigEndian.AppendUint32(data, digest(p.VM)), byte(age))
+	}
+	return data
+}
+
+// heedAlive takes in what a relay has heard of VMs.
+func (g *Gossiper) heedAlive(now time.Time, data []byte) {
+	for ; len(data) >= aliveSize; data = data[aliveSize:] {
+		p, ok := g.named[binary.BigEndian.Uint32(data)]
+		if !ok {
+			continue
+		}
+		if at := now.Add(-time.Duration(data[digestSize]) * ageUnit); at.After(p.heard) {
+			p.heard = at
+		}
+	}
+}
+
+const (
+	// someNew and someOld are how many VMs a relay tells of in full at a time, and
+	// fresh how long a VM counts as new.
+	someNew = 8
+	someOld = 4
+	fresh   = 4 * time.Second
+)
+
+// some are VMs that others may not know yet, and some of the rest in turn.
+func (g *Gossiper) some(now time.Time) []wirePeer {
+	var found []wirePeer
+	all := g.sorted()
+	for _, at := range all {
+		if p := g.peers[at]; len(found) < someNew && !p.heard.IsZero() && now.Sub(p.changed) <= fresh {
+			found = append(found, p.wire())
+		}
+	}
+	start := 0
+	for start < len(all) && all[start].Compare(g.rolled) <= 0 {
+		start++
+	}
+	for i := range min(someOld, len(all)) {
+		at := all[(start+i)%len(all)]
+		g.rolled = at
+		if p := g.peers[at]; !p.heard.IsZero() {
+			found = append(found, p.wire())
+		}
+	}
+	return found
+}
+
+func (p *peer) wire() wirePeer {
+	return wirePeer{VM: p.VM, Address: p.Address.String(), Zone: p.Zone, Power: float32(p.Power), Leaving: p.Leaving}
+}
+
+// farReadings are the freshest readings of each stream that this VM has heard of
+// from another zone itself. What others have heard is not told on: with each VM
+// that it passed it would seem younger by the time on its way, and VMs that all
+// hear nothing would keep one another sure.
+func (g *Gossiper) farReadings(now time.Time) []wireFar {
+	best := make(map[string]wireFar)
+	for _, p := range g.peers {
+		if p.Zone == g.me.Zone || now.Sub(p.direct) > silent {
+			continue
+		}
+		for name, r := range p.streams {
+			if r.asOf.IsZero() {
+				continue
+			}
+			age := now.Sub(r.asOf).Milliseconds()
+			if b, ok := best[name]; !ok || age < b.Age {
+				best[name] = wireFar{Address: p.Address.String(), Name: name, End: r.end, Age: age}
+			}
+		}
+	}
+	var found []wireFar
+	for _, w := range best {
+		found = append(found, w)
+	}
+	return found
+}
+
+// heedFar takes in what a relay has heard from another zone.
+func (g *Gossiper) heedFar(now time.Time, all []wireFar) {
+	for _, w := range all {
+		address, err := netip.ParseAddrPort(w.Address)
+		if err != nil {
+			continue
+		}
+		if p, ok := g.peers[address]; ok {
+			p.read(now, wireStream{Name: w.Name, End: w.End, Age: w.Age, Failing: p.streams[w.Name].failing})
+		}
+	}
+}
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -177,12 +177,12 @@
 		if r.Dropped {
 			continue
 		}
-		address, err := v.platform.Peer(r)
+		m, err := v.platform.Peer(r)
 		if err != nil {
-			v.log.Warn().Str("key", r.Key).Err(err).Msg("address of a VM not understood")
+			v.log.Warn().Str("key", r.Key).Err(err).Msg("record of a VM not understood")
 			continue
 		}
-		v.gossiper.Meet(address)
+		v.gossiper.Meet(m)
 	}
 }
 
@@ -190,7 +190,7 @@
 func (v *Process) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		short, cancel := context.WithTimeout(ctx, announceTime)
-		err := v.platform.Announce(short, v.settings.Load().VM, v.address())
+		err := v.platform.Announce(short, v.me)
 		cancel()
 		if err == nil {
 			return
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -42,13 +42,12 @@
 )
 
 const (
-	// step is how finely the timer service keeps time: each step wakes the
-	// process.
-	step = allocator.TickEvery
+	// step is how finely the timer service keeps time.
+	step = 5 * time.Millisecond
 	// watchEvery is how often the copies of the platform's records are compared
-	// with what the platform has told others: a part of the quarter of a second
-	// in which these say so.
-	watchEvery = 100 * time.Millisecond
+	// with what the platform has told others: a part of the time in which these
+	// say so.
+	watchEvery = gossiper.BeatEvery / 2
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = time.Second
 	// bodyShare is the part of the VM's memory that request bodies may take.
@@ -107,13 +106,13 @@
 	syncer.Source
 	reserver.Orderer
 	relayer.Dialect
-	// Announce records this VM's address for the other VMs.
-	Announce(ctx context.Context, vm string, address netip.AddrPort) error
+	// Announce records this VM for the other VMs.
+	Announce(ctx context.Context, m allocator.Member) error
 	// Change, Upstream and Peer read records of the three streams. Errors name
 	// what could not be read; such a record changes nothing.
 	Change(r replicator.Record) (Change, error)
 	Upstream(r replicator.Record) (tracker.Upstream, error)
-	Peer(r replicator.Record) (netip.AddrPort, error)
+	Peer(r replicator.Record) (allocator.Member, error)
 }
 
 // A Process is one VM's process.
@@ -122,6 +121,7 @@
 	platform Platform
 	log      zerolog.Logger
 	boot     int64
+	me       allocator.Member
 
 	meter     *meter.Meter
 	ticker    *ticker.Ticker
@@ -168,9 +168,10 @@
 		return nil, err
 	}
 	me := allocator.Member{VM: s.VM, Address: self, Zone: s.Zone, Power: s.Power}
+	v.me = me
 	v.gossiper = gossiper.New(me, v.boot, sender{v.datagrams}, v.ends, time.Now, log)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
-		Tracker: v.tracker, Sender: sender{v.datagrams}, Meter: v.meter, Members: v.gossiper.Members,
+		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members,
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
 	})
 	v.budget = newBudget(v)
@@ -238,10 +239,9 @@
 }
 
 func (v *Process) background(ctx context.Context, parts *sync.WaitGroup) {
-	v.ticker.Subscribe(allocator.TickEvery, v.allocator.Tick)
 	v.ticker.Subscribe(sweepEvery, func(time.Time) { v.carrier.Sweep() })
-	v.ticker.Subscribe(beatEvery, v.gossiper.Tick)
-	v.ticker.Subscribe(beatEvery, v.expire)
+	v.ticker.Subscribe(gossiper.BeatEvery, v.gossiper.Tick)
+	v.ticker.Subscribe(gossiper.BeatEvery, v.expire)
 	v.ticker.Subscribe(watchEvery, func(time.Time) { v.watch() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.announce} {
 		parts.Go(func() { run(ctx) })
--- a/entry/process/joiner/peers.go
+++ b/entry/process/joiner/peers.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// beatEvery is how often the gossiper is asked what is due.
-	beatEvery = 250 * time.Millisecond
 	// mostDatagram is the longest datagram read, and mostRecords the longest
 	// reading of a peer's records, in bytes.
 	mostDatagram = 64 << 10
--- a/entry/process/joiner/sides.go
+++ b/entry/process/joiner/sides.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 )
 
@@ -42,10 +41,6 @@
 	return err
 }
 
-func (v *Process) address() netip.AddrPort {
-	return v.datagrams.LocalAddr().(*net.UDPAddr).AddrPort() //nolint:forcetypeassert // a UDP socket's address
-}
-
 func (v *Process) close() {
 	v.gossiper.Bye()
 	for _, c := range []interface{ Close() error }{v.ready, v.records, v.metrics, v.datagrams} {
--- a/library/ticker/ticker.go
+++ b/library/ticker/ticker.go
@@ -14,6 +14,8 @@
 type Ticker struct {
 	now  func() time.Time
 	step time.Duration
+	// woken has Run look again at when the next subscriber is due.
+	woken chan struct{}
 
 	mu   sync.Mutex
 	subs []*subscriber
@@ -25,10 +27,11 @@
 	call  func(time.Time)
 }
 
-// New returns a Ticker that reads the time from now and looks for due
-// subscribers every step.
+// New returns a Ticker that reads the time from now. It sleeps until a subscriber is
+// due, at least a step: those that are due within a step are called together, as
+// each call wakes the process.
 func New(now func() time.Time, step time.Duration) *Ticker {
-	return &Ticker{now: now, step: step}
+	return &Ticker{now: now, step: step, woken: make(chan struct{}, 1)}
 }
 
 // Now is the current time.
@@ -42,6 +45,10 @@
 	t.mu.Lock()
 	t.subs = append(t.subs, s)
 	t.mu.Unlock()
+	select {
+	case t.woken <- struct{}{}:
+	default:
+	}
 	return func() {
 		t.mu.Lock()
 		t.subs = slices.DeleteFunc(t.subs, func(o *subscriber) bool { return o == s })
@@ -75,14 +82,33 @@
 
 // Run ticks until the context ends.
 func (t *Ticker) Run(ctx context.Context) {
-	c := time.NewTicker(t.step)
-	defer c.Stop()
+	timer := time.NewTimer(t.wait())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.C:
+		case <-timer.C:
 			t.Tick()
+		case <-t.woken:
+		}
+		timer.Reset(t.wait())
+	}
+}
+
+// idle is how long a Ticker without subscribers sleeps.
+const idle = time.Second
+
+// wait is how long to sleep until the next subscriber is due.
+func (t *Ticker) wait() time.Duration {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := now.Add(idle)
+	for _, s := range t.subs {
+		if s.next.Before(next) {
+			next = s.next
 		}
 	}
+	return max(t.step, next.Sub(now))
 }
