Have few VMs call the store, and none for what changes nothing

Ruled out: asking the store less often (what leaves must get nothing after 2 s).

Change: a VM records itself once, and not again after a restart; VMs that start together record themselves before they read who there is. The first VM of a zone that lives and is served reads; two more do where it has nothing fresh; the rest only where the platform is known to answer others. Where it refuses all of a zone they try one after the other. Retries have jitter. VMs tell the end of what mattered, and at once when there is news.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -30,6 +30,8 @@
 	// and rollEvery how often relays tell which VMs live.
 	BeatEvery = 250 * time.Millisecond
 	rollEvery = time.Second
+	// soonest is the least time between two beats.
+	soonest = 50 * time.Millisecond
 	// relays is how many VMs of a zone relay: when one dies the other goes on.
 	relays = 2
 	// silent is after how long without a word a VM is not asked for anything, and
@@ -72,6 +74,8 @@
 	named  map[uint32]*peer
 	beatAt time.Time
 	rollAt time.Time
+	// refusedAt is when the platform last did not let this VM read.
+	refusedAt time.Time
 	// rolled is the address of the last peer that was told of in full.
 	rolled netip.AddrPort
 	vms    []string
@@ -115,6 +119,15 @@
 	return p
 }
 
+// Hurry has the next Tick send: there is news that others wait for.
+func (g *Gossiper) Hurry() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.now().Sub(g.beatAt) >= soonest {
+		g.beatAt = time.Time{}
+	}
+}
+
 // Tick sends what is due. It reads the streams' ends without the lock: whoever
 // keeps the records may be asking this package at the same moment, and would wait
 // for this one while this one waits for it.
@@ -137,6 +150,11 @@
 func (g *Gossiper) beat(now time.Time, ends map[string]End) {
 	m := g.message()
 	m.Streams = wireStreams(now, ends)
+	for _, end := range ends {
+		if end.Failing {
+			g.refusedAt = now
+		}
+	}
 	g.greet(now, m)
 	first := g.first(now)
 	if !names(first[g.me.Zone], g.me.Address) {
@@ -145,7 +163,7 @@
 	}
 	roll := now.Sub(g.rollAt) >= rollEvery
 	far := m
-	m.Far = g.farReadings(now)
+	m.Far, m.Refused = g.farReadings(now), g.refused(now)
 	if roll {
 		g.rollAt = now
 		m.Alive, m.Peers = g.alive(now, ""), g.some(now)
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -178,7 +178,7 @@
 	var all []*gossiper.Gossiper
 	for i := range 5 {
 		g := n.add(byte(1+i), 1, nil)
-		assert.Assert(t, g.Reads("s"), "it has heard of nobody")
+		assert.Assert(t, g.Duty() == gossiper.Reads, "it has heard of nobody")
 		g.Meet(n.member(1))
 		g.Meet(n.member(2))
 		all = append(all, g)
@@ -194,7 +194,7 @@
 	n.run(4 * time.Second)
 	reader := -1
 	for i, g := range all {
-		if g.Reads("s") {
+		if g.Duty() == gossiper.Reads {
 			assert.Equal(t, reader, -1, "two read")
 			reader = i
 		}
@@ -204,7 +204,7 @@
 	n.run(2 * time.Second)
 	readers := 0
 	for i, g := range all {
-		if i != reader && g.Reads("s") {
+		if i != reader && g.Duty() == gossiper.Reads {
 			readers++
 		}
 	}
@@ -220,18 +220,18 @@
 	all[0].Meet(n.member(2))
 	n.run(1200 * time.Millisecond)
 	reader := 0
-	if all[1].Reads("s") {
+	if all[1].Duty() == gossiper.Reads {
 		reader = 1
 	}
-	assert.Assert(t, all[reader].Reads("s") && !all[1-reader].Reads("s"))
+	assert.Assert(t, all[reader].Duty() == gossiper.Reads && all[1-reader].Duty() != gossiper.Reads)
 	ends := n.ends[address(byte(1+reader))]
 	ends["s"] = gossiper.End{Failing: true}
 	n.run(300 * time.Millisecond)
-	assert.Assert(t, all[1-reader].Reads("s"))
-	assert.Assert(t, all[reader].Reads("s"), "it has to learn that it is served again")
+	assert.Assert(t, all[1-reader].Duty() == gossiper.Reads)
+	assert.Assert(t, all[reader].Duty() == gossiper.Reads, "it has to learn that it is served again")
 	delete(ends, "s")
 	n.run(300 * time.Millisecond)
-	assert.Assert(t, !all[1-reader].Reads("s"))
+	assert.Assert(t, all[1-reader].Duty() != gossiper.Reads)
 }
 
 // What a peer confirms holds for whoever has read as far, and is as old as it
@@ -311,7 +311,7 @@
 	dead := map[int]bool{}
 	for range 2 {
 		for i, g := range all[:each] {
-			if !dead[i] && g.Reads("s") {
+			if !dead[i] && g.Duty() == gossiper.Reads {
 				dead[i] = true
 				delete(n.nodes, address(byte(1+i)))
 			}
@@ -326,7 +326,7 @@
 			continue
 		}
 		assert.Equal(t, len(g.Members()), zones*each-3, "VM %d", i)
-		if i < each && g.Reads("s") {
+		if i < each && g.Duty() == gossiper.Reads {
 			readers++
 		}
 	}
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -60,23 +60,6 @@
 	Failing bool
 }
 
-// meeting is how long a new process reads for itself, until it has heard of the
-// others of its zone: VMs that start together are all there in a third of that.
-const meeting = time.Second
-
-// Reads says that this VM reads the streams from the platform for the others of
-// its zone: the first of those that relay. A process that has not heard of the
-// others yet reads for itself.
-func (g *Gossiper) Reads(string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.now()
-	if now.Sub(g.began) < meeting {
-		return true
-	}
-	return g.first(now)[g.me.Zone][0].Address == g.me.Address
-}
-
 // Confirmed is when the platform last confirmed, to a VM that can be heard, that
 // a stream went no further than an offset.
 func (g *Gossiper) Confirmed(stream string, offset int64) (asOf time.Time) {
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -26,6 +26,9 @@
 	// Far is the freshest reading of each stream that it has heard of directly
 	// from another zone.
 	Far []wireFar `cbor:"9,keyasint,omitempty"`
+	// Refused are the digests of VMs of the sender's zone that the platform does
+	// not let read.
+	Refused []uint32 `cbor:"12,keyasint,omitempty"`
 	// Alive is how long ago VMs were heard, as digests and ages one after the
 	// other; Peers are some of them in full.
 	Alive []byte     `cbor:"10,keyasint,omitempty"`
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -22,30 +22,20 @@
 	changed time.Time
 	seq     uint64
 	streams map[string]reading
+	// refused is when it was last heard of that the platform does not let it read.
+	refused time.Time
 }
 
 // A reading is how far a VM has read a stream.
 type reading struct {
 	end int64
 	// asOf is when the platform confirmed the end to it, by this VM's clock.
-	asOf    time.Time
-	failing bool
-}
-
-// failing says that the platform does not let it read.
-func (p *peer) failing() bool {
-	for _, r := range p.streams {
-		if r.failing {
-			return true
-		}
-	}
-	return false
+	asOf time.Time
 }
 
 // read notes how far the VM has read a stream.
 func (p *peer) read(now time.Time, w wireStream) {
 	r := p.streams[w.Name]
-	r.failing = w.Failing
 	if w.End >= r.end {
 		r.end = w.End
 		if at := now.Add(-time.Duration(w.Age) * time.Millisecond); w.Age != unconfirmed && at.After(r.asOf) {
@@ -92,12 +82,17 @@
 		p.Leaving, p.changed, g.members = m.Leaving, now, nil
 	}
 	p.Zone, p.Power = m.Zone, float64(m.Power)
-	for name, r := range p.streams {
-		r.failing = false
-		p.streams[name] = r
-	}
+	p.refused = time.Time{}
 	for _, w := range m.Streams {
 		p.read(now, w)
+		if w.Failing {
+			p.refused = now
+		}
+	}
+	for _, d := range m.Refused {
+		if o, ok := g.named[d]; ok {
+			o.refused = now
+		}
 	}
 	for i := range m.Peers {
 		if o, ok := m.Peers[i].member(); ok {
--- a/entry/process/gossiper/relay.go
+++ b/entry/process/gossiper/relay.go
@@ -9,20 +9,88 @@
 	"github.com/heathervane/heathervane/entry/process/allocator"
 )
 
-// first are the VMs that relay for each zone: the first of those that live and
-// that the platform serves. This VM itself counts in any case: what it knows of the
-// platform is its own last reading, and one that never read again for that would
-// never learn that it is served again.
+// first are the VMs that relay for each zone: the first of those that live.
 func (g *Gossiper) first(now time.Time) map[string][]allocator.Member {
 	found := map[string][]allocator.Member{g.me.Zone: {g.me}}
 	for _, p := range g.peers {
-		if !p.Leaving && !p.failing() && now.Sub(latest(p.heard, p.known)) <= g.quietFor(p, now) {
+		if !p.Leaving && g.lives(now, p) {
 			found[p.Zone] = rank(found[p.Zone], p.Member)
 		}
 	}
 	return found
 }
 
+// lives says that a VM lives, as far as is known. One that is known by name only
+// is given the time of one that has just been heard.
+func (g *Gossiper) lives(now time.Time, p *peer) bool {
+	return now.Sub(latest(p.heard, p.known)) <= g.quietFor(p, now)
+}
+
+// A Duty is what a VM does about the platform's records.
+type Duty int
+
+const (
+	// Follows is to take them from the VMs that read.
+	Follows Duty = iota
+	// StandsBy is to read where those have nothing fresh.
+	StandsBy
+	// Reads is to read for the zone.
+	Reads
+)
+
+// standBy is how many VMs of a zone read where the one that should has nothing
+// fresh. Were all to try that the platform refuses, or that is down, each of the
+// tries would be one more call that it has to refuse.
+const standBy = 3
+
+// Duty is this VM's: the first of its zone reads that lives and that the platform
+// serves, in the order in which VMs lead. Where it serves none of them, one after
+// the other tries.
+func (g *Gossiper) Duty() Duty {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	before, served := 0, 0
+	for _, p := range g.peers {
+		if p.Zone != g.me.Zone || p.Leaving || !g.lives(now, p) || !p.Before(&g.me, allocator.Group{Zone: g.me.Zone}) {
+			continue
+		}
+		before++
+		if now.Sub(p.refused) > refusedFor {
+			served++
+		}
+	}
+	switch {
+	case served == 0 && (before < standBy || !g.refusedLately(now)):
+		return Reads
+	case before < standBy:
+		return StandsBy
+	}
+	return Follows
+}
+
+// refusedFor is how long a VM counts as refused after the last word that it is.
+const refusedFor = time.Second
+
+// refusedLately says that the platform has refused this VM.
+func (g *Gossiper) refusedLately(now time.Time) bool {
+	return now.Sub(g.refusedAt) <= refusedAgain
+}
+
+// refusedAgain is how long a VM that was refused leaves it to others to try.
+const refusedAgain = 5 * time.Second
+
+// refused are the digests of the VMs of this zone that are refused.
+func (g *Gossiper) refused(now time.Time) []uint32 {
+	var found []uint32
+	for _, p := range g.peers {
+		if p.Zone == g.me.Zone && now.Sub(p.refused) <= refusedFor && now.Sub(p.direct) <= silent {
+			found = append(found, digest(p.VM))
+		}
+	}
+	return found
+}
+
 // rank puts a VM among the first of its zone, where it belongs there.
 func rank(first []allocator.Member, m allocator.Member) []allocator.Member {
 	at := len(first)
@@ -141,7 +209,7 @@
 			continue
 		}
 		if p, ok := g.peers[address]; ok {
-			p.read(now, wireStream{Name: w.Name, End: w.End, Age: w.Age, Failing: p.streams[w.Name].failing})
+			p.read(now, wireStream{Name: w.Name, End: w.End, Age: w.Age})
 		}
 	}
 }
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
@@ -34,8 +35,10 @@
 	// away: a peer's reading, its word of that and the fetch take another
 	// second.
 	staleAfter = 200 * time.Millisecond
-	// announceAgain is the wait after this VM's address could not be recorded.
+	// announceAgain is the wait after this VM could not be recorded, mostAgain its
+	// bound as it doubles: relays tell of it meanwhile.
 	announceAgain = 500 * time.Millisecond
+	mostAgain     = 8 * time.Second
 	// announceTime bounds that call.
 	announceTime = 2 * time.Second
 	// lapsedUse is how long an upstream is used on whose entry went while the
@@ -60,20 +63,30 @@
 	}
 }
 
+// ends tells how far this VM has read. What it has read since the last record that
+// mattered changes nothing for whoever has read as far as that: upstreams write all
+// the time that they live, and each VM would fetch that from the one that reads.
 func (v *Process) ends() map[string]gossiper.End {
 	ends := make(map[string]gossiper.End, len(v.syncers))
 	for _, s := range v.syncers {
 		c := v.copies[s.Stream()]
 		if end, _ := c.End(); end > 0 || s.Failing() {
-			ends[s.Stream()] = gossiper.End{Offset: end, AsOf: c.ReadAt(), Failing: s.Failing()}
+			ends[s.Stream()] = gossiper.End{Offset: v.marks[s.Stream()].Load(), AsOf: c.ReadAt(), Failing: s.Failing()}
 		}
 	}
 	return ends
 }
 
+// matters notes that a record changes what others have to know, and has them told.
+func (v *Process) matters(stream string, r replicator.Record) {
+	v.marks[stream].Store(max(v.marks[stream].Load(), r.Offset+1))
+	v.gossiper.Hurry()
+}
+
 // configure folds records of the configuration.
 func (v *Process) configure(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
+		v.matters(Configuration, r)
 		c, err := v.platform.Change(r)
 		if err != nil {
 			v.log.Error().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("configuration record not understood")
@@ -122,6 +135,7 @@
 	for _, r := range rs {
 		if r.Dropped {
 			if v.tracker.Remove(now, r.Key, lapsing) {
+				v.matters(Upstreams, r)
 				v.log.Info().Str("upstream", r.Key).Int64("offset", r.Offset).Bool("lapsed", lapsing).Dur("silence", gap).Msg("upstream gone from the list")
 			}
 			continue
@@ -130,9 +144,11 @@
 		if err != nil {
 			v.log.Warn().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("entry of an upstream not understood")
 			v.tracker.Remove(now, r.Key, false)
+			v.matters(Upstreams, r)
 			continue
 		}
 		if v.tracker.Put(now, u) {
+			v.matters(Upstreams, r)
 			v.log.Info().Str("upstream", u.ID).Str("service", u.Service).Str("zone", u.Zone).Str("address", u.Address).
 				Bool("draining", u.Draining).Dur("cold", u.Cold).Int64("born", u.Born).Int64("offset", r.Offset).Msg("upstream")
 		}
@@ -182,26 +198,76 @@
 			v.log.Warn().Str("key", r.Key).Err(err).Msg("record of a VM not understood")
 			continue
 		}
+		v.matters(VMs, r)
 		v.gossiper.Meet(m)
+		if m.VM == v.me.VM {
+			v.own.Store(&m)
+		}
+	}
+}
+
+const (
+	// together is how long VMs that start together take to record themselves.
+	together = 400 * time.Millisecond
+	// meeting is how long a process waits for the list of VMs before it reads the
+	// rest for itself.
+	meeting = 600 * time.Millisecond
+)
+
+// introduce reads the list of VMs and records this one there, unless an earlier run
+// of it has. Of VMs that start together each records itself first: read before, the
+// list would be empty, and each VM would read everything for itself.
+func (v *Process) introduce(ctx context.Context) {
+	defer close(v.met)
+	if v.settings.Load().Together {
+		v.announce(ctx)
+		wait(ctx, together)
 	}
+	short, cancel := context.WithTimeout(ctx, announceTime)
+	rs, end, err := v.platform.Newest(short, VMs)
+	cancel()
+	if err != nil {
+		v.log.Warn().Err(err).Msg("list of VMs not read")
+	} else {
+		v.copies[VMs].Complete(rs, end, time.Now())
+	}
+	if own := v.own.Load(); own == nil || *own != v.me {
+		go v.announce(ctx)
+	}
+}
+
+// follow keeps a stream, once it is known who reads it for others.
+func (v *Process) follow(ctx context.Context, s *syncer.Syncer) {
+	t := time.NewTimer(meeting)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-v.met:
+	}
+	s.Run(ctx)
 }
 
-// announce records this VM's address until that has been done.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// announce records this VM for the others until that has been done.
 func (v *Process) announce(ctx context.Context) {
-	for ctx.Err() == nil {
+	for again := announceAgain; ctx.Err() == nil; again = min(mostAgain, 2*again) {
 		short, cancel := context.WithTimeout(ctx, announceTime)
 		err := v.platform.Announce(short, v.me)
 		cancel()
 		if err == nil {
 			return
 		}
-		v.log.Warn().Err(err).Msg("this VM's address was not recorded")
-		t := time.NewTimer(announceAgain)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		v.log.Warn().Err(err).Msg("this VM was not recorded")
+		wait(ctx, again+rand.N(again))
 	}
 }
 
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -67,6 +67,8 @@
 	ReadyPath string
 	// Power is the part of a core that the VM has.
 	Power float64
+	// Together says that all VMs of the fleet start now, for the first time.
+	Together bool
 	// Memory is the VM's memory in bytes, Descriptors how many sockets the
 	// process may have open.
 	Memory      int64
@@ -135,6 +137,12 @@
 	syncers   []*syncer.Syncer
 	// listed says that a first list of upstreams has come.
 	listed atomic.Bool
+	// met is closed once the list of VMs has been read, marks are the ends of what
+	// mattered in each stream.
+	met chan struct{}
+	// own is this VM's record in the list of VMs; nil where it has none.
+	own    atomic.Pointer[allocator.Member]
+	marks  map[string]*atomic.Int64
 	copies map[string]*replicator.Copy
 
 	table   atomic.Pointer[matcher.Table]
@@ -152,7 +160,8 @@
 	v := &Process{
 		platform: p, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
 		ticker: ticker.New(time.Now, step), tracker: tracker.New(), carrier: carrier.New(time.Now),
-		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy),
+		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), met: make(chan struct{}),
+		marks: map[string]*atomic.Int64{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&s)
 	// No list is one that is too old.
@@ -243,11 +252,11 @@
 	v.ticker.Subscribe(gossiper.BeatEvery, v.gossiper.Tick)
 	v.ticker.Subscribe(gossiper.BeatEvery, v.expire)
 	v.ticker.Subscribe(watchEvery, func(time.Time) { v.watch() })
-	for _, run := range []func(context.Context){v.ticker.Run, v.announce} {
+	for _, run := range []func(context.Context){v.ticker.Run, v.introduce} {
 		parts.Go(func() { run(ctx) })
 	}
 	for _, s := range v.syncers {
-		parts.Go(func() { s.Run(ctx) })
+		parts.Go(func() { v.follow(ctx, s) })
 		parts.Go(func() { s.RunPeers(ctx) })
 	}
 	for _, run := range []func(){v.receive, v.acceptor.Run, v.serveReady, v.serveRecords, v.serveMetrics} {
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -8,12 +8,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
@@ -37,6 +39,11 @@
 	peerTime  = time.Second
 	// outage is after how long without a reading the platform counts as lost.
 	outage = 1500 * time.Millisecond
+	// failing is for how long a reading that failed counts.
+	failing = 2500 * time.Millisecond
+	// followSpare is how much older than stale the copy of a VM that follows may
+	// be while the platform answers others: what they read does not come here.
+	followSpare = 400 * time.Millisecond
 )
 
 // A Source is the platform.
@@ -51,8 +58,11 @@
 
 // Peers are the other VMs.
 type Peers interface {
-	// Reads says that this VM reads a stream from the platform for others.
-	Reads(stream string) bool
+	// Duty is whether this VM reads the platform for others.
+	Duty() gossiper.Duty
+	// Answered is when the platform last confirmed any offset of a stream to a
+	// VM that can be heard.
+	Answered(stream string) time.Time
 	// Confirmed is when a VM was last told that a stream went no further than
 	// an offset; zero where none was.
 	Confirmed(stream string, offset int64) time.Time
@@ -89,31 +99,38 @@
 	now    func() time.Time
 	log    zerolog.Logger
 	lost   bool
-	failed atomic.Bool
+	began  time.Time
+	// failed is when a reading last failed, in Unix milliseconds; 0 since one
+	// that did not.
+	failed atomic.Int64
 }
 
 // New returns a Syncer of one stream.
 func New(s Stream, source Source, p Peers, now func() time.Time, log zerolog.Logger) *Syncer {
 	return &Syncer{
-		stream: s, source: source, peers: p, now: now,
+		stream: s, source: source, peers: p, now: now, began: now(),
 		log: log.With().Str("stream", s.Name).Logger(),
 	}
 }
 
 // Run reads the platform until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
-	whole := true
 	wait := tryAgain
 	read := s.now()
+	// whole is set where the platform has forgotten what this VM has not read.
+	whole := false
 	for ctx.Err() == nil {
-		if !whole && s.served() {
+		if !s.due() {
 			read = s.now()
 			pause(ctx, peerEvery)
 			continue
 		}
-		err := s.read(ctx, whole)
-		s.failed.Store(err != nil && !errors.Is(err, ErrForgotten))
+		err := s.read(ctx, whole || !s.known())
 		now := s.now()
+		s.failed.Store(0)
+		if err != nil && !errors.Is(err, ErrForgotten) {
+			s.failed.Store(now.UnixMilli())
+		}
 		switch {
 		case err == nil:
 			if s.lost {
@@ -132,27 +149,50 @@
 			s.lost = true
 			s.log.Warn().Err(err).Dur("since", now.Sub(read)).Msg("platform does not answer")
 		}
-		pause(ctx, wait)
+		// VMs that failed together must not try again together.
+		pause(ctx, wait*3/4+rand.N(wait/2))
 		wait = min(mostWait, 2*wait)
 	}
 }
 
-// Failing says that the last reading of the platform failed. A VM that the
-// platform turns away must not go on reading for its zone.
-func (s *Syncer) Failing() bool { return s.failed.Load() }
+// Failing says that the last reading of the platform failed, a moment ago. A VM
+// that the platform turns away must not go on reading for its zone.
+func (s *Syncer) Failing() bool {
+	at := s.failed.Load()
+	return at != 0 && s.now().Sub(time.UnixMilli(at)) < failing
+}
 
 // Stream is the name of the stream.
 func (s *Syncer) Stream() string { return s.stream.Name }
 
-// served says that another VM reads for this one, and that its news are fresh.
-// Each reading is paid for, and the platform bears only so many: 91 VMs that each
-// read for themselves made 190 calls a second, and make 56 so.
-func (s *Syncer) served() bool {
-	if !s.stream.Shared || s.peers.Reads(s.stream.Name) {
-		return false
+// due says that this VM has to read the platform. Each reading is paid for, and the
+// platform bears only so many, so that one VM of a zone reads for the others. Where
+// it has nothing fresh, few others try; the rest do only where the platform is
+// known to answer others, whose news do not come here.
+func (s *Syncer) due() bool {
+	if !s.stream.Shared {
+		return true
+	}
+	end, asOf := s.stream.Copy.End()
+	if asOf.IsZero() {
+		asOf = s.began
 	}
-	_, asOf := s.stream.Copy.End()
-	return s.now().Sub(asOf) < s.stream.Stale
+	old := s.now().Sub(asOf) - s.stream.Stale
+	switch s.peers.Duty() {
+	case gossiper.Reads:
+		return true
+	case gossiper.StandsBy:
+		return old >= 0
+	case gossiper.Follows:
+	}
+	answered := s.now().Sub(s.peers.Answered(s.stream.Name)) < s.stream.Stale
+	return old >= followSpare && (answered || end == 0)
+}
+
+// known says that there are records from which a reading may go on.
+func (s *Syncer) known() bool {
+	end, _ := s.stream.Copy.End()
+	return end > 0
 }
 
 func (s *Syncer) read(ctx context.Context, whole bool) error {
@@ -200,7 +240,7 @@
 			behind = s.now()
 		}
 		overdue := s.stream.Behind > 0 && s.now().Sub(behind) >= s.stream.Behind
-		if s.now().Sub(asOf) < s.stream.Stale && !s.served() && !overdue {
+		if s.now().Sub(asOf) < s.stream.Stale && s.due() && !overdue {
 			continue
 		}
 		short, cancel := context.WithTimeout(ctx, peerTime)
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/syncer"
 )
@@ -64,17 +65,29 @@
 	records []replicator.Record
 	// serves says that they read for this VM, and confirm what it has.
 	serves *atomic.Bool
+	// duty is this VM's while they do; stale says that they confirm nothing, and
+	// answered when the platform last answered one of them.
+	duty     gossiper.Duty
+	stale    bool
+	answered time.Time
 }
 
-func (p peers) Reads(string) bool { return p.serves == nil || !p.serves.Load() }
+func (p peers) Duty() gossiper.Duty {
+	if p.serves == nil || !p.serves.Load() {
+		return gossiper.Reads
+	}
+	return p.duty
+}
 
 func (p peers) Confirmed(string, int64) time.Time {
-	if p.Reads("") {
+	if p.Duty() == gossiper.Reads || p.stale {
 		return time.Time{}
 	}
 	return time.Now()
 }
 
+func (p peers) Answered(string) time.Time { return p.answered }
+
 func (p peers) Ahead(_ string, than int64) (netip.AddrPort, bool) {
 	return netip.AddrPort{}, int64(len(p.records)) > than
 }
@@ -170,6 +183,36 @@
 	reaches(t, c, 3)
 }
 
+// The platform is down, and no VM has anything fresh. Were each of hundreds to try
+// again and again, it would have to refuse them all when it comes back. Those that
+// follow leave it to those that read, but for one to whom what others have read
+// does not come although the platform answers them.
+func TestFollowersDoNotTryADeadPlatform(t *testing.T) {
+	serves := &atomic.Bool{}
+	serves.Store(true)
+	for _, c := range []struct {
+		peers peers
+		reads bool
+	}{
+		{peers{duty: gossiper.Follows, stale: true}, false},
+		{peers{duty: gossiper.Follows, stale: true, answered: time.Now().Add(time.Hour)}, true},
+		{peers{duty: gossiper.StandsBy, stale: true}, true},
+		{peers{duty: gossiper.StandsBy}, false},
+	} {
+		serves.Store(false)
+		c.peers.serves = serves
+		p := &platform{records: []replicator.Record{record("a", 0)}}
+		reaches(t, start(t, p, c.peers), 1)
+		serves.Store(true)
+		time.Sleep(50 * time.Millisecond)
+		before, after := 0, 0
+		p.set(func() { before = p.reads })
+		time.Sleep(800 * time.Millisecond)
+		p.set(func() { after = p.reads })
+		assert.Equal(t, after > before, c.reads, "%+v", c.peers)
+	}
+}
+
 // forgetful does not answer a long reading when there is news.
 type forgetful struct{ platform }
 
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -92,7 +92,7 @@
 	delete(t.removed, u.ID)
 	old := s.Upstream
 	old.Cold, old.Sequence = u.Cold, u.Sequence
-	changed = changed || old != u || !s.lapsedAt.IsZero()
+	changed = changed || old != u || !s.lapsedAt.IsZero() || (u.Cold > 0) != now.Before(s.ColdUntil)
 	s.Upstream = u
 	s.lapsedAt = time.Time{}
 	if u.Cold > 0 {
