Let leaders look less often, know when they are cut off, and send on

In the emulator a leader that was mute, deaf or frozen for 3 s made 430 to 680 of 2,132 questions late: it took the others' engines for idle, read long prompts there, and who led in its place heard nothing of places that ended.

Change: a request that no engine can begin in time is looked at every 20 ms, others every 4 ms or when a place is free; upstreams are listed once a look. Engines that cannot be reached do not count as a group's room, what waits is sent on as well as what comes, and idle groups tell their room. Who leads in another's place says so, and is told by all for three seconds; a leader that no other VM has asked for a second collects again before it decides for them, and takes each engine for as busy as usual for itself; one that stood still collects again.

--- a/bench/emulate.go
+++ b/bench/emulate.go
@@ -16,6 +16,7 @@
 type emulation struct {
 	drawn int
 	seeds int
+	zones bool
 	out   string
 }
 
@@ -25,6 +26,7 @@
 	c.Description = "Play loads of known and drawn deployments against the decisions, without processes"
 	c.Int(&e.drawn, "", "drawn", "how many deployments are drawn besides the known ones (default: 10)")
 	c.Int(&e.seeds, "", "seeds", "how many loads of each are played (default: 3)")
+	c.Bool(&e.zones, "", "zones", "play a zone of a large fleet before 7, 39, 83 and 195 VMs instead, without and with leaders in trouble")
 	c.String(&e.out, "", "out", "folder for result.json and worth.svg (default: none are written)")
 	return c
 }
@@ -33,7 +35,14 @@
 	if e.drawn < 0 || e.seeds < 1 {
 		return errs.New("--drawn must not be negative, and --seeds must be at least 1")
 	}
-	results, err := emulator.RunAll(ctx, emulator.All(uint64(e.drawn)), uint64(e.seeds))
+	fleets := emulator.All(uint64(e.drawn))
+	if e.zones {
+		fleets = nil
+		for _, vms := range []int{7, 39, 83, 195} {
+			fleets = append(append(fleets, emulator.Zone(vms)), emulator.Troubled(vms)...)
+		}
+	}
+	results, err := emulator.RunAll(ctx, fleets, uint64(e.seeds))
 	if err != nil {
 		return err
 	}
--- a/bench/emulator/fault.go
+++ b/bench/emulator/fault.go
@@ -21,6 +21,15 @@
 	Deafens
 )
 
+// String names the trouble.
+func (t Trouble) String() string {
+	words := [...]string{"dies", "freezes", "slows", "is mute", "is deaf"}
+	if t < 0 || int(t) >= len(words) {
+		return "unknown"
+	}
+	return words[t]
+}
+
 // A Fault is a trouble of the VMs that lead: Count of them, the first by rank.
 type Fault struct {
 	Trouble Trouble
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -88,6 +88,46 @@
 	return all
 }
 
+// Zone is a zone's engines and load of a fleet of hundreds of VMs, before so many
+// of them.
+func Zone(vms int) Deployment {
+	const zones = 5
+	d := Deployment{
+		Name: fmt.Sprintf("zone-%d", vms), VMs: vms, Engines: 39, Lasts: 12 * second,
+		Figures: figures(10, 232_000, 68, 206, 0.138),
+		Kinds: []Kind{
+			{"question", 4960, 0.9, 23_800, 1500, 3750, 276.0 / zones, 2.2, 400 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.33},
+			{"brief", 45_000, 0.5, 110_000, 900, 2300, 21.8 / zones, 2.2, 1500 * millisecond, 600 * millisecond, 10 * second, 2.9, 0.73},
+			{"file", 190_000, 0.55, 600_000, 750, 1900, 10.4 / zones, 2.2, 3 * second, second, 15 * second, 18, 4.5},
+		},
+	}
+	for k := range d.Kinds {
+		d.Bursts = append(d.Bursts, Burst{k, 3 * second, 9 * second})
+	}
+	return d
+}
+
+// Troubled are a zone's loads with the VM that leads in trouble: dead, standing
+// still, slow, cut in one direction or the other, and two of them dead at once.
+func Troubled(vms int) []Deployment {
+	var all []Deployment
+	for _, f := range []Fault{
+		{Trouble: Dies, Count: 1},
+		{Trouble: Freezes, Count: 1, For: 3 * second},
+		{Trouble: Slows, Count: 1, For: 3 * second},
+		{Trouble: Mutes, Count: 1, For: 3 * second},
+		{Trouble: Deafens, Count: 1, For: 3 * second},
+		{Trouble: Dies, Count: 2},
+	} {
+		f.At = 5 * second
+		d := Zone(vms)
+		d.Faults = []Fault{f}
+		d.Name = fmt.Sprintf("%s, %s %d", d.Name, f.Trouble, f.Count)
+		all = append(all, d)
+	}
+	return all
+}
+
 // between draws evenly on a logarithmic scale.
 func between(draw *rand.Rand, least, most float64) float64 {
 	return least * math.Exp(draw.Float64()*math.Log(most/least))
--- a/bench/emulator/result.go
+++ b/bench/emulator/result.go
@@ -88,14 +88,15 @@
 // Print writes a table of results.
 func Print(w io.Writer, all []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "deployment\tworth\tbound\tkind\tasked\tin time\tbound\tlate\trefused\tlost\t")
+	fmt.Fprintln(t, "deployment\tworth\tbound\tkind\tasked\tin time\tbound\tlate\trefused\tlost\tdatagrams\tKB\t")
 	for _, r := range all {
 		for i, o := range r.Kinds {
-			name, worth, bound := "", "", ""
+			name, worth, bound, sent := "", "", "", "\t"
 			if i == 0 {
 				name, worth, bound = r.Deployment, fmt.Sprintf("%.3f", r.Worth), fmt.Sprintf("%.3f", r.Bound)
+				sent = fmt.Sprintf("%d\t%d", r.Datagrams, r.Bytes>>10)
 			}
-			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", name, worth, bound, o.Name, o.Asked, o.InTime, o.Bound, o.Late, o.Refused, o.Lost)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", name, worth, bound, o.Name, o.Asked, o.InTime, o.Bound, o.Late, o.Refused, o.Lost, sent)
 		}
 	}
 	return t.Flush()
--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -38,6 +38,8 @@
 	// restEvery while nothing does: each look wakes the process.
 	TickEvery = 25 * time.Millisecond
 	restEvery = 250 * time.Millisecond
+	// stood is the time between two looks above which a process stood still.
+	stood = 2 * restEvery
 )
 
 // A Sender sends datagrams. It does not block.
@@ -107,6 +109,9 @@
 	// summaries are those of other groups' leaders.
 	summaries map[Group]*summary
 	summedAt  time.Time
+	// deputies are VMs that lead groups in place of others, until when.
+	deputies map[Group]map[netip.AddrPort]time.Time
+	usual    usual
 
 	out map[netip.AddrPort]*message
 }
@@ -118,7 +123,7 @@
 		doubts: make(map[netip.AddrPort]doubt), split: make(map[string]bool),
 		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), told: make(map[netip.AddrPort]bool),
 		led: make(map[Group]*led), holders: make(map[netip.AddrPort]*holder), summaries: make(map[Group]*summary),
-		out: make(map[netip.AddrPort]*message),
+		out: make(map[netip.AddrPort]*message), deputies: make(map[Group]map[netip.AddrPort]time.Time),
 	}
 	d.Tracker.Listen(a.found)
 	d.Timer.Subscribe(restEvery, a.Tick)
@@ -228,6 +233,12 @@
 func (a *Allocator) Tick(time.Time) {
 	a.do(func(now time.Time) {
 		late := now.Sub(a.ticked) > mostTick
+		if now.Sub(a.ticked) > stood {
+			// What it knows as a leader is as old as that.
+			for _, l := range a.led {
+				l.usedAt, l.askedAt = time.Time{}, time.Time{}
+			}
+		}
 		a.ticked = now
 		a.pump()
 		a.chase(now, late)
--- a/entry/process/allocator/allocator_test.go
+++ b/entry/process/allocator/allocator_test.go
@@ -207,6 +207,33 @@
 	assert.Assert(t, n.place(0, 100*time.Millisecond).Upstream.Zone != "a")
 }
 
+// All engines of a zone die at once, and the platform still lists them. Requests of
+// the zone's callers must not wait for them beside idle engines of another, neither
+// those that come nor those that wait already.
+func TestGroupWhoseEnginesAreGoneSendsOn(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b", "a"}, 0)
+	for i := range 66 {
+		n.list("x"+string(rune('A'+i)), []string{"a", "b"}[i%2])
+	}
+	n.place(2, soon)
+	n.blocked[[2]int{1, 0}] = true
+	for i := range 3 * 66 {
+		if i%2 == 0 {
+			n.vms[0].tracker.Failed(n.now, "x"+string(rune('A'+i%66)), true)
+		}
+	}
+	n.place(1, soon)
+	waits := n.vms[2].Ask(n.call())
+	n.run(50 * time.Millisecond)
+	p, _ := waits.Reply()
+	assert.Assert(t, p == nil, "nobody has told that there is room elsewhere")
+	n.blocked[[2]int{1, 0}] = false
+	n.run(400 * time.Millisecond)
+	p, _ = waits.Reply()
+	assert.Assert(t, p != nil && p.Upstream.Zone == "b")
+	assert.Equal(t, n.place(2, soon).Upstream.Zone, "b")
+}
+
 // Anybody may send a datagram. One that does not come from the VM that lives at
 // its address changes nothing.
 func TestStrangersChangeNothing(t *testing.T) {
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -187,7 +187,7 @@
 
 // decide has this VM look for a place for its own request.
 func (a *Allocator) decide(now time.Time, o *ask) {
-	l := a.lead(now, o.group)
+	l := a.lead(now, o.group, false)
 	l.alone = !a.ranksHigh(o.group)
 	o.to, o.first = netip.AddrPort{}, now
 	o.local = l.scheduler.Ask(o.call, func(g *scheduler.Grant, r *scheduler.Refusal) {
@@ -299,7 +299,12 @@
 		}
 	}
 	for _, w := range m.Collect {
-		a.tell(from, w.group())
+		g := w.group()
+		a.tell(from, g)
+		if a.deputies[g] == nil {
+			a.deputies[g] = make(map[netip.AddrPort]time.Time)
+		}
+		a.deputies[g][from] = now.Add(deputyFor)
 	}
 	for _, w := range m.Summaries {
 		a.summaries[w.Group.group()] = &summary{engines: w.Engines, free: w.Free, reading: float64(w.Reading), at: now}
@@ -334,6 +339,7 @@
 		},
 	}
 	p.Waits.Add(now.Sub(o.since))
+	a.usual.note(p.Load, o.call.Ask.Stake())
 	for _, h := range w.Helpers {
 		p.Helpers = append(p.Helpers, scheduler.Helper{Upstream: a.upstream(h), Tokens: h.Tokens})
 		p.work.Helpers = append(p.work.Helpers, h.ID)
@@ -384,11 +390,36 @@
 	if p.from.IsValid() {
 		say(p.allocator.to(p.from))
 	}
-	if m, self := p.allocator.leader(now, p.group); !self && m.Address != p.from {
-		say(p.allocator.to(m.Address))
+	for _, at := range p.allocator.countedBy(now, p.group) {
+		if at != p.from {
+			say(p.allocator.to(at))
+		}
 	}
 }
 
+// deputyFor is how long a VM that has said that it leads counts as doing so.
+const deputyFor = tellAgain * 3 / 2
+
+// countedBy are the VMs that count the places of a group: its leader, and those that
+// lead in place of it for VMs that do not hear it. Told by the first only, what
+// these count would go stale while it is still right for others.
+func (a *Allocator) countedBy(now time.Time, g Group) []netip.AddrPort {
+	var all []netip.AddrPort
+	if m, self := a.leader(now, g); !self {
+		all = append(all, m.Address)
+	}
+	for at, until := range a.deputies[g] {
+		if now.After(until) {
+			delete(a.deputies[g], at)
+			continue
+		}
+		if !slices.Contains(all, at) {
+			all = append(all, at)
+		}
+	}
+	return all
+}
+
 // chase sends again what was not answered, and passes leaders by that are
 // silent. After a time in which this VM itself stood still it waits once more.
 func (a *Allocator) chase(now time.Time, late bool) {
@@ -457,14 +488,14 @@
 	told := a.told
 	a.told = make(map[netip.AddrPort]bool)
 	for _, p := range a.places {
-		m, self := a.leader(now, p.group)
-		if self {
+		if a.leads(now, p.group) {
 			a.adopt(p)
-			continue
 		}
-		out := a.to(m.Address)
-		out.Kept, out.Whole = append(out.Kept, p.id), true
-		a.told[m.Address] = true
+		for _, at := range a.countedBy(now, p.group) {
+			out := a.to(at)
+			out.Kept, out.Whole = append(out.Kept, p.id), true
+			a.told[at] = true
+		}
 	}
 	for at := range told {
 		a.to(at).Whole = true
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -6,13 +6,14 @@
 
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/placer"
 )
 
 const (
-	// idle is after how long without an ask a leader no longer knows what others
-	// may have allocated meanwhile, and learning how long it then waits for the
-	// VMs' word.
-	idle     = 3 * time.Second
+	// idle is after how long without another VM's ask a leader no longer knows what
+	// others may have allocated meanwhile, and learning how long it then waits for
+	// the VMs' word.
+	idle     = time.Second
 	learning = 30 * time.Millisecond
 	// newLeader is for how long whoever begins to lead places nothing at
 	// upstreams in cold start: another one may have placed there as many as they
@@ -30,13 +31,14 @@
 type led struct {
 	group     Group
 	scheduler *scheduler.Scheduler
-	usedAt    time.Time
+	// usedAt is when it was last asked, and askedAt when by another VM.
+	usedAt, askedAt time.Time
+	// toldAt is when all VMs were last told that this one leads.
+	toldAt time.Time
 	// alone says that it is used for this VM's own requests only, as no leader
 	// answers it.
 	alone    bool
 	coldFrom time.Time
-	// waiting are the asks of others that wait.
-	waiting int
 }
 
 // A holder is a VM that asks this one.
@@ -67,15 +69,20 @@
 	answer *wireGrant
 }
 
-// lead notes that this VM is asked for places in a group. One that begins to lead
-// first has all VMs tell what they have there.
-func (a *Allocator) lead(now time.Time, g Group) *led {
+// lead notes that this VM is asked for places in a group, by another VM or itself.
+// One that begins to lead first has all VMs tell what they have there, and one that
+// is not the first by its own view has them go on telling it.
+func (a *Allocator) lead(now time.Time, g Group, byAnother bool) *led {
 	l := a.schedulerOf(g)
-	if now.Sub(l.usedAt) > idle {
-		a.deps.Log.Info().Str("service", g.Service).Str("zone", g.Zone).Dur("idle", min(now.Sub(l.usedAt), time.Hour)).Msg("group led by this VM")
+	begins := now.Sub(l.usedAt) > idle || (byAnother && now.Sub(l.askedAt) > idle)
+	l.usedAt = now
+	if byAnother {
+		l.askedAt = now
+	}
+	if begins {
+		a.deps.Log.Info().Str("service", g.Service).Str("zone", g.Zone).Bool("others", byAnother).Msg("group led by this VM")
 		a.count("groups.led")
-		members := a.deps.Members()
-		if len(members) > 0 {
+		if len(a.deps.Members()) > 0 {
 			l.scheduler.Hold(now.Add(learning))
 			l.coldFrom = now.Add(newLeader)
 		}
@@ -84,15 +91,32 @@
 				a.adopt(p)
 			}
 		}
+	}
+	if begins || (now.Sub(l.toldAt) > tellAgain && !a.leads(now, g)) {
+		l.toldAt = now
+		members := a.deps.Members()
 		for i := range members {
 			out := a.to(members[i].Address)
 			out.Collect = append(out.Collect, g.wire())
 		}
 	}
-	l.usedAt = now
+	l.scheduler.Assume(a.unknownLoad(now, l))
 	return l
 }
 
+// tellAgain is how often a VM that leads in place of another says so.
+const tellAgain = 2 * time.Second
+
+// unknownLoad is what other VMs may have at each upstream that nobody has told.
+// A leader that is cut from the others would take all engines for idle, and read
+// each long prompt at many of them, under everybody's answers.
+func (a *Allocator) unknownLoad(now time.Time, l *led) placer.Load {
+	if len(a.deps.Members()) == 0 || now.Sub(l.askedAt) <= idle {
+		return placer.Load{}
+	}
+	return a.usual.load()
+}
+
 // adopt counts a place of this VM's own that another leader gave.
 func (a *Allocator) adopt(p *Place) {
 	if p.grant == nil {
@@ -148,7 +172,6 @@
 func (a *Allocator) drop(h *holder, id uint64, o *remote) {
 	delete(h.asks, id)
 	o.done = true
-	o.led.waiting--
 	o.asked.Leave()
 }
 
@@ -251,12 +274,11 @@
 		out.Stops = out.Stops || a.leaving
 		return
 	}
-	l := a.lead(now, w.Group.group())
+	l := a.lead(now, w.Group.group(), true)
 	l.alone = false
 	o := &remote{led: l, call: w.call(now), hops: w.Hops, since: now, heard: now}
 	o.call.Service = service
 	h.asks[w.ID] = o
-	l.waiting++
 	o.asked = l.scheduler.Ask(o.call, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
 	})
@@ -281,7 +303,6 @@
 		return
 	}
 	o.done = true
-	o.led.waiting--
 	delete(h.asks, id)
 	now := a.deps.Now()
 	out := a.to(from)
@@ -304,6 +325,7 @@
 		w.Helpers = append(w.Helpers, wireUpstream{ID: p.ID, Address: p.Address, Tokens: p.Tokens})
 	}
 	h.holds[id] = &held{grant: g, at: now, answer: &w}
+	a.usual.note(g.Load, o.call.Ask.Stake())
 	out.Grants = append(out.Grants, w)
 }
 
--- a/entry/process/allocator/overflow.go
+++ b/entry/process/allocator/overflow.go
@@ -31,35 +31,44 @@
 }
 
 // summarise tells the leaders of a service's other groups of those that this VM
-// leads. Without it a zone whose callers all come at once would refuse them
+// leads, also where nobody asks it. Without it a zone whose callers all come at once would refuse them
 // beside idle engines of another.
 func (a *Allocator) summarise(now time.Time) {
 	if now.Sub(a.summedAt) < summaryEvery {
 		return
 	}
 	a.summedAt = now
-	for g, l := range a.led {
-		if g.Zone == "" || now.Sub(l.usedAt) > idle || !a.leads(now, g) {
-			continue
-		}
-		sum := a.summary(now, l)
-		a.summaries[g] = &sum
-		for zone := range a.deps.Tracker.Sizes(g.Service) {
-			m, self := a.leader(now, Group{g.Service, zone})
-			if zone == g.Zone || self {
-				continue
+	for service := range a.split {
+		zones := a.deps.Tracker.Sizes(service)
+		for zone := range zones {
+			if g := (Group{service, zone}); a.leads(now, g) {
+				a.share(now, a.schedulerOf(g), zones)
 			}
-			out := a.to(m.Address)
-			out.Summaries = append(out.Summaries, wireSummary{Group: g.wire(), Engines: sum.engines, Free: sum.free, Reading: float32(sum.reading)})
 		}
 	}
+	a.relieve(now)
+}
+
+// share tells the leaders of a service's other zones of one group.
+func (a *Allocator) share(now time.Time, l *led, zones map[string]int) {
+	sum := a.summary(now, l)
+	g := l.group
+	a.summaries[g] = &sum
+	for zone := range zones {
+		m, self := a.leader(now, Group{g.Service, zone})
+		if zone == g.Zone || self {
+			continue
+		}
+		out := a.to(m.Address)
+		out.Summaries = append(out.Summaries, wireSummary{Group: g.wire(), Engines: sum.engines, Free: sum.free, Reading: float32(sum.reading)})
+	}
 }
 
 func (a *Allocator) summary(now time.Time, l *led) summary {
 	sum := summary{at: now}
 	work := l.scheduler.Work()
 	for _, u := range a.deps.Tracker.Usable(now, l.group.Service) {
-		if u.Zone != l.group.Zone {
+		if u.Zone != l.group.Zone || now.Before(u.SilentUntil) {
 			continue
 		}
 		sum.engines++
@@ -107,6 +116,30 @@
 	return zone, true
 }
 
+// relieve sends those that wait in a group to others that have room by now.
+func (a *Allocator) relieve(now time.Time) {
+	for at, h := range a.holders {
+		for id, o := range h.asks {
+			if zone, ok := a.better(now, o.led, o.call, o.hops); ok {
+				a.drop(h, id, o)
+				out := a.to(at)
+				out.Elsewhere = append(out.Elsewhere, wireElsewhere{ID: id, Zone: zone})
+			}
+		}
+	}
+	for _, id := range a.open() {
+		o, ok := a.asks[id]
+		if !ok || o.local == nil {
+			continue
+		}
+		if l, leads := a.led[o.group]; leads {
+			if zone, ok := a.better(now, l, o.call, o.hops); ok {
+				a.divert(now, o, zone)
+			}
+		}
+	}
+}
+
 // yields says that a request had better be asked for in another group.
 func (s *summary) yields(o *summary, long bool, slots int) bool {
 	switch {
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -152,7 +152,7 @@
 		if g.ended {
 			return
 		}
-		g.ended = true
+		g.ended, g.scheduler.freed = true, true
 		g.began()
 		for _, h := range g.shares {
 			g.scheduler.add(h.id, h.held, -1)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -23,10 +23,15 @@
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
-// lookEvery is how often a place is looked for for one long prompt that waits. A
-// decision takes some tens of microseconds, and under load hundreds of events a
-// second could each change it.
-const lookEvery = 4 * time.Millisecond
+const (
+	// lookEvery is how often a place is looked for for one request that waits. A
+	// decision takes some tens of microseconds, and under load hundreds of events
+	// a second could each change it.
+	lookEvery = 4 * time.Millisecond
+	// timeEvery is the same for one that no engine could begin in time: that
+	// changes only as engines end what they read.
+	timeEvery = 20 * time.Millisecond
+)
 
 // unbounded is the room at an upstream that is not cold.
 const unbounded = 1 << 20
@@ -88,6 +93,10 @@
 	rankers map[string]*ranker.Ranker
 	// holds is until when nothing is placed.
 	holds time.Time
+	// freed says that a place may have become free since the last look.
+	freed bool
+	// unknown is what others may have at each upstream that nobody has told.
+	unknown placer.Load
 	// replies are those that are to be told once the lock is free.
 	replies []reply
 }
@@ -96,8 +105,10 @@
 	call  Call
 	times times
 	tell  func(*Grant, *Refusal)
-	// looked is when a place was last looked for.
-	looked time.Time
+	// next is when a place is to be looked for again, and holds that what it lacks
+	// holds back others.
+	next  time.Time
+	holds bool
 	// waits is why it waits, and since when for this reason.
 	waits wait
 	// late and over are 1 where it can no longer be in time, and where its team
@@ -170,6 +181,13 @@
 	})
 }
 
+// Assume has others taken to have so much at each upstream besides what is known.
+func (s *Scheduler) Assume(l placer.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unknown = l
+}
+
 // Hold has nothing placed before a time, at which what is under way is known.
 func (s *Scheduler) Hold(until time.Time) {
 	s.mu.Lock()
@@ -217,25 +235,30 @@
 
 // Pump places what can be placed and refuses what cannot be done in time. It is
 // called when something changed, and now and then.
-func (s *Scheduler) Pump() { s.locked(s.pump) }
+func (s *Scheduler) Pump() {
+	s.locked(func() {
+		s.freed = true
+		s.pump()
+	})
+}
 
 func (s *Scheduler) pump() {
 	if len(s.waiting) == 0 {
 		return
 	}
 	now := s.deps.Now()
-	blocked := make(map[kind]bool)
+	l := look{blocked: make(map[kind]bool), usable: make(map[string][]tracker.State)}
 	s.sort(now)
 	kept := s.waiting[:0:0]
 	for _, w := range s.waiting {
-		if r, done := s.step(now, w, blocked); done {
+		if r, done := s.step(now, w, l); done {
 			r.waiter = w
 			s.replies = append(s.replies, r)
 			continue
 		}
 		kept = append(kept, w)
 	}
-	s.waiting = kept
+	s.waiting, s.freed = kept, false
 }
 
 // A kind is what waits for the same places, so that none of it is placed before
@@ -250,8 +273,24 @@
 	late    bool
 }
 
+// A look is one look at all that waits: what is held back, and the upstreams of each
+// service, which do not change meanwhile.
+type look struct {
+	blocked map[kind]bool
+	usable  map[string][]tracker.State
+}
+
+func (l look) states(s *Scheduler, now time.Time, service string) []tracker.State {
+	states, ok := l.usable[service]
+	if !ok {
+		states = s.usable(now, service)
+		l.usable[service] = states
+	}
+	return states
+}
+
 // step does what can be done for one waiting request.
-func (s *Scheduler) step(now time.Time, w *waiter, blocked map[kind]bool) (reply, bool) {
+func (s *Scheduler) step(now time.Time, w *waiter, l look) (reply, bool) {
 	k := kind{w.call.Service.Name, w.times.size, !w.times.long && w.times.late(now)}
 	if w.times.hopeless(now, w.call.Stop) {
 		return reply{refusal: &Refusal{Code: Late, After: comeBack, Waits: w.waits.end(now)}}, true
@@ -260,16 +299,15 @@
 		w.waits.turn(now, waitNews)
 		return reply{}, false
 	}
-	if blocked[k] {
+	if l.blocked[k] {
 		w.waits.turn(now, waitBehind)
 		return reply{}, false
 	}
-	if w.times.long && now.Sub(w.looked) < lookEvery {
-		blocked[k] = true
+	if freed := s.freed && w.holds && !w.times.long; now.Before(w.next) && !freed {
+		l.blocked[k] = w.holds
 		return reply{}, false
 	}
-	w.looked = now
-	states := s.usable(now, w.call.Service.Name)
+	states := l.states(s, now, w.call.Service.Name)
 	if len(states) == 0 && !s.deps.Tracker.Outdated() {
 		return reply{refusal: &Refusal{Code: None, After: comeBack, Waits: w.waits.end(now)}}, true
 	}
@@ -277,7 +315,11 @@
 	if !ok {
 		// One that no engine can begin in time must not hold back those behind it
 		// that have more of theirs left.
-		blocked[k] = choice.Lack != placer.LackTime
+		w.holds, w.next = choice.Lack != placer.LackTime, now.Add(lookEvery)
+		if !w.holds {
+			w.next = now.Add(timeEvery)
+		}
+		l.blocked[k] = w.holds
 		w.waits.turn(now, reason(choice.Lack))
 		return reply{}, false
 	}
@@ -314,6 +356,7 @@
 		if l, ok := s.work[u.ID]; ok {
 			c.Load = *l
 		}
+		c.Load.Add(s.unknown)
 		if rate := call.Service.ColdRate; rate > 0 && c.Cold {
 			c.Room = s.coldOf(u.ID).Room(now, s.deps.ColdPart(u.ID, rate))
 		}
