Keep VMs that decide alone from drowning the fleet, and long prompts from them

Cause: where several leaders die at once each VM that decides alone asked all others what they have (40 VMs: 3,677 datagrams in a second), and was told all reports for three seconds: at 195 VMs both grow with the square.

Change: only a leader that others ask, or the first two, collect; three deputies at most; what waits is not sent back to a leader that has not answered since; a long prompt tries four leaders before it is decided alone; the usual load has the stakes of the shortest pause.

TestFleetWithoutLeadersDoesNotDrown.

--- a/entry/process/allocator/allocator_test.go
+++ b/entry/process/allocator/allocator_test.go
@@ -104,6 +104,34 @@
 	n.place(3, 400*time.Millisecond)
 }
 
+// The VMs die that lead and would lead next, and all others decide alone at the
+// same moment. What they send each other must not grow with the square of their
+// number: links of the smallest would be full just when callers need them.
+func TestFleetWithoutLeadersDoesNotDrown(t *testing.T) {
+	const vms = 40
+	zones := make([]string, vms)
+	for i := range zones {
+		zones[i] = "z"
+	}
+	n := newNetwork(t, zones, 60)
+	for v := range vms {
+		n.place(v, soon)
+	}
+	n.run(time.Second)
+	for v := range 3 {
+		n.vms[v].dead = true
+	}
+	n.sent = 0
+	var waiting []*allocator.Asked
+	for _, v := range n.vms[3:] {
+		waiting = append(waiting, v.Ask(n.call()))
+	}
+	n.run(time.Second)
+	open := map[*allocator.Place]bool{}
+	assert.Equal(t, len(settle(waiting, open)), 0)
+	assert.Assert(t, n.sent < 30*vms, "%d datagrams", n.sent)
+}
+
 // A leader is about to stop. Whoever waits there must not notice: they are sent on
 // at once, to one that first learns what is under way.
 func TestLeaderThatLeavesHandsOver(t *testing.T) {
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -26,8 +26,10 @@
 	// still, and not the leaders.
 	mostTick = 3 * TickEvery
 	// mostSilent is how many leaders may fail to answer before a VM decides
-	// alone.
-	mostSilent = 2
+	// alone, and mostSilentLong the same for a prompt that is read in parts: a
+	// place chosen without knowledge of the others' work harms many answers.
+	mostSilent     = 2
+	mostSilentLong = 4
 	// mostHops is how often a request is sent to another group.
 	mostHops = 2
 	// aloneFor is how long a request waits that this VM decides on for want of a
@@ -168,7 +170,7 @@
 // send sends a request to the leader of its group.
 func (a *Allocator) send(now time.Time, o *ask) {
 	m, self := a.leader(now, o.group)
-	if self || o.silent >= mostSilent || a.deps.Tracker.Outdated() {
+	if self || o.silent >= o.mostSilent() || a.deps.Tracker.Outdated() {
 		a.decide(now, o)
 		return
 	}
@@ -185,6 +187,13 @@
 	out.Asks = append(out.Asks, o.wire(now))
 }
 
+func (o *ask) mostSilent() int {
+	if e := o.call.Service.Engine; e != nil && !placer.Short(e, o.call.Ask.Prompt) {
+		return mostSilentLong
+	}
+	return mostSilent
+}
+
 // decide has this VM look for a place for its own request.
 func (a *Allocator) decide(now time.Time, o *ask) {
 	l := a.lead(now, o.group, false)
@@ -301,10 +310,7 @@
 	for _, w := range m.Collect {
 		g := w.group()
 		a.tell(from, g)
-		if a.deputies[g] == nil {
-			a.deputies[g] = make(map[netip.AddrPort]time.Time)
-		}
-		a.deputies[g][from] = now.Add(deputyFor)
+		a.depute(now, g, from)
 	}
 	for _, w := range m.Summaries {
 		a.summaries[w.Group.group()] = &summary{engines: w.Engines, free: w.Free, reading: float64(w.Reading), at: now}
@@ -339,7 +345,7 @@
 		},
 	}
 	p.Waits.Add(now.Sub(o.since))
-	a.usual.note(p.Load, o.call.Ask.Stake())
+	a.usual.note(p.Load, o.call.Ask)
 	for _, h := range w.Helpers {
 		p.Helpers = append(p.Helpers, scheduler.Helper{Upstream: a.upstream(h), Tokens: h.Tokens})
 		p.work.Helpers = append(p.work.Helpers, h.ID)
@@ -400,6 +406,28 @@
 // deputyFor is how long a VM that has said that it leads counts as doing so.
 const deputyFor = tellAgain * 3 / 2
 
+// mostDeputies bounds how many such VMs a group has: each report goes to all.
+const mostDeputies = 3
+
+// depute notes that a VM leads a group in place of another.
+func (a *Allocator) depute(now time.Time, g Group, at netip.AddrPort) {
+	all := a.deputies[g]
+	if all == nil {
+		all = make(map[netip.AddrPort]time.Time)
+		a.deputies[g] = all
+	}
+	all[at] = now.Add(deputyFor)
+	for len(all) > mostDeputies {
+		first := at
+		for o, until := range all {
+			if until.Before(all[first]) {
+				first = o
+			}
+		}
+		delete(all, first)
+	}
+}
+
 // countedBy are the VMs that count the places of a group: its leader, and those that
 // lead in place of it for VMs that do not hear it. Told by the first only, what
 // these count would go stale while it is still right for others.
@@ -446,7 +474,7 @@
 		case o.heard.IsZero() && now.Sub(o.sent) >= resend:
 			a.send(now, o)
 		case !o.heard.IsZero() && now.Sub(o.sent) >= askEvery:
-			if m, self := a.leader(now, o.group); self || m.Address != o.to {
+			if m, self := a.leader(now, o.group); self || (m.Address != o.to && !a.doubted(m.Address)) {
 				a.move(now, o)
 				continue
 			}
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -92,7 +92,10 @@
 			}
 		}
 	}
-	if begins || (now.Sub(l.toldAt) > tellAgain && !a.leads(now, g)) {
+	// Were each VM to ask all others that decides alone, a fleet that has lost its
+	// leaders would drown in it.
+	collects := byAnother || a.ranksHigh(g)
+	if collects && (begins || (now.Sub(l.toldAt) > tellAgain && !a.leads(now, g))) {
 		l.toldAt = now
 		members := a.deps.Members()
 		for i := range members {
@@ -325,7 +328,7 @@
 		w.Helpers = append(w.Helpers, wireUpstream{ID: p.ID, Address: p.Address, Tokens: p.Tokens})
 	}
 	h.holds[id] = &held{grant: g, at: now, answer: &w}
-	a.usual.note(g.Load, o.call.Ask.Stake())
+	a.usual.note(g.Load, o.call.Ask)
 	out.Grants = append(out.Grants, w)
 }
 
--- a/entry/process/allocator/member.go
+++ b/entry/process/allocator/member.go
@@ -89,6 +89,14 @@
 	a.deps.Log.Info().Str("leader", m.String()).Str("cause", why).Dur("for", d.next).Msg("leader passed by")
 }
 
+// doubted says that a member has been passed by and has not answered since. What
+// waits at another one is not sent back to it: it may be dead, and its beats are
+// missed only later.
+func (a *Allocator) doubted(m netip.AddrPort) bool {
+	_, ok := a.doubts[m]
+	return ok
+}
+
 // trust notes that a member has answered.
 func (a *Allocator) trust(now time.Time, m netip.AddrPort) {
 	if d, ok := a.doubts[m]; ok && !now.Before(d.until) {
--- a/entry/process/allocator/network_test.go
+++ b/entry/process/allocator/network_test.go
@@ -142,7 +142,7 @@
 		n.now = n.now.Add(step)
 		n.deliver()
 		for _, v := range n.vms {
-			if !v.dead && !v.frozen && n.now.UnixMilli()%allocator.TickEvery.Milliseconds() == int64(v.index) {
+			if !v.dead && !v.frozen && n.now.UnixMilli()%allocator.TickEvery.Milliseconds() == int64(v.index)%allocator.TickEvery.Milliseconds() {
 				v.Tick(n.now)
 			}
 		}
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -356,7 +356,7 @@
 		if l, ok := s.work[u.ID]; ok {
 			c.Load = *l
 		}
-		c.Load.Add(s.unknown)
+		c.Load.Add(s.unknownAt(u.Slots))
 		if rate := call.Service.ColdRate; rate > 0 && c.Cold {
 			c.Room = s.coldOf(u.ID).Room(now, s.deps.ColdPart(u.ID, rate))
 		}
@@ -365,6 +365,14 @@
 	return cs
 }
 
+// unknownAt is what others are taken to have at an upstream: no more than half of
+// its slots, as one that seems full gets nothing at all.
+func (s *Scheduler) unknownAt(slots int) placer.Load {
+	l := s.unknown
+	l.Streams = min(l.Streams, slots/2)
+	return l
+}
+
 func (s *Scheduler) coldOf(id string) *budgeter.Cold {
 	c, ok := s.cold[id]
 	if !ok {
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -144,9 +144,7 @@
 
 // useful is for how many milliseconds more a first event is of use. A late prompt
 // was sent to one engine two seconds before its caller left, to be read within
-// five: nobody got the answer, and the engine was lost to everybody else. With
-// this bound 0.879 of the short questions are in time in place of 0.868, and 0.757
-// of the longest in place of 0.745 (means over three sites, 15 days each).
+// five: nobody got the answer, and the engine was lost to everybody else.
 func (a Ask) useful(now time.Time) float64 {
 	end := a.Deadline
 	if !a.Leaves.IsZero() && a.Leaves.Before(end) {
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -21,10 +21,8 @@
 	// before it, in milliseconds: a usual answer's time over the slots.
 	slotWait = 100.0
 	// keptShare is what part of an engine's slots is left free when short prompts
-	// are packed, as one over this. Several VMs may send to the same engine
-	// within a datagram's flight; what finds no slot there waits for a stream
-	// to end. With one slot kept 53 of 433 short answers in four seconds of a
-	// burst were late, with a fifth 14 of 434 (9 VMs, 23 engines of 16 slots).
+	// are packed, as one over this: the next burst finds them, and what finds no
+	// slot waits for a stream to end.
 	keptShare = 5
 )
 
