Have VMs agree on the groups of a service's upstreams

A zone was taken out at 0.9 s; VMs that asked for their first place then saw 52 upstreams that may be used and took them for one group, while the others, who had seen 78, asked the zones' leaders.

Ruled out: the estimate (131 ms said and 198 taken where one leader gave all).

Change: groups follow from how many upstreams are listed, whatever they may get; a leader that is asked for all upstreams where there are groups names one. A leader that does not know of a request that waits has it sent again, and is not passed by for that.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -338,9 +338,10 @@
 }
 
 // mostGroup is how many upstreams one group has at most where a service has them
-// in several zones: a leader's decision looks at each of them. A service of which
-// half of the upstreams left is not joined again, so that VMs whose lists differ
-// by a few agree.
+// in several zones: a leader's decision looks at each of them. Those that may get
+// nothing now count as well, and a service of which a third of the upstreams left
+// is not joined again, so that VMs agree: with groups of either kind two leaders
+// would give places at the same upstreams.
 const (
 	mostGroup  = 60
 	leastSplit = 40
@@ -357,18 +358,13 @@
 // sizes decides whether a service's upstreams are in groups by zone, and gives
 // how many each zone has.
 func (a *Allocator) sizes(service string) map[string]int {
-	sizes := a.deps.Tracker.Sizes(service)
-	sum := 0
-	for _, n := range sizes {
-		sum += n
-	}
-	switch {
-	case sum > mostGroup && len(sizes) > 1:
+	switch listed := a.deps.Tracker.Listed(service); {
+	case listed > mostGroup:
 		a.split[service] = true
-	case sum < leastSplit && sum > 0:
+	case listed < leastSplit && listed > 0:
 		delete(a.split, service)
 	}
-	return sizes
+	return a.deps.Tracker.Sizes(service)
 }
 
 // leads says that this VM leads a group by its own view.
--- a/entry/process/allocator/allocator_test.go
+++ b/entry/process/allocator/allocator_test.go
@@ -235,6 +235,29 @@
 	assert.Assert(t, n.place(0, 100*time.Millisecond).Upstream.Zone != "a")
 }
 
+// A zone is taken out, and a VM that starts then sees so few upstreams that may be
+// used that it would take them for one group, while all others ask the leaders of
+// the zones. Engines that two leaders give away are given twice.
+func TestVMsAgreeOnGroups(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b", "c", "b"}, 0)
+	for i := range 78 {
+		n.list("x"+string(rune('A'+i)), []string{"a", "b", "c"}[i%3])
+	}
+	n.place(1, soon)
+	for _, v := range n.vms {
+		v.tracker.TakeOut(map[string]bool{"a": true})
+	}
+	assert.Equal(t, n.place(3, soon).Leader, "vm1")
+
+	// One whose list is shorter is told.
+	few := n.vms[3]
+	for i := range 30 {
+		few.tracker.Remove(n.now, "x"+string(rune('A'+i)), false)
+	}
+	n.start(few, 2)
+	assert.Equal(t, n.place(3, soon).Leader, "vm1")
+}
+
 // All engines of a zone die at once, and the platform still lists them. Requests of
 // the zone's callers must not wait for them beside idle engines of another, neither
 // those that come nor those that wait already.
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -111,7 +111,7 @@
 		o.id, o.since = a.last, now
 		o.call.Zone, o.call.Stop = a.me.Zone, a.stop
 		o.call.Avoid = a.deps.Tracker.Silent(now)
-		o.group = a.choose(c.Service.Name)
+		o.group = a.choose(c.Service.Name, a.me.Zone)
 		a.asks[o.id] = o
 		a.send(now, o)
 	})
@@ -150,11 +150,11 @@
 	return refusal
 }
 
-// choose is the group that a request is asked for in first: that of this VM's
-// zone, or of another one where it has no upstreams there.
-func (a *Allocator) choose(service string) Group {
+// choose is the group that a request is asked for in first: that of its VM's zone,
+// or of another one where it has no upstreams there.
+func (a *Allocator) choose(service, zone string) Group {
 	sizes := a.sizes(service)
-	g := a.groupOf(service, a.me.Zone)
+	g := a.groupOf(service, zone)
 	if g.Zone == "" || sizes[g.Zone] > 0 || len(sizes) == 0 {
 		return g
 	}
@@ -233,6 +233,10 @@
 func (a *Allocator) divert(now time.Time, o *ask, zone string) {
 	a.withdraw(o)
 	o.hops++
+	if o.group.Zone == "" {
+		// Whoever led knows more upstreams than this VM, and that there are groups.
+		a.split[o.group.Service] = true
+	}
 	o.group.Zone = zone
 	o.to = netip.AddrPort{}
 	a.send(now, o)
@@ -301,6 +305,11 @@
 			a.send(now, o)
 		}
 	}
+	for _, id := range m.Again {
+		if o := a.asked(from, id); o != nil {
+			a.send(now, o)
+		}
+	}
 	for _, id := range m.Want {
 		if p, ok := a.places[id]; ok {
 			out := a.to(from)
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -221,7 +221,7 @@
 		} else if p, ok := h.holds[id]; ok && p.answer != nil {
 			out.Grants = append(out.Grants, *p.answer)
 		} else {
-			out.Moved = append(out.Moved, id)
+			out.Again = append(out.Again, id)
 		}
 	}
 	for i := range m.Asks {
@@ -277,7 +277,13 @@
 		out.Stops = out.Stops || a.leaving
 		return
 	}
-	l := a.lead(now, w.Group.group(), true)
+	g := w.Group.group()
+	if a.sizes(g.Service); g.Zone == "" && a.split[g.Service] {
+		out := a.to(from)
+		out.Elsewhere = append(out.Elsewhere, wireElsewhere{ID: w.ID, Zone: a.choose(g.Service, w.Zone).Zone})
+		return
+	}
+	l := a.lead(now, g, true)
 	l.alone = false
 	o := &remote{led: l, call: w.call(now), hops: w.Hops, since: now, heard: now}
 	o.call.Service = service
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -40,6 +40,8 @@
 	Waits     []uint64        `cbor:"18,keyasint,omitempty"`
 	Moved     []uint64        `cbor:"19,keyasint,omitempty"`
 	Elsewhere []wireElsewhere `cbor:"20,keyasint,omitempty"`
+	// Again are asks of which the sender does not know.
+	Again []uint64 `cbor:"25,keyasint,omitempty"`
 	// Want are places of which the sender does not know what they take.
 	Want []uint64 `cbor:"21,keyasint,omitempty"`
 	// Collect asks for all places in these groups: the sender begins to lead.
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -196,6 +196,20 @@
 	return sizes
 }
 
+// Listed is how many upstreams of a service the platform lists, whatever they may
+// get.
+func (t *Tracker) Listed(service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.known {
+		if s.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // May says whether an upstream may get work at this moment. Whoever sends asks
 // right before, since a process may have stood still since it chose.
 func (t *Tracker) May(id string) bool {
