Keep a leader's own request that was sent on from counting as local

By reading: where the scheduler answers at once that its zone has no upstream, the request was sent to another zone's leader and then marked as waiting here, so that a lost answer was asked for after half a second only. That needs a list that changes within one call, and no test reaches it; TestLeaderWithoutRoomAsksElsewhere covers the way beside it.

--- a/entry/process/allocator/allocator_test.go
+++ b/entry/process/allocator/allocator_test.go
@@ -285,6 +285,32 @@
 	assert.Equal(t, n.place(2, soon).Upstream.Zone, "b")
 }
 
+// The engines of a zone cannot be reached, and its leader has a request of its own.
+// It must ask elsewhere as any other VM does, and again where the answer is lost.
+func TestLeaderWithoutRoomAsksElsewhere(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b"}, 0)
+	for i := range 66 {
+		n.list("x"+string(rune('A'+i)), []string{"a", "b"}[i%2])
+	}
+	n.place(0, soon)
+	n.place(1, soon)
+	n.run(500 * time.Millisecond)
+	for i := 0; i < 66; i += 2 {
+		n.vms[0].tracker.Failed(n.now, "x"+string(rune('A'+i)), true)
+	}
+	n.run(250 * time.Millisecond)
+	lost := 0
+	n.spoil = func(d datagram) []datagram {
+		if d.from == 1 && lost == 0 {
+			lost++
+			return nil
+		}
+		return []datagram{d}
+	}
+	p := n.place(0, 2*soon)
+	assert.Assert(t, p.Upstream.Zone == "b" && p.Leader == "vm1")
+}
+
 // Anybody may send a datagram. One that does not come from the VM that lives at
 // its address changes nothing.
 func TestStrangersChangeNothing(t *testing.T) {
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -174,7 +174,7 @@
 	l := a.lead(now, o.group, false)
 	l.alone = !a.ranksHigh(o.group)
 	o.to, o.first = netip.AddrPort{}, now
-	o.local = l.scheduler.Ask(o.call, func(g *scheduler.Grant, r *scheduler.Refusal) {
+	asked := l.scheduler.Ask(o.call, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		if _, ok := a.asks[o.id]; !ok {
 			if g != nil {
 				g.Done()
@@ -197,10 +197,13 @@
 			work: g.Work, grant: g,
 		})
 	})
-	if _, waits := a.asks[o.id]; waits && o.to == (netip.AddrPort{}) {
-		if zone, ok := a.better(now, l, o.call, o.hops); ok {
-			a.divert(now, o, zone)
-		}
+	if _, waits := a.asks[o.id]; !waits || o.to.IsValid() || o.local != nil {
+		// It has its answer, or was sent on.
+		return
+	}
+	o.local = asked
+	if zone, ok := a.better(now, l, o.call, o.hops); ok {
+		a.divert(now, o, zone)
 	}
 }
 
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -56,7 +56,6 @@
 	call  scheduler.Call
 	hops  int
 	asked *scheduler.Asked
-	since time.Time
 	heard time.Time
 	done  bool
 }
@@ -285,7 +284,7 @@
 	}
 	l := a.lead(now, g, true)
 	l.alone = false
-	o := &remote{led: l, call: w.call(now), hops: w.Hops, since: now, heard: now}
+	o := &remote{led: l, call: w.call(now), hops: w.Hops, heard: now}
 	o.call.Service = service
 	h.asks[w.ID] = o
 	o.asked = l.scheduler.Ask(o.call, func(g *scheduler.Grant, r *scheduler.Refusal) {
