--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -24,10 +24,10 @@
 // and ten that nobody has, drawn within wide bounds, play bursts of short after
 // long questions and the reverse, some with a third of their engines lost.
 func TestNoFleetIsServedWorseThanBefore(t *testing.T) {
-	// spread is what the mean of three loads differs by when nothing but the
+	// spread is what the mean of few loads differs by when nothing but the
 	// moments of decisions change.
 	const (
-		seeds  = 3
+		seeds  = 8
 		spread = 0.02
 	)
 	results, err := emulator.RunAll(t.Context(), emulator.All(10), seeds)
