--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -12,7 +12,8 @@
 // others on the same socket. No CBOR map begins with it.
 const Mark = 'a'
 
-// A message is one datagram. Lists of what asks are above those of who answers.
+// A message is one datagram. What a VM says that asks stands above what a leader
+// says; one datagram may hold both.
 type message struct {
 	VM   string `cbor:"1,keyasint"`
 	Boot int64  `cbor:"2,keyasint"`
--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -30,8 +30,6 @@
 	// and rollEvery how often relays tell which VMs live.
 	BeatEvery = 250 * time.Millisecond
 	rollEvery = time.Second
-	// soonest is the least time between two beats.
-	soonest = 50 * time.Millisecond
 	// relays is how many VMs of a zone relay: when one dies the other goes on.
 	relays = 2
 	// silent is after how long without a word a VM is not asked for anything, and
@@ -119,15 +117,6 @@
 	return p
 }
 
-// Hurry has the next Tick send: there is news that others wait for.
-func (g *Gossiper) Hurry() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.now().Sub(g.beatAt) >= soonest {
-		g.beatAt = time.Time{}
-	}
-}
-
 // Tick sends what is due. It reads the streams' ends without the lock: whoever
 // keeps the records may be asking this package at the same moment, and would wait
 // for this one while this one waits for it.
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -77,10 +77,9 @@
 	return ends
 }
 
-// matters notes that a record changes what others have to know, and has them told.
+// matters notes that a record changes what others have to know.
 func (v *Process) matters(stream string, r replicator.Record) {
 	v.marks[stream].Store(max(v.marks[stream].Load(), r.Offset+1))
-	v.gossiper.Hurry()
 }
 
 // configure folds records of the configuration.
