End no stream for its silence while its VM is about to stop

Traced: VM front-bayern-b-1 got SIGTERM at 28.48 s; engines paused two of its streams for 1.6 s at 33.4 s; the watch took them for silent, `silent; blamed:` nobody, and ended the tries to send them elsewhere; with 1.1 s left no place ends in time, so that both answers were broken off.

Ruled out: the allocator's refusal (there was no time left for another answer).

Change: a VM that is leaving and has less left than the request may take ends no try for silence. TestSilenceEndsNoStreamOfAVMThatStops fails without it.

--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,7 +138,7 @@
 	memory  *memory
 	meter   *meter.Meter
 	table   *matcher.Table
-	left    time.Duration
+	left    atomic.Int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -180,7 +181,7 @@
 		Table: func() *matcher.Table { return b.table }, Dialect: dialect{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
 		Reserver: reserver.New("me-", b.memory, func() time.Duration { return time.Second }, zerolog.Nop()),
 		Budget:   b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
-		Leaving: func() (bool, time.Duration) { return b.left > 0, b.left },
+		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
 	})
 	b.server = httptest.NewServer(r)
 	// Cleanups run last first: places are counted once all requests have ended,
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -276,10 +276,10 @@
 func TestLeavingVMTakesWhatItCanEnd(t *testing.T) {
 	b := newBench(t, routes())
 	b.upstream("u1", "plain", sealed)
-	b.left = 3 * time.Second
+	b.left.Store(int64(3 * time.Second))
 	o := b.do(b.request(http.MethodPost, "/unsafe/x", "b"))
 	assert.Equal(t, o.status, http.StatusOK)
-	b.left = time.Millisecond
+	b.left.Store(int64(time.Millisecond))
 	o = b.do(b.request(http.MethodPost, "/unsafe/x", "b"))
 	assert.Equal(t, o.status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(b.seen()), 1)
@@ -375,6 +375,26 @@
 	}
 }
 
+// An engine pauses for longer than usual while the VM is about to stop, and goes on.
+// There is no time left for another engine, so that a stream that is ended for its
+// silence is cut for the caller.
+func TestSilenceEndsNoStreamOfAVMThatStops(t *testing.T) {
+	b := newBench(t, routes())
+	for _, id := range []string{"u1", "u2"} {
+		b.upstream(id, "model", func(w http.ResponseWriter, q *http.Request) {
+			events(1, false)(w, q)
+			w.(http.Flusher).Flush() //nolint:forcetypeassert // net/http's own
+			b.left.Store(int64(time.Millisecond))
+			time.Sleep(2200 * time.Millisecond)
+			io.WriteString(w, strings.TrimPrefix(stream(2), stream(1)))
+		})
+	}
+	o := b.do(b.request(http.MethodPost, "/resume/x", "p"))
+	assert.NilError(t, o.err)
+	assert.Equal(t, o.body, stream(2))
+	assert.Equal(t, len(b.seen()), 1)
+}
+
 // A prompt above one engine's memory has some set aside at others, under names
 // that go with the request; with the answer's end all of it is given back.
 func TestMemoryIsSetAsideAndGivenBack(t *testing.T) {
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -25,6 +25,11 @@
 	}
 	service := j.service.Name
 	w.timer = time.AfterFunc(first, func() {
+		// A VM that is about to stop finds no other place that ends in time, and an
+		// answer that was only slow would be cut for nothing.
+		if leaving, left := r.deps.Leaving(); leaving && left < r.lasts(j) {
+			return
+		}
 		if r.deps.Budget.Take(service) {
 			r.deps.Meter.Count("repeats", 1)
 			w.granted.Store(true)
