Have VMs that start greet each other, and take records from whoever has them

Cause: a VM that starts knew nobody until the next beats, so that it looked for records every 150 ms, found a peer that was ahead with the second look, and answered 503 not_ready meanwhile. Leaders dropped the asks of VMs that they had not heard of yet (datagram of no member). Change: greetings as soon as the list of VMs is read, answered at once; a VM that knows nothing is woken when a peer has read on, and reads the store itself only where none that it hears has records or reads; whoever reads first tells its zone. Requests wait for the first configuration for an eighth of their time and a second after the start at most, in place of a refusal.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -81,6 +81,9 @@
 	// members are those that can be heard, as of membersAt.
 	members   []allocator.Member
 	membersAt time.Time
+	// ahead is called when another VM turns out to have read on; nil where nobody
+	// listens.
+	ahead func()
 }
 
 // New returns a Gossiper of one run of a VM's process. ends tells how far it has
@@ -137,8 +140,7 @@
 }
 
 func (g *Gossiper) beat(now time.Time, ends map[string]End) {
-	m := g.message()
-	m.Streams = wireStreams(now, ends)
+	m := g.report(now, ends)
 	for _, end := range ends {
 		if end.Failing {
 			g.refusedAt = now
@@ -175,6 +177,49 @@
 	g.send(now, m, func(p *peer) bool { return p.tried.IsZero() && p.direct.IsZero() })
 }
 
+// Greet tells the VMs that this process knows by name only that it is there, and
+// they answer. After a restart of many VMs each asks for places within
+// milliseconds, and until a leader has heard of those that ask it serves none.
+func (g *Gossiper) Greet() {
+	ends := g.ends()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.greet(now, g.report(now, ends))
+}
+
+// Tell tells the VMs of this zone at once how far this one has read: those that
+// start now know nothing until then.
+func (g *Gossiper) Tell() {
+	ends := g.ends()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.send(now, g.report(now, ends), func(p *peer) bool { return p.Zone == g.me.Zone })
+}
+
+// reply answers a VM that has just started.
+func (g *Gossiper) reply(to netip.AddrPort) {
+	ends := g.ends()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	m := g.report(now, ends)
+	m.Reply = true
+	g.send(now, m, func(p *peer) bool { return p.Address == to })
+}
+
+// report is what this VM says of itself, and how far it has read.
+func (g *Gossiper) report(now time.Time, ends map[string]End) message {
+	m := g.message()
+	m.Streams = wireStreams(now, ends)
+	return m
+}
+
+// Listen has a function called when another VM turns out to have read on. It is
+// called once, before the Gossiper is used.
+func (g *Gossiper) Listen(ahead func()) { g.ahead = ahead }
+
 func wireStreams(now time.Time, ends map[string]End) []wireStream {
 	var streams []wireStream
 	for name, end := range ends {
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -29,6 +29,8 @@
 	// Refused are the digests of VMs of the sender's zone that the platform does
 	// not let read.
 	Refused []uint32 `cbor:"12,keyasint,omitempty"`
+	// Reply says that this answers a VM that has just started.
+	Reply bool `cbor:"13,keyasint,omitempty"`
 	// Alive is how long ago VMs were heard, as digests and ages one after the
 	// other; Peers are some of them in full.
 	Alive []byte     `cbor:"10,keyasint,omitempty"`
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -33,9 +33,11 @@
 	asOf time.Time
 }
 
-// read notes how far the VM has read a stream.
-func (p *peer) read(now time.Time, w wireStream) {
+// read notes how far the VM has read a stream, and says whether that is further
+// than before.
+func (p *peer) read(now time.Time, w wireStream) (further bool) {
 	r := p.streams[w.Name]
+	further = w.End > r.end
 	if w.End >= r.end {
 		r.end = w.End
 		if at := now.Add(-time.Duration(w.Age) * time.Millisecond); w.Age != unconfirmed && at.After(r.asOf) {
@@ -43,6 +45,7 @@
 		}
 	}
 	p.streams[w.Name] = r
+	return further
 }
 
 // Receive takes a datagram in.
@@ -52,15 +55,28 @@
 		g.log.Debug().Str("peer", from.String()).Err(err).Msg("datagram not understood")
 		return
 	}
+	found, further := g.take(from, &m)
+	if found && !m.Reply && !m.Bye {
+		g.reply(from)
+	}
+	if further && g.ahead != nil {
+		g.ahead()
+	}
+}
+
+// take folds a message. It says whether it is the first of a run of its sender,
+// and whether that has read on.
+func (g *Gossiper) take(from netip.AddrPort, m *message) (found, further bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.meet(allocator.Member{VM: m.VM, Address: from, Zone: m.Zone, Power: float64(m.Power)})
 	if p == nil || m.Boot < p.boot {
-		return
+		return false, false
 	}
 	now := g.now()
 	if m.Boot != p.boot {
 		g.log.Info().Str("peer", m.VM).Str("address", from.String()).Int64("boot", m.Boot).Msg("peer found")
+		found = true
 		p.boot, p.seq, p.changed, g.members = m.Boot, 0, now, nil
 		clear(p.streams)
 	} else if now.Sub(p.heard) > g.quietFor(p, now) {
@@ -72,10 +88,10 @@
 		p.heard, p.direct = now.Add(-goneAfter-2*told), time.Time{}
 		p.known, g.members = p.heard, nil
 		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
-		return
+		return found, false
 	}
 	if m.Seq <= p.seq {
-		return
+		return found, false
 	}
 	p.seq = m.Seq
 	if p.Leaving != m.Leaving {
@@ -84,7 +100,7 @@
 	p.Zone, p.Power = m.Zone, float64(m.Power)
 	p.refused = time.Time{}
 	for _, w := range m.Streams {
-		p.read(now, w)
+		further = p.read(now, w) || further
 		if w.Failing {
 			p.refused = now
 		}
@@ -101,4 +117,5 @@
 	}
 	g.heedAlive(now, m.Alive)
 	g.heedFar(now, m.Far)
+	return found, further
 }
--- a/entry/process/gossiper/relay.go
+++ b/entry/process/gossiper/relay.go
@@ -69,6 +69,22 @@
 	return Follows
 }
 
+// Starts says that no VM of this zone that has been heard, and that the platform
+// serves, reads rather than this one. It is for a process that knows nothing yet:
+// those that it knows by name only may all be starting as well, or be gone.
+func (g *Gossiper) Starts() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, p := range g.peers {
+		heard := !p.heard.IsZero() && now.Sub(p.heard) <= g.quietFor(p, now)
+		if heard && p.Zone == g.me.Zone && !p.Leaving && now.Sub(p.refused) > refusedFor && p.Before(&g.me, allocator.Group{Zone: g.me.Zone}) {
+			return false
+		}
+	}
+	return true
+}
+
 // refusedFor is how long a VM counts as refused after the last word that it is.
 const refusedFor = time.Second
 
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// wake has peers asked for what this VM does not know at all yet.
+func (v *Process) wake() {
+	for _, s := range v.syncers {
+		s.Wake()
+	}
+}
+
 // ends tells how far this VM has read. What it has read since the last record that
 // mattered changes nothing for whoever has read as far as that: upstreams write all
 // the time that they live, and each VM would fetch that from the one that reads.
@@ -109,7 +116,11 @@
 		v.log.Warn().Int64("version", c.Version).Int64("in force", old.Version).Int64("offset", offset).Msg("older configuration passed over")
 		return
 	}
+	first := v.table.Load() == nil
 	v.table.Store(matcher.New(c))
+	if first {
+		close(v.configured)
+	}
 	v.acceptor.Limit(c.Limits)
 	v.log.Info().Int64("version", c.Version).Int64("offset", offset).Int("routes", len(c.Routes)).
 		Int("services", len(c.Services)).Int("teams", len(c.Teams)).Msg("configuration in force")
@@ -230,6 +241,7 @@
 	} else {
 		v.copies[VMs].Complete(rs, end, time.Now())
 	}
+	v.gossiper.Greet()
 	if own := v.own.Load(); own == nil || *own != v.me {
 		go v.announce(ctx)
 	}
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -135,8 +135,10 @@
 	budget    *budget
 	acceptor  *acceptor.Acceptor
 	syncers   []*syncer.Syncer
-	// listed says that a first list of upstreams has come.
-	listed atomic.Bool
+	// configured is closed once a configuration is in force, and listed says that a
+	// first list of upstreams has come.
+	configured chan struct{}
+	listed     atomic.Bool
 	// met is closed once the list of VMs has been read, marks are the ends of what
 	// mattered in each stream.
 	met chan struct{}
@@ -160,7 +162,7 @@
 	v := &Process{
 		platform: p, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
 		ticker: ticker.New(time.Now, step), tracker: tracker.New(), carrier: carrier.New(time.Now),
-		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), met: make(chan struct{}),
+		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), met: make(chan struct{}), configured: make(chan struct{}),
 		marks: map[string]*atomic.Int64{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&s)
@@ -179,13 +181,14 @@
 	me := allocator.Member{VM: s.VM, Address: self, Zone: s.Zone, Power: s.Power}
 	v.me = me
 	v.gossiper = gossiper.New(me, v.boot, sender{v.datagrams}, v.ends, time.Now, log)
+	v.gossiper.Listen(v.wake)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members,
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
 	})
 	v.budget = newBudget(v)
 	v.relayer = relayer.New(relayer.Deps{
-		Table: v.table.Load, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
+		Table: v.table.Load, Configured: v.configured, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
 		Budget:   v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
 		Leaving: v.leaving,
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -37,6 +37,12 @@
 	// and peerTime bounds the reading from one.
 	peerEvery = 150 * time.Millisecond
 	peerTime  = time.Second
+	// startEvery is how often a VM that knows nothing yet looks whether it has to
+	// read, greeting how long it waits for the word of those that live, and
+	// startWait how long for their records.
+	startEvery = 5 * time.Millisecond
+	greeting   = 15 * time.Millisecond
+	startWait  = 250 * time.Millisecond
 	// outage is after how long without a reading the platform counts as lost.
 	outage = 1500 * time.Millisecond
 	// failing is for how long a reading that failed counts.
@@ -58,8 +64,12 @@
 
 // Peers are the other VMs.
 type Peers interface {
-	// Duty is whether this VM reads the platform for others.
+	// Duty is whether this VM reads the platform for others, and Starts whether it
+	// does where it has just started and nobody that it hears will.
 	Duty() gossiper.Duty
+	Starts() bool
+	// Tell tells the other VMs at once how far this one has read.
+	Tell()
 	// Answered is when the platform last confirmed any offset of a stream to a
 	// VM that can be heard.
 	Answered(stream string) time.Time
@@ -100,6 +110,10 @@
 	log    zerolog.Logger
 	lost   bool
 	began  time.Time
+	// ran is when Run began; only Run uses it.
+	ran time.Time
+	// woken says that a VM has read on.
+	woken chan struct{}
 	// failed is when a reading last failed, in Unix milliseconds; 0 since one
 	// that did not.
 	failed atomic.Int64
@@ -108,7 +122,7 @@
 // New returns a Syncer of one stream.
 func New(s Stream, source Source, p Peers, now func() time.Time, log zerolog.Logger) *Syncer {
 	return &Syncer{
-		stream: s, source: source, peers: p, now: now, began: now(),
+		stream: s, source: source, peers: p, now: now, began: now(), woken: make(chan struct{}, 1),
 		log: log.With().Str("stream", s.Name).Logger(),
 	}
 }
@@ -117,15 +131,17 @@
 func (s *Syncer) Run(ctx context.Context) {
 	wait := tryAgain
 	read := s.now()
+	s.ran = read
 	// whole is set where the platform has forgotten what this VM has not read.
 	whole := false
 	for ctx.Err() == nil {
 		if !s.due() {
 			read = s.now()
-			pause(ctx, peerEvery)
+			pause(ctx, s.pollEvery())
 			continue
 		}
-		err := s.read(ctx, whole || !s.known())
+		first := !s.known()
+		err := s.read(ctx, whole || first)
 		now := s.now()
 		s.failed.Store(0)
 		if err != nil && !errors.Is(err, ErrForgotten) {
@@ -138,6 +154,9 @@
 				s.log.Info().Dur("away", now.Sub(read)).Msg("platform answers again")
 			}
 			whole, wait, read = false, tryAgain, now
+			if first && s.stream.Shared {
+				s.peers.Tell()
+			}
 			pause(ctx, s.stream.Every)
 			continue
 		case errors.Is(err, ErrForgotten):
@@ -165,6 +184,34 @@
 // Stream is the name of the stream.
 func (s *Syncer) Stream() string { return s.stream.Name }
 
+// Wake has peers asked at once where this VM knows nothing yet. Until it knows the
+// configuration and the list it serves nobody.
+func (s *Syncer) Wake() {
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+// pollEvery is how often it is looked at whether there is something to read.
+func (s *Syncer) pollEvery() time.Duration {
+	if s.known() {
+		return peerEvery
+	}
+	return startEvery
+}
+
+// starts says whether a VM that knows nothing yet reads the platform. It first
+// gives those that live the time to say that they have what it needs: each VM that
+// starts would else make its own calls.
+func (s *Syncer) starts() bool {
+	old := s.now().Sub(s.ran)
+	if _, ahead := s.peers.Ahead(s.stream.Name, 0); ahead && old < startWait {
+		return false
+	}
+	return old >= startWait || (old >= greeting && s.peers.Starts())
+}
+
 // due says that this VM has to read the platform. Each reading is paid for, and the
 // platform bears only so many, so that one VM of a zone reads for the others. Where
 // it has nothing fresh, few others try; the rest do only where the platform is
@@ -174,6 +221,9 @@
 		return true
 	}
 	end, asOf := s.stream.Copy.End()
+	if end == 0 && s.failed.Load() == 0 {
+		return s.starts()
+	}
 	if asOf.IsZero() {
 		asOf = s.began
 	}
@@ -226,7 +276,7 @@
 func (s *Syncer) RunPeers(ctx context.Context) {
 	var behind time.Time
 	for ctx.Err() == nil {
-		pause(ctx, peerEvery)
+		s.pausePeers(ctx)
 		end, asOf := s.stream.Copy.End()
 		if confirmed := s.peers.Confirmed(s.stream.Name, end); confirmed.After(asOf) {
 			s.stream.Copy.Confirm(confirmed)
@@ -240,7 +290,7 @@
 			behind = s.now()
 		}
 		overdue := s.stream.Behind > 0 && s.now().Sub(behind) >= s.stream.Behind
-		if s.now().Sub(asOf) < s.stream.Stale && s.due() && !overdue {
+		if end > 0 && s.now().Sub(asOf) < s.stream.Stale && s.due() && !overdue {
 			continue
 		}
 		short, cancel := context.WithTimeout(ctx, peerTime)
@@ -256,6 +306,24 @@
 	}
 }
 
+// pausePeers waits until peers are asked again. A VM that knows nothing is woken.
+func (s *Syncer) pausePeers(ctx context.Context) {
+	t := time.NewTimer(peerEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			return
+		case <-s.woken:
+			if !s.known() {
+				return
+			}
+		}
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -63,13 +63,16 @@
 // peers have one VM that has read further.
 type peers struct {
 	records []replicator.Record
-	// serves says that they read for this VM, and confirm what it has.
+	// serves says that they read for this VM, confirm what it has and give what they
+	// have; nil where they only give it.
 	serves *atomic.Bool
 	// duty is this VM's while they do; stale says that they confirm nothing, and
 	// answered when the platform last answered one of them.
 	duty     gossiper.Duty
 	stale    bool
 	answered time.Time
+	// told counts how often this VM told them how far it has read.
+	told *atomic.Int32
 }
 
 func (p peers) Duty() gossiper.Duty {
@@ -79,6 +82,14 @@
 	return p.duty
 }
 
+func (p peers) Starts() bool { return p.Duty() == gossiper.Reads }
+
+func (p peers) Tell() {
+	if p.told != nil {
+		p.told.Add(1)
+	}
+}
+
 func (p peers) Confirmed(string, int64) time.Time {
 	if p.Duty() == gossiper.Reads || p.stale {
 		return time.Time{}
@@ -89,7 +100,7 @@
 func (p peers) Answered(string) time.Time { return p.answered }
 
 func (p peers) Ahead(_ string, than int64) (netip.AddrPort, bool) {
-	return netip.AddrPort{}, int64(len(p.records)) > than
+	return netip.AddrPort{}, int64(len(p.records)) > than && (p.serves == nil || p.serves.Load())
 }
 
 func (p peers) Fetch(_ context.Context, _ netip.AddrPort, _ string, from int64) (replicator.Page, error) {
@@ -237,3 +248,50 @@
 	reaches(t, c, 2)
 	assert.Assert(t, time.Since(began) < 5*time.Second)
 }
+
+// A VM has just started, and another one of its zone has all that it needs. It must
+// not wait for its next look at its peers, nor make a call of its own.
+func TestStartingVMTakesAPeersRecordsAtOnce(t *testing.T) {
+	serves := &atomic.Bool{}
+	serves.Store(true)
+	p := &platform{records: []replicator.Record{record("a", 0), record("b", 1)}}
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
+	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Every: time.Millisecond, Stale: 200 * time.Millisecond, Shared: true}, p,
+		peers{records: p.records, serves: serves, duty: gossiper.Follows}, time.Now, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	var both sync.WaitGroup
+	both.Go(func() { s.Run(ctx) })
+	both.Go(func() { s.RunPeers(ctx) })
+	defer both.Wait()
+	defer cancel()
+	began := time.Now()
+	s.Wake()
+	reaches(t, c, 2)
+	assert.Assert(t, time.Since(began) < 140*time.Millisecond, "it took %v", time.Since(began))
+	p.set(func() { assert.Equal(t, p.wholes, 0) })
+}
+
+// No VM of the zone has anything. The one that reads first tells the others at once.
+func TestFirstReaderTellsTheOthers(t *testing.T) {
+	told := &atomic.Int32{}
+	p := &platform{records: []replicator.Record{record("a", 0)}}
+	c := start(t, p, peers{told: told})
+	reaches(t, c, 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if told.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("told %d times", told.Load())
+	})
+}
+
+// All that has been heard is that others start too, and none of them gets anything:
+// the VM that followed reads for itself.
+func TestStartingVMWaitsForPeersInVainOnlyBriefly(t *testing.T) {
+	serves := &atomic.Bool{}
+	serves.Store(true)
+	p := &platform{records: []replicator.Record{record("a", 0)}}
+	began := time.Now()
+	reaches(t, start(t, p, peers{serves: serves, duty: gossiper.Follows, stale: true}), 1)
+	assert.Assert(t, time.Since(began) < time.Second, "it took %v", time.Since(began))
+}
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -139,6 +139,8 @@
 	meter   *meter.Meter
 	table   *matcher.Table
 	left    atomic.Int64
+	// table is nil until configured is closed where there is such a channel.
+	configured chan struct{}
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -164,11 +166,30 @@
 	return c
 }
 
+// inForce is the configuration, once there is one.
+func (b *bench) inForce() *matcher.Table {
+	select {
+	case <-b.configured:
+		return b.table
+	default:
+		return nil
+	}
+}
+
 func newBench(t *testing.T, c matcher.Config) *bench {
+	t.Helper()
+	b := newUnconfigured(t, c)
+	close(b.configured)
+	return b
+}
+
+// newUnconfigured has no configuration until the test closes configured.
+func newUnconfigured(t *testing.T, c matcher.Config) *bench {
 	t.Helper()
 	b := &bench{
 		t: t, tracker: tracker.New(), carrier: carrier.New(time.Now), purse: &purse{left: 10}, meter: meter.New(),
 		memory: &memory{held: map[string]int{}, full: map[string]bool{}}, table: matcher.New(c),
+		configured: make(chan struct{}),
 	}
 	clock := ticker.New(time.Now, time.Millisecond)
 	go clock.Run(t.Context())
@@ -178,7 +199,7 @@
 		ColdPart: func(string, float64, bool) int { return 0 }, Now: time.Now, Log: zerolog.Nop(),
 	})
 	r := relayer.New(relayer.Deps{
-		Table: func() *matcher.Table { return b.table }, Dialect: dialect{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
+		Table: b.inForce, Configured: b.configured, Dialect: dialect{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
 		Reserver: reserver.New("me-", b.memory, func() time.Duration { return time.Second }, zerolog.Nop()),
 		Budget:   b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -38,6 +38,11 @@
 	// mostRefused is how many upstreams may refuse a request, besides those
 	// that it may run at.
 	mostRefused = 3
+	// startTime is for how long after its start a process has requests wait for the
+	// configuration, and startShare which part of its time each may wait at most,
+	// as one over this.
+	startTime  = time.Second
+	startShare = 8
 	// bodyTime bounds the arrival of a body in a request without a limit.
 	bodyTime = 10 * time.Second
 	// writeSpare is how long after a request's end its answer may still be on
@@ -118,8 +123,10 @@
 
 // Deps are what a Relayer works with.
 type Deps struct {
-	Table   func() *matcher.Table
-	Dialect Dialect
+	Table func() *matcher.Table
+	// Configured is closed once there is a table.
+	Configured <-chan struct{}
+	Dialect    Dialect
 	// Allocator gives places at upstreams.
 	Allocator *allocator.Allocator
 	Tracker   *tracker.Tracker
@@ -136,11 +143,12 @@
 
 // A Relayer passes requests on.
 type Relayer struct {
-	deps Deps
+	deps  Deps
+	began time.Time
 }
 
 // New returns a Relayer.
-func New(d Deps) *Relayer { return &Relayer{deps: d} }
+func New(d Deps) *Relayer { return &Relayer{deps: d, began: d.Now()} }
 
 // A job is one request on its way.
 type job struct {
@@ -212,7 +220,7 @@
 
 // accept finds out what a request is, or why it is not served.
 func (r *Relayer) accept(w http.ResponseWriter, j *job) *refuser.Refusal {
-	table := r.deps.Table()
+	table := r.await(j)
 	if table == nil {
 		return refuser.New(http.StatusServiceUnavailable, "not_ready", "this VM has no configuration yet").Back(comeBack)
 	}
@@ -240,6 +248,27 @@
 	return refusal
 }
 
+// await gives the configuration. A process that has just started has it within some
+// tens of milliseconds, and a request that is refused meanwhile is often lost: many
+// callers come back once at most, and all VMs may have started together.
+func (r *Relayer) await(j *job) *matcher.Table {
+	if table := r.deps.Table(); table != nil {
+		return table
+	}
+	left := r.began.Add(startTime).Sub(r.deps.Now())
+	if j.ask.Limit > 0 {
+		left = min(left, j.ask.Limit/startShare)
+	}
+	t := time.NewTimer(max(0, left))
+	defer t.Stop()
+	select {
+	case <-r.deps.Configured:
+	case <-t.C:
+	case <-j.request.Context().Done():
+	}
+	return r.deps.Table()
+}
+
 func (r *Relayer) identify(table *matcher.Table, j *job) *refuser.Refusal {
 	q := j.request
 	route, ok := table.Route(q.Host, q.RequestURI)
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -458,3 +458,28 @@
 	assert.Equal(t, o.status, http.StatusServiceUnavailable)
 	assert.Assert(t, o.header.Get("Retry-After") != "")
 }
+
+// A process that has just started has no configuration for some tens of
+// milliseconds. Refused meanwhile, most callers would not come back.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	b := newUnconfigured(t, routes())
+	b.upstream("u1", "plain", sealed)
+	time.AfterFunc(30*time.Millisecond, func() { close(b.configured) })
+	got := b.do(b.request(http.MethodGet, "/safe/a", ""))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
+
+// Where no configuration comes, a caller learns soon that its request has not run
+// and when to come back.
+func TestRequestWithoutAConfigurationIsRefusedInTime(t *testing.T) {
+	b := newUnconfigured(t, routes())
+	q := b.request(http.MethodGet, "/safe/a", "")
+	q.Header.Set("Limit", "400ms")
+	began := time.Now()
+	got := b.do(q)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(began) < 300*time.Millisecond, "it took %v", time.Since(began))
+}
