Ask upstreams for their health once one has declined to help

Cause: engines that an order takes away decline to help from then on, and the list names them 0.6 s later, or not at all while the store is down. Each try of a long prompt found one more of them (a quarter of 45 left: four tries in 100 ms, then 503), and all VMs had forgotten it 300 ms later, so that the next prompts met the same engines. Change: an engine that declines to help, or fails a check beside one that has, counts as leaving for 4 s: it reads no part of a long prompt, and is disliked for short ones.

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -22,6 +22,7 @@
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/syncer"
@@ -187,10 +188,11 @@
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
 	})
 	v.budget = newBudget(v)
+	probes := prober.New(prober.Deps{Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log})
 	v.relayer = relayer.New(relayer.Deps{
 		Table: v.table.Load, Configured: v.configured, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
-		Budget:   v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
+		Prober:   probes, Budget: v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
 		Leaving: v.leaving,
 	})
 	v.acceptor = acceptor.New(v.callers, v, s.Descriptors/callersShare, time.Now, log)
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -169,7 +169,7 @@
 		c := placer.Candidate{
 			ID: u.ID, Zone: u.Zone, Slots: u.Slots, Near: u.Zone == call.Zone, Room: unbounded,
 			Cold: now.Before(u.ColdUntil), Silent: now.Before(u.SilentUntil) || slices.Contains(call.Avoid, u.ID),
-			Failed: u.Outcomes.Failed, Answered: u.Outcomes.Answered,
+			Leaves: now.Before(u.LeavesUntil), Failed: u.Outcomes.Failed, Answered: u.Outcomes.Answered,
 		}
 		if l, ok := s.work[u.ID]; ok {
 			c.Load = *l
--- a/entry/process/tracker/event.go
+++ b/entry/process/tracker/event.go
@@ -20,6 +20,8 @@
 	FoundMisplaced
 	// FoundStalled is work that needs several upstreams and has not gone on.
 	FoundStalled
+	// FoundLeaving is an upstream that no longer helps.
+	FoundLeaving
 )
 
 // An Event is what a VM found out about upstreams.
@@ -55,6 +57,8 @@
 			t.turnCold(now, id, e.For)
 		case FoundMisplaced:
 			t.drop(id)
+		case FoundLeaving:
+			t.leave(now, id)
 		case FoundStalled:
 			if t.quiet(id, now.Add(-e.For)) {
 				t.fail(now, id, true)
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -19,6 +19,9 @@
 	// again does so within some seconds.
 	unreachable     = 300 * time.Millisecond
 	mostUnreachable = 4 * time.Second
+	// leaving is how long an upstream that declined to help is taken for leaving.
+	// By then the list says so, unless the platform is away.
+	leaving = 4 * time.Second
 	// mostDoubled bounds the doublings of unreachable.
 	mostDoubled = 8
 )
@@ -49,6 +52,9 @@
 	Pace float64
 	// SilentUntil is until when it gets nothing, after broken connections.
 	SilentUntil time.Time
+	// LeavesUntil is until when it is taken for leaving, whatever the list says: it
+	// has declined to help, or its health check has failed beside one that had.
+	LeavesUntil time.Time
 	inRow       int
 	heardAt     time.Time
 	// lapsedAt is when its entry went without its having said that it leaves,
@@ -356,6 +362,20 @@
 	}
 }
 
+// Leaves notes that an upstream seems to leave.
+func (t *Tracker) Leaves(now time.Time, id string) {
+	t.leave(now, id)
+	t.tell(Event{Finding: FoundLeaving, Upstreams: []string{id}})
+}
+
+func (t *Tracker) leave(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.known[id]; ok {
+		s.LeavesUntil = now.Add(leaving)
+	}
+}
+
 // Misplaced notes that another process answers at an upstream's address: it is
 // gone, whatever the list says.
 func (t *Tracker) Misplaced(id string) {
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -180,7 +180,7 @@
 	costs := make([]float64, len(cs))
 	for i := range cs {
 		c := &cs[i]
-		if c.Room < 1 || c.Silent || c.Cold || !c.slot(m) {
+		if c.Room < 1 || c.Silent || c.Cold || c.Leaves || !c.slot(m) {
 			continue
 		}
 		// Two parts at one engine are read by turns: each group waits for the
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -29,6 +29,9 @@
 	doubt = 1.0
 	// cold is what a cold start counts for in milliseconds.
 	cold = 100.0
+	// leaving is what counts against an upstream that seems to leave, in
+	// milliseconds.
+	leaving = 100.0
 	// plainSlot is the estimated time in milliseconds that each request under
 	// way at a plain service adds for the next.
 	plainSlot = 20.0
@@ -53,6 +56,9 @@
 	Room   int
 	Cold   bool
 	Silent bool
+	// Leaves says that it seems to leave: it helps nobody any more, and a stream
+	// there may be cut.
+	Leaves bool
 	// Failed and Answered are recent requests of all VMs that failed there or
 	// were answered, older ones counting less.
 	Failed, Answered float64
@@ -155,6 +161,9 @@
 	if c.Cold {
 		cost += cold
 	}
+	if c.Leaves {
+		cost += leaving
+	}
 	if c.Silent {
 		cost += 1e5
 	}
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -222,7 +222,7 @@
 		return j.unlessOnce()
 	}
 	if t.verdict.NotRun {
-		return r.declined(j, t)
+		return r.declined(ctx, j, t)
 	}
 	j.runs++
 	if !bad(x.Status) {
@@ -313,7 +313,7 @@
 }
 
 // declined handles an upstream that says that it did not run the request.
-func (r *Relayer) declined(j *job, t *try) step {
+func (r *Relayer) declined(ctx context.Context, j *job, t *try) step {
 	at := t.grant.Upstream.ID
 	for _, h := range t.grant.Helpers {
 		if t.verdict.Fault != "" && h.Address == t.verdict.Fault {
@@ -328,7 +328,12 @@
 	}
 	// An engine that cannot help is leaving or gone; one that takes no request
 	// itself may just be full.
-	r.deps.Tracker.Failed(r.deps.Now(), at, at != t.grant.Upstream.ID)
+	helper := at != t.grant.Upstream.ID
+	r.deps.Tracker.Failed(r.deps.Now(), at, helper)
+	if helper {
+		r.deps.Tracker.Leaves(r.deps.Now(), at)
+		r.deps.Prober.Probe(ctx, j.service)
+	}
 	return failed
 }
 
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/relayer"
@@ -162,7 +163,7 @@
 	c.Routes = []matcher.Route{route("safe", matcher.Safe), route("unsafe", matcher.Unsafe), route("stream", matcher.Stream), route("resume", matcher.Stream)}
 	c.Routes[3].Resumable = true
 	c.Routes[2].Split, c.Routes[3].Split = to("model"), to("model")
-	c.Services = []matcher.Service{{Name: "plain"}, {Name: "model", Engine: engine}}
+	c.Services = []matcher.Service{{Name: "plain"}, {Name: "model", Engine: engine, HealthPath: "/health"}}
 	return c
 }
 
@@ -201,6 +202,7 @@
 	r := relayer.New(relayer.Deps{
 		Table: b.inForce, Configured: b.configured, Dialect: dialect{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
 		Reserver: reserver.New("me-", b.memory, func() time.Duration { return time.Second }, zerolog.Nop()),
+		Prober:   prober.New(prober.Deps{Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop()}),
 		Budget:   b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
 	})
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -17,6 +17,7 @@
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/tracker"
@@ -132,11 +133,13 @@
 	Tracker   *tracker.Tracker
 	Carrier   *carrier.Carrier
 	Reserver  *reserver.Reserver
-	Budget    Budget
-	Bodies    reader.Budget
-	Meter     Meter
-	Now       func() time.Time
-	Log       zerolog.Logger
+	// Prober finds out which upstreams leave where one has declined to help.
+	Prober *prober.Prober
+	Budget Budget
+	Bodies reader.Budget
+	Meter  Meter
+	Now    func() time.Time
+	Log    zerolog.Logger
 	// Leaving says that this VM is about to stop, and how long it has left.
 	Leaving func() (bool, time.Duration)
 }
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -483,3 +485,43 @@
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 	assert.Assert(t, time.Since(began) < 300*time.Millisecond, "it took %v", time.Since(began))
 }
+
+// An order takes half of the engines away, and the list does not say so. They answer
+// what they have, decline to help, and fail their health checks: a long prompt must
+// not lose one try to each of them.
+func TestOneDeclineTellsOfAllThatLeave(t *testing.T) {
+	b := newBench(t, routes())
+	leaving := map[string]bool{}
+	declined := atomic.Int32{}
+	script := func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/health" {
+			if leaving[q.Host] {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return
+		}
+		for _, helper := range q.Header.Values("Helper") {
+			if address := strings.TrimSuffix(helper, "/"); leaving[address] {
+				declined.Add(1)
+				w.Header().Set("Fault", address)
+				decline(w, q)
+				return
+			}
+		}
+		events(1, false)(w, q)
+	}
+	for i := range 8 {
+		server := b.upstream("u"+strconv.Itoa(i), "model", script)
+		leaving[strings.TrimPrefix(server.URL, "http://")] = i%2 == 0
+	}
+	q := b.request(http.MethodPost, "/resume/x", "p")
+	q.Header.Set("Prompt", "200000")
+	o := b.do(q)
+	assert.NilError(t, o.err)
+	assert.Equal(t, o.status, http.StatusOK)
+	assert.Assert(t, declined.Load() <= 1, "%d engines declined in turn", declined.Load())
+	last := b.seen()[len(b.seen())-1]
+	for _, helper := range last.header.Values("Helper") {
+		assert.Assert(t, !leaving[strings.TrimSuffix(helper, "/")])
+	}
+}
