Encode records once for all VMs that ask for them

Cause: each VM that fetched records got them encoded and compressed for itself. On a new version, or a restart of a zone, a hundred VMs ask one within milliseconds; a compressor each takes some megabytes. Ruled out: no compression (links of 20 Mbit/s); spreading the asks over VMs, which the random choice among those that are ahead does already. Change: package pager keeps the last encoded page of each stream. Its age and end go beside it, so that an old encoding does not make records seem older or fresher. Tests: forty fetches encode once; new records and ages are those of the copy.

--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/heathervane/heathervane/entry/process/pager"
 )
 
 const (
@@ -90,7 +92,7 @@
 
 func (v *Process) serveRecords() {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+recordsPath, v.serveRecord)
+	mux.Handle("GET "+pager.Path, pager.New(v.copies, v.meter, time.Now, v.log))
 	v.serve(v.records, mux, "records")
 }
 
--- /dev/null
+++ b/entry/process/pager/pager_test.go
@@ -0,0 +1,124 @@
+package pager_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/pager"
+	"github.com/heathervane/heathervane/entry/process/replicator"
+)
+
+// counts is a meter.
+type counts struct{ encoded atomic.Int64 }
+
+func (c *counts) Count(_ string, n int64) { c.encoded.Add(n) }
+
+// records are so many of about a kilobyte each.
+func records(n int, first int64) []replicator.Record {
+	var rs []replicator.Record
+	for i := range n {
+		rs = append(rs, replicator.Record{Key: fmt.Sprint("key", i), Value: []byte(strings.Repeat("value ", 160)), Offset: first + int64(i)})
+	}
+	return rs
+}
+
+func serve(tb testing.TB, c *replicator.Copy) (netip.AddrPort, *counts) {
+	tb.Helper()
+	m := &counts{}
+	server := httptest.NewServer(pager.New(map[string]*replicator.Copy{"s": c}, m, time.Now, zerolog.Nop()))
+	tb.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), m
+}
+
+func newCopy() *replicator.Copy {
+	return replicator.New(func([]replicator.Record, time.Duration) {})
+}
+
+// All VMs of a zone ask for a new version at once. It must be encoded once: with a
+// compressor for each, a small VM would run out of memory.
+func TestSameRecordsAreEncodedOnce(t *testing.T) {
+	c := newCopy()
+	c.Complete(records(200, 0), 200, time.Now())
+	at, m := serve(t, c)
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+			assert.Check(t, err)
+			assert.Check(t, len(p.Records) == 200 && p.End == 200 && p.Whole)
+		})
+	}
+	all.Wait()
+	assert.Equal(t, m.encoded.Load(), int64(1))
+}
+
+// A record that came since must not be held back by what was encoded before.
+func TestNewRecordsAreServed(t *testing.T) {
+	c := newCopy()
+	c.Complete(records(3, 0), 3, time.Now())
+	at, _ := serve(t, c)
+	_, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	assert.NilError(t, err)
+	c.Merge([]replicator.Record{{Key: "new", Value: []byte("x"), Offset: 3}}, 4, time.Now())
+	p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	assert.NilError(t, err)
+	assert.Equal(t, len(p.Records), 4)
+	assert.Equal(t, p.End, int64(4))
+	p, err = pager.Fetch(t.Context(), at, "s", 3, time.Now)
+	assert.NilError(t, err)
+	assert.Equal(t, len(p.Records), 1)
+	assert.Assert(t, !p.Whole)
+}
+
+// What a peer has is as old as the platform's word to it, also where it was encoded
+// long before: told as fresh, an old list would be used on.
+func TestAgeIsThatOfTheCopy(t *testing.T) {
+	c := newCopy()
+	c.Complete(records(1, 0), 1, time.Now().Add(-2*time.Second))
+	at, _ := serve(t, c)
+	for range 2 {
+		p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(p.AsOf) >= 2*time.Second)
+	}
+	c.Confirm(time.Now())
+	p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(p.AsOf) < time.Second)
+}
+
+// A VM of another version, or something else at its address, must not be believed.
+func TestOtherAnswersAreErrors(t *testing.T) {
+	at, _ := serve(t, newCopy())
+	_, err := pager.Fetch(t.Context(), at, "unknown", 0, time.Now)
+	assert.ErrorContains(t, err, "400")
+}
+
+// BenchmarkHundredVMs is the memory that a restart of a zone takes where a VM's
+// configuration has some hundred kilobytes.
+func BenchmarkHundredVMs(b *testing.B) {
+	c := newCopy()
+	c.Complete(records(300, 0), 300, time.Now())
+	at, _ := serve(b, c)
+	b.ReportAllocs()
+	for range b.N {
+		c.Merge([]replicator.Record{{Key: "key0", Value: []byte("x"), Offset: int64(400 + b.N)}}, int64(500+b.N), time.Now())
+		var all sync.WaitGroup
+		for range 100 {
+			all.Go(func() {
+				_, err := pager.Fetch(b.Context(), at, "s", 0, time.Now)
+				assert.Check(b, err)
+			})
+		}
+		all.Wait()
+	}
+}
--- a/entry/process/replicator/replicator.go
+++ b/entry/process/replicator/replicator.go
@@ -34,6 +34,8 @@
 	// floor is the end of the last whole reading. What was dropped before it is
 	// not among the records, so that nobody can go on from below it.
 	floor int64
+	// changes counts what has changed records or the floor.
+	changes int64
 	// asOf is when the platform last confirmed that end was its own, by this
 	// VM's clock; a peer's confirmation counts from when it was made.
 	asOf time.Time
@@ -76,6 +78,7 @@
 	if len(taken) == 0 {
 		return
 	}
+	c.changes++
 	slices.SortFunc(taken, func(a, b Record) int { return int(a.Offset - b.Offset) })
 	c.changed(taken, gap)
 }
@@ -140,6 +143,7 @@
 		}
 	}
 	c.floor = max(c.floor, end)
+	c.changes++
 	c.mu.Unlock()
 	c.Merge(whole, end, asOf)
 }
@@ -162,6 +166,23 @@
 	Whole bool
 }
 
+// A State is what a copy holds from an offset on, without the records.
+type State struct {
+	// Changes grows whenever the records may be others.
+	Changes int64
+	// End, AsOf and Whole are those of a Page.
+	End   int64
+	AsOf  time.Time
+	Whole bool
+}
+
+// State tells of the records from an offset on.
+func (c *Copy) State(from int64) State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return State{Changes: c.changes, End: c.end, AsOf: c.asOf, Whole: from < c.floor}
+}
+
 // Since are the records from an offset on. A copy that was read whole after that
 // has never seen what was dropped before, and gives all that it has: one that
 // went on from there would keep an upstream that is long gone.
