Let a leader that begins hear all VMs, and tell it at once what others have given

Cause: while leaders change, as after a restart, the last one goes on granting what waits with it; the next one learnt of such a place with the next whole report, half a second later, and took its engines for idle. Each change cost every caller 30 ms, as a new leader waited that long whether all had told or not. A leader that started together with those that asked it had no list yet, said that it does not lead, and was skipped for a second, in which two more led. Ruled out: one leader only by agreement, which needs an election; longer waits. Change: a VM tells all that count its group's places of one that another gave; it marks that it has told all, and a leader places as soon as every member has; a process without a list ignores asks for its first 300 ms, and is asked again 20 ms later. Tests: first place within 8 ms, and within the old bound where a word is lost; a place of the last leader counted by the next; a leader that starts is not skipped, one without a list later is. The first three failed before.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -82,7 +82,9 @@
 	boot int64
 	deps Deps
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// began is when this run of the process began.
+	began   time.Time
 	leaving bool
 	// stop is when this VM stops; zero while it does not.
 	stop   time.Time
@@ -119,7 +121,7 @@
 // New returns the Allocator of a VM, in one run of its process.
 func New(me Member, boot int64, d Deps) *Allocator {
 	a := &Allocator{
-		me: me, boot: boot, deps: d, ticked: d.Now(),
+		me: me, boot: boot, deps: d, began: d.Now(), ticked: d.Now(),
 		doubts: make(map[netip.AddrPort]doubt), split: make(map[string]bool),
 		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), told: make(map[netip.AddrPort]bool),
 		led: make(map[Group]*led), holders: make(map[netip.AddrPort]*holder), summaries: make(map[Group]*summary),
--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -100,7 +100,7 @@
 		p.work.Helpers = append(p.work.Helpers, h.ID)
 		p.work.Tokens = append(p.work.Tokens, h.Tokens)
 	}
-	a.give(o, p)
+	a.give(now, o, p)
 }
 
 // upstream is one that a leader named, by this VM's own list where that has it.
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -192,7 +192,7 @@
 			o.answer <- answer{refusal: r}
 			return
 		}
-		a.give(o, &Place{
+		a.give(now, o, &Place{
 			Upstream: g.Upstream.Upstream, Helpers: g.Helpers, Estimate: g.Estimate, Load: g.Load, Waits: g.Waits,
 			work: g.Work, grant: g,
 		})
@@ -220,9 +220,17 @@
 	a.send(now, o)
 }
 
-func (a *Allocator) give(o *ask, p *Place) {
+func (a *Allocator) give(now time.Time, o *ask, p *Place) {
 	p.allocator, p.id, p.group = a, o.id, o.group
 	a.places[p.id] = p
+	for _, at := range a.countedBy(now, p.group) {
+		// While leaders change, or where two lead, whoever did not give the place would
+		// take its upstreams for idle.
+		if at != p.from {
+			out := a.to(at)
+			out.Places = append(out.Places, p.wire())
+		}
+	}
 	o.answer <- answer{place: p}
 }
 
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -19,6 +19,9 @@
 	// upstreams in cold start: another one may have placed there as many as they
 	// bear in this second.
 	newLeader = 1500 * time.Millisecond
+	// starting is how long a new process takes at most to have the configuration and
+	// the list, where any VM or the platform answers.
+	starting = 300 * time.Millisecond
 	// lost is after how long without a word a VM's places count as free, and its
 	// asks as left.
 	lost     = 1500 * time.Millisecond
@@ -39,6 +42,30 @@
 	// answers it.
 	alone    bool
 	coldFrom time.Time
+	// unheard are the VMs whose word on what they have it still waits for.
+	unheard map[netip.AddrPort]bool
+}
+
+// hears has nothing placed until all VMs have told what they have, or for as long
+// as that takes where none is lost.
+func (l *led) hears(now time.Time, members []Member) {
+	l.unheard = make(map[netip.AddrPort]bool, len(members))
+	for i := range members {
+		l.unheard[members[i].Address] = true
+	}
+	l.scheduler.Hold(now.Add(learning))
+}
+
+// heard notes a VM's word. With the last one places are given again.
+func (l *led) heard(now time.Time, from netip.AddrPort) {
+	if !l.unheard[from] {
+		return
+	}
+	delete(l.unheard, from)
+	if len(l.unheard) == 0 {
+		l.scheduler.Hold(now)
+		l.scheduler.Pump()
+	}
 }
 
 // A holder is a VM that asks this one.
@@ -82,7 +109,7 @@
 		a.deps.Log.Info().Str("service", g.Service).Str("zone", g.Zone).Bool("others", byAnother).Msg("group led by this VM")
 		a.count("groups.led")
 		if len(a.deps.Members()) > 0 {
-			l.scheduler.Hold(now.Add(learning))
+			l.hears(now, a.deps.Members())
 			l.coldFrom = now.Add(newLeader)
 		}
 		for _, p := range a.places {
@@ -209,6 +236,11 @@
 			h.holds[w.ID] = &held{grant: a.schedulerOf(w.Group.group()).scheduler.Adopt(w.work(), w.Began), at: now}
 		}
 	}
+	for _, w := range m.Told {
+		if l, ok := a.led[w.group()]; ok {
+			l.heard(now, from)
+		}
+	}
 	if m.Whole {
 		a.compare(now, from, h, m.Kept)
 	}
@@ -270,6 +302,11 @@
 		return
 	}
 	service, ok := a.deps.Service(w.Group.Service)
+	if (!ok || a.deps.Tracker.Outdated()) && now.Sub(a.began) < starting {
+		// It is asked again in a moment. Told that this VM does not lead, those that
+		// start together with it would each ask another one for the next second.
+		return
+	}
 	if !ok || a.leaving || a.deps.Tracker.Outdated() {
 		out := a.to(from)
 		out.Moved = append(out.Moved, w.ID)
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -31,6 +31,8 @@
 	Whole bool     `cbor:"9,keyasint,omitempty"`
 	// Places are what the sender has, for a receiver that did not give it.
 	Places []wirePlace `cbor:"10,keyasint,omitempty"`
+	// Told are groups in which the receiver has now been told of all places.
+	Told []wireGroup `cbor:"26,keyasint,omitempty"`
 	// Events are what it has found out about upstreams.
 	Events []wireEvent `cbor:"11,keyasint,omitempty"`
 
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -150,6 +150,7 @@
 // tell tells a VM of all places in a group that it begins to lead.
 func (a *Allocator) tell(to netip.AddrPort, g Group) {
 	out := a.to(to)
+	out.Told = append(out.Told, g.wire())
 	for _, p := range a.places {
 		if p.group == g {
 			out.Places = append(out.Places, p.wire())
--- /dev/null
+++ b/entry/process/allocator/restart_test.go
@@ -0,0 +1,64 @@
+package allocator_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// answers is in what time a leader has heard all others, where none is lost.
+const answers = 8 * time.Millisecond
+
+// A leader that has just begun waits no longer than until all VMs have told what they
+// have: after a restart of all, each change of the leader would cost every caller
+// the whole time.
+func TestLeaderPlacesOnceAllHaveTold(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z", "z"}, 2)
+	n.place(2, answers)
+}
+
+// A VM whose word is lost must not stop the group.
+func TestLeaderPlacesWithoutALostWord(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z", "z"}, 2)
+	n.blocked[[2]int{3, 0}] = true
+	n.place(2, soon)
+}
+
+// A place that the last leader gave while the next one began must be known to that
+// one at once: it would take the engine for idle until the next whole report.
+func TestPlaceOfTheLastLeaderIsCountedByTheNext(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	n.vms[2].unheard[0] = true
+	o := n.vms[2].Ask(n.call())
+	n.vms[2].unheard[0] = false
+	n.run(answers)
+	p, _ := o.Reply()
+	assert.Assert(t, p != nil)
+	assert.Equal(t, p.Leader, "vm1")
+	assert.Equal(t, n.vms[0].streams(), 1)
+}
+
+// A leader that starts together with those that ask it has no list for some
+// milliseconds. It must not be skipped for the next second, in which two would lead.
+func TestLeaderThatStartsIsNotSkipped(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	n.vms[0].tracker.Outdate(true)
+	o := n.vms[1].Ask(n.call())
+	n.run(40 * time.Millisecond)
+	n.vms[0].tracker.Outdate(false)
+	n.run(40 * time.Millisecond)
+	p, _ := o.Reply()
+	assert.Assert(t, p != nil)
+	assert.Equal(t, p.Leader, "vm0")
+	assert.Assert(t, !n.passed)
+}
+
+// A leader whose list is too old long after its start is no use to anybody.
+func TestLeaderWithoutAListIsSkippedLater(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	n.run(time.Second)
+	n.vms[0].tracker.Outdate(true)
+	p := n.place(2, soon)
+	assert.Equal(t, p.Leader, "vm1")
+}
