Call suspicion, pauses, headroom and interference by their names

Change: names, log messages and reasons only: leader skipped, leaders_suspected, waits for headroom, interference and sync; a suspicion, a pause of the process, an urgency; the emulator's VMs lose what they send or receive. Ruled out: renaming the lending side as well, which is to go.

--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -84,10 +84,10 @@
 	index     int
 	name      string
 	allocator *allocator.Allocator
-	// dead and frozen are as of now; diedAt is when it died. deaf and mute VMs
-	// lose what comes to them, or what they send.
-	dead, frozen, deaf, mute bool
-	diedAt                   float64
+	// dead and frozen are as of now; diedAt is when it died. losesReceived
+	// and losesSent say that the way is cut in one direction.
+	dead, frozen, losesReceived, losesSent bool
+	diedAt                                 float64
 	// late is what comes to it while it is frozen.
 	late []letter
 	// slow is how much later than others it answers, in milliseconds.
@@ -114,7 +114,7 @@
 func (v *vm) Send(to netip.AddrPort, data []byte) error {
 	v.play.sent++
 	v.play.bytes += len(data)
-	if !v.mute {
+	if !v.losesSent {
 		v.play.mail = append(v.play.mail, letter{v.play.now + way + v.slow, v.index, index(to), slices.Clone(data)})
 	}
 	return nil
@@ -134,7 +134,7 @@
 func (v *vm) members() []allocator.Member {
 	var all []allocator.Member
 	for _, o := range v.play.vms {
-		gone := (o.dead || o.frozen || o.mute || v.deaf) && v.play.now-o.diedAt > buried
+		gone := (o.dead || o.frozen || o.losesSent || v.losesReceived) && v.play.now-o.diedAt > buried
 		if o != v && !gone {
 			all = append(all, allocator.Member{VM: o.name, Address: address(o.index), Zone: "z", Power: 1})
 		}
@@ -221,7 +221,7 @@
 			continue
 		}
 		switch v := p.vms[l.to]; {
-		case v.dead || v.deaf:
+		case v.dead || v.losesReceived:
 		case v.frozen:
 			v.late = append(v.late, l)
 		default:
--- a/bench/emulator/fault.go
+++ b/bench/emulator/fault.go
@@ -16,14 +16,14 @@
 	Freezes
 	// Slows has its datagrams take longer.
 	Slows
-	// Mutes and Deafens cut its way in one direction.
-	Mutes
-	Deafens
+	// LosesSent and LosesReceived cut its way in one direction.
+	LosesSent
+	LosesReceived
 )
 
 // String names the trouble.
 func (t Trouble) String() string {
-	words := [...]string{"dies", "freezes", "slows", "is mute", "is deaf"}
+	words := [...]string{"dies", "freezes", "slows", "loses what it sends", "loses what it receives"}
 	if t < 0 || int(t) >= len(words) {
 		return "unknown"
 	}
@@ -98,9 +98,9 @@
 		if begins {
 			v.slow = slowness
 		}
-	case Mutes:
-		v.mute = begins
-	case Deafens:
-		v.deaf = begins
+	case LosesSent:
+		v.losesSent = begins
+	case LosesReceived:
+		v.losesReceived = begins
 	}
 }
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -115,8 +115,8 @@
 		{Trouble: Dies, Count: 1},
 		{Trouble: Freezes, Count: 1, For: 3 * second},
 		{Trouble: Slows, Count: 1, For: 3 * second},
-		{Trouble: Mutes, Count: 1, For: 3 * second},
-		{Trouble: Deafens, Count: 1, For: 3 * second},
+		{Trouble: LosesSent, Count: 1, For: 3 * second},
+		{Trouble: LosesReceived, Count: 1, For: 3 * second},
 		{Trouble: Dies, Count: 2},
 	} {
 		f.At = 5 * second
--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -12,7 +12,7 @@
 // All of it is soft state. The leader is the first by a hash over the VMs that
 // live, and nobody elects it: two at once or none for a moment cost worth and
 // break no promise, as upstreams queue or refuse what exceeds them. A leader that
-// does not answer is passed by; whoever is asked next first has all VMs tell what
+// does not answer is skipped; whoever is asked next first has all VMs tell what
 // they have under way. A VM that cannot be heard by anybody decides alone.
 //
 // Promises do not rest on it: whoever sends looks right before whether its own
@@ -34,12 +34,12 @@
 )
 
 const (
-	// TickEvery is how often a VM looks at what is due while something waits, and
-	// restEvery while nothing does: each look wakes the process.
+	// TickEvery is how often a VM does what is due while something waits, and
+	// restEvery while nothing does: each one wakes the process.
 	TickEvery = 25 * time.Millisecond
 	restEvery = 250 * time.Millisecond
-	// stood is the time between two looks above which a process stood still.
-	stood = 2 * restEvery
+	// paused is the time between two ticks above which the process counts as paused.
+	paused = 2 * restEvery
 )
 
 // A Sender sends datagrams. It does not block.
@@ -87,8 +87,8 @@
 	began   time.Time
 	leaving bool
 	// stop is when this VM stops; zero while it does not.
-	stop   time.Time
-	doubts map[netip.AddrPort]doubt
+	stop     time.Time
+	suspects map[netip.AddrPort]suspicion
 	// split are the services whose upstreams are in groups by zone.
 	split map[string]bool
 
@@ -97,9 +97,9 @@
 	asks   map[uint64]*ask
 	places map[uint64]*Place
 	// keptAt is when leaders were last told of all places, and told who was.
-	keptAt time.Time
-	told   map[netip.AddrPort]bool
-	ticked time.Time
+	keptAt   time.Time
+	reported map[netip.AddrPort]bool
+	ticked   time.Time
 	// rest ends the calls of Tick that come while something waits; nil where they
 	// do not come.
 	rest func()
@@ -122,8 +122,8 @@
 func New(me Member, boot int64, d Deps) *Allocator {
 	a := &Allocator{
 		me: me, boot: boot, deps: d, began: d.Now(), ticked: d.Now(),
-		doubts: make(map[netip.AddrPort]doubt), split: make(map[string]bool),
-		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), told: make(map[netip.AddrPort]bool),
+		suspects: make(map[netip.AddrPort]suspicion), split: make(map[string]bool),
+		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), reported: make(map[netip.AddrPort]bool),
 		led: make(map[Group]*led), holders: make(map[netip.AddrPort]*holder), summaries: make(map[Group]*summary),
 		out: make(map[netip.AddrPort]*message), deputies: make(map[Group]map[netip.AddrPort]time.Time),
 	}
@@ -210,12 +210,12 @@
 		return
 	}
 	if !a.member(from, m.VM) {
-		a.deps.Log.Debug().Str("peer", from.String()).Str("name", m.VM).Msg("datagram of no member passed over")
+		a.deps.Log.Debug().Str("peer", from.String()).Str("name", m.VM).Msg("datagram of no member ignored")
 		return
 	}
 	a.deps.Meter.Count("exchange.received", 1)
 	a.do(func(now time.Time) {
-		a.trust(now, from)
+		a.trusts(now, from)
 		a.heed(now, from, &m)
 		a.answered(now, from, &m)
 	})
@@ -235,7 +235,7 @@
 func (a *Allocator) Tick(time.Time) {
 	a.do(func(now time.Time) {
 		late := now.Sub(a.ticked) > mostTick
-		if now.Sub(a.ticked) > stood {
+		if now.Sub(a.ticked) > paused {
 			// What it knows as a leader is as old as that.
 			for _, l := range a.led {
 				l.usedAt, l.askedAt = time.Time{}, time.Time{}
--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -34,12 +34,12 @@
 		}
 	}
 	if m.Stops {
-		a.distrust(now, from, "it stops")
+		a.suspect(now, from, "it stops")
 	}
 	for _, id := range m.Moved {
 		if o := a.asked(from, id); o != nil {
 			if !m.Stops {
-				a.distrust(now, from, "it does not lead")
+				a.suspect(now, from, "it does not lead")
 			}
 			o.to = netip.AddrPort{}
 			a.send(now, o)
@@ -67,7 +67,7 @@
 }
 
 // asked is a request that waits at a VM; nil where it does not. A leader that
-// stood still answers what was asked of it long ago, and has been passed by.
+// was paused answers what was asked of it long ago, and has been skipped.
 func (a *Allocator) asked(from netip.AddrPort, id uint64) *ask {
 	if o, ok := a.asks[id]; ok && o.to == from {
 		return o
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -12,17 +12,17 @@
 
 const (
 	// resend is after how long without an answer an ask is sent again, and
-	// patience after how long its leader is passed by. An answer takes a
+	// patience after how long its leader is skipped. An answer takes a
 	// millisecond or two, so that three were lost.
 	resend   = 20 * time.Millisecond
 	patience = 80 * time.Millisecond
 	// askEvery is how often a leader is asked whether it still knows of a request
 	// that waits there, and silence after how long without its word that it does
-	// the leader is passed by. A grant is at most so old when it is used.
+	// the leader is skipped. A grant is at most so old when it is used.
 	askEvery = 100 * time.Millisecond
 	silence  = 300 * time.Millisecond
-	// mostTick is the time between two ticks above which this VM itself stood
-	// still, and not the leaders.
+	// mostTick is the time between two ticks above which this VM itself was
+	// paused, and not the leaders.
 	mostTick = 3 * TickEvery
 	// mostSilent is how many leaders may fail to answer before a VM decides
 	// alone, and mostSilentLong the same for a prompt that is read in parts: a
@@ -152,9 +152,9 @@
 	if o.to != m.Address {
 		o.to, o.first, o.heard = m.Address, now, time.Time{}
 	}
-	if !a.told[m.Address] {
+	if !a.reported[m.Address] {
 		// Who has not led before learns with the ask what this VM has there.
-		a.told[m.Address] = true
+		a.reported[m.Address] = true
 		a.tell(m.Address, o.group)
 	}
 	o.sent = now
@@ -255,8 +255,8 @@
 	a.send(now, o)
 }
 
-// chase sends again what was not answered, and passes leaders by that are
-// silent. After a time in which this VM itself stood still it waits once more.
+// chase sends again what was not answered, and skips leaders that are
+// silent. After a pause of this VM itself it waits once more.
 func (a *Allocator) chase(now time.Time, late bool) {
 	for _, id := range a.open() {
 		o, ok := a.asks[id]
@@ -274,14 +274,14 @@
 			a.send(now, o)
 		case o.heard.IsZero() && now.Sub(o.first) >= patience, !o.heard.IsZero() && now.Sub(o.heard) >= silence:
 			o.silent++
-			if now.After(a.doubts[o.to].until) {
-				a.distrust(now, o.to, "no answer")
+			if now.After(a.suspects[o.to].until) {
+				a.suspect(now, o.to, "no answer")
 			}
 			a.move(now, o)
 		case o.heard.IsZero() && now.Sub(o.sent) >= resend:
 			a.send(now, o)
 		case !o.heard.IsZero() && now.Sub(o.sent) >= askEvery:
-			if m, self := a.leader(now, o.group); self || (m.Address != o.to && !a.doubted(m.Address)) {
+			if m, self := a.leader(now, o.group); self || (m.Address != o.to && !a.suspected(m.Address)) {
 				a.move(now, o)
 				continue
 			}
--- a/entry/process/allocator/member.go
+++ b/entry/process/allocator/member.go
@@ -44,15 +44,15 @@
 }
 
 const (
-	// distrust is for how long a member that did not answer is passed by; it
-	// doubles each time up to mostDistrust. That it can be heard says little: its
+	// suspectFor is for how long a member that did not answer is skipped; it
+	// doubles each time up to mostSuspect. That it can be heard says little: its
 	// way may be cut in one direction, or it is slow.
-	distrust     = time.Second
-	mostDistrust = 8 * time.Second
+	suspectFor  = time.Second
+	mostSuspect = 8 * time.Second
 )
 
-// A doubt is what this VM holds against a member that did not answer.
-type doubt struct {
+// A suspicion is what this VM holds against a member that did not answer.
+type suspicion struct {
 	until time.Time
 	next  time.Duration
 }
@@ -65,7 +65,7 @@
 	members := a.deps.Members()
 	for i := range members {
 		o := &members[i]
-		if o.Leaving || now.Before(a.doubts[o.Address].until) {
+		if o.Leaving || now.Before(a.suspects[o.Address].until) {
 			continue
 		}
 		if best.Leaving || o.Before(&best, g) {
@@ -79,27 +79,27 @@
 	return Member{VM: a.me.VM, Zone: a.me.Zone, Power: a.me.Power, Leaving: a.leaving}
 }
 
-// distrust passes a member by for a while.
-func (a *Allocator) distrust(now time.Time, m netip.AddrPort, why string) {
-	d := a.doubts[m]
-	d.next = min(mostDistrust, max(distrust, 2*d.next))
+// suspect skips a member for a while.
+func (a *Allocator) suspect(now time.Time, m netip.AddrPort, why string) {
+	d := a.suspects[m]
+	d.next = min(mostSuspect, max(suspectFor, 2*d.next))
 	d.until = now.Add(d.next)
-	a.doubts[m] = d
-	a.count("leaders.distrusted")
-	a.deps.Log.Info().Str("leader", m.String()).Str("cause", why).Dur("for", d.next).Msg("leader passed by")
+	a.suspects[m] = d
+	a.count("leaders.suspected")
+	a.deps.Log.Info().Str("leader", m.String()).Str("cause", why).Dur("for", d.next).Msg("leader skipped")
 }
 
-// doubted says that a member has been passed by and has not answered since. What
+// suspected says that a member has been skipped and has not answered since. What
 // waits at another one is not sent back to it: it may be dead, and its beats are
 // missed only later.
-func (a *Allocator) doubted(m netip.AddrPort) bool {
-	_, ok := a.doubts[m]
+func (a *Allocator) suspected(m netip.AddrPort) bool {
+	_, ok := a.suspects[m]
 	return ok
 }
 
-// trust notes that a member has answered.
-func (a *Allocator) trust(now time.Time, m netip.AddrPort) {
-	if d, ok := a.doubts[m]; ok && !now.Before(d.until) {
-		delete(a.doubts, m)
+// trusts notes that a member has answered.
+func (a *Allocator) trusts(now time.Time, m netip.AddrPort) {
+	if d, ok := a.suspects[m]; ok && !now.Before(d.until) {
+		delete(a.suspects, m)
 	}
 }
--- a/entry/process/allocator/network_test.go
+++ b/entry/process/allocator/network_test.go
@@ -81,7 +81,7 @@
 
 // Count notes that a VM has passed its leader by.
 func (v *vm) Count(name string, _ int64) {
-	v.network.passed = v.network.passed || name == "leaders.distrusted"
+	v.network.passed = v.network.passed || name == "leaders.suspected"
 }
 
 // Subscribe is never called back: a test calls Tick itself.
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -130,8 +130,8 @@
 		return
 	}
 	a.keptAt = now
-	told := a.told
-	a.told = make(map[netip.AddrPort]bool)
+	before := a.reported
+	a.reported = make(map[netip.AddrPort]bool)
 	for _, p := range a.places {
 		if a.leads(now, p.group) {
 			a.adopt(p)
@@ -139,10 +139,10 @@
 		for _, at := range a.countedBy(now, p.group) {
 			out := a.to(at)
 			out.Kept, out.Whole = append(out.Kept, p.id), true
-			a.told[at] = true
+			a.reported[at] = true
 		}
 	}
-	for at := range told {
+	for at := range before {
 		a.to(at).Whole = true
 	}
 }
--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -37,8 +37,8 @@
 	// cannot be heard may still send to upstreams.
 	silent    = 1500 * time.Millisecond
 	goneAfter = 8 * time.Second
-	// told is by how much later a VM is heard of that is heard through a relay.
-	told = rollEvery + BeatEvery
+	// relayDelay is by how much later a VM is heard of that is heard through a relay.
+	relayDelay = rollEvery + BeatEvery
 	// forgotten is after how long an address without a word is tried no more,
 	// and rareEvery how often a silent one is tried until then.
 	forgotten = 3 * time.Minute
@@ -188,9 +188,9 @@
 	g.greet(now, g.report(now, ends))
 }
 
-// Tell tells the VMs of this zone at once how far this one has read: those that
+// Publish tells the VMs of this zone at once how far this one has read: those that
 // start now know nothing until then.
-func (g *Gossiper) Tell() {
+func (g *Gossiper) Publish() {
 	ends := g.ends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -85,7 +85,7 @@
 	}
 	p.heard, p.direct = now, now
 	if m.Bye {
-		p.heard, p.direct = now.Add(-goneAfter-2*told), time.Time{}
+		p.heard, p.direct = now.Add(-goneAfter-2*relayDelay), time.Time{}
 		p.known, g.members = p.heard, nil
 		g.log.Info().Str("peer", m.VM).Msg("peer leaves")
 		return found, false
--- a/entry/process/gossiper/relay.go
+++ b/entry/process/gossiper/relay.go
@@ -69,10 +69,10 @@
 	return Follows
 }
 
-// Starts says that no VM of this zone that has been heard, and that the platform
+// ReadsAtStart says that no VM of this zone that has been heard, and that the platform
 // serves, reads rather than this one. It is for a process that knows nothing yet:
 // those that it knows by name only may all be starting as well, or be gone.
-func (g *Gossiper) Starts() bool {
+func (g *Gossiper) ReadsAtStart() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -124,9 +124,9 @@
 	case now.Sub(p.direct) <= 2*silent:
 		return silent
 	case p.Zone == g.me.Zone:
-		return silent + told
+		return silent + relayDelay
 	}
-	return silent + 2*told
+	return silent + 2*relayDelay
 }
 
 // alive is how long ago VMs of a zone were heard, of all zones where it is empty.
--- a/entry/process/gossiper/restart_test.go
+++ b/entry/process/gossiper/restart_test.go
@@ -101,7 +101,7 @@
 	_, ok := b.Ahead("s", 0)
 	assert.Assert(t, !ok)
 	n.ends[address(1)]["s"] = gossiper.End{Offset: 5, AsOf: n.now}
-	a.Tell()
+	a.Publish()
 	n.deliver()
 	from, ok := b.Ahead("s", 0)
 	assert.Assert(t, ok)
@@ -119,9 +119,9 @@
 			g.Meet(n.member(i + 1))
 		}
 	}
-	assert.Assert(t, a.Starts() && b.Starts())
+	assert.Assert(t, a.ReadsAtStart() && b.ReadsAtStart())
 	a.Greet()
 	n.deliver()
 	n.deliver()
-	assert.Assert(t, a.Starts() != b.Starts())
+	assert.Assert(t, a.ReadsAtStart() != b.ReadsAtStart())
 }
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -113,7 +113,7 @@
 // process never goes back.
 func (v *Process) enforce(c matcher.Config, offset int64) {
 	if old := v.table.Load(); old != nil && c.Version <= old.Version {
-		v.log.Warn().Int64("version", c.Version).Int64("in force", old.Version).Int64("offset", offset).Msg("older configuration passed over")
+		v.log.Warn().Int64("version", c.Version).Int64("in force", old.Version).Int64("offset", offset).Msg("older configuration ignored")
 		return
 	}
 	first := v.table.Load() == nil
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -65,7 +65,7 @@
 		return
 	}
 	now := s.deps.Now()
-	l := look{blocked: make(map[kind]bool), usable: make(map[string][]tracker.State)}
+	l := scan{blocked: make(map[kind]bool), usable: make(map[string][]tracker.State)}
 	s.sort(now)
 	kept := s.waiting[:0:0]
 	for _, w := range s.waiting {
@@ -91,14 +91,14 @@
 	late    bool
 }
 
-// A look is one look at all that waits: what is held back, and the upstreams of each
+// A scan is one pass over all that waits: what is held back, and the upstreams of each
 // service, which do not change meanwhile.
-type look struct {
+type scan struct {
 	blocked map[kind]bool
 	usable  map[string][]tracker.State
 }
 
-func (l look) states(s *Scheduler, now time.Time, service string) []tracker.State {
+func (l scan) states(s *Scheduler, now time.Time, service string) []tracker.State {
 	states, ok := l.usable[service]
 	if !ok {
 		states = s.usable(now, service)
@@ -108,13 +108,13 @@
 }
 
 // step does what can be done for one waiting request.
-func (s *Scheduler) step(now time.Time, w *waiter, l look) (reply, bool) {
+func (s *Scheduler) step(now time.Time, w *waiter, l scan) (reply, bool) {
 	k := kind{w.call.Service.Name, w.times.size, !w.times.long && w.times.late(now)}
 	if w.times.hopeless(now, w.call.Stop) {
 		return reply{refusal: &Refusal{Code: Late, After: comeBack, Waits: w.waits.end(now)}}, true
 	}
 	if now.Before(s.holds) {
-		w.waits.turn(now, waitNews)
+		w.waits.turn(now, waitSync)
 		return reply{}, false
 	}
 	if l.blocked[k] {
@@ -133,7 +133,7 @@
 	if !ok {
 		// One that no engine can begin in time must not hold back those behind it
 		// that have more of theirs left.
-		w.holds, w.next = choice.Lack != placer.LackTime, now.Add(lookEvery)
+		w.holds, w.next = choice.Lack != placer.LackTime, now.Add(retryEvery)
 		if !w.holds {
 			w.next = now.Add(timeEvery)
 		}
@@ -159,7 +159,7 @@
 	if w.call.Service.Engine == nil {
 		return placer.Plain(w.call.Ask, cs)
 	}
-	return placer.Engine(w.call.Service.Engine, w.call.Ask, cs, now, w.times.mood(now))
+	return placer.Engine(w.call.Service.Engine, w.call.Ask, cs, now, w.times.urgency(now))
 }
 
 func (s *Scheduler) candidates(now time.Time, call Call, states []tracker.State) []placer.Candidate {
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -23,10 +23,10 @@
 )
 
 const (
-	// lookEvery is how often a place is looked for for one request that waits. A
+	// retryEvery is how often a place is looked for for one request that waits. A
 	// decision takes some tens of microseconds, and under load hundreds of events
 	// a second could each change it.
-	lookEvery = 4 * time.Millisecond
+	retryEvery = 4 * time.Millisecond
 	// timeEvery is the same for one that no engine could begin in time: that
 	// changes only as engines end what they read.
 	timeEvery = 20 * time.Millisecond
@@ -89,7 +89,7 @@
 	rankers map[string]*ranker.Ranker
 	// holds is until when nothing is placed.
 	holds time.Time
-	// freed says that a place may have become free since the last look.
+	// freed says that a place may have become free since the last scan.
 	freed bool
 	// unknown is what others may have at each upstream that nobody has told.
 	unknown placer.Load
--- a/entry/process/scheduler/times.go
+++ b/entry/process/scheduler/times.go
@@ -92,9 +92,9 @@
 	}
 }
 
-// mood says what the request may cost others now. One that is late already
+// urgency says what the request may cost others now. One that is late already
 // waits for a place that costs nobody anything, until it must begin.
-func (t times) mood(now time.Time) placer.Mood {
+func (t times) urgency(now time.Time) placer.Urgency {
 	switch {
 	case t.last.Sub(now) < rush:
 		return placer.Last
--- a/entry/process/scheduler/wait.go
+++ b/entry/process/scheduler/wait.go
@@ -12,9 +12,9 @@
 const (
 	// waitBehind is that an earlier request for the same places waits.
 	waitBehind = reason(placer.Lacks) + iota
-	// waitNews is that it was not yet known what is under way, or whether
+	// waitSync is that it was not yet known what is under way, or whether
 	// whoever decides can be heard.
-	waitNews
+	waitSync
 	reasons
 )
 
@@ -23,8 +23,8 @@
 	if r == waitBehind {
 		return "behind"
 	}
-	if r == waitNews {
-		return "news"
+	if r == waitSync {
+		return "sync"
 	}
 	return placer.Lack(r).String()
 }
@@ -68,5 +68,5 @@
 	for _, d := range w {
 		passed -= d
 	}
-	w[waitNews] += max(0, passed)
+	w[waitSync] += max(0, passed)
 }
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -64,12 +64,12 @@
 
 // Peers are the other VMs.
 type Peers interface {
-	// Duty is whether this VM reads the platform for others, and Starts whether it
+	// Duty is whether this VM reads the platform for others, and ReadsAtStart whether it
 	// does where it has just started and nobody that it hears will.
 	Duty() gossiper.Duty
-	Starts() bool
-	// Tell tells the other VMs at once how far this one has read.
-	Tell()
+	ReadsAtStart() bool
+	// Publish tells the other VMs at once how far this one has read.
+	Publish()
 	// Answered is when the platform last confirmed any offset of a stream to a
 	// VM that can be heard.
 	Answered(stream string) time.Time
@@ -155,7 +155,7 @@
 			}
 			whole, wait, read = false, tryAgain, now
 			if first && s.stream.Shared {
-				s.peers.Tell()
+				s.peers.Publish()
 			}
 			pause(ctx, s.stream.Every)
 			continue
@@ -209,7 +209,7 @@
 	if _, ahead := s.peers.Ahead(s.stream.Name, 0); ahead && old < startWait {
 		return false
 	}
-	return old >= startWait || (old >= greeting && s.peers.Starts())
+	return old >= startWait || (old >= greeting && s.peers.ReadsAtStart())
 }
 
 // due says that this VM has to read the platform. Each reading is paid for, and the
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -82,9 +82,9 @@
 	return p.duty
 }
 
-func (p peers) Starts() bool { return p.Duty() == gossiper.Reads }
+func (p peers) ReadsAtStart() bool { return p.Duty() == gossiper.Reads }
 
-func (p peers) Tell() {
+func (p peers) Publish() {
 	if p.told != nil {
 		p.told.Add(1)
 	}
--- a/entry/process/tracker/event.go
+++ b/entry/process/tracker/event.go
@@ -34,14 +34,14 @@
 	For time.Duration
 }
 
-// Listen has every Event that this VM's own requests bring told to whoever
+// Listen has every Event that this VM's own requests bring reported to whoever
 // places requests at the same upstreams for other VMs. It is called once, before
 // the Tracker is used.
-func (t *Tracker) Listen(told func(Event)) { t.told = told }
+func (t *Tracker) Listen(listener func(Event)) { t.listener = listener }
 
-func (t *Tracker) tell(e Event) {
-	if t.told != nil {
-		t.told(e)
+func (t *Tracker) notify(e Event) {
+	if t.listener != nil {
+		t.listener(e)
 	}
 }
 
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -70,8 +70,8 @@
 	// outdated says that others have read the list much further.
 	outdated bool
 	// removed are the last entries of upstreams that went.
-	removed map[string]Upstream
-	told    func(Event)
+	removed  map[string]Upstream
+	listener func(Event)
 }
 
 // New returns a Tracker that knows none, and takes that for the truth until it is
@@ -265,7 +265,7 @@
 	if broken {
 		found = FoundBroken
 	}
-	t.tell(Event{Finding: found, Upstreams: []string{id}})
+	t.notify(Event{Finding: found, Upstreams: []string{id}})
 }
 
 func (t *Tracker) fail(now time.Time, id string, broken bool) {
@@ -286,7 +286,7 @@
 // Answered notes a request that the upstream has begun to answer.
 func (t *Tracker) Answered(now time.Time, id string) {
 	t.answer(now, id)
-	t.tell(Event{Finding: FoundAnswering, Upstreams: []string{id}})
+	t.notify(Event{Finding: FoundAnswering, Upstreams: []string{id}})
 }
 
 func (t *Tracker) answer(now time.Time, id string) {
@@ -323,7 +323,7 @@
 			blamed = append(blamed, id)
 		}
 	}
-	t.tell(Event{Finding: FoundStalled, Upstreams: ids, For: now.Sub(since)})
+	t.notify(Event{Finding: FoundStalled, Upstreams: ids, For: now.Sub(since)})
 	return blamed
 }
 
@@ -351,7 +351,7 @@
 // TurnedCold notes that an upstream said it is in cold start.
 func (t *Tracker) TurnedCold(now time.Time, id string, left time.Duration) {
 	t.turnCold(now, id, left)
-	t.tell(Event{Finding: FoundCold, Upstreams: []string{id}, For: left})
+	t.notify(Event{Finding: FoundCold, Upstreams: []string{id}, For: left})
 }
 
 func (t *Tracker) turnCold(now time.Time, id string, left time.Duration) {
@@ -365,7 +365,7 @@
 // Leaves notes that an upstream seems to leave.
 func (t *Tracker) Leaves(now time.Time, id string) {
 	t.leave(now, id)
-	t.tell(Event{Finding: FoundLeaving, Upstreams: []string{id}})
+	t.notify(Event{Finding: FoundLeaving, Upstreams: []string{id}})
 }
 
 func (t *Tracker) leave(now time.Time, id string) {
@@ -379,7 +379,7 @@
 // Misplaced notes that another process answers at an upstream's address: it is
 // gone, whatever the list says.
 func (t *Tracker) Misplaced(id string) {
-	t.tell(Event{Finding: FoundMisplaced, Upstreams: []string{id}})
+	t.notify(Event{Finding: FoundMisplaced, Upstreams: []string{id}})
 	t.drop(id)
 }
 
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -32,8 +32,8 @@
 	// headroom is how many slots must be free for short prompts, for each of
 	// these that runs, where a late long prompt begins.
 	headroom = 0.7
-	// harmless is the harm up to which a patient request takes a place.
-	harmless = 0.3
+	// tolerated is the interference up to which a patient request takes a place.
+	tolerated = 0.3
 	// lateShare is the part of its use that a late answer has lost.
 	lateShare = 0.75
 )
@@ -53,9 +53,9 @@
 
 // group chooses the engines that read a long prompt in parts. It answers long
 // prompts that come while many streams run: each part makes one pass longer at
-// its engine. For each number of parts it takes the engines where that harms
-// least, and of the numbers that the request's mood allows the cheapest.
-func group(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
+// its engine. For each number of parts it takes the engines where that disturbs
+// least, and of the numbers that the request's urgency allows the cheapest.
+func group(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Urgency) (Choice, bool) {
 	whole := Read(e, a.Prompt, 1)
 	left := float64(a.Objective.Sub(now).Milliseconds())
 	best, least := Choice{}, math.Inf(1)
@@ -74,24 +74,24 @@
 			lack = max(lack, LackMemory)
 			continue
 		}
-		if m >= Late && !roomy(cs, choice) {
-			lack = max(lack, LackSpare)
+		if m >= Late && !leavesHeadroom(cs, choice) {
+			lack = max(lack, LackHeadroom)
 			continue
 		}
-		harm, first := weigh(e, cs, choice, part)
+		interference, first := weigh(e, cs, choice, part)
 		if first > a.useful(now) {
 			lack = max(lack, LackTime)
 			continue
 		}
-		if !a.allows(now, m, harm, first <= left) {
-			if harm <= harmless {
+		if !a.allows(now, m, interference, first <= left) {
+			if interference <= tolerated {
 				lack = max(lack, LackTime)
 			} else {
-				lack = max(lack, LackPeace)
+				lack = max(lack, LackTolerance)
 			}
 			continue
 		}
-		cost := harm + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
+		cost := interference + perSecond*first/1000 + perPart*float64(n) + perGoodPart*max(0, part/goodPart-1)
 		if cost < least {
 			best, least = choice, cost
 			best.Read, best.First = part, first
@@ -103,33 +103,33 @@
 	return best, true
 }
 
-// allows says whether a request may do harm to others for an answer that comes
+// allows says whether a request may interfere with others for an answer that comes
 // in time, or does not.
 //
-// A patient one may do more the longer it has waited: what it would lose when
+// A patient one may interfere more the longer it has waited: what it would lose when
 // late, times the part of its time that is over. In a burst engines that write
 // nothing are rare and become no more, and a prompt that held out for them until
-// its last moment then needed every engine at once, found the harm too great, and
-// was late. With the whole bound from the start, short answers lose more than the
+// its last moment then needed every engine at once, found the interference too great,
+// and was late. With the whole bound from the start, short answers lose more than the
 // longest gain.
-func (a Ask) allows(now time.Time, m Mood, harm float64, inTime bool) bool {
+func (a Ask) allows(now time.Time, m Urgency, interference float64, inTime bool) bool {
 	switch {
-	case harm <= harmless:
+	case interference <= tolerated:
 		return inTime || m != Patient
 	case m == Patient:
 		passed := float64(now.Sub(a.Arrived)) / float64(max(1, a.Objective.Sub(a.Arrived)))
-		return inTime && harm <= passed*lateShare*a.weight()
+		return inTime && interference <= passed*lateShare*a.weight()
 	case m == Last:
-		return harm <= (1-lateShare)*a.weight()
+		return interference <= (1-lateShare)*a.weight()
 	}
 	return false
 }
 
-// roomy says that with a choice the engines that read nothing long have slots
+// leavesHeadroom says that with a choice the engines that read nothing long have slots
 // left for the short prompts to come: in a burst of these their number doubles
 // within a second or two, and an engine that a late prompt has taken meanwhile
 // makes many of them late.
-func roomy(cs []Candidate, choice Choice) bool {
+func leavesHeadroom(cs []Candidate, choice Choice) bool {
 	running, free := 0, 0
 	for i := range cs {
 		c := &cs[i]
@@ -158,25 +158,25 @@
 	return math.Pow(float64(a.Prompt)/unit, growth)
 }
 
-// weigh sums the harm of a choice to others, and estimates its first event.
-func weigh(e *matcher.Engine, cs []Candidate, choice Choice, part float64) (harm, first float64) {
+// weigh sums the interference of a choice to others, and estimates its first event.
+func weigh(e *matcher.Engine, cs []Candidate, choice Choice, part float64) (interference, first float64) {
 	for _, i := range append([]int{choice.Main}, choice.Helpers...) {
-		harm += cs[i].harm(e, part)
+		interference += cs[i].interference(e, part)
 		first = math.Max(first, First(e, cs[i].Load, part))
 	}
-	return harm, first
+	return interference, first
 }
 
-// harm is what the streams of an engine lose by a part that is read there.
-func (c *Candidate) harm(e *matcher.Engine, part float64) float64 {
+// interference is what the streams of an engine lose by a part that is read there.
+func (c *Candidate) interference(e *matcher.Engine, part float64) float64 {
 	pass := Pass(e, c.Load.Streams, c.Load.Context) + c.Load.Unread + part
 	return lateShare * c.Load.Stakes.below(pass)
 }
 
 // helpful are the engines that may read a part of so many milliseconds, those
-// first that it harms least and that have least to read. It also says whether
+// first that it disturbs least and that have least to read. It also says whether
 // some were left out because they read already.
-func helpful(e *matcher.Engine, a Ask, cs []Candidate, part float64, m Mood) (order []int, reading bool) {
+func helpful(e *matcher.Engine, a Ask, cs []Candidate, part float64, m Urgency) (order []int, reading bool) {
 	costs := make([]float64, len(cs))
 	for i := range cs {
 		c := &cs[i]
@@ -192,7 +192,7 @@
 		if slices.Contains(a.Tried, c.ID) {
 			continue
 		}
-		costs[i] = c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
+		costs[i] = c.interference(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
 		order = append(order, i)
 	}
 	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
@@ -232,7 +232,7 @@
 // the same for one stream as for many, so that a stream on an engine that writes
 // none yet takes that engine's time from prompts that it could read.
 func (c *Candidate) mainCost(e *matcher.Engine, a Ask, part float64) float64 {
-	cost := c.harm(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
+	cost := c.interference(e, part) + perSecond*(First(e, c.Load, part)+c.dislike(a)+failure*c.failing())/1000
 	if c.Load.Streams == 0 {
 		cost += perEngineSecond * UsualOutput * float64(a.Output) * e.Step / 1000
 	}
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -24,9 +24,9 @@
 	// same at a plain service, of whose answers some are failures by themselves.
 	failure      = 10_000.0
 	plainFailure = 300.0
-	// doubt is how many answered requests an upstream is given besides those
+	// priorAnswers is how many answered requests an upstream is given besides those
 	// that are known, so that one failure after many answers counts for little.
-	doubt = 1.0
+	priorAnswers = 1.0
 	// cold is what a cold start counts for in milliseconds.
 	cold = 100.0
 	// leaving is what counts against an upstream that seems to leave, in
@@ -112,19 +112,19 @@
 	LackReader
 	// LackMemory is that none, and no group, has the memory.
 	LackMemory
-	// LackSpare is that too little would be left for what comes next.
-	LackSpare
+	// LackHeadroom is that too little would be left for what comes next.
+	LackHeadroom
 	// LackTime is that the first event would be late.
 	LackTime
-	// LackPeace is that too many streams of others would become late.
-	LackPeace
+	// LackTolerance is that too many streams of others would become late.
+	LackTolerance
 	// Lacks is how many there are.
 	Lacks
 )
 
 // String gives the reason in one word.
 func (l Lack) String() string {
-	words := [Lacks]string{"engine", "reader", "memory", "spare", "time", "peace"}
+	words := [Lacks]string{"engine", "reader", "memory", "headroom", "time", "interference"}
 	if l < 0 || l >= Lacks {
 		return "unknown"
 	}
@@ -177,19 +177,19 @@
 // one that fails few costs a second try now and then, and one that fails most
 // fails that as well.
 func (c *Candidate) failing() float64 {
-	p := c.Failed / (c.Failed + c.Answered + doubt)
+	p := c.Failed / (c.Failed + c.Answered + priorAnswers)
 	return p * p
 }
 
 // Short says that a prompt is read by one engine.
 func Short(e *matcher.Engine, prompt int) bool { return Read(e, prompt, 1) <= shortRead }
 
-// Mood says what a request may cost others.
-type Mood int
+// Urgency says what a request may cost others.
+type Urgency int
 
 const (
 	// Patient requests take only places that are good for all.
-	Patient Mood = iota
+	Patient Urgency = iota
 	// Late requests can no longer be in time, and stand behind those that can.
 	Late
 	// Last requests are late and must begin soon to end at all, and may cost
@@ -198,7 +198,7 @@
 )
 
 // Engine chooses engines for a prompt, or says false where it had better wait.
-func Engine(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
+func Engine(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Urgency) (Choice, bool) {
 	if Short(e, a.Prompt) {
 		return single(e, a, cs, now, m)
 	}
--- a/entry/request/placer/placer_test.go
+++ b/entry/request/placer/placer_test.go
@@ -128,7 +128,7 @@
 
 // All engines answer short prompts and a part would stop their streams: a long
 // prompt waits while it has time, goes where it must begin now, and waits again
-// when it is late already, unless the harm is below what is left of its use.
+// when it is late already, unless the interference is below what is left of its use.
 func TestLongPromptWaitsForEnginesAndThenPresses(t *testing.T) {
 	cs := idle(16)
 	for i := range cs {
@@ -151,7 +151,7 @@
 
 // A burst has put an answer on every engine, and none comes free. A long prompt
 // that waited for a free one until its last moment would need all engines then,
-// and be late. It takes a few whose streams it harms while there is time, and not
+// and be late. It takes a few whose streams it disturbs while there is time, and not
 // at once, as an engine may still come free.
 func TestLongPromptBearsMoreHarmAsItsTimePasses(t *testing.T) {
 	cs := idle(16)
@@ -167,7 +167,7 @@
 	late := long(133_000)
 	late.Objective = now.Add(600 * time.Millisecond)
 	_, ok = placer.Engine(engine, late, cs, now.Add(550*time.Millisecond), placer.Patient)
-	assert.Assert(t, !ok, "harm that does not bring it in time is for nothing")
+	assert.Assert(t, !ok, "interference that does not bring it in time is for nothing")
 }
 
 // A second group on the same engines is read by turns with the first: both are
@@ -284,7 +284,7 @@
 		}
 		a := long(rapid.IntRange(1, 700_000).Draw(t, "prompt"))
 		at := now.Add(time.Duration(rapid.IntRange(0, 14_000).Draw(t, "waited")) * time.Millisecond)
-		c, ok := placer.Engine(engine, a, cs, at, placer.Mood(rapid.IntRange(0, 3).Draw(t, "mood")))
+		c, ok := placer.Engine(engine, a, cs, at, placer.Urgency(rapid.IntRange(0, 3).Draw(t, "urgency")))
 		if !ok {
 			return
 		}
@@ -327,7 +327,7 @@
 }
 
 // Two deployments' callers bear other pauses, and a third's prompts are longer.
-// A part of a prompt harms those streams whose callers bear less than its pass,
+// A part of a prompt disturbs those streams whose callers bear less than its pass,
 // by what each counts for, and no others; what has ended leaves nothing.
 func TestStakesFollowFromWhatCallersBear(t *testing.T) {
 	load := func(pause float64, prompt, n int) (l placer.Load) {
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -29,10 +29,10 @@
 // single chooses the engine of a short prompt. Among the engines that answer it
 // in good time it takes the one that answers most short prompts already, so
 // that others stay free of them: a part of a long prompt that is read where
-// nobody waits for a short answer harms nobody. It answers short and long
+// nobody waits for a short answer disturbs nobody. It answers short and long
 // prompts in the same hour; spread evenly over all engines, the short ones met
 // a part of a long prompt in every fourth pass.
-func single(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Mood) (Choice, bool) {
+func single(e *matcher.Engine, a Ask, cs []Candidate, now time.Time, m Urgency) (Choice, bool) {
 	read := Read(e, a.Prompt, 1)
 	good := goodFirst * float64(a.Objective.Sub(a.Arrived).Milliseconds())
 	bound := math.Inf(1)
@@ -42,8 +42,8 @@
 	}
 	best, least, fullest := -1, math.Inf(1), -1
 	lack := LackEngine
-	if m == Late && !spare(cs) {
-		return Choice{Lack: LackSpare}, false
+	if m == Late && !hasHeadroom(cs) {
+		return Choice{Lack: LackHeadroom}, false
 	}
 	for i := range cs {
 		c := &cs[i]
@@ -72,13 +72,13 @@
 // packed is how many streams an engine is filled to.
 func (c *Candidate) packed() int { return c.Slots - max(1, c.Slots/keptShare) }
 
-// spare says that a fifth of the engines' slots is free. Late prompts leave as
+// hasHeadroom says that a fifth of the engines' slots is free. Late prompts leave as
 // many. In a burst that is more than the engines bear each slot that comes free
 // would go to one that waits, and is late, while a prompt that comes now finds
 // none and is late as well: all were late by a second for want of a twentieth of
 // the capacity. So most are in time, and the late ones follow when the burst is
 // over, or are told to come back.
-func spare(cs []Candidate) bool {
+func hasHeadroom(cs []Candidate) bool {
 	free, slots := 0, 0
 	for i := range cs {
 		c := &cs[i]
@@ -93,7 +93,7 @@
 
 // slot says that the engine can run one request more now, or, where there is no
 // time to wait, that it would wait there behind no more than as many again.
-func (c *Candidate) slot(m Mood) bool {
+func (c *Candidate) slot(m Urgency) bool {
 	if m == Patient || m == Late {
 		return c.Load.Streams < c.Slots
 	}
