Read lists and configuration as rarely as the bounds allow

Cause: the list of upstreams was read every 0.6 s and the configuration held for 1.2 s by one VM of each zone, whatever operators demand. Ruled out: one reader for all zones: another zone hears of a reading 0.5 s later through two relays, which with a dead reader leaves too little of two seconds. Change: 0.3 of the time in which leaving upstreams must get nothing more, 0.9 s at most, and 0.6 of that in which versions must be in force; 0.6 and 1.2 s as before where the bounds are two seconds. Tests: two readings and the beats end before any bound does; no reading is so rare that it looks like an outage.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -13,19 +13,21 @@
 )
 
 const (
-	// configurationWait is how long the platform holds a reading of the
-	// configuration. Where all that read for a zone have fallen silent, the
-	// others notice after as long, and versions must be in force within two
-	// seconds.
-	configurationWait = 1200 * time.Millisecond
+	// configurationShare is the part of the time in which versions must be in force
+	// for which the platform holds a reading of the configuration. Where all that
+	// read for a zone have fallen silent, the others notice after as long.
+	configurationShare = 0.6
 	// configurationBehind is how long another VM may have a newer configuration
 	// before it is asked for it: the platform's own answer takes some
 	// milliseconds, and versions must be in force within two seconds.
 	configurationBehind = 200 * time.Millisecond
-	// upstreamsEvery is how often the list of upstreams is read. Upstreams
-	// write to it all the time, so that waiting there for news would return at
-	// every heartbeat; one that leaves must get nothing after two seconds.
-	upstreamsEvery = 600 * time.Millisecond
+	// upstreamsShare is the part of the time in which upstreams that leave must get
+	// nothing more after which the list of upstreams is read again, and
+	// mostUpstreams the longest such time: as the platform's silences must be told
+	// from it. Upstreams write to the list all the time, so that waiting there for
+	// news would return at every heartbeat.
+	upstreamsShare = 0.3
+	mostUpstreams  = 900 * time.Millisecond
 	// vmsEvery is how often the addresses of VMs are read. New VMs make
 	// themselves known, so that this is only for those that could not.
 	vmsEvery = 20 * time.Second
@@ -52,10 +54,18 @@
 	outage = 1500 * time.Millisecond
 )
 
+// Readings are for how long the platform holds a reading of the configuration, and
+// how often the list of upstreams is read. Each reading is paid for, also where few
+// requests come, so that it is as rare as the bounds allow.
+func (b Bounds) Readings() (held, every time.Duration) {
+	return time.Duration(configurationShare * float64(b.Apply)), min(mostUpstreams, time.Duration(upstreamsShare*float64(b.Drain)))
+}
+
 func (v *Process) newSyncers() {
+	held, every := v.settings.Load().Bounds.Readings()
 	for _, s := range []syncer.Stream{
-		{Name: Configuration, Wait: configurationWait, Stale: configurationWait + staleAfter, Behind: configurationBehind, Shared: true},
-		{Name: Upstreams, Every: upstreamsEvery, Stale: upstreamsEvery + staleAfter, Shared: true},
+		{Name: Configuration, Wait: held, Stale: held + staleAfter, Behind: configurationBehind, Shared: true},
+		{Name: Upstreams, Every: every, Stale: every + staleAfter, Shared: true},
 		{Name: VMs, Every: vmsEvery, Stale: 2 * vmsEvery, Shared: true},
 	} {
 		s.Copy = v.copies[s.Name]
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -88,6 +88,8 @@
 	ColdMultiplier, ColdSlack float64
 	// Drain is how soon an upstream that leaves must get nothing more.
 	Drain time.Duration
+	// Apply is how soon a version of the configuration must be in force.
+	Apply time.Duration
 	// Grace is how long a process may go on after it is told to stop.
 	Grace time.Duration
 	// Release is how soon memory set aside at engines must be free again.
--- /dev/null
+++ b/entry/process/joiner/readings_test.go
@@ -0,0 +1,29 @@
+package joiner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/joiner"
+)
+
+// Where the VM that reads for a zone falls silent, those that stand by notice after
+// one more reading: two and a beat must end before the bounds do.
+func TestReadingsLeaveTimeForThoseThatStandBy(t *testing.T) {
+	const beats = 700 * time.Millisecond
+	for bound := 2 * time.Second; bound <= 8*time.Second; bound += time.Second {
+		held, every := joiner.Bounds{Apply: bound, Drain: bound}.Readings()
+		assert.Assert(t, held+beats < bound, "%v of %v", held, bound)
+		assert.Assert(t, 2*every+beats < bound, "%v of %v", every, bound)
+	}
+}
+
+// A platform that answers is read more often than a time without answers counts as
+// an outage, in which entries that are gone are used on.
+func TestReadingsAreNoOutage(t *testing.T) {
+	const outage, again = 1500 * time.Millisecond, 200 * time.Millisecond
+	_, every := joiner.Bounds{Drain: time.Minute}.Readings()
+	assert.Assert(t, every+2*again < outage)
+}
