Read an empty stream whole once, and have stand-ins wait for the reader's beat

The configuration is held for 0.5 of its bound, so that VMs notice a silent reader no later than before.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -16,7 +16,7 @@
 	// configurationShare is the part of the time in which versions must be in force
 	// for which the platform holds a reading of the configuration. Where all that
 	// read for a zone have fallen silent, the others notice after as long.
-	configurationShare = 0.6
+	configurationShare = 0.5
 	// configurationBehind is how long another VM may have a newer configuration
 	// before it is asked for it: the platform's own answer takes some
 	// milliseconds, and versions must be in force within two seconds.
@@ -32,11 +32,9 @@
 	// themselves known, so that this is only for those that could not.
 	vmsEvery = 20 * time.Second
 	// staleAfter is how much older than its reading takes the list or the
-	// configuration may be before a peer is asked. An upstream that leaves must
-	// get nothing two seconds later, also from a VM that the platform turns
-	// away: a peer's reading, its word of that and the fetch take another
-	// second.
-	staleAfter = 200 * time.Millisecond
+	// configuration may be before a peer is asked, or those that stand by read
+	// themselves: VMs hear of a reading with its reader's next beat.
+	staleAfter = gossiper.BeatEvery + 100*time.Millisecond
 	// announceAgain is the wait after this VM could not be recorded, mostAgain its
 	// bound as it doubles: relays tell of it meanwhile.
 	announceAgain = 500 * time.Millisecond
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		first := !s.known()
-		err := s.read(ctx, whole || first)
+		err := s.read(ctx, whole || !s.whole())
 		now := s.now()
 		s.failed.Store(0)
 		if err != nil && !errors.Is(err, ErrForgotten) {
@@ -154,7 +154,7 @@
 				s.log.Info().Dur("away", now.Sub(read)).Msg("platform answers again")
 			}
 			whole, wait, read = false, tryAgain, now
-			if first && s.stream.Shared {
+			if first && s.known() && s.stream.Shared {
 				s.peers.Publish()
 			}
 			pause(ctx, s.stream.Every)
@@ -239,12 +239,20 @@
 	return old >= followSpare && (answered || end == 0)
 }
 
-// known says that there are records from which a reading may go on.
+// known says that there is something here that others may have more of.
 func (s *Syncer) known() bool {
 	end, _ := s.stream.Copy.End()
 	return end > 0
 }
 
+// whole says that the stream has been read whole, so that a reading may go on from
+// its end. A platform that has no record yet is not asked for all of them again and
+// again.
+func (s *Syncer) whole() bool {
+	_, asOf := s.stream.Copy.End()
+	return !asOf.IsZero()
+}
+
 func (s *Syncer) read(ctx context.Context, whole bool) error {
 	from, _ := s.stream.Copy.End()
 	asOf := s.now()
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -295,3 +295,15 @@
 	reaches(t, start(t, p, peers{serves: serves, duty: gossiper.Follows, stale: true}), 1)
 	assert.Assert(t, time.Since(began) < time.Second, "it took %v", time.Since(began))
 }
+
+// A fleet starts for the first time, and operators have published nothing yet. Each
+// reading is paid for: the platform holds one until there is something.
+func TestEmptyStreamIsReadWholeOnce(t *testing.T) {
+	p := &platform{}
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
+	run(t, syncer.Stream{Name: "s", Copy: c, Every: 20 * time.Millisecond, Stale: time.Second, Shared: true}, p, peers{})
+	time.Sleep(400 * time.Millisecond)
+	p.set(func() { assert.Equal(t, p.wholes, 1) })
+	p.set(func() { p.records = append(p.records, record("a", 0)) })
+	reaches(t, c, 1)
+}
