Emulate a fleet whose mix changes and whose VMs start again, and keep its plays apart

Cause: the emulator knew no fleet with engines enough, many small VMs and prompts above an engine's memory, nor VMs that start again. Faults of one deployment were shared by its plays, which run at the same time: the VMs that one play struck were ended or woken in another.

--- a/bench/emulate.go
+++ b/bench/emulate.go
@@ -17,6 +17,7 @@
 	drawn int
 	seeds int
 	zones bool
+	mixed bool
 	out   string
 }
 
@@ -27,6 +28,7 @@
 	c.Int(&e.drawn, "", "drawn", "how many deployments are drawn besides the known ones (default: 10)")
 	c.Int(&e.seeds, "", "seeds", "how many loads of each are played (default: 3)")
 	c.Bool(&e.zones, "", "zones", "play a zone of a large fleet before 7, 39, 83 and 195 VMs instead, without and with leaders in trouble")
+	c.Bool(&e.mixed, "", "mixed", "play a fleet with engines enough and a mix that changes instead, without and with VMs that start again")
 	c.String(&e.out, "", "out", "folder for result.json and worth.svg (default: none are written)")
 	return c
 }
@@ -42,6 +44,9 @@
 			fleets = append(append(fleets, emulator.Zone(vms)), emulator.Troubled(vms)...)
 		}
 	}
+	if e.mixed {
+		fleets = emulator.Restarted()
+	}
 	results, err := emulator.RunAll(ctx, fleets, uint64(e.seeds))
 	if err != nil {
 		return err
--- a/bench/emulator/batch.go
+++ b/bench/emulator/batch.go
@@ -47,6 +47,8 @@
 		out.Bound += r.Bound / float64(len(rs))
 		out.Datagrams += r.Datagrams / len(rs)
 		out.Bytes += r.Bytes / len(rs)
+		out.After += r.After
+		out.AfterInTime += r.AfterInTime
 		for i, o := range r.Kinds {
 			k := &out.Kinds[i]
 			k.Name = o.Name
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -46,6 +46,9 @@
 	// of the pool's reading power, less a fifth for writing, would begin in time.
 	Worth, Bound float64
 	Kinds        []Outcome
+	// After are the requests of the first kind that come in the second after VMs have
+	// started again, and how many of them are answered in time.
+	After, AfterInTime int
 	// Datagrams and Bytes are what VMs sent each other.
 	Datagrams, Bytes int
 }
@@ -145,7 +148,7 @@
 // Run plays a deployment's load with a seed.
 func Run(d Deployment, seed uint64) Result {
 	draw := rand.New(rand.NewPCG(seed, 2))
-	p := &play{tracker: tracker.New(), byName: make(map[string]*engine), service: &matcher.Service{Name: "s", Engine: &d.Figures}, faults: d.Faults}
+	p := &play{tracker: tracker.New(), byName: make(map[string]*engine), service: &matcher.Service{Name: "s", Engine: &d.Figures}, faults: slices.Clone(d.Faults)}
 	for i := range d.Engines {
 		e := &engine{figures: &d.Figures, name: "e" + strconv.Itoa(i)}
 		p.engines = append(p.engines, e)
@@ -156,11 +159,7 @@
 		p.vms = append(p.vms, &vm{play: p, index: i, name: "vm" + strconv.Itoa(i)})
 	}
 	for _, v := range p.vms {
-		v.allocator = allocator.New(allocator.Member{VM: v.name, Zone: "z", Power: 1}, 1, allocator.Deps{
-			Tracker: p.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
-			Service:  func(string) (*matcher.Service, bool) { return p.service, true },
-			ColdPart: func(string, float64, bool) int { return 0 }, Now: p.clock, Log: zerolog.Nop(),
-		})
+		p.start(v)
 	}
 	all := d.arrivals(draw)
 	slices.SortStableFunc(all, func(a, b *request) int { return compare(a.at, b.at) })
@@ -170,6 +169,15 @@
 	return r
 }
 
+// start begins a run of a VM's process.
+func (p *play) start(v *vm) {
+	v.allocator = allocator.New(allocator.Member{VM: v.name, Zone: "z", Power: 1}, p.clock().UnixNano(), allocator.Deps{
+		Tracker: p.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
+		Service:  func(string) (*matcher.Service, bool) { return p.service, true },
+		ColdPart: func(string, float64, bool) int { return 0 }, Now: p.clock, Log: zerolog.Nop(),
+	})
+}
+
 func compare(a, b float64) int {
 	switch {
 	case a < b:
@@ -259,6 +267,11 @@
 		// The balancer sends callers to another.
 		r.vm = slices.IndexFunc(p.vms, func(v *vm) bool { return !v.dead })
 	}
+	if r.vm < 0 {
+		// None can be reached.
+		r.gone = true
+		return
+	}
 	r.asked = p.vms[r.vm].allocator.Ask(scheduler.Call{Service: p.service, Ask: placer.Ask{
 		Prompt: r.prompt, Output: k.Bound, Pause: float64(k.Pause.Milliseconds()), Arrived: at(r.at),
 		Objective: at(r.at).Add(k.Objective), Deadline: at(r.at).Add(k.Limit), Leaves: at(r.leaves()),
--- a/bench/emulator/emulator_test.go
+++ b/bench/emulator/emulator_test.go
@@ -43,3 +43,19 @@
 	t.Logf("mean gain %.4f", gain)
 	assert.Check(t, gain > spread, "the decisions earn %.4f more than the earlier ones in the mean", gain)
 }
+
+// All VMs, half or a third of them start again in a burst of short prompts, and know
+// nothing of each other's work. Where there are engines enough, whoever asks in the
+// next second must not wait for them to agree, nor for engines that several took.
+func TestShortPromptsAfterARestartAreInTime(t *testing.T) {
+	const (
+		seeds = 1
+		aim   = 0.8
+	)
+	results, err := emulator.RunAll(t.Context(), emulator.Restarted(), seeds)
+	assert.NilError(t, err)
+	for _, r := range results[1:] {
+		t.Logf("%s: %d of %d", r.Deployment, r.AfterInTime, r.After)
+		assert.Check(t, r.After > 0 && float64(r.AfterInTime) >= aim*float64(r.After), "%s: %d of %d in time", r.Deployment, r.AfterInTime, r.After)
+	}
+}
--- a/bench/emulator/fault.go
+++ b/bench/emulator/fault.go
@@ -16,6 +16,8 @@
 	Freezes
 	// Slows has its datagrams take longer.
 	Slows
+	// Restarts ends a VM and all that it has under way, and starts it again.
+	Restarts
 	// LosesSent and LosesReceived cut its way in one direction.
 	LosesSent
 	LosesReceived
@@ -23,17 +25,19 @@
 
 // String names the trouble.
 func (t Trouble) String() string {
-	words := [...]string{"dies", "freezes", "slows", "loses what it sends", "loses what it receives"}
+	words := [...]string{"dies", "freezes", "slows", "restarts", "loses what it sends", "loses what it receives"}
 	if t < 0 || int(t) >= len(words) {
 		return "unknown"
 	}
 	return words[t]
 }
 
-// A Fault is a trouble of the VMs that lead: Count of them, the first by rank.
+// A Fault is a trouble of the VMs that lead: Count of them, the first by rank. With
+// Every it is one of every so many VMs instead.
 type Fault struct {
 	Trouble Trouble
 	Count   int
+	Every   int
 	At, For time.Duration
 	struck  []*vm
 }
@@ -51,6 +55,9 @@
 		f := &p.faults[i]
 		if passed(f.At) {
 			f.struck = p.leaders(f.Count)
+			for i := 0; f.Every > 0 && i < len(p.vms); i += f.Every {
+				f.struck = append(f.struck, p.vms[i])
+			}
 			for _, v := range f.struck {
 				p.trouble(v, f.Trouble, true)
 			}
@@ -87,6 +94,11 @@
 		for _, r := range p.open {
 			r.gone = r.gone || p.vms[r.vm] == v
 		}
+	case Restarts:
+		p.trouble(v, Dies, begins)
+		if !begins {
+			p.start(v)
+		}
 	case Freezes:
 		v.frozen = begins
 		if !begins {
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -128,6 +128,37 @@
 	return all
 }
 
+// Mixed is a fleet with engines enough, before many small VMs, of which some prompts
+// are above an engine's memory, and whose mix changes: bursts of long prompts, of
+// short ones, and of long ones again.
+func Mixed() Deployment {
+	d := Deployment{
+		Name: "mixed", VMs: 67, Engines: 45, Lasts: 15 * second, Figures: figures(12, 405_000, 38, 154, 0.162),
+		Kinds: []Kind{
+			{"question", 4960, 0.9, 23_800, 1370, 3400, 48, 3.5, 300 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.34},
+			{"brief", 45_000, 0.5, 110_000, 800, 2000, 3.8, 2.3, 1500 * millisecond, 600 * millisecond, 10 * second, 3.3, 0.82},
+			{"file", 260_000, 0.55, 900_000, 680, 1700, 0.35, 3.9, 4 * second, second, 15 * second, 34, 8.6},
+		},
+	}
+	for _, b := range []Burst{{2, 2, 6}, {1, 2, 6}, {0, 6, 10}, {2, 10, 14}, {1, 10, 14}} {
+		d.Bursts = append(d.Bursts, Burst{b.Kind, b.From * second, b.Till * second})
+	}
+	return d
+}
+
+// Restarted are its loads with all VMs, half and a third of them started again in
+// the burst of short prompts.
+func Restarted() []Deployment {
+	all := []Deployment{Mixed()}
+	for _, every := range []int{1, 2, 3} {
+		d := Mixed()
+		d.Faults = []Fault{{Trouble: Restarts, Every: every, At: 8 * second, For: 700 * millisecond}}
+		d.Name = fmt.Sprintf("%s, one of %d restarts", d.Name, every)
+		all = append(all, d)
+	}
+	return all
+}
+
 // between draws evenly on a logarithmic scale.
 func between(draw *rand.Rand, least, most float64) float64 {
 	return least * math.Exp(draw.Float64()*math.Log(most/least))
--- a/bench/emulator/result.go
+++ b/bench/emulator/result.go
@@ -19,6 +19,12 @@
 	}
 	begun := perfect(d, all)
 	for _, r := range all {
+		if d.restarted(r) {
+			out.After++
+			if r.inTime() {
+				out.AfterInTime++
+			}
+		}
 		o := &out.Kinds[slices.IndexFunc(out.Kinds, func(o Outcome) bool { return o.Name == r.kind.Name })]
 		o.Asked++
 		owed += r.weight()
@@ -44,6 +50,18 @@
 	return out
 }
 
+// restarted says that a request of the first kind came in the second after VMs had
+// started again.
+func (d *Deployment) restarted(r *request) bool {
+	for _, f := range d.Faults {
+		since := r.at - float64((f.At + f.For).Milliseconds())
+		if f.Trouble == Restarts && r.kind == &d.Kinds[0] && since >= 0 && since < 1000 {
+			return true
+		}
+	}
+	return false
+}
+
 // perfect are the requests that one engine would begin in time that had the whole
 // pool's reading power, earliest objective first, interrupted at will. No prompt
 // is read faster than by the most engines that can help.
