--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -140,8 +140,11 @@
 			{"file", 260_000, 0.55, 900_000, 680, 1700, 0.35, 3.9, 4 * second, second, 15 * second, 34, 8.6},
 		},
 	}
-	for _, b := range []Burst{{2, 2, 6}, {1, 2, 6}, {0, 6, 10}, {2, 10, 14}, {1, 10, 14}} {
-		d.Bursts = append(d.Bursts, Burst{b.Kind, b.From * second, b.Till * second})
+	for i, kinds := range [][]int{{1, 2}, {0}, {1, 2}} {
+		from := time.Duration(2+4*i) * second
+		for _, k := range kinds {
+			d.Bursts = append(d.Bursts, Burst{k, from, from + 4*second})
+		}
 	}
 	return d
 }
--- a/entry/process/pager/pager.go
+++ b/entry/process/pager/pager.go
@@ -176,7 +176,7 @@
 	if err = cbor.Unmarshal(data, &p.Records); err != nil {
 		return replicator.Page{}, Error.Wrap(err)
 	}
-	age := int64(0)
+	var age int64
 	var failed [3]error
 	p.End, failed[0] = strconv.ParseInt(h.Get(endHeader), 10, 64)
 	age, failed[1] = strconv.ParseInt(h.Get(ageHeader), 10, 64)
--- a/entry/process/pager/pager_test.go
+++ b/entry/process/pager/pager_test.go
@@ -23,10 +23,10 @@
 func (c *counts) Count(_ string, n int64) { c.encoded.Add(n) }
 
 // records are so many of about a kilobyte each.
-func records(n int, first int64) []replicator.Record {
+func records(n int) []replicator.Record {
 	var rs []replicator.Record
 	for i := range n {
-		rs = append(rs, replicator.Record{Key: fmt.Sprint("key", i), Value: []byte(strings.Repeat("value ", 160)), Offset: first + int64(i)})
+		rs = append(rs, replicator.Record{Key: fmt.Sprint("key", i), Value: []byte(strings.Repeat("value ", 160)), Offset: int64(i)})
 	}
 	return rs
 }
@@ -47,7 +47,7 @@
 // compressor for each, a small VM would run out of memory.
 func TestSameRecordsAreEncodedOnce(t *testing.T) {
 	c := newCopy()
-	c.Complete(records(200, 0), 200, time.Now())
+	c.Complete(records(200), 200, time.Now())
 	at, m := serve(t, c)
 	var all sync.WaitGroup
 	for range 40 {
@@ -64,7 +64,7 @@
 // A record that came since must not be held back by what was encoded before.
 func TestNewRecordsAreServed(t *testing.T) {
 	c := newCopy()
-	c.Complete(records(3, 0), 3, time.Now())
+	c.Complete(records(3), 3, time.Now())
 	at, _ := serve(t, c)
 	_, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
 	assert.NilError(t, err)
@@ -83,7 +83,7 @@
 // long before: told as fresh, an old list would be used on.
 func TestAgeIsThatOfTheCopy(t *testing.T) {
 	c := newCopy()
-	c.Complete(records(1, 0), 1, time.Now().Add(-2*time.Second))
+	c.Complete(records(1), 1, time.Now().Add(-2*time.Second))
 	at, _ := serve(t, c)
 	for range 2 {
 		p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
@@ -107,7 +107,7 @@
 // configuration has some hundred kilobytes.
 func BenchmarkHundredVMs(b *testing.B) {
 	c := newCopy()
-	c.Complete(records(300, 0), 300, time.Now())
+	c.Complete(records(300), 300, time.Now())
 	at, _ := serve(b, c)
 	b.ReportAllocs()
 	for range b.N {
