--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -215,7 +215,7 @@
 	}
 	a.deps.Meter.Count("exchange.received", 1)
 	a.do(func(now time.Time) {
-		a.trusts(now, from)
+		a.clear(now, from)
 		a.heed(now, from, &m)
 		a.answered(now, from, &m)
 	})
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -42,27 +42,27 @@
 	// answers it.
 	alone    bool
 	coldFrom time.Time
-	// unheard are the VMs whose word on what they have it still waits for.
-	unheard map[netip.AddrPort]bool
+	// awaited are the VMs whose word on what they have it still waits for.
+	awaited map[netip.AddrPort]bool
 }
 
-// hears has nothing placed until all VMs have told what they have, or for as long
+// await has nothing placed until all VMs have told what they have, or for as long
 // as that takes where none is lost.
-func (l *led) hears(now time.Time, members []Member) {
-	l.unheard = make(map[netip.AddrPort]bool, len(members))
+func (l *led) await(now time.Time, members []Member) {
+	l.awaited = make(map[netip.AddrPort]bool, len(members))
 	for i := range members {
-		l.unheard[members[i].Address] = true
+		l.awaited[members[i].Address] = true
 	}
 	l.scheduler.Hold(now.Add(learning))
 }
 
-// heard notes a VM's word. With the last one places are given again.
-func (l *led) heard(now time.Time, from netip.AddrPort) {
-	if !l.unheard[from] {
+// collected notes a VM's word. With the last one places are given again.
+func (l *led) collected(now time.Time, from netip.AddrPort) {
+	if !l.awaited[from] {
 		return
 	}
-	delete(l.unheard, from)
-	if len(l.unheard) == 0 {
+	delete(l.awaited, from)
+	if len(l.awaited) == 0 {
 		l.scheduler.Hold(now)
 		l.scheduler.Pump()
 	}
@@ -109,7 +109,7 @@
 		a.deps.Log.Info().Str("service", g.Service).Str("zone", g.Zone).Bool("others", byAnother).Msg("group led by this VM")
 		a.count("groups.led")
 		if len(a.deps.Members()) > 0 {
-			l.hears(now, a.deps.Members())
+			l.await(now, a.deps.Members())
 			l.coldFrom = now.Add(newLeader)
 		}
 		for _, p := range a.places {
@@ -238,7 +238,7 @@
 	}
 	for _, w := range m.Told {
 		if l, ok := a.led[w.group()]; ok {
-			l.heard(now, from)
+			l.collected(now, from)
 		}
 	}
 	if m.Whole {
--- a/entry/process/allocator/member.go
+++ b/entry/process/allocator/member.go
@@ -97,8 +97,8 @@
 	return ok
 }
 
-// trusts notes that a member has answered.
-func (a *Allocator) trusts(now time.Time, m netip.AddrPort) {
+// clear notes that a member has answered.
+func (a *Allocator) clear(now time.Time, m netip.AddrPort) {
 	if d, ok := a.suspects[m]; ok && !now.Before(d.until) {
 		delete(a.suspects, m)
 	}
