Remember a group's leader while nothing changes on which it rests

Ruled out: ranking once in a while, which would ask a dead leader for as long. Change: the last choice holds while the list of members, this VM's leaving and its suspicions are the same, and until the first suspicion ends. Tests: those of leaders that die, pause, hear nothing and leave pass unchanged.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -89,6 +89,9 @@
 	// stop is when this VM stops; zero while it does not.
 	stop     time.Time
 	suspects map[netip.AddrPort]suspicion
+	// suspected counts suspicions, and leaders are the last choices.
+	suspected int
+	leaders   map[Group]choice
 	// split are the services whose upstreams are in groups by zone.
 	split map[string]bool
 
@@ -122,7 +125,7 @@
 func New(me Member, boot int64, d Deps) *Allocator {
 	a := &Allocator{
 		me: me, boot: boot, deps: d, began: d.Now(), ticked: d.Now(),
-		suspects: make(map[netip.AddrPort]suspicion), split: make(map[string]bool),
+		suspects: make(map[netip.AddrPort]suspicion), leaders: make(map[Group]choice), split: make(map[string]bool),
 		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), reported: make(map[netip.AddrPort]bool),
 		led: make(map[Group]*led), holders: make(map[netip.AddrPort]*holder), summaries: make(map[Group]*summary),
 		out: make(map[netip.AddrPort]*message), deputies: make(map[Group]map[netip.AddrPort]time.Time),
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -281,7 +281,7 @@
 		case o.heard.IsZero() && now.Sub(o.sent) >= resend:
 			a.send(now, o)
 		case !o.heard.IsZero() && now.Sub(o.sent) >= askEvery:
-			if m, self := a.leader(now, o.group); self || (m.Address != o.to && !a.suspected(m.Address)) {
+			if m, self := a.leader(now, o.group); self || (m.Address != o.to && !a.isSuspect(m.Address)) {
 				a.move(now, o)
 				continue
 			}
--- /dev/null
+++ b/entry/process/allocator/bench_test.go
@@ -0,0 +1,50 @@
+package allocator_test
+
+import (
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// nothing is a network and a clock that do nothing.
+type nothing struct{}
+
+func (nothing) Send(netip.AddrPort, []byte) error                      { return nil }
+func (nothing) Subscribe(time.Duration, func(time.Time)) (stop func()) { return func() {} }
+func (nothing) Count(string, int64)                                    {}
+
+// BenchmarkAsk is a request that a VM asks a leader for and takes back, before a
+// fleet of many VMs.
+func BenchmarkAsk(b *testing.B) {
+	for _, vms := range []int{7, 67, 330} {
+		b.Run(strconv.Itoa(vms), func(b *testing.B) {
+			n := &network{t: b, now: time.Unix(1_000_000, 0)}
+			var members []allocator.Member
+			for i := range vms - 1 {
+				at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+				members = append(members, allocator.Member{VM: "vm" + strconv.Itoa(i), Address: at, Zone: "z", Power: 2})
+			}
+			service := &matcher.Service{Name: "s", Engine: engine}
+			known := tracker.New()
+			known.Put(n.now, tracker.Upstream{ID: "u", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2})
+			a := allocator.New(allocator.Member{VM: "me", Zone: "z", Power: 1}, 1, allocator.Deps{
+				Tracker: known, Sender: nothing{}, Timer: nothing{}, Meter: nothing{},
+				Members:  func() []allocator.Member { return members },
+				Service:  func(string) (*matcher.Service, bool) { return service, true },
+				ColdPart: func(string, float64, bool) int { return 0 },
+				Now:      func() time.Time { return n.now }, Log: zerolog.Nop(),
+			})
+			b.ReportAllocs()
+			for range b.N {
+				a.Ask(n.call()).Leave()
+			}
+		})
+	}
+}
--- a/entry/process/allocator/member.go
+++ b/entry/process/allocator/member.go
@@ -57,12 +57,47 @@
 	next  time.Duration
 }
 
+// A choice is the leader of a group, as long as nothing has changed on which it rests.
+type choice struct {
+	leader Member
+	self   bool
+	// first and count are the list of members, leaving and suspected as of then, and
+	// until when no suspicion ends.
+	first     *Member
+	count     int
+	leaving   bool
+	suspected int
+	until     time.Time
+}
+
 // leader is the member that allocates for a group, as far as this VM knows; self
-// says that it is this one.
+// says that it is this one. It is asked for several times for each request, and
+// ranking hundreds of members each time would take most of a VM's time.
 func (a *Allocator) leader(now time.Time, g Group) (m Member, self bool) {
+	members := a.deps.Members()
+	c := choice{count: len(members), leaving: a.leaving, suspected: a.suspected}
+	if len(members) > 0 {
+		c.first = &members[0]
+	}
+	if last, ok := a.leaders[g]; ok && last.first == c.first && last.count == c.count && last.leaving == c.leaving &&
+		last.suspected == c.suspected && now.Before(last.until) {
+		return last.leader, last.self
+	}
+	c.leader, c.self = a.rank(now, g, members)
+	c.until = now.Add(mostSuspect)
+	for _, s := range a.suspects {
+		if s.until.After(now) && s.until.Before(c.until) {
+			c.until = s.until
+		}
+	}
+	a.leaders[g] = c
+	return c.leader, c.self
+}
+
+// rank finds the first member that may lead a group.
+func (a *Allocator) rank(now time.Time, g Group, members []Member) (m Member, self bool) {
 	best := a.self()
 	self = true
-	members := a.deps.Members()
 	for i := range members {
 		o := &members[i]
 		if o.Leaving || now.Before(a.suspects[o.Address].until) {
@@ -85,14 +120,15 @@
 	d.next = min(mostSuspect, max(suspectFor, 2*d.next))
 	d.until = now.Add(d.next)
 	a.suspects[m] = d
+	a.suspected++
 	a.count("leaders.suspected")
 	a.deps.Log.Info().Str("leader", m.String()).Str("cause", why).Dur("for", d.next).Msg("leader skipped")
 }
 
-// suspected says that a member has been skipped and has not answered since. What
+// isSuspect says that a member has been skipped and has not answered since. What
 // waits at another one is not sent back to it: it may be dead, and its beats are
 // missed only later.
-func (a *Allocator) suspected(m netip.AddrPort) bool {
+func (a *Allocator) isSuspect(m netip.AddrPort) bool {
 	_, ok := a.suspects[m]
 	return ok
 }
