Do not take a full upstream's health check for a failed one

Cause: upstreams reject a check like any other request where they are full, with 503; one that was full when another declined counted as leaving for four seconds. Change: an answer that says so tells nothing of the health. Tests: a full upstream does not count as leaving (before: it did).

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -190,7 +190,10 @@
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
 	})
 	v.budget = newBudget(v)
-	probes := prober.New(prober.Deps{Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log})
+	probes := prober.New(prober.Deps{
+		Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log,
+		Rejected: func(status int, h http.Header) bool { return p.Verdict(status, h).NotRun },
+	})
 	v.relayer = relayer.New(relayer.Deps{
 		Table: v.table.Load, Configured: v.configured, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
--- a/entry/process/prober/prober.go
+++ b/entry/process/prober/prober.go
@@ -46,9 +46,12 @@
 type Deps struct {
 	Tracker *tracker.Tracker
 	Carrier Carrier
-	Meter   Meter
-	Now     func() time.Time
-	Log     zerolog.Logger
+	// Rejected says that an upstream did not take the check, as it is full: that says
+	// nothing of its health.
+	Rejected func(status int, h http.Header) bool
+	Meter    Meter
+	Now      func() time.Time
+	Log      zerolog.Logger
 }
 
 // A Prober asks for health, for each service at most once in a while.
@@ -130,5 +133,5 @@
 		return false
 	}
 	defer x.Close()
-	return x.Status == http.StatusServiceUnavailable
+	return x.Status == http.StatusServiceUnavailable && !p.deps.Rejected(x.Status, x.Header)
 }
--- a/entry/process/prober/prober_test.go
+++ b/entry/process/prober/prober_test.go
@@ -30,7 +30,10 @@
 }
 
 func newProber(known *tracker.Tracker) *prober.Prober {
-	return prober.New(prober.Deps{Tracker: known, Carrier: carrier.New(time.Now), Meter: meter.New(), Now: time.Now, Log: zerolog.Nop()})
+	return prober.New(prober.Deps{
+		Tracker: known, Carrier: carrier.New(time.Now), Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(),
+		Rejected: func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+	})
 }
 
 func leaves(known *tracker.Tracker, id string) bool {
@@ -38,7 +41,8 @@
 	return time.Now().Before(u.LeavesUntil)
 }
 
-// An upstream that is busy, or cannot be reached, must not count as one that leaves.
+// An upstream that is busy or full, or cannot be reached, must not count as one that
+// leaves.
 func TestOnlyFailedChecksCount(t *testing.T) {
 	known := tracker.New()
 	busy := make(chan struct{})
@@ -46,11 +50,15 @@
 	list(t, known, "leaves", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	list(t, known, "busy", func(http.ResponseWriter, *http.Request) { <-busy })
 	t.Cleanup(func() { close(busy) })
+	list(t, known, "full", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
 	known.Put(time.Now(), tracker.Upstream{ID: "gone", Service: "s", Address: "127.0.0.1:1"})
 	began := time.Now()
 	newProber(known).Probe(t.Context(), service)
 	assert.Assert(t, time.Since(began) < time.Second, "it took %v", time.Since(began))
-	for id, is := range map[string]bool{"sound": false, "leaves": true, "busy": false, "gone": false} {
+	for id, is := range map[string]bool{"sound": false, "leaves": true, "busy": false, "full": false, "gone": false} {
 		assert.Equal(t, leaves(known, id), is, id)
 	}
 }
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -202,8 +202,11 @@
 	r := relayer.New(relayer.Deps{
 		Table: b.inForce, Configured: b.configured, Dialect: dialect{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
 		Reserver: reserver.New("me-", b.memory, func() time.Duration { return time.Second }, zerolog.Nop()),
-		Prober:   prober.New(prober.Deps{Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop()}),
-		Budget:   b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+		Prober: prober.New(prober.Deps{
+			Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+			Rejected: func(status int, h http.Header) bool { return dialect{}.Verdict(status, h).NotRun },
+		}),
+		Budget: b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
 	})
 	b.server = httptest.NewServer(r)
