Let the first list count once it is whole

Cause: the list of upstreams counted as there before its first entries were taken in. Ruled out: load alone: the order of the two was wrong, and a list that is slow to read shows it each time. Change: it counts after its entries. Tests: joiner.TestFirstListCountsOnceItIsWhole, 503 before in two of two, passes after in three of three with -race; a process test with 400 entries did not show it (five of five passed) and was left out.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -146,9 +146,6 @@
 // list folds entries of upstreams.
 func (v *Process) list(rs []replicator.Record, gap time.Duration) {
 	now := time.Now()
-	if v.listed.CompareAndSwap(false, true) {
-		v.tracker.Outdate(false)
-	}
 	lapsing := gap > outage
 	for _, r := range rs {
 		if r.Dropped {
@@ -171,6 +168,11 @@
 				Bool("draining", u.Draining).Dur("cold", u.Cold).Int64("born", u.Born).Int64("offset", r.Offset).Msg("upstream")
 		}
 	}
+	if v.listed.CompareAndSwap(false, true) {
+		// Not before: a request that waits for the list would be refused for want of
+		// upstreams while the entries are still being taken in.
+		v.tracker.Outdate(false)
+	}
 	v.allocator.Pump()
 }
 
--- /dev/null
+++ b/entry/process/joiner/list_test.go
@@ -0,0 +1,140 @@
+package joiner_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/joiner"
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/relayer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// slow is a platform whose list has two upstreams, and which takes a while to read
+// each entry.
+type slow struct {
+	reserver.Orderer
+	address string
+	// listed is closed when the list may be read.
+	listed chan struct{}
+}
+
+// entryTime is what reading an entry takes: longer than the time between two looks
+// at what waits.
+const entryTime = 4 * allocator.TickEvery
+
+func (p *slow) Newest(_ context.Context, stream string) ([]replicator.Record, int64, error) {
+	switch stream {
+	case joiner.Configuration:
+		return []replicator.Record{{Key: "config", Value: []byte("x")}}, 1, nil
+	case joiner.Upstreams:
+		<-p.listed
+		return []replicator.Record{{Key: "other", Value: []byte("x")}, {Key: "needed", Value: []byte("x"), Offset: 1}}, 2, nil
+	}
+	return nil, 1, nil
+}
+
+func (*slow) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]replicator.Record, int64, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, from, ctx.Err()
+}
+
+func (*slow) Announce(context.Context, allocator.Member) error { return nil }
+
+func (*slow) Change(replicator.Record) (joiner.Change, error) {
+	return joiner.Change{Config: &matcher.Config{
+		Version: 1, Services: []matcher.Service{{Name: "s"}}, Limits: matcher.Limits{Body: 1 << 10},
+		Routes: []matcher.Route{{
+			Name: "r", Host: "a.example", Prefix: "/", Kind: matcher.Safe, Attempts: 1, Timeout: 5 * time.Second,
+			Objective: time.Second, Split: []matcher.Weight{{Service: "s", Weight: 1}},
+		}},
+	}}, nil
+}
+
+func (p *slow) Upstream(r replicator.Record) (tracker.Upstream, error) {
+	time.Sleep(entryTime)
+	u := tracker.Upstream{ID: r.Key, Service: r.Key, Address: p.address, Zone: "z", Slots: 4}
+	if r.Key == "needed" {
+		u.Service = "s"
+	}
+	return u, nil
+}
+
+func (*slow) Peer(replicator.Record) (allocator.Member, error) { return allocator.Member{}, nil }
+
+func (*slow) Ask(h http.Header) relayer.Ask {
+	return relayer.Ask{ID: h.Get("Id"), Limit: 5 * time.Second}
+}
+
+func (*slow) Onward(h http.Header, _ relayer.Onward) http.Header { return h.Clone() }
+
+func (*slow) Verdict(_ int, h http.Header) relayer.Verdict {
+	return relayer.Verdict{ID: h.Get("Id"), Sealed: true}
+}
+
+func (*slow) Event([]byte) string { return "" }
+
+// free is a loopback address that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A request waits for the first list of upstreams, and the one that it needs is the
+// list's last. It must not be refused for want of upstreams while the entries before
+// are taken in.
+func TestFirstListCountsOnceItIsWhole(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Id", q.Header.Get("Id"))
+		_, err := io.WriteString(w, "done")
+		assert.Check(t, err)
+	}))
+	defer upstream.Close()
+	p := &slow{address: strings.TrimPrefix(upstream.URL, "http://"), listed: make(chan struct{})}
+	callers := free(t)
+	v, err := joiner.New(joiner.Settings{
+		VM: "vm", Zone: "z", Callers: callers, Ready: free(t), Peers: free(t), Metrics: free(t), ReadyPath: "/ready",
+		Power: 1, Memory: 64 << 20, Descriptors: 256,
+		Bounds: joiner.Bounds{Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 500 * time.Millisecond, Release: 4 * time.Second, RetryWindow: time.Second},
+	}, p, zerolog.Nop())
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		v.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	time.AfterFunc(100*time.Millisecond, func() { close(p.listed) })
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+callers+"/x", http.NoBody)
+	assert.NilError(t, err)
+	q.Host = "a.example"
+	q.Header.Set("Id", "1")
+	reply, err := http.DefaultClient.Do(q)
+	assert.NilError(t, err)
+	defer reply.Body.Close()
+	body, err := io.ReadAll(reply.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.StatusCode, http.StatusOK, "%s", body)
+}
