Show that an upstream that left after it was chosen gets nothing

Cause: with the look at the list right before a sending taken out (scratch copy) all tests of the relayer still passed. Change: a test in which all upstreams leave while memory is set aside. Without the look it gets 200, with it 503 and nothing is sent.

--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -98,9 +98,14 @@
 	mu   sync.Mutex
 	held map[string]int
 	full map[string]bool
+	// asked is called when memory is asked for; nil where nothing happens then.
+	asked func()
 }
 
 func (m *memory) Reserve(_ context.Context, address, name string, tokens int, _ time.Duration) error {
+	if m.asked != nil {
+		m.asked()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.full[address] {
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
@@ -525,3 +526,25 @@
 		assert.Assert(t, !leaving[strings.TrimSuffix(helper, "/")])
 	}
 }
+
+// All upstreams leave between the choice of a place and the sending, while memory is
+// set aside. What was chosen before must get nothing any more.
+func TestPlaceThatLeftMeanwhileGetsNothing(t *testing.T) {
+	b := newBench(t, routes())
+	var listed []tracker.Upstream
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		server := b.upstream(id, "model", events(1, false))
+		listed = append(listed, tracker.Upstream{ID: id, Service: "model", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Slots: 4, Draining: true})
+	}
+	b.memory.asked = func() {
+		for _, u := range listed {
+			b.tracker.Put(time.Now(), u)
+		}
+	}
+	q := b.request(http.MethodPost, "/stream/x", "p")
+	q.Header.Set("Prompt", "400000")
+	o := b.do(q)
+	assert.NilError(t, o.err)
+	assert.Equal(t, o.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(b.seen()), 0)
+}
