Name a request by a fingerprint of its caller, path and body in the logs

Ids differ each time that a caller asks for the same, so that the logs could not tell whether one request was at every engine that broke, which separates the three hypotheses in docs/incidents/crashing-request.md. The lines request and attempt failed bear the fingerprint now.

--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -357,7 +357,7 @@
 	j.tried = append(j.tried, upstream)
 	j.trace.cause = cause
 	r.deps.Meter.Count("failures", 1)
-	r.deps.Log.Info().Str("id", j.ask.ID).Str("upstream", upstream).Str("cause", cause).
+	r.deps.Log.Info().Str("id", j.ask.ID).Stringer("fingerprint", j.fingerprint).Str("upstream", upstream).Str("cause", cause).
 		Int("runs", j.runs).Int("refused", j.refused).Msg("attempt failed")
 }
 
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -162,7 +163,9 @@
 	version int64
 	request *http.Request
 	body    *reader.Body
-	arrived time.Time
+	// fingerprint names what is asked for, once its body is read.
+	fingerprint fingerprinter.Fingerprint
+	arrived     time.Time
 	// end is when the final answer must be out.
 	end time.Time
 	// tried are the upstreams that failed it, runs those that may have run it,
@@ -247,8 +250,14 @@
 		bodies.Most = mostWhole
 	}
 	body, refusal := bodies.Read(w, j.request)
+	if refusal != nil {
+		return refusal
+	}
 	j.body = body
-	return refusal
+	j.fingerprint = fingerprinter.Of(&fingerprinter.Request{
+		Team: j.teamName(), Method: j.request.Method, Host: j.request.Host, Target: j.request.RequestURI, Body: body.Data,
+	})
+	return nil
 }
 
 // await gives the configuration. A process that has just started has it within some
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -172,6 +172,9 @@
 		line.Str("route", j.route.Name).Str("team", j.teamName()).Dur("limit", j.end.Sub(j.arrived))
 		r.deps.Meter.Time("request", took)
 	}
+	if j.body != nil {
+		line.Stringer("fingerprint", j.fingerprint)
+	}
 	if j.service != nil {
 		line.Str("service", j.service.Name).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output)
 	}
