Show that a request that crashes its upstreams is sent on and on

What callers saw: engines break one after the other, and their own streams with them, as one request comes again and again. The stand-in of an upstream learns to crash: all that is in progress there breaks off, other callers' requests too.

--- /dev/null
+++ b/entry/request/relayer/crash_test.go
@@ -0,0 +1,32 @@
+package relayer_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A request that breaks each engine that runs it would take down one after the other.
+func TestRequestThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	const poison, mostRuns = "poison", 3
+	b := newBench(t, routes())
+	b.purse.left = 1000
+	for i := range 12 {
+		b.upstream("u"+strconv.Itoa(i), "model", events(3, false))
+	}
+	for i := range 12 {
+		b.upstream("p"+strconv.Itoa(i), "plain", hang)
+	}
+	for range 6 {
+		b.do(b.request(http.MethodPost, "/safe/x", poison))
+	}
+	assert.Assert(t, len(b.seen()) <= mostRuns, "it was sent to %d upstreams", len(b.seen()))
+	o := b.do(b.request(http.MethodPost, "/safe/x", poison))
+	assert.Equal(t, o.status, http.StatusServiceUnavailable)
+	assert.Equal(t, o.header.Get("Heathervane-Ran"), "no")
+	assert.Assert(t, o.header.Get("Retry-After") != "")
+	o = b.do(b.request(http.MethodPost, "/resume/x", poison))
+	assert.Equal(t, o.body, stream(3), "the same body on another path was not served")
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -50,6 +50,11 @@
 	Foreign Fault = "foreign"
 )
 
+// Poison is how the body of a request begins that crashes whoever runs it: all
+// that is in progress there breaks off, and it goes on as one that has just
+// started.
+const Poison = "poison"
+
 // cutAt is the event inside which a stream is cut.
 const cutAt = 3
 
@@ -58,7 +63,9 @@
 	config Config
 	born   int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// crashed is closed when what is in progress breaks off.
+	crashed  chan struct{}
 	state    string
 	sequence int64
 	running  int
@@ -83,7 +90,7 @@
 // New returns a Worker that is ready.
 func New(c Config) *Worker {
 	return &Worker{
-		config: c, born: time.Now().UnixMilli(), state: "ready",
+		config: c, born: time.Now().UnixMilli(), state: "ready", crashed: make(chan struct{}),
 		runs: make(map[string]int), tickets: make(map[string]ticket),
 	}
 }
@@ -265,6 +272,9 @@
 		return
 	}
 	defer k.end()
+	if strings.HasPrefix(string(body), Poison) {
+		k.crash()
+	}
 	switch fault {
 	case Mute:
 		<-q.Context().Done()
@@ -277,13 +287,42 @@
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+k.config.ID)
 	if q.Header.Get("X-Token-Usage") == "" {
-		time.Sleep(k.config.Work)
+		k.work(q, k.crashing())
 		io.WriteString(w, "answer of "+id)
 		return
 	}
 	k.stream(w, q, fault)
 }
 
+// crashing is closed when the worker next crashes.
+func (k *Worker) crashing() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.crashed
+}
+
+// crash breaks off all that is in progress, and the request that calls it.
+func (k *Worker) crash() {
+	k.mu.Lock()
+	close(k.crashed)
+	k.crashed = make(chan struct{})
+	k.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+// work takes the time of a plain request or of one event, and says whether its
+// caller is still there.
+func (k *Worker) work(q *http.Request, crashing <-chan struct{}) bool {
+	select {
+	case <-crashing:
+		panic(http.ErrAbortHandler)
+	case <-q.Context().Done():
+		return false
+	case <-time.After(k.config.Work):
+		return true
+	}
+}
+
 // begin takes a request in, or not; and says what goes wrong with it.
 func (k *Worker) begin(id string, q *http.Request, body string) (Fault, bool) {
 	k.mu.Lock()
@@ -320,11 +359,10 @@
 		last = 0
 	}
 	flusher, ok := w.(http.Flusher)
+	crashing := k.crashing()
 	for i := last + 1; ok && i <= k.config.Events; i++ {
-		select {
-		case <-q.Context().Done():
+		if !k.work(q, crashing) {
 			return
-		case <-time.After(k.config.Work):
 		}
 		if fault == Cut && i == cutAt {
 			io.WriteString(w, "id: 3\nda")
