Hold requests that crash their upstreams, at all VMs and through restarts

Cause: what a request did to upstreams was known to one attempt only. The next attempt, at whichever VM, began with none tried and two runs allowed. Ruled out: cold starts (the engines broke within 0.1 s of that prompt's first run, each time) and repeats of others (the wave went on when the budget was used up). Class: knowledge that ends with a request or a VM.

Change: a request is known by the fingerprint of its caller, path and body. VMs tell each other which upstreams, in which run of theirs, were lost under it since it was last served; after three it is rejected at once, what waits ends, and others of that caller and path are served. The losses are merged in any order, told at once, again for two seconds, and held ones in turn for as long as they are held, so that lost datagrams and VMs that join do no harm. The platform keeps what is held among the records of VMs, which are read anyway, so that it outlasts the restart of all.

Tried and reverted: forgetting the losses of a held request, which made VMs that heard the same in another order disagree once it was served; a timer of the gossiper's own for changes that come together, which a test cannot drive.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -26,6 +26,9 @@
 )
 
 const (
+	// spreadAfter is how long a change of what VMs share waits for others that come
+	// with it: an upstream that dies breaks many streams at once.
+	spreadAfter = 5 * time.Millisecond
 	// BeatEvery is how often a VM tells that it lives, and how far it has read,
 	// and rollEvery how often relays tell which VMs live.
 	BeatEvery = 250 * time.Millisecond
@@ -55,6 +58,23 @@
 	Send(to netip.AddrPort, data []byte) error
 }
 
+// A Timer calls back every so often, until it is told to stop.
+type Timer interface {
+	Subscribe(every time.Duration, call func(time.Time)) (stop func())
+}
+
+// A Shared is what all VMs know together, which each may change. It is told as the
+// present state, in parts that fit a datagram each, and taken in any order.
+type Shared interface {
+	// Fresh is what changed a moment ago, with own only what this VM found out itself.
+	Fresh(own bool) [][]byte
+	// InTurn is a part of all, another each time, and All is all of it.
+	InTurn() [][]byte
+	All() [][]byte
+	// Take takes a part in, and says whether it was news.
+	Take(data []byte) (news bool)
+}
+
 // A Gossiper is one VM's side of the exchange.
 type Gossiper struct {
 	me     allocator.Member
@@ -84,6 +104,12 @@
 	// ahead is called when another VM turns out to have read on; nil where nobody
 	// listens.
 	ahead func()
+	// shared is what all VMs know together; nil where they share nothing.
+	shared Shared
+	timer  Timer
+	// soon ends the subscription by which changes of it are about to be told; nil
+	// where none are.
+	soon func()
 }
 
 // New returns a Gossiper of one run of a VM's process. ends tells how far it has
@@ -148,11 +174,12 @@
 	}
 	g.greet(now, m)
 	first := g.first(now)
-	if !names(first[g.me.Zone], g.me.Address) {
-		g.send(now, m, func(p *peer) bool { return p.Zone == g.me.Zone && names(first[p.Zone], p.Address) })
+	roll := now.Sub(g.rollAt) >= rollEvery
+	defer g.spread(now, first, roll)
+	if !g.relays(first) {
+		g.send(now, m, g.toRelays(first))
 		return
 	}
-	roll := now.Sub(g.rollAt) >= rollEvery
 	far := m
 	m.Far, m.Refused = g.farReadings(now), g.refused(now)
 	if roll {
@@ -160,12 +187,29 @@
 		m.Alive, m.Peers = g.alive(now, ""), g.some(now)
 		far.Alive, far.Peers = g.alive(now, g.me.Zone), m.Peers
 	}
-	g.send(now, m, func(p *peer) bool { return p.Zone == g.me.Zone })
-	// Where none can be heard in a zone any more, all are tried: nobody knows who
-	// relays there.
-	g.send(now, far, func(p *peer) bool {
+	g.send(now, m, g.toZone)
+	g.send(now, far, g.toFar(first))
+}
+
+// relays says that this VM relays, by those that do.
+func (g *Gossiper) relays(first map[string][]allocator.Member) bool {
+	return names(first[g.me.Zone], g.me.Address)
+}
+
+// toRelays chooses the relays of this zone, toZone all VMs of it, and toFar the
+// relays of other zones.
+func (g *Gossiper) toRelays(first map[string][]allocator.Member) func(*peer) bool {
+	return func(p *peer) bool { return p.Zone == g.me.Zone && names(first[p.Zone], p.Address) }
+}
+
+func (g *Gossiper) toZone(p *peer) bool { return p.Zone == g.me.Zone }
+
+func (g *Gossiper) toFar(first map[string][]allocator.Member) func(*peer) bool {
+	return func(p *peer) bool {
+		// Where none can be heard in a zone any more, all are tried: nobody knows who
+		// relays there.
 		return p.Zone != g.me.Zone && (len(first[p.Zone]) == 0 || names(first[p.Zone], p.Address))
-	})
+	}
 }
 
 func names(all []allocator.Member, at netip.AddrPort) bool {
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -35,6 +35,8 @@
 	// other; Peers are some of them in full.
 	Alive []byte     `cbor:"10,keyasint,omitempty"`
 	Peers []wirePeer `cbor:"11,keyasint,omitempty"`
+	// Shared is a part of what all VMs know together, in its own encoding.
+	Shared []byte `cbor:"14,keyasint,omitempty"`
 }
 
 type wireStream struct {
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -56,8 +56,10 @@
 		return
 	}
 	found, further := g.take(from, &m)
+	g.heed(m.Shared)
 	if found && !m.Reply && !m.Bye {
 		g.reply(from)
+		g.tellAll(from)
 	}
 	if further && g.ahead != nil {
 		g.ahead()
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -210,7 +210,7 @@
 // meet folds addresses of VMs.
 func (v *Process) meet(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
-		if r.Dropped {
+		if v.hold(r) || r.Dropped {
 			continue
 		}
 		m, err := v.platform.Peer(r)
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -23,10 +23,12 @@
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/prober"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/syncer"
 	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 	"github.com/heathervane/heathervane/library/ticker"
@@ -38,7 +40,7 @@
 	Configuration = "configuration"
 	// Upstreams holds an entry for each upstream.
 	Upstreams = "upstreams"
-	// VMs holds the addresses of entry VMs.
+	// VMs holds the addresses of entry VMs, and the requests in quarantine.
 	VMs = "vms"
 )
 
@@ -113,11 +115,19 @@
 	relayer.Dialect
 	// Announce records this VM for the other VMs.
 	Announce(ctx context.Context, m allocator.Member) error
-	// Change, Upstream and Peer read records of the three streams. Errors name
-	// what could not be read; such a record changes nothing.
+	// Keep records for the other VMs that a request is held in quarantine, and Drop
+	// that it is no longer.
+	Keep(ctx context.Context, r quarantiner.Record) error
+	Drop(ctx context.Context, f fingerprinter.Fingerprint) error
+	// Change, Upstream, Peer and Quarantined read records of the three streams, the
+	// last two those of VMs. Errors name what could not be read; such a record
+	// changes nothing.
 	Change(r replicator.Record) (Change, error)
 	Upstream(r replicator.Record) (tracker.Upstream, error)
 	Peer(r replicator.Record) (allocator.Member, error)
+	// Quarantined says whether a record is one that Keep made; where it was dropped,
+	// only its fingerprint is known.
+	Quarantined(r replicator.Record) (q quarantiner.Record, ok bool, err error)
 }
 
 // A Process is one VM's process.
@@ -136,8 +146,12 @@
 	carrier   *carrier.Carrier
 	relayer   *relayer.Relayer
 	budget    *budget
-	acceptor  *acceptor.Acceptor
-	syncers   []*syncer.Syncer
+	// quarantine knows the requests that crash upstreams, and dropping those that the
+	// platform need not keep any longer.
+	quarantine *quarantiner.Quarantiner
+	dropping   dropping
+	acceptor   *acceptor.Acceptor
+	syncers    []*syncer.Syncer
 	// configured is closed once a configuration is in force, and listed says that a
 	// first list of upstreams has come.
 	configured chan struct{}
@@ -185,6 +199,8 @@
 	v.me = me
 	v.gossiper = gossiper.New(me, v.boot, sender{v.datagrams}, v.ends, time.Now, log)
 	v.gossiper.Listen(v.wake)
+	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Spread: v.gossiper.Spread})
+	v.gossiper.Share(v.quarantine, v.ticker)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members,
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
@@ -197,7 +213,7 @@
 	v.relayer = relayer.New(relayer.Deps{
 		Table: v.table.Load, Configured: v.configured, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
-		Prober:   probes, Budget: v.budget, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
+		Prober:   probes, Budget: v.budget, Quarantine: v.quarantine, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
 		Leaving: v.leaving,
 	})
 	v.acceptor = acceptor.New(v.callers, v, s.Descriptors/callersShare, time.Now, log)
@@ -220,6 +236,7 @@
 		"upstreams": func() int64 { return int64(v.tracker.Len()) },
 		"vms":       func() int64 { return int64(len(v.gossiper.VMs())) },
 		"dials":     v.carrier.Dials,
+		"held":      func() int64 { return int64(v.quarantine.Len()) },
 		"version":   v.version,
 	} {
 		if err := v.meter.Gauge(name, value); err != nil {
@@ -262,7 +279,7 @@
 	v.ticker.Subscribe(gossiper.BeatEvery, v.gossiper.Tick)
 	v.ticker.Subscribe(gossiper.BeatEvery, v.expire)
 	v.ticker.Subscribe(watchEvery, func(time.Time) { v.watch() })
-	for _, run := range []func(context.Context){v.ticker.Run, v.introduce} {
+	for _, run := range []func(context.Context){v.ticker.Run, v.introduce, v.keep} {
 		parts.Go(func() { run(ctx) })
 	}
 	for _, s := range v.syncers {
--- a/entry/process/joiner/list_test.go
+++ b/entry/process/joiner/list_test.go
@@ -15,9 +15,11 @@
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/joiner"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
@@ -77,6 +79,14 @@
 
 func (*slow) Peer(replicator.Record) (allocator.Member, error) { return allocator.Member{}, nil }
 
+func (*slow) Keep(context.Context, quarantiner.Record) error { return nil }
+
+func (*slow) Drop(context.Context, fingerprinter.Fingerprint) error { return nil }
+
+func (*slow) Quarantined(replicator.Record) (q quarantiner.Record, ok bool, err error) {
+	return q, false, nil
+}
+
 func (*slow) Ask(h http.Header) relayer.Ask {
 	return relayer.Ask{ID: h.Get("Id"), Limit: 5 * time.Second}
 }
--- /dev/null
+++ b/entry/process/joiner/quarantine.go
@@ -0,0 +1,125 @@
+package joiner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
+)
+
+const (
+	// keepEvery is how often it is looked at whether the platform has to be told of
+	// requests in quarantine.
+	keepEvery = time.Second
+	// keepTime bounds such a call.
+	keepTime = 2 * time.Second
+)
+
+// dropping are the requests whose records are over and still kept by the platform.
+type dropping struct {
+	mu       sync.Mutex
+	requests map[fingerprinter.Fingerprint]bool
+}
+
+func (d *dropping) add(fs ...fingerprinter.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.requests == nil {
+		d.requests = make(map[fingerprinter.Fingerprint]bool)
+	}
+	for _, f := range fs {
+		d.requests[f] = true
+	}
+}
+
+func (d *dropping) done(f fingerprinter.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.requests, f)
+}
+
+func (d *dropping) all() (fs []fingerprinter.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for f := range d.requests {
+		fs = append(fs, f)
+	}
+	return fs
+}
+
+// hold folds a record that a request is in quarantine, or no longer, and says
+// whether it is such a record.
+func (v *Process) hold(r replicator.Record) bool {
+	q, ok, err := v.platform.Quarantined(r)
+	switch {
+	case !ok:
+		return false
+	case err != nil:
+		v.log.Warn().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("record of a request in quarantine not understood")
+		return true
+	}
+	v.matters(VMs, r)
+	if r.Dropped {
+		v.quarantine.Lift(q.Fingerprint)
+		v.dropping.done(q.Fingerprint)
+		return true
+	}
+	if v.quarantine.Restore(q) {
+		v.dropping.add(q.Fingerprint)
+	}
+	return true
+}
+
+// keep has the platform keep the requests in quarantine, until the context ends.
+// What VMs only tell each other would end with the last of them.
+func (v *Process) keep(ctx context.Context) {
+	due := make(chan struct{}, 1)
+	stop := v.ticker.Subscribe(keepEvery, func(time.Time) {
+		select {
+		case due <- struct{}{}:
+		default:
+		}
+	})
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-due:
+			v.keepDue(ctx)
+		}
+	}
+}
+
+func (v *Process) keepDue(ctx context.Context) {
+	held, over := v.quarantine.Due()
+	v.dropping.add(over...)
+	for _, r := range held {
+		short, cancel := context.WithTimeout(ctx, keepTime)
+		err := v.platform.Keep(short, r)
+		cancel()
+		if err != nil {
+			v.log.Warn().Stringer("fingerprint", r.Fingerprint).Err(err).Msg("quarantine not recorded")
+			return
+		}
+		v.quarantine.Stored(r.Fingerprint)
+		v.log.Info().Stringer("fingerprint", r.Fingerprint).Time("held", r.Held).Msg("quarantine recorded")
+	}
+	if v.gossiper.Duty() != gossiper.Reads {
+		return
+	}
+	for _, f := range v.dropping.all() {
+		short, cancel := context.WithTimeout(ctx, keepTime)
+		err := v.platform.Drop(short, f)
+		cancel()
+		if err != nil {
+			v.log.Warn().Stringer("fingerprint", f).Err(err).Msg("end of a quarantine not recorded")
+			return
+		}
+		v.dropping.done(f)
+		v.log.Info().Stringer("fingerprint", f).Msg("end of a quarantine recorded")
+	}
+}
--- /dev/null
+++ b/entry/process/quarantiner/ledger.go
@@ -0,0 +1,326 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
+)
+
+const (
+	// leastLosses is under how many lost upstreams a request is held. Requests that
+	// ran beside it lose theirs as well, but are served elsewhere afterwards.
+	leastLosses = 3
+	// mostLosses bounds those that are remembered: some more come from VMs that did
+	// not know yet.
+	mostLosses = 8
+	// suspectFor is how long a loss counts that nothing has followed.
+	suspectFor = 15 * time.Minute
+	// holdFor is how long a request is held after it last came, longestHold how
+	// long at most: its upstreams may have been mended.
+	holdFor     = 15 * time.Minute
+	longestHold = 24 * time.Hour
+	// soundFor is how long it is remembered that a request was served: losses from
+	// before that may still be on their way.
+	soundFor = 10 * time.Second
+	// mostEntries bounds a ledger.
+	mostEntries = 4096
+	// askedStep is how much later than known before a held request must have come for
+	// that to be told: it comes many times a second, and is held for minutes.
+	askedStep = holdFor / 10
+	// spreadFor is how long a change is told again and again, as datagrams get lost.
+	spreadFor = 2 * time.Second
+)
+
+// A Loss is an upstream that was lost while it ran a request.
+type Loss struct {
+	// Upstream stands for one run of an upstream: one that has started again is
+	// another.
+	Upstream uint32
+	At       time.Time
+}
+
+// An Entry is what is known of a request. Entries of one request are merged in any
+// order and any number of times with the same result.
+type Entry struct {
+	Fingerprint fingerprinter.Fingerprint
+	// Losses are those since it was last served, in their order.
+	Losses []Loss
+	// Served is when it was last served, Held since when the platform keeps that it
+	// is not sent on, and Asked when it last came while it was not; zero where that
+	// has not happened.
+	Served, Held, Asked time.Time
+	// Stored says that the platform keeps it.
+	Stored bool
+	// changed is when something new became known here, and own whether this VM
+	// found that out itself.
+	changed time.Time
+	own     bool
+}
+
+// HeldSince is since when the request is not sent on; zero where it is.
+func (e *Entry) HeldSince() time.Time {
+	switch {
+	case e.Held.After(e.Served):
+		return e.Held
+	case len(e.Losses) >= leastLosses:
+		return e.Losses[leastLosses-1].At
+	}
+	return time.Time{}
+}
+
+func (e *Entry) isHeld() bool { return !e.HeldSince().IsZero() }
+
+// A Ledger keeps entries. It is pure: the time is an argument.
+//
+// It answers one request that crashes whoever runs it and that comes again and
+// again, at any VM: without it each VM sends it to upstreams of its own, each
+// time, until none is left.
+type Ledger struct {
+	entries map[fingerprinter.Fingerprint]*Entry
+	turn    int
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{entries: make(map[fingerprinter.Fingerprint]*Entry)}
+}
+
+// Lost notes an upstream that was lost under a request, and says how many were, and
+// whether it is held since then.
+func (l *Ledger) Lost(now time.Time, f fingerprinter.Fingerprint, upstream uint32) (losses int, held bool) {
+	e := l.entry(now, f)
+	before := e.isHeld()
+	if e.merge(now, Entry{Losses: []Loss{{Upstream: upstream, At: now}}}) {
+		e.own = true
+	}
+	return len(e.Losses), e.isHeld() && !before
+}
+
+// Served notes that a request was answered whole, and says whether that lifts what
+// was held against it.
+func (l *Ledger) Served(now time.Time, f fingerprinter.Fingerprint) (lifted bool) {
+	e, ok := l.entries[f]
+	if !ok || (len(e.Losses) == 0 && !e.isHeld()) {
+		return false
+	}
+	lifted = e.isHeld()
+	e.merge(now, Entry{Served: now})
+	e.own = true
+	return lifted
+}
+
+// Held says whether a request must not be sent on, and after how long without its
+// coming again it may.
+func (l *Ledger) Held(now time.Time, f fingerprinter.Fingerprint) (after time.Duration, held bool) {
+	e, ok := l.entries[f]
+	if !ok || !e.isHeld() {
+		return 0, false
+	}
+	left := e.HeldSince().Add(longestHold).Sub(now)
+	return min(holdFor, left), left > 0
+}
+
+// Came notes that a held request has come again.
+func (l *Ledger) Came(now time.Time, f fingerprinter.Fingerprint) {
+	e, ok := l.entries[f]
+	if !ok || !e.isHeld() {
+		return
+	}
+	if now.Sub(e.lastAsked()) >= askedStep {
+		e.changed, e.own = now, true
+	}
+	e.Asked = now
+}
+
+// Merge takes in what another VM or the platform knows. It says whether that was
+// news, and whether a request is held now that was not, or the other way round.
+func (l *Ledger) Merge(now time.Time, other Entry) (news, held, lifted bool) {
+	if other.over(now) {
+		return false, false, false
+	}
+	e := l.entry(now, other.Fingerprint)
+	before := e.isHeld()
+	news = e.merge(now, other)
+	if news {
+		e.own = false
+	}
+	return news, e.isHeld() && !before, before && !e.isHeld()
+}
+
+// Stored notes that the platform keeps that a request is held.
+func (l *Ledger) Stored(f fingerprinter.Fingerprint) {
+	if e, ok := l.entries[f]; ok {
+		e.Stored = true
+	}
+}
+
+func (l *Ledger) entry(now time.Time, f fingerprinter.Fingerprint) *Entry {
+	e, ok := l.entries[f]
+	if !ok {
+		if len(l.entries) >= mostEntries {
+			l.evict(now)
+		}
+		e = &Entry{Fingerprint: f}
+		l.entries[f] = e
+	}
+	return e
+}
+
+// evict makes room: first what is over, then what has the fewest losses and is
+// oldest. What is held goes last.
+func (l *Ledger) evict(now time.Time) {
+	var worst *Entry
+	for f, e := range l.entries {
+		if e.over(now) {
+			delete(l.entries, f)
+			continue
+		}
+		if worst == nil || e.less(worst) {
+			worst = e
+		}
+	}
+	if len(l.entries) >= mostEntries && worst != nil {
+		delete(l.entries, worst.Fingerprint)
+	}
+}
+
+func (e *Entry) less(other *Entry) bool {
+	if held := e.isHeld(); held != other.isHeld() {
+		return !held
+	}
+	if len(e.Losses) != len(other.Losses) {
+		return len(e.Losses) < len(other.Losses)
+	}
+	return e.changed.Before(other.changed)
+}
+
+// lastAsked is when a held request was last asked for, as far as is known.
+func (e *Entry) lastAsked() time.Time { return latest(e.Asked, e.HeldSince()) }
+
+// Expire drops what is over, and gives the requests among it that the platform
+// still keeps as held.
+func (l *Ledger) Expire(now time.Time) (kept []fingerprinter.Fingerprint) {
+	for f, e := range l.entries {
+		if !e.over(now) {
+			continue
+		}
+		delete(l.entries, f)
+		if e.Stored {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
+
+// over says that an entry tells nothing any more.
+func (e *Entry) over(now time.Time) bool {
+	switch {
+	case e.isHeld():
+		return now.Sub(e.lastAsked()) >= holdFor || now.Sub(e.HeldSince()) >= longestHold
+	case len(e.Losses) > 0:
+		return now.Sub(e.Losses[len(e.Losses)-1].At) >= suspectFor
+	}
+	return now.Sub(e.Served) >= soundFor
+}
+
+// merge takes in what another entry of the same request says.
+func (e *Entry) merge(now time.Time, other Entry) (news bool) {
+	before := e.isHeld()
+	if other.Served.After(e.Served) {
+		// Served at one moment is heard of from several VMs, some milliseconds apart.
+		news = len(e.Losses) > 0 || before
+		e.Served = other.Served
+		e.Losses = slices.DeleteFunc(e.Losses, func(l Loss) bool { return !l.At.After(e.Served) })
+	}
+	e.Held = latest(e.Held, other.Held)
+	for _, loss := range other.Losses {
+		news = e.lost(loss) || news
+	}
+	news = news || e.isHeld() != before
+	if !e.isHeld() {
+		e.Asked, e.Stored = time.Time{}, false
+	} else {
+		news = news || other.Asked.Sub(e.lastAsked()) >= askedStep
+		e.Asked = latest(e.Asked, other.Asked)
+		e.Stored = e.Stored || other.Stored
+	}
+	if news {
+		e.changed = now
+	}
+	return news
+}
+
+// lost adds a loss, and says whether it is new.
+func (e *Entry) lost(loss Loss) bool {
+	same := func(l Loss) bool { return l.Upstream == loss.Upstream }
+	if len(e.Losses) >= mostLosses || !loss.At.After(e.Served) || slices.ContainsFunc(e.Losses, same) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(e.Losses, loss, func(a, b Loss) int { return a.At.Compare(b.At) })
+	e.Losses = slices.Insert(e.Losses, at, loss)
+	return true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Fresh are the entries that have changed a moment ago, those with most losses
+// first; with own only what this VM has found out itself.
+func (l *Ledger) Fresh(now time.Time, own bool, most int) []Entry {
+	var found []Entry
+	for _, e := range l.entries {
+		if now.Sub(e.changed) < spreadFor && (e.own || !own) {
+			found = append(found, *e)
+		}
+	}
+	slices.SortFunc(found, func(a, b Entry) int {
+		if a.less(&b) {
+			return 1
+		}
+		return -1
+	})
+	return found[:min(most, len(found))]
+}
+
+// AllHeld are the entries of held requests, in the order of their fingerprints.
+func (l *Ledger) AllHeld() []Entry {
+	var found []Entry
+	for _, e := range l.entries {
+		if e.isHeld() {
+			found = append(found, *e)
+		}
+	}
+	slices.SortFunc(found, func(a, b Entry) int {
+		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+	return found
+}
+
+// InTurn are some of the entries of held requests, others each time.
+func (l *Ledger) InTurn(most int) []Entry {
+	all := l.AllHeld()
+	if len(all) <= most {
+		return all
+	}
+	var found []Entry
+	for i := range most {
+		found = append(found, all[(l.turn+i)%len(all)])
+	}
+	l.turn = (l.turn + most) % len(all)
+	return found
+}
+
+// Len is how many requests are known, and held how many of them are.
+func (l *Ledger) Len() (known, held int) {
+	for _, e := range l.entries {
+		if e.isHeld() {
+			held++
+		}
+	}
+	return len(l.entries), held
+}
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
@@ -87,9 +89,14 @@
 // begin sends the request until an upstream answers it, or gives the refusal
 // with which it ends.
 func (r *Relayer) begin(ctx context.Context, j *job) (*try, *refuser.Refusal) {
+	ctx, release := r.deps.Quarantine.Guard(ctx, j.fingerprint)
+	defer release()
 	for {
 		t, refusal := r.place(ctx, j)
 		if refusal != nil {
+			if after, held := r.deps.Quarantine.Held(j.fingerprint); held {
+				refusal = quarantined(after)
+			}
 			return nil, j.truthful(refusal)
 		}
 		if t == nil {
@@ -101,7 +108,7 @@
 		}
 		t.close()
 		if s == over || (s == failed && !r.mayRepeat(ctx, j)) {
-			return nil, j.failed(ctx)
+			return nil, r.failed(ctx, j)
 		}
 	}
 }
@@ -129,6 +136,10 @@
 	}
 	j.trace.waits = grant.Waits
 	t := &try{grant: grant}
+	if after, held := r.deps.Quarantine.Held(j.fingerprint); held {
+		t.close()
+		return nil, quarantined(after)
+	}
 	// The end of the caller's connection is noticed by another goroutine, which
 	// on a busy VM may not have run since.
 	runtime.Gosched()
@@ -293,6 +304,7 @@
 		r.stalled(j, t)
 		return repeated
 	}
+	r.lost(j, t, f)
 	r.note(j, id, f.Error())
 	// A kept connection that was closed says nothing of the upstream.
 	r.deps.Tracker.Failed(r.deps.Now(), id, !f.Reused)
@@ -302,6 +314,26 @@
 	return j.unlessOnce()
 }
 
+// lost notes that an upstream may have crashed under the request. One that is silent
+// or answers wrongly has not.
+func (r *Relayer) lost(j *job, t *try, err error) {
+	var f *carrier.Failure
+	if (errors.As(err, &f) && !f.Sent) || !broken(err) {
+		return
+	}
+	j.trace.losses = r.deps.Quarantine.Lost(j.fingerprint, t.grant.Upstream.ID, t.grant.Upstream.Born)
+}
+
+// broken says that a connection was ended by the other side before its time.
+func broken(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errEventCut, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // stalled notes a try that its watch has ended. An upstream that answers others
 // is not blamed for it; where only the way from here is cut, kept connections
 // are silent one after the other, and a new one shows it.
@@ -343,6 +375,10 @@
 	if ctx.Err() != nil || j.refused > mostRefused || j.runs >= max(1, j.route.Attempts) {
 		return false
 	}
+	if _, held := r.deps.Quarantine.Held(j.fingerprint); held {
+		j.trace.cause += ", quarantined"
+		return false
+	}
 	if !r.deps.Budget.Take(j.service.Name) {
 		r.deps.Meter.Count("repeats.refused", 1)
 		j.trace.cause += ", no budget for a repeat"
@@ -358,10 +394,18 @@
 	j.trace.cause = cause
 	r.deps.Meter.Count("failures", 1)
 	r.deps.Log.Info().Str("id", j.ask.ID).Stringer("fingerprint", j.fingerprint).Str("upstream", upstream).Str("cause", cause).
-		Int("runs", j.runs).Int("refused", j.refused).Msg("attempt failed")
+		Int("runs", j.runs).Int("refused", j.refused).Int("losses", j.trace.losses).Msg("attempt failed")
+}
+
+// failed is the refusal of a request that no upstream answered, or that may go to
+// none any more.
+func (r *Relayer) failed(ctx context.Context, j *job) *refuser.Refusal {
+	if after, held := r.deps.Quarantine.Held(j.fingerprint); held && j.runs == 0 {
+		return quarantined(after)
+	}
+	return j.failed(ctx)
 }
 
-// failed is the refusal of a request that no upstream answered.
 func (j *job) failed(ctx context.Context) *refuser.Refusal {
 	switch {
 	case j.runs == 0:
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/prober"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/relayer"
@@ -211,7 +212,8 @@
 			Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 			Rejected: func(status int, h http.Header) bool { return dialect{}.Verdict(status, h).NotRun },
 		}),
-		Budget: b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+		Quarantine: quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Spread: func() {}}),
+		Budget:     b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
 	})
 	b.server = httptest.NewServer(r)
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -123,6 +123,22 @@
 	Take(service string) bool
 }
 
+// A Quarantine keeps requests from upstreams that crash whoever runs them, at all
+// VMs.
+type Quarantine interface {
+	// Came says whether a request that has come is held, and after how long without
+	// its coming again it is not; Held is the same later on.
+	Came(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	Held(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	// Guard gives a context that ends when the request turns out to be held, until
+	// it is released.
+	Guard(ctx context.Context, f fingerprinter.Fingerprint) (guarded context.Context, release func())
+	// Lost notes an upstream that was lost while it ran a request, and says how many
+	// were. Served notes a request that was answered whole.
+	Lost(f fingerprinter.Fingerprint, upstream string, born int64) (losses int)
+	Served(f fingerprinter.Fingerprint)
+}
+
 // Deps are what a Relayer works with.
 type Deps struct {
 	Table func() *matcher.Table
@@ -137,10 +153,12 @@
 	// Prober finds out which upstreams leave where one has declined to help.
 	Prober *prober.Prober
 	Budget Budget
-	Bodies reader.Budget
-	Meter  Meter
-	Now    func() time.Time
-	Log    zerolog.Logger
+	// Quarantine knows the requests that crash upstreams.
+	Quarantine Quarantine
+	Bodies     reader.Budget
+	Meter      Meter
+	Now        func() time.Time
+	Log        zerolog.Logger
 	// Leaving says that this VM is about to stop, and how long it has left.
 	Leaving func() (bool, time.Duration)
 }
@@ -196,6 +214,9 @@
 	// leader is the VM that gave the place; empty where this one did.
 	leader string
 	cause  string
+	// losses is how many upstreams were lost under the request, as far as this VM
+	// knew after the last of them.
+	losses int
 }
 
 // ServeHTTP passes one request on.
@@ -257,9 +278,16 @@
 	j.fingerprint = fingerprinter.Of(&fingerprinter.Request{
 		Team: j.teamName(), Method: j.request.Method, Host: j.request.Host, Target: j.request.RequestURI, Body: body.Data,
 	})
+	if after, held := r.deps.Quarantine.Came(j.fingerprint); held {
+		return quarantined(after)
+	}
 	return nil
 }
 
+func quarantined(after time.Duration) *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, "quarantined", "the request has crashed the upstreams that ran it").Back(after)
+}
+
 // await gives the configuration. A process that has just started has it within some
 // tens of milliseconds, and a request that is refused meanwhile is often lost: many
 // callers come back once at most, and all VMs may have started together.
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -46,6 +46,7 @@
 		err := r.follow(w, j, t)
 		t.close()
 		if err == nil {
+			r.deps.Quarantine.Served(j.fingerprint)
 			r.done(j, http.StatusOK)
 			return
 		}
@@ -58,6 +59,7 @@
 			continue
 		}
 		if ctx.Err() == nil {
+			r.lost(j, t, err)
 			r.note(j, t.grant.Upstream.ID, "stream cut: "+err.Error())
 			r.deps.Tracker.Failed(r.deps.Now(), t.grant.Upstream.ID, true)
 		}
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -38,6 +38,7 @@
 		}
 		t.close()
 		if ctx.Err() == nil {
+			r.lost(j, t, err)
 			r.note(j, t.grant.Upstream.ID, "answer cut: "+err.Error())
 			r.deps.Tracker.Failed(r.deps.Now(), t.grant.Upstream.ID, false)
 		}
@@ -87,6 +88,9 @@
 	if err != nil {
 		r.abort(ctx, j, err)
 	}
+	if !bad(x.Status) {
+		r.deps.Quarantine.Served(j.fingerprint)
+	}
 	r.done(j, x.Status)
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -305,7 +305,7 @@
 func (k *Worker) crash() {
 	k.mu.Lock()
 	close(k.crashed)
-	k.crashed = make(chan struct{})
+	k.crashed, k.born = make(chan struct{}), time.Now().UnixMilli()
 	k.mu.Unlock()
 	panic(http.ErrAbortHandler)
 }
