Log which limit an upstream names, and when that changes

The head of each answer is read for it now, the tracker keeps the newest word, and a line tells where it changed. No decision uses it yet.

--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -55,8 +55,10 @@
 	// LeavesUntil is until when it is taken for leaving, whatever the list says: it
 	// has declined to help, or its health check has failed beside one that had.
 	LeavesUntil time.Time
-	inRow       int
-	heardAt     time.Time
+	// Limit is what it has said of how much it takes.
+	Limit   Limit
+	inRow   int
+	heardAt time.Time
 	// lapsedAt is when its entry went without its having said that it leaves,
 	// after a time without news from the platform.
 	lapsedAt time.Time
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/reserver"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 )
@@ -225,6 +226,7 @@
 	if t.verdict.Cold > 0 {
 		r.deps.Tracker.TurnedCold(r.deps.Now(), id, t.verdict.Cold)
 	}
+	r.limit(j, t)
 	if foreign(j, x, t.verdict) {
 		// It may be the answer to an earlier request on this connection, and
 		// nothing is known of ours.
@@ -247,6 +249,20 @@
 	return answered
 }
 
+// limit notes what an upstream says of how much it takes.
+func (r *Relayer) limit(j *job, t *try) {
+	l := tracker.Limit{Limited: t.verdict.Limited, Rate: t.verdict.Rate, AsOf: r.deps.Now()}
+	if !l.Limited {
+		// The answer may have been on its way when another one named the limit.
+		l.AsOf = t.sent
+	}
+	id := t.grant.Upstream.ID
+	if old, changed := r.deps.Tracker.Limit(id, l); changed {
+		r.deps.Log.Info().Str("upstream", id).Str("id", j.ask.ID).Bool("limited", l.Limited).Float64("rate", l.Rate).
+			Float64("before", old.Rate).Msg("limit of an upstream")
+	}
+}
+
 // unlessOnce is the step after a sending that may have run.
 func (j *job) unlessOnce() step {
 	if j.route.Repeatable() {
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -99,6 +99,10 @@
 	Fault string
 	// Cold is how long the upstream stays in cold start.
 	Cold time.Duration
+	// Limited says that the upstream takes no more than Rate requests a second from
+	// all VMs together, for as long as its answers say so.
+	Limited bool
+	Rate    float64
 }
 
 // A Dialect is how callers and upstreams say things.
