--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -71,15 +71,19 @@
 	running  int
 	fault    Fault
 	strikes  int
-	runs     map[string]int
-	seen     []Run
-	tickets  map[string]ticket
+	// limit is how many requests a second it says that it takes; negative where it
+	// says nothing.
+	limit   float64
+	runs    map[string]int
+	seen    []Run
+	tickets map[string]ticket
 }
 
 // A Run is a request that ran here.
 type Run struct {
 	ID, Method, Target, Tenant, Helpers, Body string
 	Key                                       bool
+	At                                        time.Time
 }
 
 type ticket struct {
@@ -90,7 +94,7 @@
 // New returns a Worker that is ready.
 func New(c Config) *Worker {
 	return &Worker{
-		config: c, born: time.Now().UnixMilli(), state: "ready", crashed: make(chan struct{}),
+		config: c, born: time.Now().UnixMilli(), state: "ready", crashed: make(chan struct{}), limit: -1,
 		runs: make(map[string]int), tickets: make(map[string]ticket),
 	}
 }
@@ -265,6 +269,7 @@
 	}
 	id := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	k.name(w)
 	fault, ok := k.begin(id, q, string(body))
 	if !ok {
 		w.Header().Set("X-Not-Run", "1")
@@ -323,6 +328,23 @@
 	}
 }
 
+// Limit has the worker say from now on that it takes so many requests a second, or
+// nothing of it where that is negative.
+func (k *Worker) Limit(perSecond float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limit = perSecond
+}
+
+// name names the limit in an answer.
+func (k *Worker) name(w http.ResponseWriter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.limit >= 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(k.limit, 'f', -1, 64))
+	}
+}
+
 // begin takes a request in, or not; and says what goes wrong with it.
 func (k *Worker) begin(id string, q *http.Request, body string) (Fault, bool) {
 	k.mu.Lock()
@@ -341,7 +363,7 @@
 	h := q.Header
 	k.seen = append(k.seen, Run{
 		ID: id, Method: q.Method, Target: q.RequestURI, Tenant: h.Get("X-Tenant"), Helpers: h.Get("X-Helpers"),
-		Body: body, Key: h.Get("Authorization") != "",
+		Body: body, Key: h.Get("Authorization") != "", At: time.Now(),
 	})
 	return fault, true
 }
