Keep to the limits that upstreams name, in sum over all VMs

What callers saw: nothing yet; an upstream in need that takes 1 to 2.3 requests a second got 19 to 25 in 4 s from VMs that it had told, as before it had said so.

Cause: nobody read the limit. Ruled out: a limit that each VM keeps for itself (there was none) and repeats (six in 25 s). Class: a bound on a sum.

Change: whoever places requests for a group spreads those to a limited upstream at its rate, as it does for cold ones. Each VM tells the leader what the upstreams answered, again with every answer and twice a second, and a leader that begins with the first ask, so that lost datagrams, restarts and joins leave no gap; a place comes with the limit, so that whichever VM has the first answer without one lifts it. The newest word counts, by when the upstream said it. The first VM of a group may use the whole limit, less where VMs are not heard that may have a leader of their own; VMs that lead beside it, and those that decide alone, a tenth of it. A limit of nothing is tried every four seconds. Where all upstreams of a service name a limit, what cannot be served within a second, or within its objective, is refused at once with the time at which its turn would have been.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -65,6 +65,9 @@
 	Meter   Meter
 	// Members are the other VMs that live.
 	Members func() []Member
+	// Fleet is how many VMs there may be, this one and those included that are not
+	// heard at present.
+	Fleet func() int
 	// Service finds a service in the configuration.
 	Service func(name string) (*matcher.Service, bool)
 	// ColdPart is how many requests a second may be placed at an upstream in
@@ -171,7 +174,7 @@
 	return m
 }
 
-// mostPlaces is how many places one datagram describes: it should not be split on
+// mostPlaces is how many places, or limits, one datagram describes: it should not be split on
 // its way.
 const mostPlaces = 12
 
@@ -181,6 +184,10 @@
 			a.post(at, &message{VM: m.VM, Boot: m.Boot, Places: m.Places[:mostPlaces]})
 			m.Places = m.Places[mostPlaces:]
 		}
+		for len(m.Limits) > mostPlaces {
+			a.post(at, &message{VM: m.VM, Boot: m.Boot, Limits: m.Limits[:mostPlaces]})
+			m.Limits = m.Limits[mostPlaces:]
+		}
 		a.post(at, m)
 	}
 	clear(a.out)
@@ -276,6 +283,10 @@
 	a.do(func(now time.Time) {
 		if m, self := a.leader(now, a.groupOf(u.Service, u.Zone)); !self {
 			out := a.to(m.Address)
+			if e.Finding == tracker.FoundLimit {
+				out.Limits = append(out.Limits, limitOf(now, u.ID, e.Limit))
+				return
+			}
 			out.Events = append(out.Events, wireOf(e))
 		}
 	})
@@ -390,6 +401,7 @@
 				}
 				return a.deps.ColdPart(upstream, rate, !l.alone)
 			},
+			LimitPart: func(rate float64) float64 { return a.limitPart(l, rate) },
 		})
 		a.led[g] = l
 	}
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -156,14 +156,19 @@
 // ranksHigh says that this VM leads a group, or would if its first leader died.
 func (a *Allocator) ranksHigh(g Group) bool {
 	const standBy = 1
-	me, before := a.self(), 0
+	return a.before(g) <= standBy
+}
+
+// before is how many VMs that can be heard would lead a group rather than this one.
+func (a *Allocator) before(g Group) int {
+	me, n := a.self(), 0
 	members := a.deps.Members()
 	for i := range members {
 		if !members[i].Leaving && members[i].Before(&me, g) {
-			before++
+			n++
 		}
 	}
-	return before <= standBy
+	return n
 }
 
 // holderOf is what is known of a VM. One that has started again has nothing left
@@ -213,6 +218,7 @@
 	for i := range m.Events {
 		a.deps.Tracker.Learn(now, m.Events[i].event())
 	}
+	a.learnLimits(now, m.Limits)
 	for _, id := range m.Left {
 		if o, ok := h.asks[id]; ok {
 			a.drop(h, id, o)
@@ -372,6 +378,10 @@
 	h.holds[id] = &held{grant: g, at: now, answer: &w}
 	a.usual.note(g.Load, o.call.Ask)
 	out.Grants = append(out.Grants, w)
+	if l := g.Upstream.Limit; l.Limited {
+		// Else the VM would not notice that the answer names no limit any more.
+		out.Limits = append(out.Limits, limitOf(now, g.Upstream.ID, l))
+	}
 }
 
 // forget gives back what VMs have that are silent.
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -33,8 +33,10 @@
 	Places []wirePlace `cbor:"10,keyasint,omitempty"`
 	// Told are groups in which the receiver has now been told of all places.
 	Told []wireGroup `cbor:"26,keyasint,omitempty"`
-	// Events are what it has found out about upstreams.
+	// Events are what it has found out about upstreams, and Limits those that they
+	// have named.
 	Events []wireEvent `cbor:"11,keyasint,omitempty"`
+	Limits []wireLimit `cbor:"27,keyasint,omitempty"`
 
 	// Grants and Refusals answer asks, Waits says that these wait, Moved that
 	// others decide on these, and Elsewhere that they are better asked for there.
@@ -200,6 +202,23 @@
 	return tracker.Event{Finding: tracker.Finding(w.Finding), Upstreams: w.Upstreams, For: time.Duration(w.For) * time.Millisecond}
 }
 
+// wireLimit is what an upstream has said of its limit, and how many milliseconds ago.
+type wireLimit struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Limited  bool
+	Rate     float64
+	Age      int64
+}
+
+func limitOf(now time.Time, upstream string, l tracker.Limit) wireLimit {
+	return wireLimit{Upstream: upstream, Limited: l.Limited, Rate: l.Rate, Age: max(0, now.Sub(l.AsOf).Milliseconds())}
+}
+
+func (w *wireLimit) limit(now time.Time) tracker.Limit {
+	return tracker.Limit{Limited: w.Limited, Rate: w.Rate, AsOf: now.Add(-time.Duration(max(0, w.Age)) * time.Millisecond)}
+}
+
 // wireSummary is a group's state.
 type wireSummary struct {
 	_       struct{} `cbor:",toarray"`
--- a/entry/process/allocator/network_test.go
+++ b/entry/process/allocator/network_test.go
@@ -124,6 +124,7 @@
 func (n *network) start(v *vm, boot int64) {
 	v.Allocator = allocator.New(v.member, boot, allocator.Deps{
 		Tracker: v.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
+		Fleet:   func() int { return len(n.vms) },
 		Service: func(string) (*matcher.Service, bool) { return v.service, true },
 		ColdPart: func(_ string, rate float64, leads bool) int {
 			if leads {
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -132,6 +132,7 @@
 	a.keptAt = now
 	before := a.reported
 	a.reported = make(map[netip.AddrPort]bool)
+	told := make(map[toldGroup]bool)
 	for _, p := range a.places {
 		if a.leads(now, p.group) {
 			a.adopt(p)
@@ -140,6 +141,10 @@
 			out := a.to(at)
 			out.Kept, out.Whole = append(out.Kept, p.id), true
 			a.reported[at] = true
+			if t := (toldGroup{at, p.group}); !told[t] {
+				told[t] = true
+				a.tellLimits(now, at, p.group)
+			}
 		}
 	}
 	for at := range before {
@@ -147,8 +152,16 @@
 	}
 }
 
-// tell tells a VM of all places in a group that it begins to lead.
+// A toldGroup is a VM that is told what is known in a group.
+type toldGroup struct {
+	at    netip.AddrPort
+	group Group
+}
+
+// tell tells a VM of all places in a group that it begins to lead, and of the limits
+// there.
 func (a *Allocator) tell(to netip.AddrPort, g Group) {
+	a.tellLimits(a.deps.Now(), to, g)
 	out := a.to(to)
 	out.Told = append(out.Told, g.wire())
 	for _, p := range a.places {
--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -126,6 +126,40 @@
 // because one may turn out to have been cold already.
 func (c *Cold) Sent(now time.Time) { c.sent.Add(now) }
 
+// leastRate is the rate a second to which a limit is raised: without a request now
+// and then nobody would hear that an upstream takes more again.
+const leastRate = 0.25
+
+// burst is for how long a Rate saves up what was not sent, and holds one request at
+// least.
+const burst = 250 * time.Millisecond
+
+// A Rate spreads the requests to an upstream that has named a limit. What is left of
+// an earlier time is not made up for: the upstream is in need.
+type Rate struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewRate returns a Rate that has saved up nothing: another VM may have sent until
+// now.
+func NewRate(now time.Time) *Rate { return &Rate{at: now} }
+
+// Room is how many requests may be sent now, of so many a second.
+func (r *Rate) Room(now time.Time, perSecond float64) int {
+	r.tokens += perSecond * now.Sub(r.at).Seconds()
+	r.tokens = min(r.tokens, max(1, perSecond*burst.Seconds()))
+	r.at = now
+	return max(0, int(r.tokens))
+}
+
+// Sent counts a request.
+func (r *Rate) Sent() { r.tokens-- }
+
+// Limit is the rate to which the requests of all VMs to an upstream are held that has
+// named one.
+func Limit(named float64) float64 { return max(named, leastRate) }
+
 // Unknown are names for VMs that are assumed to live while a process has not
 // yet heard of the others: n in all, this one included.
 func Unknown(vm string, n int) []string {
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -49,6 +49,22 @@
 	return g.vms
 }
 
+// Fleet is how many VMs there may be, this one included: those that were heard a
+// while ago may be cut off, and go on sending to upstreams.
+func (g *Gossiper) Fleet() int {
+	assumed := len(g.VMs())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	known := 1
+	for _, p := range g.peers {
+		if !p.heard.IsZero() && !p.ended && now.Sub(p.heard) <= forgotten {
+			known++
+		}
+	}
+	return max(assumed, known)
+}
+
 // An End is how far a stream of records has been read, when the platform
 // confirmed it to this VM itself, zero where it never did, and whether the last
 // reading failed. What others confirmed is not told on: with each VM that it
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -17,7 +17,9 @@
 	// spoke to this VM itself.
 	heard, direct time.Time
 	known         time.Time
-	tried         time.Time
+	// ended says that it has said so.
+	ended bool
+	tried time.Time
 	// changed is when something became known of it that others may not know.
 	changed time.Time
 	seq     uint64
@@ -85,7 +87,7 @@
 		g.log.Info().Str("peer", m.VM).Dur("silent", now.Sub(p.heard)).Msg("peer heard again")
 		p.changed, g.members = now, nil
 	}
-	p.heard, p.direct = now, now
+	p.heard, p.direct, p.ended = now, now, m.Bye
 	if m.Bye {
 		p.heard, p.direct = now.Add(-goneAfter-2*relayDelay), time.Time{}
 		p.known, g.members = p.heard, nil
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -202,7 +202,7 @@
 	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Spread: v.gossiper.Spread})
 	v.gossiper.Share(v.quarantine, v.ticker)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
-		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members,
+		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members, Fleet: v.gossiper.Fleet,
 		Service: v.service, ColdPart: v.coldPart, Now: time.Now, Log: log,
 	})
 	v.budget = newBudget(v)
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -102,6 +102,7 @@
 	}
 	g.take()
 	s.coldOf(main.ID).Sent(now)
+	s.note(&main)
 	s.rankerOf(w.call.Service.Name).Note(now, w.call.Team, oneShare, max(1, w.call.Ask.Prompt+w.call.Ask.Output))
 	return g
 }
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -65,7 +65,7 @@
 		return
 	}
 	now := s.deps.Now()
-	l := scan{blocked: make(map[kind]bool), usable: make(map[string][]tracker.State)}
+	l := scan{blocked: make(map[kind]bool), usable: make(map[string][]tracker.State), supplies: make(map[string]*supply)}
 	s.sort(now)
 	kept := s.waiting[:0:0]
 	for _, w := range s.waiting {
@@ -96,6 +96,8 @@
 type scan struct {
 	blocked map[kind]bool
 	usable  map[string][]tracker.State
+	// supplies are what the limits leave of services whose upstreams have all named one.
+	supplies map[string]*supply
 }
 
 func (l scan) states(s *Scheduler, now time.Time, service string) []tracker.State {
@@ -117,6 +119,9 @@
 		w.waits.turn(now, waitSync)
 		return reply{}, false
 	}
+	if after, is := l.beyond(s, now, w); is {
+		return reply{refusal: &Refusal{Code: Limited, After: after, Waits: w.waits.end(now)}}, true
+	}
 	if l.blocked[k] {
 		w.waits.turn(now, waitBehind)
 		return reply{}, false
@@ -178,6 +183,9 @@
 		if rate := call.Service.ColdRate; rate > 0 && c.Cold {
 			c.Room = s.coldOf(u.ID).Room(now, s.deps.ColdPart(u.ID, rate))
 		}
+		if u.Limit.Limited {
+			c.Room = min(c.Room, s.room(now, u))
+		}
 		cs = append(cs, c)
 	}
 	return cs
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -38,7 +38,10 @@
 	// ColdPart is how many requests a second this Scheduler may place at an
 	// upstream in cold start that bears so many.
 	ColdPart func(upstream string, rate float64) int
-	Now      func() time.Time
+	// LimitPart is how many requests a second this Scheduler may place at an
+	// upstream that has named a limit for all VMs together.
+	LimitPart func(named float64) float64
+	Now       func() time.Time
 }
 
 // A Call is a request for a place.
@@ -84,6 +87,7 @@
 	mu      sync.Mutex
 	work    map[string]*placer.Load
 	cold    map[string]*budgeter.Cold
+	limits  map[string]*budgeter.Rate
 	waiting []*waiter
 	// rankers keep the teams' use of each service.
 	rankers map[string]*ranker.Ranker
@@ -123,7 +127,7 @@
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
 		zone: zone, deps: d,
-		work: make(map[string]*placer.Load), cold: make(map[string]*budgeter.Cold), rankers: make(map[string]*ranker.Ranker),
+		work: make(map[string]*placer.Load), cold: make(map[string]*budgeter.Cold), limits: make(map[string]*budgeter.Rate), rankers: make(map[string]*ranker.Ranker),
 	}
 }
 
@@ -240,6 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.cold, id)
+	delete(s.limits, id)
 }
 
 // Reading is the reading time in milliseconds of the prompts that wait.
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -30,7 +30,7 @@
 	f := &fleet{tracker: tracker.New(), now: time.Unix(1_000_000, 0)}
 	f.Scheduler = scheduler.New("", scheduler.Deps{
 		Tracker: f.tracker, Now: func() time.Time { return f.now },
-		ColdPart: func(_ string, rate float64) int { return int(rate) },
+		ColdPart: func(_ string, rate float64) int { return int(rate) }, LimitPart: func(named float64) float64 { return named },
 	})
 	for i := range engines {
 		f.tracker.Put(f.now, tracker.Upstream{ID: "u" + strconv.Itoa(i), Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 2})
@@ -393,3 +393,63 @@
 	f.Pump()
 	assert.Assert(t, (<-waits).grant != nil)
 }
+
+// limit has upstreams name a limit, or none any more.
+func (f *fleet) limit(rate float64, ids ...string) {
+	for _, id := range ids {
+		f.tracker.Limit(id, tracker.Limit{Limited: rate > 0, Rate: rate, AsOf: f.now})
+	}
+}
+
+// Every upstream of a service is in need, and three times as much comes as they take.
+// What cannot be served would wait until its caller leaves, in front of what can.
+func TestRequestsBeyondTheLimitsOfAllUpstreamsAreRefusedAtOnce(t *testing.T) {
+	const rate, engines, seconds = 5, 2, 8
+	f := newFleet(engines)
+	f.limit(rate, "u0", "u1")
+	granted, refused, inTime := 0, 0, 0
+	step := time.Second / (3 * rate * engines)
+	for range 3 * rate * engines * seconds {
+		f.now = f.now.Add(step)
+		asked := f.now
+		f.Ask(f.call(1000, 10*time.Second), func(g *scheduler.Grant, r *scheduler.Refusal) {
+			took := f.now.Sub(asked)
+			if r != nil {
+				refused++
+				assert.Equal(t, r.Code, scheduler.Limited)
+				assert.Assert(t, r.After > 0)
+				assert.Assert(t, took < 1500*time.Millisecond, "refused after %v", took)
+				return
+			}
+			granted++
+			if took <= time.Second {
+				inTime++
+			}
+			g.Done()
+		})
+		f.Pump()
+	}
+	least := rate*engines*seconds - 2*engines
+	assert.Assert(t, granted >= least, "%d of %d granted, refused %d", granted, least, refused)
+	assert.Assert(t, inTime >= least*9/10, "%d of %d in time", inTime, granted)
+	assert.Assert(t, refused > granted, "%d refused", refused)
+}
+
+// One of two upstreams is in need: the other takes what it does not, and nothing is
+// refused.
+func TestUpstreamWithoutALimitTakesTheRest(t *testing.T) {
+	const rate = 2
+	f := newFleet(2)
+	f.limit(rate, "u0")
+	counts := map[string]int{}
+	for range 200 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.Ask(f.call(1000, 10*time.Second), func(g *scheduler.Grant, r *scheduler.Refusal) {
+			assert.Assert(t, r == nil, "refused: %v", r)
+			counts[g.Upstream.ID]++
+			g.Done()
+		})
+	}
+	assert.Assert(t, counts["u0"] <= rate*4+1, "%d in 4 s", counts["u0"])
+	assert.Equal(t, counts["u0"]+counts["u1"], 200)
+}
--- a/entry/process/tracker/event.go
+++ b/entry/process/tracker/event.go
@@ -22,6 +22,8 @@
 	FoundStalled
 	// FoundLeaving is an upstream that no longer helps.
 	FoundLeaving
+	// FoundLimit is an upstream that has named a limit, or named none any more.
+	FoundLimit
 )
 
 // An Event is what a VM found out about upstreams.
@@ -32,6 +34,8 @@
 	// For is how long a cold start still takes, or for how long work has not
 	// gone on.
 	For time.Duration
+	// Limit is that of FoundLimit.
+	Limit Limit
 }
 
 // Listen has every Event that this VM's own requests bring reported to whoever
@@ -63,6 +67,8 @@
 			if t.quiet(id, now.Add(-e.For)) {
 				t.fail(now, id, true)
 			}
+		case FoundLimit:
+			t.limit(id, e.Limit)
 		}
 	}
 }
