Keep the budget of repeats where VMs start again, join and leave

What callers would see: a service that fails everything gets the slack of the budget twice, as all VMs start again, when it can bear least.

Cause: each VM counts what it used by itself. A process that starts again has forgotten it, one that joins adds its part to what the others have used already, and where one ends the others take over its part at once.

Change: a VM uses the least of its parts over the span, by a history of which VMs lived, and none in the first span and two seconds of a process, unless all VMs start for the first time; the part that requests add stays.

Tried and reverted: to notice a VM's part only where it asks for a repeat, which misses the smaller part that a quiet VM had.

--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -6,13 +6,16 @@
 // that each VM takes for idle gets as many first requests as there are VMs, and
 // falls over.
 //
-// Each VM has a fixed part of the bound, by the number of VMs that live. Where
+// Each VM has a fixed part of the bound, by the number of VMs that live, and none of
+// what others may have used before it began. Where
 // a part would be under one, some VMs have one each and the others none, by a
 // hash of the upstream's and the VM's names, so that different upstreams are
 // open to different VMs. Nothing is lent and no message is on a request's path.
 package budgeter
 
 import (
+	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -78,6 +81,57 @@
 	w.times = append(w.times, now)
 }
 
+// A History keeps which VMs lived over a span.
+type History struct {
+	span time.Duration
+	// began is when this VM began; zero where no VM was there before.
+	began time.Time
+	lists []list
+}
+
+type list struct {
+	since time.Time
+	vms   []string
+}
+
+// rejoin is by how much longer than a span a VM that has begun leaves bounds to the
+// others: these hear of it a moment later.
+const rejoin = 2 * time.Second
+
+// NewHistory returns a History of a VM that has begun at a time, zero where no VM was
+// there before.
+func NewHistory(span time.Duration, began time.Time) *History {
+	return &History{span: span, began: began}
+}
+
+// Note notes which VMs live, in order. It is called whenever that may have changed.
+func (h *History) Note(now time.Time, vms []string) {
+	if len(h.lists) == 0 || !slices.Equal(h.lists[len(h.lists)-1].vms, vms) {
+		h.lists = append(h.lists, list{now, vms})
+	}
+	for len(h.lists) > 1 && now.Sub(h.lists[1].since) >= h.span {
+		h.lists = h.lists[1:]
+	}
+}
+
+// Part is how many of a bound's whole units a VM may use, where these count over the
+// span: the least of its parts in that time. A part that grows as others end was
+// theirs until then, and a VM that has just begun has none: it does not know what it
+// used before, and what the others had while it was away may be used up.
+func (h *History) Part(now time.Time, bound float64, matter, vm string) int {
+	if len(h.lists) == 0 || (!h.began.IsZero() && now.Sub(h.began) < h.span+rejoin) {
+		return 0
+	}
+	least := math.MaxInt
+	for i, l := range h.lists {
+		if i+1 < len(h.lists) && now.Sub(h.lists[i+1].since) >= h.span {
+			continue
+		}
+		least = min(least, Part(bound, matter, vm, l.vms))
+	}
+	return least
+}
+
 // Repeats bounds the requests of one service that are sent once more.
 type Repeats struct {
 	// Ratio is how many repeats each request adds, Slack how many all VMs
@@ -96,8 +150,8 @@
 func (r *Repeats) Sent(now time.Time) { r.firsts.Add(now) }
 
 // Take asks for one repeat, and counts it where it is granted.
-func (r *Repeats) Take(now time.Time, vm string, vms []string) bool {
-	bound := r.Ratio*float64(r.firsts.Count(now)) + float64(Part(r.Slack, "repeats", vm, vms))
+func (r *Repeats) Take(now time.Time, vm string, h *History) bool {
+	bound := r.Ratio*float64(r.firsts.Count(now)) + float64(h.Part(now, r.Slack, "repeats", vm))
 	if float64(r.again.Count(now)+1) > bound {
 		return false
 	}
--- a/entry/process/budgeter/budgeter_test.go
+++ b/entry/process/budgeter/budgeter_test.go
@@ -92,7 +92,6 @@
 // A service that fails everything makes each VM repeat what it sent: without a
 // bound it gets twice its load when it can bear least.
 func TestRepeatsStayWithinTheBudgetInAnySpan(t *testing.T) {
-	const span = 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		vms := names(rapid.IntRange(1, 9).Draw(t, "vms"))
 		slack := float64(rapid.IntRange(0, 40).Draw(t, "slack"))
@@ -101,18 +100,20 @@
 			budgets[i] = budgeter.NewRepeats(0.2, slack, span)
 		}
 		now := start
+		live := budgeter.NewHistory(span, time.Time{})
+		live.Note(now, vms)
 		var firsts, again []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
 			i := rapid.IntRange(0, len(vms)-1).Draw(t, "vm")
 			budgets[i].Sent(now)
 			firsts = append(firsts, now)
-			if budgets[i].Take(now, vms[i], vms) {
+			if budgets[i].Take(now, vms[i], live) {
 				again = append(again, now)
 			}
 		}
 		for _, to := range again {
-			repeats, requests := within(again, to, span), within(firsts, to, span)+within(firsts, to.Add(-span), span)
+			repeats, requests := within(again, to), within(firsts, to)+within(firsts, to.Add(-span))
 			if float64(repeats) > 0.2*float64(requests)+slack {
 				t.Fatalf("%d repeats for %d requests", repeats, requests)
 			}
@@ -120,7 +121,10 @@
 	})
 }
 
-func within(times []time.Time, to time.Time, span time.Duration) int {
+// span is that of the budget of repeats.
+const span = 10 * time.Second
+
+func within(times []time.Time, to time.Time) int {
 	n := 0
 	for _, at := range times {
 		if !at.After(to) && to.Sub(at) < span {
@@ -129,3 +133,53 @@
 	}
 	return n
 }
+
+// A VM that starts again does not know what it has used, and one that joins adds its
+// part to what the others have used: a service that fails everything would get the
+// slack twice.
+func TestRepeatsStayWithinTheBudgetWhereVMsStartAgainAndJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slack := float64(rapid.IntRange(0, 60).Draw(t, "slack"))
+		vms := names(rapid.IntRange(1, 9).Draw(t, "vms"))
+		now := start
+		budgets, live := map[string]*budgeter.Repeats{}, map[string]*budgeter.History{}
+		begin := func(vm string, began time.Time) {
+			budgets[vm], live[vm] = budgeter.NewRepeats(0.2, slack, span), budgeter.NewHistory(span, began)
+		}
+		for _, vm := range vms {
+			begin(vm, time.Time{})
+		}
+		var firsts, again []time.Time
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				begin(rapid.SampledFrom(vms).Draw(t, "starts again"), now)
+			case 1:
+				vms = names(len(vms) + 1)
+				begin(vms[len(vms)-1], now)
+			default:
+				if len(vms) > 1 {
+					vms = vms[:len(vms)-1]
+				}
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "requests") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "pause")) * time.Millisecond)
+				for _, vm := range vms {
+					live[vm].Note(now, vms)
+				}
+				vm := rapid.SampledFrom(vms).Draw(t, "vm")
+				budgets[vm].Sent(now)
+				firsts = append(firsts, now)
+				for budgets[vm].Take(now, vm, live[vm]) {
+					again = append(again, now)
+				}
+			}
+		}
+		for _, to := range again {
+			repeats, requests := within(again, to), within(firsts, to)+within(firsts, to.Add(-span))
+			if float64(repeats) > 0.2*float64(requests)+slack {
+				t.Fatalf("%d repeats for %d requests and a slack of %v", repeats, requests, slack)
+			}
+		}
+	})
+}
--- a/entry/process/joiner/budget.go
+++ b/entry/process/joiner/budget.go
@@ -12,10 +12,18 @@
 	process *Process
 	mu      sync.Mutex
 	repeats map[string]*budgeter.Repeats
+	history *budgeter.History
 }
 
 func newBudget(v *Process) *budget {
-	return &budget{process: v, repeats: make(map[string]*budgeter.Repeats)}
+	s := v.settings.Load()
+	began := time.Now()
+	if s.Together {
+		began = time.Time{}
+	}
+	return &budget{
+		process: v, repeats: make(map[string]*budgeter.Repeats), history: budgeter.NewHistory(s.Bounds.RetryWindow, began),
+	}
 }
 
 func (b *budget) of(service string) *budgeter.Repeats {
@@ -40,5 +48,14 @@
 func (b *budget) Take(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(service).Take(time.Now(), b.process.settings.Load().VM, b.process.gossiper.VMs())
+	now := time.Now()
+	b.history.Note(now, b.process.gossiper.VMs())
+	return b.of(service).Take(now, b.process.settings.Load().VM, b.history)
+}
+
+// note has the budget know which VMs live, also while it is not asked for.
+func (b *budget) note(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.history.Note(now, b.process.gossiper.VMs())
 }
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -278,6 +278,7 @@
 	v.ticker.Subscribe(sweepEvery, func(time.Time) { v.carrier.Sweep() })
 	v.ticker.Subscribe(gossiper.BeatEvery, v.gossiper.Tick)
 	v.ticker.Subscribe(gossiper.BeatEvery, v.expire)
+	v.ticker.Subscribe(gossiper.BeatEvery, v.budget.note)
 	v.ticker.Subscribe(watchEvery, func(time.Time) { v.watch() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.introduce, v.keep} {
 		parts.Go(func() { run(ctx) })
