Hold questions and calls that crash their upstreams on the own interface too

The same class as on the platform's path: chatter and passer forgot with each request which engines had died under it, and sent the same question or call to up to three more each time, at each VM. They ask the quarantine now before each sending, and tell it what was lost and what was served.

Their VMs exchange no datagrams that this fits, so that the log carries it: the keeper appends what a VM found out to a stream of its own and reads what the others did, from the first record that the log keeps. An outage of the log leaves each VM with its own knowledge until then; what is held is appended once it is back. A repeated Idempotency-Key still gets its first outcome.

The two ways weighed for sharing: the links between VMs, which stand only where a VM borrows from another and end with it, and the log, which every VM reads already and which outlasts all of them.

--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -32,6 +32,9 @@
 	mostFresh = 3 * mostTold
 )
 
+// A Fingerprint stands for a request.
+type Fingerprint = fingerprinter.Fingerprint
+
 // A Meter counts.
 type Meter interface {
 	Count(name string, n int64)
@@ -189,11 +192,14 @@
 }
 
 // Take takes in what another VM told, and says whether it was news.
-func (q *Quarantiner) Take(data []byte) (news bool) {
+func (q *Quarantiner) Take(data []byte) (news bool) { return q.TakeOlder(data, 0) }
+
+// TakeOlder takes in what another VM told some time ago.
+func (q *Quarantiner) TakeOlder(data []byte, age time.Duration) (news bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.deps.Now()
-	all, err := decode(now, data)
+	all, err := decode(now.Add(-age), data)
 	if err != nil {
 		q.deps.Log.Debug().Err(err).Msg("quarantined requests not understood")
 		return false
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -26,8 +26,10 @@
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/process/drainer"
 	"github.com/heathervane/heathervane/entry/process/gauger"
+	"github.com/heathervane/heathervane/entry/process/keeper"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/observer"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/setter"
 	"github.com/heathervane/heathervane/entry/process/watcher"
 	"github.com/heathervane/heathervane/entry/request/chatter"
@@ -79,6 +81,7 @@
 	observer     *observer.Observer
 	canceller    *canceller.Canceller
 	deduplicator *deduplicator.Deduplicator
+	keeper       *keeper.Keeper
 	chatter      *chatter.Chatter
 	drainer      *drainer.Drainer
 	watcher      *watcher.Watcher
@@ -145,13 +148,16 @@
 		Engines: string(v.settings.Policy.Engines),
 	}, supply{v.coordinator}, v.observer, time.Now)
 	bodies := &reader.Reader{Most: int64(v.settings.Limits.Body), Budget: v.bodies, Patience: patience}
+	v.keeper = keeper.New(keeper.Deps{Log: v.records, Ticker: v.ticker, Logger: v.log})
+	quarantine := quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: v.log, Spread: v.keeper.Spread})
+	v.keeper.Keep(quarantine)
 	v.chatter = chatter.New(chatter.Config{VM: v.settings.ID, Boot: v.boot}, chatter.Deps{
 		Views: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Streamer: streamer.New(v.upstream),
-		Canceller: v.canceller, Watcher: v.observer, Retrier: newBudget(), Meter: v.meter, Now: time.Now,
+		Canceller: v.canceller, Watcher: v.observer, Retrier: newBudget(), Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	calls := passer.New(v.settings.ID, v.boot, passer.Deps{
 		Views: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Watcher: v.observer,
-		Retrier: newBudget(), Deduplicator: v.deduplicator, Meter: v.meter, Now: time.Now,
+		Retrier: newBudget(), Deduplicator: v.deduplicator, Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", v.chatter)
@@ -196,7 +202,7 @@
 	v.ticker.Subscribe(watchEvery, v.observer.Tick)
 	v.subscribeOut()
 	for _, run := range []func(context.Context){
-		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.sweep, v.checkpoints, v.orders,
+		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.sweep, v.checkpoints, v.orders, v.keeper.Run,
 	} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/entry/request/chatter/chatter.go
+++ b/entry/request/chatter/chatter.go
@@ -17,6 +17,7 @@
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/authenticator"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/parser"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -65,6 +66,15 @@
 	Time(name string, d time.Duration)
 }
 
+// A Quarantine keeps requests from upstreams that crash whoever runs them, at all
+// VMs.
+type Quarantine interface {
+	Came(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	Held(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	Lost(f fingerprinter.Fingerprint, upstream string, born int64) (losses int)
+	Served(f fingerprinter.Fingerprint)
+}
+
 // Config is who this VM is.
 type Config struct {
 	VM   string
@@ -81,10 +91,12 @@
 	canceller Canceller
 	watcher   Watcher
 	retrier   Retrier
-	meter     Meter
-	now       func() time.Time
-	sequence  atomic.Uint64
-	running   *registry
+	// quarantine knows the requests that crash upstreams.
+	quarantine Quarantine
+	meter      Meter
+	now        func() time.Time
+	sequence   atomic.Uint64
+	running    *registry
 }
 
 // Deps are what a Chatter works with.
@@ -96,15 +108,17 @@
 	Canceller Canceller
 	Watcher   Watcher
 	Retrier   Retrier
-	Meter     Meter
-	Now       func() time.Time
+	// Quarantine knows the requests that crash upstreams.
+	Quarantine Quarantine
+	Meter      Meter
+	Now        func() time.Time
 }
 
 // New returns a Chatter.
 func New(c Config, d Deps) *Chatter {
 	return &Chatter{
 		config: c, views: d.Views, reader: d.Reader, acquirer: d.Acquirer, streamer: d.Streamer,
-		canceller: d.Canceller, watcher: d.Watcher, retrier: d.Retrier, meter: d.Meter, now: d.Now,
+		canceller: d.Canceller, watcher: d.Watcher, retrier: d.Retrier, quarantine: d.Quarantine, meter: d.Meter, now: d.Now,
 		running: newRegistry(),
 	}
 }
@@ -130,6 +144,8 @@
 	body     *reader.Body
 	tries    int
 	avoid    []string
+	// fingerprint names what is asked for.
+	fingerprint fingerprinter.Fingerprint
 	// ran is what can truthfully be said of the work so far.
 	ran refuser.Ran
 }
@@ -169,6 +185,11 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	fingerprint := fingerprinter.Of(&fingerprinter.Request{Team: team.Name, Method: q.Method, Target: q.URL.Path, Body: body.Data})
+	if after, held := c.quarantine.Came(fingerprint); held {
+		body.Release()
+		return nil, quarantined(after)
+	}
 	chat, refusal := parser.Parse(body.Data)
 	if refusal != nil {
 		body.Release()
@@ -177,7 +198,7 @@
 	// The prompt has been taken out of it: the memory of the body as read can
 	// go while the request waits.
 	body.Data = nil
-	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body, ran: refuser.No}
+	j := &job{id: c.id(), arrived: arrived, view: v, team: team, chat: chat, body: body, ran: refuser.No, fingerprint: fingerprint}
 	if refusal := j.measure(v, q); refusal != nil {
 		body.Release()
 		return nil, refusal
@@ -185,6 +206,10 @@
 	return j, nil
 }
 
+func quarantined(after time.Duration) *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, "quarantined", "the request has crashed the upstreams that ran it").Back(after)
+}
+
 func (c *Chatter) id() string {
 	n := c.sequence.Add(1)
 	return c.config.VM + "-" + strconv.FormatUint(c.config.Boot, 36) + "-" + strconv.FormatUint(n, 36)
--- a/entry/request/chatter/failure_test.go
+++ b/entry/request/chatter/failure_test.go
@@ -180,3 +180,33 @@
 	r.Close()
 	assert.DeepEqual(t, r.cancels.ids, []string{"vm1-3-1"})
 }
+
+// A question that breaks each engine that reads it would take down one after the
+// other, as often as it is asked.
+func TestAQuestionThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	var engines []*engine
+	var addresses []string
+	for range 6 {
+		e := newEngine(t, reset)
+		engines = append(engines, e)
+		addresses = append(addresses, e.address())
+	}
+	r := newRig(t, manifest(addresses...))
+	runs := func() int {
+		n := 0
+		for _, e := range engines {
+			n += e.count()
+		}
+		return n
+	}
+	for range 4 {
+		r.post(t, question)
+	}
+	assert.Equal(t, runs(), 3)
+	a := r.post(t, question)
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.header.Get("Heathervane-Ran"), "no")
+	assert.Equal(t, runs(), 3)
+	r.post(t, strings.Replace(question, "hi", "ho", 1))
+	assert.Assert(t, runs() > 3, "another question was held")
+}
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -17,10 +17,13 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/rs/zerolog"
+
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/request/chatter"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -78,6 +81,13 @@
 
 func (e *engine) address() string { return strings.TrimPrefix(e.URL, "http://") }
 
+// count is how often it was asked.
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		panic(http.ErrAbortHandler)
@@ -198,15 +208,16 @@
 	t.Cleanup(upstream.CloseIdleConnections)
 	view := viewer.New(1, m, func(string, string) bool { return false })
 	c := chatter.New(chatter.Config{VM: "vm1", Boot: 3}, chatter.Deps{
-		Views:     func() *viewer.View { return view },
-		Reader:    &reader.Reader{Most: longest, Budget: r.bodies, Patience: 200 * time.Millisecond},
-		Acquirer:  r.places,
-		Streamer:  streamer.New(&http.Client{Transport: upstream}),
-		Canceller: r.cancels,
-		Watcher:   deaf{},
-		Retrier:   retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
-		Meter:     meter.New(),
-		Now:       time.Now,
+		Views:      func() *viewer.View { return view },
+		Reader:     &reader.Reader{Most: longest, Budget: r.bodies, Patience: 200 * time.Millisecond},
+		Acquirer:   r.places,
+		Streamer:   streamer.New(&http.Client{Transport: upstream}),
+		Canceller:  r.cancels,
+		Watcher:    deaf{},
+		Retrier:    retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
+		Quarantine: quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}}),
+		Meter:      meter.New(),
+		Now:        time.Now,
 	})
 	r.Server = httptest.NewUnstartedServer(c)
 	r.Config.MaxHeaderBytes = 8 << 10
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -34,20 +36,37 @@
 			c.refuse(w, j.truthful(refusal))
 			return
 		}
+		if after, held := c.quarantine.Held(j.fingerprint); held {
+			cancelled(grant)
+			c.refuse(w, j.truthful(quarantined(after)))
+			return
+		}
 		j.tries++
 		a := c.attempt(j, call, grant)
 		failure := a.serve(ctx, w)
 		j.note(a, failure)
 		if failure == nil {
 			c.retrier.Completed(1)
+			c.quarantine.Served(j.fingerprint)
 			return
 		}
+		if ctx.Err() == nil && failure.lost() {
+			last := grant.Parts[len(grant.Parts)-1]
+			c.quarantine.Lost(j.fingerprint, last.Upstream.Name, int64(last.Boot))
+		}
 		if !c.again(ctx, w, j, a, failure) {
 			return
 		}
 	}
 }
 
+// cancelled gives back a grant that is not used.
+func cancelled(g *dispatcher.Grant) {
+	for _, p := range g.Parts {
+		p.Slot.Done(dispatcher.Cancelled)
+	}
+}
+
 // note keeps what can be said of the work: "not run" only while no attempt can
 // have been begun by an engine, "run" only when a token has come.
 func (j *job) note(a *attempt, f *failure) {
@@ -112,6 +131,20 @@
 	sent bool
 }
 
+// lost says that the engine may have died under the work: its connection broke off, or
+// it has forgotten the stream.
+func (f *failure) lost() bool {
+	if !f.sent {
+		return false
+	}
+	for _, end := range []error{streamer.ErrCut, streamer.ErrGone, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(f.err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusal is what the caller is told.
 func (f *failure) refusal(ctx context.Context, j *job) *refuser.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -15,6 +15,7 @@
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/authenticator"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
@@ -49,6 +50,15 @@
 	Completed(n int)
 }
 
+// A Quarantine keeps requests from upstreams that crash whoever runs them, at all
+// VMs.
+type Quarantine interface {
+	Came(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	Held(f fingerprinter.Fingerprint) (after time.Duration, held bool)
+	Lost(f fingerprinter.Fingerprint, upstream string, born int64) (losses int)
+	Served(f fingerprinter.Fingerprint)
+}
+
 // A Meter counts.
 type Meter interface {
 	Count(name string, n int64)
@@ -63,8 +73,10 @@
 	Watcher      Watcher
 	Retrier      Retrier
 	Deduplicator Deduplicator
-	Meter        Meter
-	Now          func() time.Time
+	// Quarantine knows the requests that crash upstreams.
+	Quarantine Quarantine
+	Meter      Meter
+	Now        func() time.Time
 }
 
 // A Passer passes calls through.
@@ -115,6 +127,8 @@
 	repeatable bool
 	tries      int
 	avoid      []string
+	// fingerprint names what is asked for.
+	fingerprint fingerprinter.Fingerprint
 }
 
 // ServeHTTP answers one call.
@@ -134,6 +148,11 @@
 		p.keyed(ctx, w, c, key)
 		return
 	}
+	// A repeated key gets its first outcome, also while the call is held.
+	if after, held := p.deps.Quarantine.Came(c.fingerprint); held {
+		p.refuse(w, quarantined(after))
+		return
+	}
 	outcome := p.run(ctx, c, nil)
 	p.answer(w, outcome)
 }
@@ -177,9 +196,14 @@
 	if q.URL.RawQuery != "" {
 		c.path += "?" + q.URL.RawQuery
 	}
+	c.fingerprint = fingerprinter.Of(&fingerprinter.Request{Team: team.Name, Method: q.Method, Host: name, Target: c.path, Body: body.Data})
 	return c, nil
 }
 
+func quarantined(after time.Duration) *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, "quarantined", "the call has crashed the upstreams that ran it").Back(after)
+}
+
 func (p *Passer) id() string {
 	n := p.sequence.Add(1)
 	return p.vm + "-" + strconv.FormatUint(p.boot, 36) + "-c" + strconv.FormatUint(n, 36)
--- a/entry/request/passer/passer_test.go
+++ b/entry/request/passer/passer_test.go
@@ -14,11 +14,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/request/passer"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -83,7 +85,7 @@
 	return newPasserOver(t, address, places{})
 }
 
-func newPasserOver(t *testing.T, address string, p places) *httptest.Server {
+func newPasserOver(t *testing.T, address string, p passer.Acquirer) *httptest.Server {
 	t.Helper()
 	sum := sha256.Sum256([]byte(bearer))
 	view := viewer.New(1, checker.Manifest{
@@ -98,7 +100,8 @@
 		Views:    func() *viewer.View { return view },
 		Reader:   &reader.Reader{Most: 4096, Budget: bounder.New(1 << 20), Patience: time.Second},
 		Acquirer: p, Watcher: deaf{}, Meter: meter.New(), Now: time.Now,
-		Retrier: retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
+		Retrier:    retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
+		Quarantine: quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}}),
 	})
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
@@ -49,6 +50,10 @@
 		if refusal != nil {
 			return outcome{refusal: truthful(refusal, sent)}
 		}
+		if after, held := p.deps.Quarantine.Held(c.fingerprint); held {
+			grant.Done(dispatcher.Cancelled)
+			return outcome{refusal: truthful(quarantined(after), sent)}
+		}
 		if ready != nil {
 			if refusal := ready(); refusal != nil {
 				grant.Done(dispatcher.Cancelled)
@@ -59,8 +64,15 @@
 		a, f := p.send(ctx, c, grant)
 		if f == nil {
 			p.deps.Retrier.Completed(1)
+			if a.status < http.StatusInternalServerError {
+				p.deps.Quarantine.Served(c.fingerprint)
+			}
 			return outcome{answer: a}
 		}
+		if ctx.Err() == nil && f.broken() {
+			part := grant.Parts[0]
+			p.deps.Quarantine.Lost(c.fingerprint, part.Upstream.Name, int64(part.Boot))
+		}
 		sent = sent || f.sent
 		if !p.repeat(ctx, c, grant, f) {
 			return outcome{refusal: truthful(f.refusal(ctx), sent)}
@@ -108,6 +120,19 @@
 	after  time.Duration
 }
 
+// broken says that the service may have died under the call.
+func (f *failure) broken() bool {
+	if !f.sent {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(f.err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *failure) refusal(ctx context.Context) *refuser.Refusal {
 	ran := refuser.No
 	if f.sent {
