Give no second place to a request that has one from another leader

What callers saw: an engine seemed to have a request that nobody had, and got less than it takes, until its VM was silent for a second and a half.

Ruled out: the repair by whole reports, which was suspected before; what is hidden is in none of them.

Change: a report of a place takes back what the same request still asks for.

--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -238,6 +238,11 @@
 	}
 	for i := range m.Places {
 		w := &m.Places[i]
+		if o, ok := h.asks[w.ID]; ok {
+			// Another leader has given it a place, and the word that it does not wait any
+			// more is lost or late. A second place for it would hide this one.
+			a.drop(h, w.ID, o)
+		}
 		if _, ok := h.holds[w.ID]; !ok {
 			h.holds[w.ID] = &held{grant: a.schedulerOf(w.Group.group()).scheduler.Adopt(w.work(), w.Began), at: now}
 		}
