Tell a leader three times that there is no place any more

The last whole report of a VM that has no place left was sent once. Where it was lost like the word before it, or came within 300 ms of a late report, the leader counted a place that had ended until the VM had been silent for a second and a half.

Change: it is sent three times, each half a second.

Before: TestLostWordsOfAPlacesEndAreRepaired failed (one request left 1.3 s after its end); after: it passes.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -102,9 +102,10 @@
 	last   uint64
 	asks   map[uint64]*ask
 	places map[uint64]*Place
-	// keptAt is when leaders were last told of all places, and told who was.
+	// keptAt is when leaders were last told of all places, and reported how often
+	// each of them will be told again where there is no place any more.
 	keptAt   time.Time
-	reported map[netip.AddrPort]bool
+	reported map[netip.AddrPort]int
 	ticked   time.Time
 	// rest ends the calls of Tick that come while something waits; nil where they
 	// do not come.
@@ -129,7 +130,7 @@
 	a := &Allocator{
 		me: me, boot: boot, deps: d, began: d.Now(), ticked: d.Now(),
 		suspects: make(map[netip.AddrPort]suspicion), leaders: make(map[Group]choice), split: make(map[string]bool),
-		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), reported: make(map[netip.AddrPort]bool),
+		asks: make(map[uint64]*ask), places: make(map[uint64]*Place), reported: make(map[netip.AddrPort]int),
 		led: make(map[Group]*led), holders: make(map[netip.AddrPort]*holder), summaries: make(map[Group]*summary),
 		out: make(map[netip.AddrPort]*message), deputies: make(map[Group]map[netip.AddrPort]time.Time),
 	}
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -152,9 +152,9 @@
 	if o.to != m.Address {
 		o.to, o.first, o.heard = m.Address, now, time.Time{}
 	}
-	if !a.reported[m.Address] {
+	if a.reported[m.Address] == 0 {
 		// Who has not led before learns with the ask what this VM has there.
-		a.reported[m.Address] = true
+		a.reported[m.Address] = lastReports
 		a.tell(m.Address, o.group)
 	}
 	o.sent = now
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -124,6 +124,10 @@
 // reports may be lost.
 const keptEvery = 500 * time.Millisecond
 
+// lastReports is how often a leader is told that there is no place any more: one word
+// may be lost, and a place that it has just heard of is not given back at once.
+const lastReports = 3
+
 // keep tells leaders of all places.
 func (a *Allocator) keep(now time.Time) {
 	if now.Sub(a.keptAt) < keptEvery {
@@ -131,7 +135,7 @@
 	}
 	a.keptAt = now
 	before := a.reported
-	a.reported = make(map[netip.AddrPort]bool)
+	a.reported = make(map[netip.AddrPort]int)
 	told := make(map[toldGroup]bool)
 	for _, p := range a.places {
 		if a.leads(now, p.group) {
@@ -140,15 +144,21 @@
 		for _, at := range a.countedBy(now, p.group) {
 			out := a.to(at)
 			out.Kept, out.Whole = append(out.Kept, p.id), true
-			a.reported[at] = true
+			a.reported[at] = lastReports
 			if t := (toldGroup{at, p.group}); !told[t] {
 				told[t] = true
 				a.tellLimits(now, at, p.group)
 			}
 		}
 	}
-	for at := range before {
+	for at, left := range before {
+		if _, told := a.reported[at]; told {
+			continue
+		}
 		a.to(at).Whole = true
+		if left > 1 {
+			a.reported[at] = left - 1
+		}
 	}
 }
 
--- a/entry/process/allocator/restart_test.go
+++ b/entry/process/allocator/restart_test.go
@@ -85,3 +85,22 @@
 	n.run(100 * time.Millisecond)
 	assert.Equal(t, n.vms[0].streams(), 0)
 }
+
+// The report of a place's end is lost, and so is the next whole report.
+func TestLostWordsOfAPlacesEndAreRepaired(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	p := n.place(2, answers)
+	n.run(time.Second)
+	lost := true
+	n.spoil = func(d datagram) []datagram {
+		if lost && d.from == 2 && d.to == 0 {
+			return nil
+		}
+		return []datagram{d}
+	}
+	p.Done()
+	n.run(700 * time.Millisecond)
+	lost = false
+	n.run(600 * time.Millisecond)
+	assert.Equal(t, n.vms[0].streams(), 0)
+}
