Bound idle connections to an upstream in sum over all VMs

What callers would see: requests reset, as an upstream accepts so many connections from all VMs together, and each VM kept up to four idle ones to it. On a deployment of 91 VMs before a service of 120 connections that is 364.

Cause: the number that the configuration names was read and used by nobody: a bound on a sum that each VM keeps alone, the class of the limits that upstreams name.

Change: half of the connections may be idle, each VM has its part of them as of the other bounds, and where that is none closes the connection after the answer. Fleets whose upstreams accept many, as all small ones, keep what they had: four for each VM.

Before: the sum was four for each VM, whatever is accepted. After: TestIdleConnectionsOfAllVMsLeaveRoomForRequests and TestNoMoreIdleConnectionsAreKeptThanAllowed pass.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -44,10 +44,10 @@
 	// request has run again; without the wait its connection would be closed for
 	// nothing, and an upstream that answered early is rare.
 	writtenTime = 5 * time.Millisecond
-	// mostIdle is how many idle connections are kept to one address. A VM has
+	// MostIdle is how many idle connections are kept to one address. A VM has
 	// a few requests at a time at one upstream, whose connections it shares
 	// with all other VMs.
-	mostIdle = 4
+	MostIdle = 4
 	// mostHeader bounds an answer's header in bytes.
 	mostHeader = 64 << 10
 	// readBuffer is the size of a connection's buffer in bytes: an event of a
@@ -83,6 +83,9 @@
 	Body   []byte
 	// Fresh asks for a connection that has served no other request.
 	Fresh bool
+	// Idle is how many idle connections to the address are kept at most once it is
+	// answered: 0 for the usual number, less for none.
+	Idle int
 }
 
 // A Carrier keeps connections to upstreams.
@@ -120,6 +123,7 @@
 
 	carrier *Carrier
 	address string
+	idle    int
 	conn    *conn
 	reply   *http.Response
 	written chan error
@@ -140,7 +144,7 @@
 		return nil, &Failure{Err: err}
 	}
 	inner, cancel := context.WithCancel(ctx)
-	x := &Exchange{Reused: reused, carrier: c, address: address, conn: n, written: make(chan error, 1), cancel: cancel}
+	x := &Exchange{Reused: reused, carrier: c, address: address, idle: q.Idle, conn: n, written: make(chan error, 1), cancel: cancel}
 	// Closing the connection tells the upstream at once that nobody waits.
 	x.stop = context.AfterFunc(inner, func() { n.Close() })
 	// The answer may come before the body is read, and the upstream may stop
@@ -218,7 +222,7 @@
 	if said, ok := keepAlive(x.Header); ok {
 		keep = said - idleMargin
 	}
-	x.carrier.put(x.address, x.conn, keep)
+	x.carrier.put(x.address, x.conn, keep, x.idle)
 }
 
 func (x *Exchange) reusable() bool {
--- a/entry/connection/carrier/carrier_test.go
+++ b/entry/connection/carrier/carrier_test.go
@@ -349,3 +349,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, c.Dials(), int64(2))
 }
+
+// Many VMs that keep the usual number of idle connections each take all that a small
+// service accepts, and its requests are reset.
+func TestNoMoreIdleConnectionsAreKeptThanAllowed(t *testing.T) {
+	for idle, dials := range map[int]int64{0: 2, 1: 3, -1: 4} {
+		address, conns := upstream(t, serve("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		c := carrier.New(time.Now)
+		for range 2 {
+			var open []*carrier.Exchange
+			for range 2 {
+				x, failure := c.Send(t.Context(), address, carrier.Request{Method: http.MethodGet, Target: "/", Host: "h", Idle: idle})
+				assert.Assert(t, failure == nil, "%v", failure)
+				open = append(open, x)
+			}
+			for _, x := range open {
+				_, err := io.Copy(io.Discard, x.Body)
+				assert.NilError(t, err)
+				x.Close()
+			}
+		}
+		assert.Equal(t, conns.Load(), dials, "with %d idle connections", idle)
+	}
+}
--- a/entry/connection/carrier/pool.go
+++ b/entry/connection/carrier/pool.go
@@ -90,10 +90,13 @@
 	return n
 }
 
-func (c *Carrier) put(address string, n *conn, keep time.Duration) {
+func (c *Carrier) put(address string, n *conn, keep time.Duration, most int) {
+	if most == 0 {
+		most = MostIdle
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if keep <= 0 || len(c.idle[address]) >= mostIdle {
+	if keep <= 0 || len(c.idle[address]) >= min(MostIdle, most) {
 		n.Close()
 		return
 	}
--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -214,6 +214,20 @@
 // named one.
 func Limit(named float64) float64 { return max(named, leastRate) }
 
+// idleShare is the part of the connections that an upstream accepts from all VMs that
+// may be idle. The others are for requests: what exceeds them is reset.
+const idleShare = 0.5
+
+// Idle is how many idle connections a VM may keep to an upstream that accepts so many
+// from all, where it keeps no more than the usual number anyway.
+func Idle(connections, usual int, upstream, vm string, vms []string) int {
+	bound := idleShare * float64(connections)
+	if bound >= float64(usual*len(vms)) {
+		return usual
+	}
+	return min(usual, Part(bound, "idle "+upstream, vm, vms))
+}
+
 // Unknown are names for VMs that are assumed to live while a process has not
 // yet heard of the others: n in all, this one included.
 func Unknown(vm string, n int) []string {
--- a/entry/process/budgeter/budgeter_test.go
+++ b/entry/process/budgeter/budgeter_test.go
@@ -183,3 +183,19 @@
 		}
 	})
 }
+
+// VMs that each keep a few idle connections would take all that a small service
+// accepts, and its requests are reset.
+func TestIdleConnectionsOfAllVMsLeaveRoomForRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := names(rapid.IntRange(1, 330).Draw(t, "vms"))
+		connections := rapid.IntRange(1, 1400).Draw(t, "connections")
+		sum := 0
+		for _, vm := range vms {
+			sum += budgeter.Idle(connections, 4, "u", vm, vms)
+		}
+		if sum > (connections+1)/2 {
+			t.Fatalf("%d VMs keep %d of %d", len(vms), sum, connections)
+		}
+	})
+}
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
@@ -317,6 +318,19 @@
 	return budgeter.Part(part, "cold "+upstream, v.settings.Load().VM, v.gossiper.VMs())
 }
 
+// idlePart is how many idle connections this VM may keep to an upstream that accepts so
+// many from all VMs: 0 for the usual number, less for none.
+func (v *Process) idlePart(connections int, upstream string) int {
+	if connections <= 0 {
+		return 0
+	}
+	n := budgeter.Idle(connections, carrier.MostIdle, upstream, v.settings.Load().VM, v.gossiper.VMs())
+	if n == 0 {
+		return -1
+	}
+	return n
+}
+
 // leaseSpare is what a lease is shorter than the time in which memory must be
 // free after its VM died.
 const leaseSpare = 600 * time.Millisecond
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -213,6 +213,7 @@
 	v.relayer = relayer.New(relayer.Deps{
 		Table: v.table.Load, Configured: v.configured, Dialect: p, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver: reserver.New(s.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", p, v.lease, log),
+		Idle:     v.idlePart,
 		Prober:   probes, Budget: v.budget, Quarantine: v.quarantine, Bodies: bounder.New(s.Memory / bodyShare), Meter: v.meter, Now: time.Now, Log: log,
 		Leaving: v.leaving,
 	})
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -301,6 +301,7 @@
 		// One that may run only once goes on no kept connection: where that
 		// turns out to be closed, nobody can tell whether it ran.
 		Fresh: !j.route.Repeatable(),
+		Idle:  r.deps.Idle(j.service.Connections, t.grant.Upstream.ID),
 	}
 	return q
 }
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -212,6 +212,7 @@
 			Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 			Rejected: func(status int, h http.Header) bool { return dialect{}.Verdict(status, h).NotRun },
 		}),
+		Idle:       func(int, string) int { return 0 },
 		Quarantine: quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Spread: func() {}}),
 		Budget:     b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -154,6 +154,9 @@
 	Tracker   *tracker.Tracker
 	Carrier   *carrier.Carrier
 	Reserver  *reserver.Reserver
+	// Idle is how many idle connections this VM may keep to an upstream of a service
+	// that accepts so many from all VMs, as in carrier.Request.
+	Idle func(connections int, upstream string) int
 	// Prober finds out which upstreams leave where one has declined to help.
 	Prober *prober.Prober
 	Budget Budget
