Count upstreams that fall silent under a request, and record what is held at once

A request may silence the upstream that runs it in place of breaking its connection, as where its machine loses power. The watch ends such a try, and nothing was counted of it: TestRequestThatSilencesUpstreamsIsNotSentOn failed (the fourth request was sent, 504), and passes now. Only an upstream counts that gave no sign of life since it had the request, which is the one that the watch blames already. Weighed and not built: to count the end of the deadline as well, which on an overloaded engine is no sign of its death.

What is held is recorded as soon as it is found out, and no longer up to a second later, in which all VMs may end.

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -150,8 +150,10 @@
 	// platform need not keep any longer.
 	quarantine *quarantiner.Quarantiner
 	dropping   dropping
-	acceptor   *acceptor.Acceptor
-	syncers    []*syncer.Syncer
+	// found has a value after something was found out of a request.
+	found    chan struct{}
+	acceptor *acceptor.Acceptor
+	syncers  []*syncer.Syncer
 	// configured is closed once a configuration is in force, and listed says that a
 	// first list of upstreams has come.
 	configured chan struct{}
@@ -180,6 +182,7 @@
 		platform: p, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
 		ticker: ticker.New(time.Now, step), tracker: tracker.New(), carrier: carrier.New(time.Now),
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), met: make(chan struct{}), configured: make(chan struct{}),
+		found: make(chan struct{}, 1),
 		marks: map[string]*atomic.Int64{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&s)
@@ -199,7 +202,10 @@
 	v.me = me
 	v.gossiper = gossiper.New(me, v.boot, sender{v.datagrams}, v.ends, time.Now, log)
 	v.gossiper.Listen(v.wake)
-	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Spread: v.gossiper.Spread})
+	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Spread: func() {
+		v.gossiper.Spread()
+		signal(v.found)
+	}})
 	v.gossiper.Share(v.quarantine, v.ticker)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members, Fleet: v.gossiper.Fleet,
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -76,24 +76,25 @@
 // keep has the platform keep the requests in quarantine, until the context ends.
 // What VMs only tell each other would end with the last of them.
 func (v *Process) keep(ctx context.Context) {
-	due := make(chan struct{}, 1)
-	stop := v.ticker.Subscribe(keepEvery, func(time.Time) {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
+	stop := v.ticker.Subscribe(keepEvery, func(time.Time) { signal(v.found) })
 	defer stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-due:
+		case <-v.found:
 			v.keepDue(ctx)
 		}
 	}
 }
 
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (v *Process) keepDue(ctx context.Context) {
 	held, over := v.quarantine.Due()
 	v.dropping.add(over...)
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -331,8 +332,8 @@
 	return j.unlessOnce()
 }
 
-// lost notes that an upstream may have crashed under the request. One that is silent
-// or answers wrongly has not.
+// lost notes that an upstream may have crashed under the request. One that answers
+// wrongly has not.
 func (r *Relayer) lost(j *job, t *try, err error) {
 	var f *carrier.Failure
 	if (errors.As(err, &f) && !f.Sent) || !broken(err) {
@@ -357,6 +358,9 @@
 func (r *Relayer) stalled(j *job, t *try) {
 	r.deps.Carrier.Drop(t.grant.Upstream.Address)
 	blamed := r.deps.Tracker.Stalled(r.deps.Now(), t.sent, t.upstreams())
+	if slices.Contains(blamed, t.grant.Upstream.ID) {
+		j.trace.losses = r.deps.Quarantine.Lost(j.fingerprint, t.grant.Upstream.ID, t.grant.Upstream.Born)
+	}
 	r.note(j, t.grant.Upstream.ID, "silent; blamed: "+strings.Join(blamed, " "))
 	j.tried = append(j.tried, blamed...)
 }
--- a/entry/request/relayer/crash_test.go
+++ b/entry/request/relayer/crash_test.go
@@ -30,3 +30,27 @@
 	o = b.do(b.request(http.MethodPost, "/resume/x", poison))
 	assert.Equal(t, o.body, stream(3), "the same body on another path was not served")
 }
+
+// A service that dies without a word ends no connection, and the request goes on to the
+// next after a while.
+func TestRequestThatSilencesUpstreamsIsNotSentOn(t *testing.T) {
+	const poison = "poison"
+	b := newBench(t, routes())
+	b.purse.left = 1000
+	for i := range 8 {
+		b.upstream("u"+strconv.Itoa(i), "plain", func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() })
+	}
+	ask := func() outcome {
+		q := b.request(http.MethodPost, "/safe/x", poison)
+		q.Header.Set("Limit", "2300ms")
+		return b.do(q)
+	}
+	for range 3 {
+		assert.Assert(t, ask().status != http.StatusServiceUnavailable, "it may have run")
+	}
+	before := len(b.seen())
+	o := ask()
+	assert.Equal(t, o.status, http.StatusServiceUnavailable)
+	assert.Equal(t, o.header.Get("Heathervane-Ran"), "no")
+	assert.Equal(t, len(b.seen()), before)
+}
