Tell a change of the quarantine three times, and not with each further loss

In a wave of crashes most losses are those of requests that only ran beside another. All that had changed in the last two seconds was told again with each of them, from each relay to all VMs of its zone and the relays of the others: by reading, some thousand datagrams for one crash at 100 VMs a zone.

Change: a change is told at once and with the next two beats, and counts as told from then on. A request's end looks at the ledger only where that knows any request, without counting what it holds.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -66,7 +66,8 @@
 // A Shared is what all VMs know together, which each may change. It is told as the
 // present state, in parts that fit a datagram each, and taken in any order.
 type Shared interface {
-	// Fresh is what changed a moment ago, with own only what this VM found out itself.
+	// Fresh is what changed and is still to be told, with own only what this VM found
+	// out itself.
 	Fresh(own bool) [][]byte
 	// InTurn is a part of all, another each time, and All is all of it.
 	InTurn() [][]byte
--- a/entry/process/gossiper/share.go
+++ b/entry/process/gossiper/share.go
@@ -32,7 +32,7 @@
 	g.spread(now, g.first(now), false)
 }
 
-// spread tells what changed a moment ago, and with all a part of the rest. What a
+// spread tells what changed, and with all a part of the rest. What a
 // relay was told goes on, what any other VM was told came from one.
 func (g *Gossiper) spread(now time.Time, first map[string][]allocator.Member, all bool) {
 	if g.shared == nil {
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -28,8 +28,8 @@
 	// askedStep is how much later than known before a held request must have come for
 	// that to be told: it comes many times a second, and is held for minutes.
 	askedStep = holdFor / 10
-	// spreadFor is how long a change is told again and again, as datagrams get lost.
-	spreadFor = 2 * time.Second
+	// mostTold is how often a change is told, as datagrams get lost.
+	mostTold = 3
 )
 
 // A Loss is an upstream that was lost while it ran a request.
@@ -52,10 +52,11 @@
 	Served, Held, Asked time.Time
 	// Stored says that the platform keeps it.
 	Stored bool
-	// changed is when something new became known here, and own whether this VM
-	// found that out itself.
+	// changed is when something new became known here, own whether this VM found that
+	// out itself, and untold how often it is still to be told.
 	changed time.Time
 	own     bool
+	untold  int
 }
 
 // HeldSince is since when the request is not sent on; zero where it is.
@@ -128,7 +129,7 @@
 		return
 	}
 	if now.Sub(e.lastAsked()) >= askedStep {
-		e.changed, e.own = now, true
+		e.changed, e.own, e.untold = now, true, mostTold
 	}
 	e.Asked = now
 }
@@ -246,7 +247,7 @@
 		e.Stored = e.Stored || other.Stored
 	}
 	if news {
-		e.changed = now
+		e.changed, e.untold = now, mostTold
 	}
 	return news
 }
@@ -269,22 +270,29 @@
 	return b
 }
 
-// Fresh are the entries that have changed a moment ago, those with most losses
-// first; with own only what this VM has found out itself.
-func (l *Ledger) Fresh(now time.Time, own bool, most int) []Entry {
-	var found []Entry
+// Fresh are the entries that have changed and are still to be told, those with most
+// losses first; with own only what this VM has found out itself. What is given counts
+// as told once more: in a wave of crashes, in which most losses are those of requests
+// that only ran beside another, telling all of them again with each would flood the VMs.
+func (l *Ledger) Fresh(own bool, most int) []Entry {
+	var found []*Entry
 	for _, e := range l.entries {
-		if now.Sub(e.changed) < spreadFor && (e.own || !own) {
-			found = append(found, *e)
+		if e.untold > 0 && (e.own || !own) {
+			found = append(found, e)
 		}
 	}
-	slices.SortFunc(found, func(a, b Entry) int {
-		if a.less(&b) {
+	slices.SortFunc(found, func(a, b *Entry) int {
+		if a.less(b) {
 			return 1
 		}
 		return -1
 	})
-	return found[:min(most, len(found))]
+	var told []Entry
+	for _, e := range found[:min(most, len(found))] {
+		e.untold--
+		told = append(told, *e)
+	}
+	return told
 }
 
 // AllHeld are the entries of held requests, in the order of their fingerprints.
@@ -315,6 +323,9 @@
 	return found
 }
 
+// Known is how many requests are known.
+func (l *Ledger) Known() int { return len(l.entries) }
+
 // Len is how many requests are known, and held how many of them are.
 func (l *Ledger) Len() (known, held int) {
 	for _, e := range l.entries {
--- a/entry/process/quarantiner/message.go
+++ b/entry/process/quarantiner/message.go
@@ -8,8 +8,8 @@
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 )
 
-// mostTold is how many entries one datagram holds: it should not be split on its way.
-const mostTold = 20
+// mostPart is how many entries one datagram holds: it should not be split on its way.
+const mostPart = 20
 
 // never is the age of what has not happened.
 const never = -1
@@ -48,7 +48,7 @@
 func encode(now time.Time, all []Entry) ([][]byte, error) {
 	var parts [][]byte
 	for len(all) > 0 {
-		n := min(mostTold, len(all))
+		n := min(mostPart, len(all))
 		wire := make([]wireEntry, 0, n)
 		for i := range all[:n] {
 			e := &all[i]
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -29,7 +29,7 @@
 	storeAgain  = time.Second
 	storeOthers = 8 * time.Second
 	// mostFresh bounds the changes told at a time.
-	mostFresh = 3 * mostTold
+	mostFresh = 3 * mostPart
 )
 
 // A Fingerprint stands for a request.
@@ -97,8 +97,7 @@
 // Served notes that a request was answered whole.
 func (q *Quarantiner) Served(f fingerprinter.Fingerprint) {
 	q.mu.Lock()
-	known, _ := q.ledger.Len()
-	if known == 0 {
+	if q.ledger.Known() == 0 {
 		q.mu.Unlock()
 		return
 	}
@@ -164,27 +163,27 @@
 	q.deps.Log.Warn().Stringer("fingerprint", f).Str("source", source).Msg("quarantine lifted")
 }
 
-// Fresh is what changed a moment ago, for other VMs; with own only what was found
-// out here.
+// Fresh is what changed and is still to be told to other VMs; with own only what was
+// found out here.
 func (q *Quarantiner) Fresh(own bool) [][]byte {
-	return q.tell(func(now time.Time) []Entry { return q.ledger.Fresh(now, own, mostFresh) })
+	return q.tell(func() []Entry { return q.ledger.Fresh(own, mostFresh) })
 }
 
 // InTurn is a part of what is held, another each time.
 func (q *Quarantiner) InTurn() [][]byte {
-	return q.tell(func(time.Time) []Entry { return q.ledger.InTurn(mostTold) })
+	return q.tell(func() []Entry { return q.ledger.InTurn(mostPart) })
 }
 
 // All is all that is held.
 func (q *Quarantiner) All() [][]byte {
-	return q.tell(func(time.Time) []Entry { return q.ledger.AllHeld() })
+	return q.tell(func() []Entry { return q.ledger.AllHeld() })
 }
 
-func (q *Quarantiner) tell(choose func(now time.Time) []Entry) [][]byte {
+func (q *Quarantiner) tell(choose func() []Entry) [][]byte {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.deps.Now()
-	parts, err := encode(now, choose(now))
+	parts, err := encode(now, choose())
 	if err != nil {
 		q.deps.Log.Error().Err(err).Msg("quarantined requests were not encoded")
 	}
