Try a held request once before it is held for long

Upstreams of one rack die together. A question that many ask may be under way at three of them, and would be turned away at all VMs for as long as it was asked, although it is not at fault.

Change: 30 s after it was held, the one VM that a hash names among those that live lets one run of it through. An answer lifts what is held; a crash confirms it at all VMs and with the platform, so that no restart tries again.

The lock that the trial's question would have held while it asked for the VMs that live is not held.

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -205,7 +205,7 @@
 	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Spread: func() {
 		v.gossiper.Spread()
 		signal(v.found)
-	}})
+	}, MayTry: v.mayTry})
 	v.gossiper.Share(v.quarantine, v.ticker)
 	v.allocator = allocator.New(me, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.Members, Fleet: v.gossiper.Fleet,
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 )
@@ -88,6 +90,12 @@
 	}
 }
 
+// mayTry says that this VM may run a held request once: one of those that live, by a
+// hash, so that a trial costs one upstream.
+func (v *Process) mayTry(f quarantiner.Fingerprint) bool {
+	return budgeter.Part(1, "trial "+f.String(), v.me.VM, v.gossiper.VMs()) > 0
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -106,8 +114,8 @@
 			v.log.Warn().Stringer("fingerprint", r.Fingerprint).Err(err).Msg("quarantine not recorded")
 			return
 		}
-		v.quarantine.Stored(r.Fingerprint)
-		v.log.Info().Stringer("fingerprint", r.Fingerprint).Time("held", r.Held).Msg("quarantine recorded")
+		v.quarantine.Stored(r)
+		v.log.Info().Stringer("fingerprint", r.Fingerprint).Time("held", r.Held).Bool("confirmed", r.Confirmed).Msg("quarantine recorded")
 	}
 	if v.gossiper.Duty() != gossiper.Reads {
 		return
--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -44,7 +44,7 @@
 	All() [][]byte
 	TakeOlder(data []byte, age time.Duration) (news bool)
 	Due() (keep []quarantiner.Record, drop []quarantiner.Fingerprint)
-	Stored(f quarantiner.Fingerprint)
+	Stored(r quarantiner.Record)
 }
 
 // Deps are what a Keeper works with.
@@ -112,7 +112,7 @@
 		return
 	}
 	for _, r := range due {
-		k.kept.Stored(r.Fingerprint)
+		k.kept.Stored(r)
 	}
 }
 
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -68,7 +68,7 @@
 	t.Helper()
 	clock := ticker.New(time.Now, time.Millisecond)
 	k := keeper.New(keeper.Deps{Log: l, Ticker: clock, Logger: zerolog.Nop()})
-	q = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: k.Spread})
+	q = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: k.Spread, MayTry: nobody})
 	k.Keep(q)
 	ctx, cancel := context.WithCancel(t.Context())
 	var parts sync.WaitGroup
@@ -158,3 +158,6 @@
 	_, held := later.Held(one)
 	assert.Assert(t, !held)
 }
+
+// nobody may try a held request.
+func nobody(quarantiner.Fingerprint) bool { return false }
--- a/entry/process/quarantiner/fleet_test.go
+++ b/entry/process/quarantiner/fleet_test.go
@@ -107,14 +107,14 @@
 	v.started = f.now
 	v.ticker = ticker.New(now, step)
 	v.gossip = gossiper.New(v.member, f.boot, v, func() map[string]gossiper.End { return nil }, now, zerolog.Nop())
-	v.keeps = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: now, Log: zerolog.Nop(), Spread: v.gossip.Spread})
+	v.keeps = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: now, Log: zerolog.Nop(), Spread: v.gossip.Spread, MayTry: v.mayTry})
 	v.gossip.Share(v.keeps, v.ticker)
 	v.ticker.Subscribe(gossiper.BeatEvery, v.gossip.Tick)
 	v.ticker.Subscribe(time.Second, func(time.Time) {
 		held, _ := v.keeps.Due()
 		for _, r := range held {
 			f.stored[r.Fingerprint.String()] = r
-			v.keeps.Stored(r.Fingerprint)
+			v.keeps.Stored(r)
 		}
 	})
 	for _, r := range f.stored {
@@ -126,6 +126,9 @@
 	v.gossip.Greet()
 }
 
+// mayTry has the first VM make trials.
+func (v *vm) mayTry(quarantiner.Fingerprint) bool { return v == v.f.vms[0] }
+
 // play lets time pass, in which the request comes so often a second at VMs drawn
 // from those there are.
 func (f *fleet) play(d time.Duration, rate float64) {
@@ -220,7 +223,11 @@
 				}
 			default:
 			}
-			f.play(time.Duration(rapid.IntRange(500, 4000).Draw(t, "pause"))*time.Millisecond, rate)
+			pause := rapid.IntRange(500, 4000).Draw(t, "pause")
+			if rapid.IntRange(0, 4).Draw(t, "until its trial") == 0 {
+				pause += 32_000
+			}
+			f.play(time.Duration(pause)*time.Millisecond, rate)
 		}
 		if n := f.after(); n > mostAfter {
 			t.Fatalf("sent %d times after it was known, %d upstreams lost", n, len(f.crashes))
@@ -238,7 +245,7 @@
 
 // A request that waits for a place while it is found out would go out with the next.
 func TestWaitingRequestEndsOnceItIsHeld(t *testing.T) {
-	q := quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}})
+	q := quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}, MayTry: nobody})
 	waiting, release := q.Guard(t.Context(), one)
 	defer release()
 	beside, done := q.Guard(t.Context(), other)
@@ -255,7 +262,7 @@
 
 // An upstream that starts again under its name and crashes again is another loss.
 func TestEachRunOfAnUpstreamIsALoss(t *testing.T) {
-	q := quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}})
+	q := quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}, MayTry: nobody})
 	for born := range int64(3) {
 		_, held := q.Held(one)
 		assert.Assert(t, !held)
@@ -265,3 +272,6 @@
 	_, held := q.Held(one)
 	assert.Assert(t, held)
 }
+
+// nobody may try a held request.
+func nobody(quarantiner.Fingerprint) bool { return false }
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -16,6 +16,11 @@
 	mostLosses = 8
 	// suspectFor is how long a loss counts that nothing has followed.
 	suspectFor = 15 * time.Minute
+	// trialAfter is how long after it was held one run of a request may show that it is
+	// not at fault: upstreams that died of one other cause, as a rack does, lost many
+	// requests at once. trialFor is how long that run may take before another one.
+	trialAfter = 30 * time.Second
+	trialFor   = 10 * time.Second
 	// holdFor is how long a request is held after it last came, longestHold how
 	// long at most: its upstreams may have been mended.
 	holdFor     = 15 * time.Minute
@@ -47,11 +52,13 @@
 	// Losses are those since it was last served, in their order.
 	Losses []Loss
 	// Served is when it was last served, Held since when the platform keeps that it
-	// is not sent on, and Asked when it last came while it was not; zero where that
-	// has not happened.
-	Served, Held, Asked time.Time
-	// Stored says that the platform keeps it.
-	Stored bool
+	// is not sent on, Confirmed when a trial last crashed as well, and Asked when it
+	// last came while it was held; zero where that has not happened.
+	Served, Held, Confirmed, Asked time.Time
+	// Stored is what of it the platform keeps.
+	Stored Stored
+	// trial is when this VM last let a run of it show whether it is at fault.
+	trial time.Time
 	// changed is when something new became known here, own whether this VM found that
 	// out itself, and untold how often it is still to be told.
 	changed time.Time
@@ -72,6 +79,36 @@
 
 func (e *Entry) isHeld() bool { return !e.HeldSince().IsZero() }
 
+// isConfirmed says that a held request has crashed a trial, too.
+func (e *Entry) isConfirmed() bool {
+	if e.Confirmed.After(e.Served) {
+		return true
+	}
+	n := len(e.Losses)
+	return n > 0 && e.isHeld() && e.Losses[n-1].At.Sub(e.HeldSince()) >= trialAfter
+}
+
+// Stored is what the platform keeps of a request.
+type Stored int
+
+// What the platform may keep.
+const (
+	StoredNothing Stored = iota
+	StoredHeld
+	StoredConfirmed
+)
+
+// wanted is what the platform should keep of it.
+func (e *Entry) wanted() Stored {
+	switch {
+	case !e.isHeld():
+		return StoredNothing
+	case e.isConfirmed():
+		return StoredConfirmed
+	}
+	return StoredHeld
+}
+
 // A Ledger keeps entries. It is pure: the time is an argument.
 //
 // It answers one request that crashes whoever runs it and that comes again and
@@ -118,20 +155,43 @@
 	if !ok || !e.isHeld() {
 		return 0, false
 	}
-	left := e.HeldSince().Add(longestHold).Sub(now)
-	return min(holdFor, left), left > 0
+	if e.isConfirmed() {
+		left := e.HeldSince().Add(longestHold).Sub(now)
+		return min(holdFor, left), left > 0
+	}
+	left := e.HeldSince().Add(trialAfter).Sub(now)
+	return max(left, trialFor), left > 0 || now.Sub(e.trial) >= trialFor
 }
 
-// Came notes that a held request has come again.
-func (l *Ledger) Came(now time.Time, f fingerprinter.Fingerprint) {
+// Came is Held for a request that has just come. It says whether its trial is due, which
+// Try begins.
+func (l *Ledger) Came(now time.Time, f fingerprinter.Fingerprint) (after time.Duration, held, due bool) {
 	e, ok := l.entries[f]
 	if !ok || !e.isHeld() {
-		return
+		return 0, false, false
 	}
 	if now.Sub(e.lastAsked()) >= askedStep {
 		e.changed, e.own, e.untold = now, true, mostTold
 	}
 	e.Asked = now
+	after, held = l.Held(now, f)
+	switch {
+	case e.isConfirmed():
+		return after, held, false
+	case !held:
+		// Its trial is under way.
+		return trialFor, true, false
+	}
+	return after, true, now.Sub(e.HeldSince()) >= trialAfter
+}
+
+// Try lets a request that is held run once, where its trial is due.
+func (l *Ledger) Try(now time.Time, f fingerprinter.Fingerprint) bool {
+	_, _, due := l.Came(now, f)
+	if due {
+		l.entries[f].trial = now
+	}
+	return due
 }
 
 // Merge takes in what another VM or the platform knows. It says whether that was
@@ -149,10 +209,10 @@
 	return news, e.isHeld() && !before, before && !e.isHeld()
 }
 
-// Stored notes that the platform keeps that a request is held.
-func (l *Ledger) Stored(f fingerprinter.Fingerprint) {
+// Stored notes what the platform keeps of a request.
+func (l *Ledger) Stored(f fingerprinter.Fingerprint, s Stored) {
 	if e, ok := l.entries[f]; ok {
-		e.Stored = true
+		e.Stored = max(e.Stored, s)
 	}
 }
 
@@ -207,7 +267,7 @@
 			continue
 		}
 		delete(l.entries, f)
-		if e.Stored {
+		if e.Stored != StoredNothing {
 			kept = append(kept, f)
 		}
 	}
@@ -227,7 +287,7 @@
 
 // merge takes in what another entry of the same request says.
 func (e *Entry) merge(now time.Time, other Entry) (news bool) {
-	before := e.isHeld()
+	before, confirmed := e.isHeld(), e.isConfirmed()
 	if other.Served.After(e.Served) {
 		// Served at one moment is heard of from several VMs, some milliseconds apart.
 		news = len(e.Losses) > 0 || before
@@ -235,16 +295,17 @@
 		e.Losses = slices.DeleteFunc(e.Losses, func(l Loss) bool { return !l.At.After(e.Served) })
 	}
 	e.Held = latest(e.Held, other.Held)
+	e.Confirmed = latest(e.Confirmed, other.Confirmed)
 	for _, loss := range other.Losses {
 		news = e.lost(loss) || news
 	}
-	news = news || e.isHeld() != before
+	news = news || e.isHeld() != before || e.isConfirmed() != confirmed
 	if !e.isHeld() {
-		e.Asked, e.Stored = time.Time{}, false
+		e.Asked, e.Stored, e.trial = time.Time{}, StoredNothing, time.Time{}
 	} else {
 		news = news || other.Asked.Sub(e.lastAsked()) >= askedStep
 		e.Asked = latest(e.Asked, other.Asked)
-		e.Stored = e.Stored || other.Stored
+		e.Stored = max(e.Stored, other.Stored)
 	}
 	if news {
 		e.changed, e.untold = now, mostTold
@@ -255,9 +316,17 @@
 // lost adds a loss, and says whether it is new.
 func (e *Entry) lost(loss Loss) bool {
 	same := func(l Loss) bool { return l.Upstream == loss.Upstream }
-	if len(e.Losses) >= mostLosses || !loss.At.After(e.Served) || slices.ContainsFunc(e.Losses, same) {
+	if !loss.At.After(e.Served) || slices.ContainsFunc(e.Losses, same) {
 		return false
 	}
+	if n := len(e.Losses); n >= mostLosses {
+		// The first ones tell since when it is held, and the last one whether a trial
+		// crashed.
+		if !loss.At.After(e.Losses[n-1].At) {
+			return false
+		}
+		e.Losses = e.Losses[:n-1]
+	}
 	at, _ := slices.BinarySearchFunc(e.Losses, loss, func(a, b Loss) int { return a.At.Compare(b.At) })
 	e.Losses = slices.Insert(e.Losses, at, loss)
 	return true
@@ -323,8 +392,11 @@
 	return found
 }
 
-// Known is how many requests are known.
-func (l *Ledger) Known() int { return len(l.entries) }
+// Empty says that no request is known.
+func (l *Ledger) Empty() bool { return len(l.entries) == 0 }
+
+// Known says that a request is known.
+func (l *Ledger) Known(f fingerprinter.Fingerprint) bool { return l.entries[f] != nil }
 
 // Len is how many requests are known, and held how many of them are.
 func (l *Ledger) Len() (known, held int) {
--- a/entry/process/quarantiner/ledger_test.go
+++ b/entry/process/quarantiner/ledger_test.go
@@ -36,6 +36,9 @@
 		if rapid.IntRange(0, 5).Draw(t, "held") == 0 {
 			e.Held = at(rapid.IntRange(1, 900).Draw(t, "since"))
 		}
+		if rapid.IntRange(0, 5).Draw(t, "confirmed") == 0 {
+			e.Confirmed = at(rapid.IntRange(1, 900).Draw(t, "at"))
+		}
 		return e
 	})
 }
@@ -84,6 +87,41 @@
 	}
 }
 
+// Upstreams of one rack die together, and a question that many ask was under way at three
+// of them. It must not be turned away for as long as it is asked.
+func TestWhatWasLostWithARackIsTriedOnce(t *testing.T) {
+	l := quarantiner.NewLedger()
+	for i := range 5 {
+		l.Lost(at(i), one, uint32(i))
+	}
+	assert.Assert(t, !l.Try(at(20_000), one), "tried at once")
+	_, held, due := l.Came(at(31_000), one)
+	assert.Assert(t, held && due)
+	assert.Assert(t, l.Try(at(31_000), one))
+	_, held = l.Held(at(31_001), one)
+	assert.Assert(t, !held, "the trial itself is held")
+	_, held, _ = l.Came(at(31_001), one)
+	assert.Assert(t, held)
+	assert.Assert(t, !l.Try(at(31_001), one), "tried twice at once")
+	assert.Assert(t, l.Served(at(31_500), one))
+	_, held, _ = l.Came(at(31_600), one)
+	assert.Assert(t, !held)
+}
+
+// A trial that crashes as well is the last one for long.
+func TestTrialThatCrashesIsNotRepeated(t *testing.T) {
+	l := quarantiner.NewLedger()
+	for i := range 20 {
+		l.Lost(at(i), one, uint32(i))
+	}
+	assert.Assert(t, l.Try(at(31_000), one))
+	l.Lost(at(31_100), one, 99)
+	for i := range 60 {
+		_, held, due := l.Came(at(31_200+10_000*i), one)
+		assert.Assert(t, held && !due, "tried again after %d s", 10*i)
+	}
+}
+
 // One upstream that breaks many connections is one loss.
 func TestOneUpstreamIsOneLoss(t *testing.T) {
 	l := quarantiner.NewLedger()
@@ -107,7 +145,9 @@
 		l.Lost(at(i), one, uint32(i))
 		l.Lost(at(i), other, uint32(i))
 	}
-	now := at(3)
+	now := at(40_000)
+	l.Lost(now, one, 3)
+	l.Lost(now, other, 3)
 	for range 100 {
 		now = now.Add(10 * time.Minute)
 		l.Came(now, one)
--- a/entry/process/quarantiner/message.go
+++ b/entry/process/quarantiner/message.go
@@ -20,7 +20,8 @@
 	Fingerprint         []byte
 	Losses              []wireLoss
 	Served, Held, Asked int64
-	Stored              bool
+	Confirmed           int64
+	Stored              Stored
 }
 
 type wireLoss struct {
@@ -54,7 +55,7 @@
 			e := &all[i]
 			w := wireEntry{
 				Fingerprint: e.Fingerprint[:], Served: age(now, e.Served), Held: age(now, e.Held),
-				Asked: age(now, e.Asked), Stored: e.Stored,
+				Asked: age(now, e.Asked), Confirmed: age(now, e.Confirmed), Stored: e.Stored,
 			}
 			for _, loss := range e.Losses {
 				w.Losses = append(w.Losses, wireLoss{Upstream: loss.Upstream, Age: age(now, loss.At)})
@@ -79,7 +80,10 @@
 	}
 	var all []Entry
 	for _, w := range wire {
-		e := Entry{Served: since(now, w.Served), Held: since(now, w.Held), Asked: since(now, w.Asked), Stored: w.Stored}
+		e := Entry{
+			Served: since(now, w.Served), Held: since(now, w.Held), Asked: since(now, w.Asked),
+			Confirmed: since(now, w.Confirmed), Stored: w.Stored,
+		}
 		if copy(e.Fingerprint[:], w.Fingerprint) != fingerprinter.Size || len(w.Losses) > mostLosses {
 			continue
 		}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -47,6 +47,9 @@
 	Log   zerolog.Logger
 	// Spread is called when there is something to tell other VMs at once.
 	Spread func()
+	// MayTry says that this VM, and no other, may run a held request once to see whether
+	// it is at fault. It is called without a lock.
+	MayTry func(f Fingerprint) bool
 }
 
 // A Quarantiner is one VM's part. It is safe for concurrent use.
@@ -97,7 +100,7 @@
 // Served notes that a request was answered whole.
 func (q *Quarantiner) Served(f fingerprinter.Fingerprint) {
 	q.mu.Lock()
-	if q.ledger.Known() == 0 {
+	if q.ledger.Empty() {
 		q.mu.Unlock()
 		return
 	}
@@ -121,11 +124,19 @@
 
 // Came is Held for a request that has just come.
 func (q *Quarantiner) Came(f fingerprinter.Fingerprint) (after time.Duration, held bool) {
+	q.mu.Lock()
+	after, held, due := q.ledger.Came(q.deps.Now(), f)
+	q.mu.Unlock()
+	if !due || !q.deps.MayTry(f) {
+		return after, held
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.deps.Now()
-	q.ledger.Came(now, f)
-	return q.ledger.Held(now, f)
+	if !q.ledger.Try(q.deps.Now(), f) {
+		return after, held
+	}
+	q.deps.Log.Info().Stringer("fingerprint", f).Msg("quarantine on trial")
+	return 0, false
 }
 
 // Guard gives a context that ends with ErrHeld when a request turns out to be one
@@ -223,8 +234,17 @@
 // A Record is what the platform keeps of a held request.
 type Record struct {
 	Fingerprint fingerprinter.Fingerprint
-	// Held is since when.
-	Held time.Time
+	// Held is since when, and Confirmed says that a trial crashed as well.
+	Held      time.Time
+	Confirmed bool
+}
+
+// stored is what the platform keeps by it.
+func (r Record) stored() Stored {
+	if r.Confirmed {
+		return StoredConfirmed
+	}
+	return StoredHeld
 }
 
 // Restore takes in a record of the platform. It says whether that is over, so that
@@ -238,7 +258,10 @@
 	if since.After(now) {
 		since = now
 	}
-	e := Entry{Fingerprint: r.Fingerprint, Held: since, Asked: now, Stored: true}
+	e := Entry{Fingerprint: r.Fingerprint, Held: since, Asked: now, Stored: r.stored()}
+	if r.Confirmed {
+		e.Confirmed = since
+	}
 	q.merge(now, e, "the platform")
 	return e.over(now)
 }
@@ -252,12 +275,12 @@
 	}
 }
 
-// Stored notes that the platform keeps a held request.
-func (q *Quarantiner) Stored(f fingerprinter.Fingerprint) {
+// Stored notes that the platform keeps a record.
+func (q *Quarantiner) Stored(r Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.Stored(f)
-	delete(q.tried, f)
+	q.ledger.Stored(r.Fingerprint, r.stored())
+	delete(q.tried, r.Fingerprint)
 }
 
 // Due drops what is over, and gives the held requests that the platform should be
@@ -276,14 +299,14 @@
 		if !ok && !e.own {
 			first = e.changed
 		}
-		if e.Stored || now.Sub(first) < wait {
+		if e.Stored >= e.wanted() || now.Sub(first) < wait {
 			continue
 		}
 		q.tried[e.Fingerprint] = now
-		keep = append(keep, Record{Fingerprint: e.Fingerprint, Held: e.HeldSince()})
+		keep = append(keep, Record{Fingerprint: e.Fingerprint, Held: e.HeldSince(), Confirmed: e.isConfirmed()})
 	}
 	for f := range q.tried {
-		if _, held := q.ledger.Held(now, f); !held {
+		if !q.ledger.Known(f) {
 			delete(q.tried, f)
 		}
 	}
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -215,7 +215,7 @@
 		Canceller:  r.cancels,
 		Watcher:    deaf{},
 		Retrier:    retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
-		Quarantine: quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}}),
+		Quarantine: quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Spread: func() {}, MayTry: nobody}),
 		Meter:      meter.New(),
 		Now:        time.Now,
 	})
@@ -264,3 +264,6 @@
 	question = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
 	streamed = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
 )
+
+// nobody may try a held request.
+func nobody(quarantiner.Fingerprint) bool { return false }
