Let all VMs and the platform know that a quarantine was lifted

What callers would see: a request that was served after all is rejected again, by a VM that has not heard of it, or after a restart.

Cause, found by reading: what lifts a quarantine was told three times, and forgotten after ten seconds. A VM that missed it went on telling the others that the request is held, and a VM that does not relay told nobody again. The record that the platform keeps stayed, and was read by each VM that started.

Change: it is remembered that a held request was served, for as long as it would be held, and told in turn like what is held; VMs that do not relay tell the relays a part of it every five seconds; and the platform's record is dropped.

--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -33,6 +33,9 @@
 	// and rollEvery how often relays tell which VMs live.
 	BeatEvery = 250 * time.Millisecond
 	rollEvery = time.Second
+	// standingEvery is how often a VM that does not relay tells the relays all that is
+	// shared, in parts: what it found out alone may never have come to them.
+	standingEvery = 5 * time.Second
 	// relays is how many VMs of a zone relay: when one dies the other goes on.
 	relays = 2
 	// silent is after how long without a word a VM is not asked for anything, and
@@ -108,6 +111,8 @@
 	// shared is what all VMs know together; nil where they share nothing.
 	shared Shared
 	timer  Timer
+	// partAt is when it last told a part of all.
+	partAt time.Time
 	// soon ends the subscription by which changes of it are about to be told; nil
 	// where none are.
 	soon func()
@@ -176,7 +181,7 @@
 	g.greet(now, m)
 	first := g.first(now)
 	roll := now.Sub(g.rollAt) >= rollEvery
-	defer g.spread(now, first, roll)
+	defer g.spread(now, first, true)
 	if !g.relays(first) {
 		g.send(now, m, g.toRelays(first))
 		return
--- a/entry/process/gossiper/share.go
+++ b/entry/process/gossiper/share.go
@@ -32,15 +32,20 @@
 	g.spread(now, g.first(now), false)
 }
 
-// spread tells what changed, and with all a part of the rest. What a
-// relay was told goes on, what any other VM was told came from one.
+// spread tells what changed, and with all now and then a part of the rest. What a relay
+// was told goes on, what any other VM was told came from one.
 func (g *Gossiper) spread(now time.Time, first map[string][]allocator.Member, all bool) {
 	if g.shared == nil {
 		return
 	}
 	relay := g.relays(first)
 	parts := g.shared.Fresh(!relay)
-	if all && relay {
+	every := standingEvery
+	if relay {
+		every = rollEvery
+	}
+	if all && now.Sub(g.partAt) >= every {
+		g.partAt = now
 		parts = append(parts, g.shared.InTurn()...)
 	}
 	for _, part := range parts {
--- a/entry/process/quarantiner/fleet_test.go
+++ b/entry/process/quarantiner/fleet_test.go
@@ -275,3 +275,22 @@
 
 // nobody may try a held request.
 func nobody(quarantiner.Fingerprint) bool { return false }
+
+// Datagrams are lost that tell that a held request was served after all. A VM that missed
+// them would go on telling the others that it is held, once these have forgotten it.
+func TestLiftedQuarantineStaysLifted(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newReplay(seed, 9, 0)
+		f.play(6*time.Second, 3)
+		f.loses = 0.8
+		v := f.vms[seed%9]
+		v.keeps.Served(one)
+		f.play(2*time.Second, 0)
+		f.loses = 0.3
+		f.play(60*time.Second, 0)
+		for i, v := range f.vms {
+			_, held := v.keeps.Held(one)
+			assert.Assert(t, !held, "seed %d: held at VM %d", seed, i)
+		}
+	}
+}
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -64,6 +64,9 @@
 	changed time.Time
 	own     bool
 	untold  int
+	// lifted says that it was held until it was served: a VM that has not heard of that
+	// goes on telling that it is held.
+	lifted bool
 }
 
 // HeldSince is since when the request is not sent on; zero where it is.
@@ -117,6 +120,9 @@
 type Ledger struct {
 	entries map[fingerprinter.Fingerprint]*Entry
 	turn    int
+	// lifted are requests that are held no longer, of which the platform still keeps
+	// that they are.
+	lifted []fingerprinter.Fingerprint
 }
 
 // NewLedger returns an empty Ledger.
@@ -129,7 +135,7 @@
 func (l *Ledger) Lost(now time.Time, f fingerprinter.Fingerprint, upstream uint32) (losses int, held bool) {
 	e := l.entry(now, f)
 	before := e.isHeld()
-	if e.merge(now, Entry{Losses: []Loss{{Upstream: upstream, At: now}}}) {
+	if l.merge(now, e, Entry{Losses: []Loss{{Upstream: upstream, At: now}}}) {
 		e.own = true
 	}
 	return len(e.Losses), e.isHeld() && !before
@@ -143,7 +149,7 @@
 		return false
 	}
 	lifted = e.isHeld()
-	e.merge(now, Entry{Served: now})
+	l.merge(now, e, Entry{Served: now})
 	e.own = true
 	return lifted
 }
@@ -202,13 +208,23 @@
 	}
 	e := l.entry(now, other.Fingerprint)
 	before := e.isHeld()
-	news = e.merge(now, other)
+	news = l.merge(now, e, other)
 	if news {
 		e.own = false
 	}
 	return news, e.isHeld() && !before, before && !e.isHeld()
 }
 
+// merge takes in what another entry of a request says.
+func (l *Ledger) merge(now time.Time, e *Entry, other Entry) (news bool) {
+	stored := e.Stored
+	news = e.merge(now, other)
+	if stored != StoredNothing && !e.isHeld() {
+		l.lifted = append(l.lifted, e.Fingerprint)
+	}
+	return news
+}
+
 // Stored notes what the platform keeps of a request.
 func (l *Ledger) Stored(f fingerprinter.Fingerprint, s Stored) {
 	if e, ok := l.entries[f]; ok {
@@ -259,9 +275,10 @@
 // lastAsked is when a held request was last asked for, as far as is known.
 func (e *Entry) lastAsked() time.Time { return latest(e.Asked, e.HeldSince()) }
 
-// Expire drops what is over, and gives the requests among it that the platform
-// still keeps as held.
+// Expire drops what is over, and gives the requests that are held no longer, of which
+// the platform still keeps that they are.
 func (l *Ledger) Expire(now time.Time) (kept []fingerprinter.Fingerprint) {
+	kept, l.lifted = l.lifted, nil
 	for f, e := range l.entries {
 		if !e.over(now) {
 			continue
@@ -282,6 +299,9 @@
 	case len(e.Losses) > 0:
 		return now.Sub(e.Losses[len(e.Losses)-1].At) >= suspectFor
 	}
+	if e.lifted {
+		return now.Sub(e.Served) >= holdFor
+	}
 	return now.Sub(e.Served) >= soundFor
 }
 
@@ -302,7 +322,9 @@
 	news = news || e.isHeld() != before || e.isConfirmed() != confirmed
 	if !e.isHeld() {
 		e.Asked, e.Stored, e.trial = time.Time{}, StoredNothing, time.Time{}
+		e.lifted = e.lifted || before
 	} else {
+		e.lifted = false
 		news = news || other.Asked.Sub(e.lastAsked()) >= askedStep
 		e.Asked = latest(e.Asked, other.Asked)
 		e.Stored = max(e.Stored, other.Stored)
@@ -364,7 +386,7 @@
 	return told
 }
 
-// AllHeld are the entries of held requests, in the order of their fingerprints.
+// AllHeld are the entries of held requests.
 func (l *Ledger) AllHeld() []Entry {
 	var found []Entry
 	for _, e := range l.entries {
@@ -372,15 +394,27 @@
 			found = append(found, *e)
 		}
 	}
+	return found
+}
+
+// Standing are the entries that all VMs must agree on, in the order of their fingerprints:
+// those of requests that are held, or were until they were served.
+func (l *Ledger) Standing() []Entry {
+	found := l.AllHeld()
+	for _, e := range l.entries {
+		if e.lifted {
+			found = append(found, *e)
+		}
+	}
 	slices.SortFunc(found, func(a, b Entry) int {
 		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
 	})
 	return found
 }
 
-// InTurn are some of the entries of held requests, others each time.
+// InTurn are some of those, others each time.
 func (l *Ledger) InTurn(most int) []Entry {
-	all := l.AllHeld()
+	all := l.Standing()
 	if len(all) <= most {
 		return all
 	}
--- a/entry/process/quarantiner/ledger_test.go
+++ b/entry/process/quarantiner/ledger_test.go
@@ -184,3 +184,16 @@
 	_, still := l.Held(at(many+10), one)
 	assert.Assert(t, still)
 }
+
+// A request that was served after all must not be held again by what the platform kept.
+func TestRecordOfALiftedQuarantineIsDropped(t *testing.T) {
+	l := quarantiner.NewLedger()
+	for i := range 3 {
+		l.Lost(at(i), one, uint32(i))
+	}
+	l.Stored(one, quarantiner.StoredHeld)
+	assert.Equal(t, len(l.Expire(at(4))), 0)
+	l.Served(at(5), one)
+	assert.DeepEqual(t, l.Expire(at(6)), []fingerprinter.Fingerprint{one})
+	assert.Equal(t, len(l.Expire(at(7))), 0)
+}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -180,14 +180,14 @@
 	return q.tell(func() []Entry { return q.ledger.Fresh(own, mostFresh) })
 }
 
-// InTurn is a part of what is held, another each time.
+// InTurn is a part of what is held or was until it was served, another each time.
 func (q *Quarantiner) InTurn() [][]byte {
 	return q.tell(func() []Entry { return q.ledger.InTurn(mostPart) })
 }
 
-// All is all that is held.
+// All is all of that.
 func (q *Quarantiner) All() [][]byte {
-	return q.tell(func() []Entry { return q.ledger.AllHeld() })
+	return q.tell(func() []Entry { return q.ledger.Standing() })
 }
 
 func (q *Quarantiner) tell(choose func() []Entry) [][]byte {
