--- a/entry/process/allocator/limit_test.go
+++ b/entry/process/allocator/limit_test.go
@@ -167,6 +167,13 @@
 	return most, at
 }
 
+// keepsLimit checks the bound, for requests of VMs that are not excused.
+func (l *limited) keepsLimit(t assert.TestingT, excused map[int]bool) {
+	allowed := int(limitShare*l.rate*limitSpan.Seconds()) + limitSlack
+	most, at := l.most(excused)
+	assert.Assert(t, most <= allowed, "%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
+}
+
 // VMs that each kept to the limit alone would exceed it as many times as there are,
 // and so would leaders that change, or of which two lead at once.
 func TestUpstreamGetsNoMoreThanItsLimitFromAllVMs(t *testing.T) {
@@ -215,10 +222,7 @@
 			}
 			l.run(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pause"))*time.Millisecond, perSecond, draw)
 		}
-		allowed := int(limitShare*rate*limitSpan.Seconds()) + limitSlack
-		if most, at := l.most(excused); most > allowed {
-			rt.Fatalf("%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
-		}
+		l.keepsLimit(rt, excused)
 	})
 }
 
@@ -283,9 +287,7 @@
 	l.run(8*time.Second, 80, draw)
 	l.part(3, false)
 	l.run(4*time.Second, 80, draw)
-	allowed := int(limitShare*rate*limitSpan.Seconds()) + limitSlack
-	most, at := l.most(nil)
-	assert.Assert(t, most <= allowed, "%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
+	l.keepsLimit(t, nil)
 	assert.Assert(t, whole >= 3*rate, "%d requests in 4 s, where a leader may have %d", whole, 4*rate)
 }
 
@@ -300,9 +302,7 @@
 		l.block(v, true)
 	}
 	l.run(10*time.Second, 400, draw)
-	allowed := int(limitShare*rate*limitSpan.Seconds()) + limitSlack
-	most, at := l.most(nil)
-	assert.Assert(t, most <= allowed, "%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
+	l.keepsLimit(t, nil)
 }
 
 // The leader answers some VMs only, and another one leads the rest in its place.
@@ -316,9 +316,7 @@
 		l.n.blocked[[2]int{v.index, 0}], l.n.blocked[[2]int{0, v.index}] = true, true
 	}
 	l.run(8*time.Second, 200, draw)
-	allowed := int(limitShare*rate*limitSpan.Seconds()) + limitSlack
-	most, at := l.most(nil)
-	assert.Assert(t, most <= allowed, "%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
+	l.keepsLimit(t, nil)
 }
 
 // A leader that starts again has heard of no limit, and upstreams take a while to
@@ -333,9 +331,7 @@
 	l.run(2*time.Second, 60, draw)
 	l.restart(l.n.vms[0])
 	l.run(4*time.Second, 60, draw)
-	allowed := int(limitShare*rate*limitSpan.Seconds()) + limitSlack
-	most, at := l.most(map[int]bool{0: true})
-	assert.Assert(t, most <= allowed, "%d requests in %v that end %v after the limit was named, allowed %d", most, limitSpan, at, allowed)
+	l.keepsLimit(t, map[int]bool{0: true})
 }
 
 // count is how many requests the upstream got.
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -64,6 +64,19 @@
 	l.down = down
 }
 
+// hasRecords waits until something was appended.
+func (l *log) hasRecords(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.records) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing is appended")
+	}, poll.WithTimeout(patience))
+}
+
 func (l *log) start(t *testing.T) (q *quarantiner.Quarantiner, stop func()) {
 	t.Helper()
 	clock := ticker.New(time.Now, time.Millisecond)
@@ -119,14 +132,7 @@
 	}
 	isHeld(t, q)
 	l.turn(false)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if len(l.records) > 0 {
-			return poll.Success()
-		}
-		return poll.Continue("nothing is appended")
-	}, poll.WithTimeout(patience))
+	l.hasRecords(t)
 	stop()
 	again, stop := l.start(t)
 	defer stop()
@@ -140,14 +146,7 @@
 	for _, upstream := range []string{"a", "b", "c"} {
 		q.Lost(one, upstream, 1)
 	}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if len(l.records) > 0 {
-			return poll.Success()
-		}
-		return poll.Continue("nothing is appended")
-	}, poll.WithTimeout(patience))
+	l.hasRecords(t)
 	stop()
 	for i := range l.records {
 		l.records[i].At = l.records[i].At.Add(-time.Hour)
