Keep the time of a run out of what the stand-in lists

The time is known in the stand-in's own process only now, as the tests of limits need it; the comparison is unchanged. It was missed as those tests were run by name.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -83,7 +83,8 @@
 type Run struct {
 	ID, Method, Target, Tenant, Helpers, Body string
 	Key                                       bool
-	At                                        time.Time
+	// At is when it began; it is known in this process only.
+	At time.Time `json:"-"`
 }
 
 type ticket struct {
