--- a/entry/request/relayer/crash_test.go
+++ b/entry/request/relayer/crash_test.go
@@ -54,3 +54,14 @@
 	assert.Equal(t, o.header.Get("Heathervane-Ran"), "no")
 	assert.Equal(t, len(b.seen()), before)
 }
+
+// A request is found out by another VM between its arrival here and its sending.
+func TestRequestThatIsHeldAfterItCameIsNotSent(t *testing.T) {
+	b := newBench(t, routes())
+	b.upstream("u", "plain", sealed)
+	b.held.Store(true)
+	o := b.do(b.request(http.MethodPost, "/safe/x", "body"))
+	assert.Equal(t, o.status, http.StatusServiceUnavailable)
+	assert.Equal(t, o.header.Get("Heathervane-Ran"), "no")
+	assert.Equal(t, len(b.seen()), 0)
+}
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -129,6 +129,19 @@
 	return len(m.held)
 }
 
+// late is a quarantine that may hold a request after it came.
+type late struct {
+	held *atomic.Bool
+	*quarantiner.Quarantiner
+}
+
+func (q late) Held(f quarantiner.Fingerprint) (time.Duration, bool) {
+	if q.held.Load() {
+		return time.Second, true
+	}
+	return q.Quarantiner.Held(f)
+}
+
 // An arrival is a request as an upstream saw it.
 type arrival struct {
 	upstream, id, method, target, body string
@@ -146,6 +159,8 @@
 	meter   *meter.Meter
 	table   *matcher.Table
 	left    atomic.Int64
+	// held has the quarantine say of each request that came that it is held now.
+	held atomic.Bool
 	// table is nil until configured is closed where there is such a channel.
 	configured chan struct{}
 
@@ -213,7 +228,7 @@
 			Rejected: func(status int, h http.Header) bool { return dialect{}.Verdict(status, h).NotRun },
 		}),
 		Idle:       func(int, string) int { return 0 },
-		Quarantine: quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Spread: func() {}, MayTry: func(quarantiner.Fingerprint) bool { return false }}),
+		Quarantine: late{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Spread: func() {}, MayTry: func(quarantiner.Fingerprint) bool { return false }})},
 		Budget:     b.purse, Bodies: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		Leaving: func() (bool, time.Duration) { return b.left.Load() > 0, time.Duration(b.left.Load()) },
 	})
