Log what upstreams announce in their responses

Two hypotheses on why an upstream that leaves, or that asked for a pause with Retry-After, still got requests could not be told apart from the logs: nothing said which VM had heard what. Nothing decides by them yet.

Ruled out as a place for it: the access log line, which has one upstream for several attempts.

--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -232,6 +232,7 @@
 		r.deps.Tracker.ReportCold(r.deps.Now(), id, a.response.ColdStart)
 	}
 	r.recordRateLimit(j, a)
+	r.recordAnnouncements(j, a)
 	if isForeign(j, x, a.response) {
 		// It may be the response to an earlier request on this connection. Whether
 		// this request ran is unknown.
@@ -269,6 +270,18 @@
 	}
 }
 
+// recordAnnouncements logs that an upstream said in its response that it is leaving, or
+// that it wants no requests from this VM for a while.
+func (r *Relayer) recordAnnouncements(j *job, a *attempt) {
+	id := a.grant.Upstream.ID
+	if a.response.Leaving {
+		r.deps.Log.Info().Str("upstream", id).Str("id", j.info.ID).Msg("upstream announced that it is leaving")
+	}
+	if a.response.Backoff > 0 {
+		r.deps.Log.Info().Str("upstream", id).Str("id", j.info.ID).Dur("for", a.response.Backoff).Msg("upstream requested a backoff")
+	}
+}
+
 // afterPossibleRun returns the outcome of an attempt that may have run the request.
 func (j *job) afterPossibleRun() outcome {
 	if j.route.Repeatable() {
