--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -73,10 +73,17 @@
 	strikes  int
 	// limit is how many requests a second it says that it takes; negative where it
 	// says nothing.
-	limit   float64
-	runs    map[string]int
-	seen    []Run
-	tickets map[string]ticket
+	limit float64
+	// leaving is whether it says that it leaves.
+	leaving bool
+	// shedLeft is how many requests it rejects with Retry-After, and shedFor the
+	// time that it names there.
+	shedLeft int
+	shedFor  time.Duration
+	arrivals []Arrival
+	runs     map[string]int
+	seen     []Run
+	tickets  map[string]ticket
 }
 
 // A Run is a request that ran here.
@@ -87,6 +94,16 @@
 	At time.Time `json:"-"`
 }
 
+// An Arrival is a request that has reached the worker, whether or not it ran.
+type Arrival struct {
+	ID string
+	At time.Time
+	// Leaving is whether the response says that the worker leaves, and Backoff the
+	// time that it names in Retry-After; 0 where it names none.
+	Leaving bool
+	Backoff time.Duration
+}
+
 type ticket struct {
 	tokens int
 	until  time.Time
@@ -156,6 +173,7 @@
 	mux.HandleFunc("PUT /test/fault", k.strike)
 	mux.HandleFunc("PUT /test/drain", k.drain)
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		k.name(w)
 		if _, pattern := mux.Handler(q); pattern != "" {
 			mux.ServeHTTP(w, q)
 			return
@@ -168,7 +186,7 @@
 	w.Header().Set("X-Instance-Id", k.config.ID)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.state != "ready" {
+	if k.state != "ready" || k.leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -270,9 +288,11 @@
 	}
 	id := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	k.name(w)
-	fault, ok := k.begin(id, q, string(body))
+	fault, backoff, ok := k.begin(id, q, string(body))
 	if !ok {
+		if backoff > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(backoff.Seconds(), 'f', -1, 64))
+		}
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -337,27 +357,72 @@
 	k.limit = perSecond
 }
 
-// name names the limit in an answer.
+// Leave has the worker say from now on that it leaves. It goes on serving, and its
+// entry in the list does not change.
+func (k *Worker) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+// Restart has the worker go on as a new process: it no longer says that it leaves, nor
+// that it wants no requests.
+func (k *Worker) Restart() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving, k.shedLeft, k.born, k.sequence = false, 0, time.Now().UnixMilli(), 0
+}
+
+// Shed rejects the next n requests with 503 and asks their senders for a pause.
+func (k *Worker) Shed(n int, pause time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.shedLeft, k.shedFor = n, pause
+}
+
+// Address is where the worker serves.
+func (k *Worker) Address() string { return k.config.Address }
+
+// Arrivals are the requests that have reached the worker.
+func (k *Worker) Arrivals() []Arrival {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]Arrival(nil), k.arrivals...)
+}
+
+// name names in an answer what the worker says of itself in all of them.
 func (k *Worker) name(w http.ResponseWriter) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.limit >= 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(k.limit, 'f', -1, 64))
 	}
+	if k.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 }
 
-// begin takes a request in, or not; and says what goes wrong with it.
-func (k *Worker) begin(id string, q *http.Request, body string) (Fault, bool) {
+// begin takes a request in, or not; and says what goes wrong with it, and for how long
+// its sender is to pause.
+func (k *Worker) begin(id string, q *http.Request, body string) (f Fault, backoff time.Duration, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
+	if k.shedLeft > 0 {
+		k.shedLeft--
+		backoff = k.shedFor
+	}
+	k.arrivals = append(k.arrivals, Arrival{ID: id, At: time.Now(), Leaving: k.leaving, Backoff: backoff})
+	if backoff > 0 {
+		return None, backoff, false
+	}
 	fault := None
 	if k.strikes > 0 {
 		k.strikes--
 		fault = k.fault
 	}
 	if fault == Decline || k.running >= k.config.Slots {
-		return fault, false
+		return fault, 0, false
 	}
 	k.running++
 	k.runs[id]++
@@ -366,7 +431,7 @@
 		ID: id, Method: q.Method, Target: q.RequestURI, Tenant: h.Get("X-Tenant"), Helpers: h.Get("X-Helpers"),
 		Body: body, Key: h.Get("Authorization") != "", At: time.Now(),
 	})
-	return fault, true
+	return fault, 0, true
 }
 
 func (k *Worker) end() {
