Stop sending to an upstream that announced that it is leaving

Cause: only the list of upstreams could end their use. The announcement went through to the caller and nothing that decides read it.

Change: a departure is kept by the upstream's process, not by its list entry, and so outlives heartbeats, lapses and new entries of that process; only an entry of a process that started later ends it. Each VM checks main and helping engines right after the grant, before memory is reserved there, and right before it sends. VMs report departures to the leaders of the group at once and with each report of placements, so that lost datagrams and new leaders are covered; older builds skip the new field of the message. Health probes read the announcement as well. An engine that helps with a prompt was not checked at all before, also not for a listed drain.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -187,8 +187,8 @@
 	return m
 }
 
-// maxEntries is the maximum number of placements, and of limits, in one
-// datagram, chosen so that datagrams are not fragmented on the way.
+// maxEntries is the maximum number of placements, of limits and of departures in
+// one datagram, chosen so that datagrams are not fragmented on the way.
 const maxEntries = 12
 
 func (a *Allocator) flush() {
@@ -201,6 +201,10 @@
 			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Limits: m.Limits[:maxEntries]})
 			m.Limits = m.Limits[maxEntries:]
 		}
+		for len(m.Departures) > maxEntries {
+			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Departures: m.Departures[:maxEntries]})
+			m.Departures = m.Departures[maxEntries:]
+		}
 		a.transmit(at, m)
 	}
 	clear(a.outgoing)
@@ -299,11 +303,14 @@
 	a.locked(func(now time.Time) {
 		if m, self := a.leader(now, a.groupOf(u.Service, u.Zone)); !self {
 			out := a.outgoingTo(m.Address)
-			if e.Finding == tracker.FoundLimit {
+			switch e.Finding { //nolint:exhaustive // the others are sent as they are
+			case tracker.FoundLimit:
 				out.Limits = append(out.Limits, newWireLimit(now, u.ID, e.Limit))
-				return
+			case tracker.FoundDeparture:
+				out.Departures = append(out.Departures, newWireDeparture(now, e.Departure))
+			default:
+				out.Events = append(out.Events, newWireEvent(e))
 			}
-			out.Events = append(out.Events, newWireEvent(e))
 		}
 	})
 }
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -238,6 +238,7 @@
 		a.deps.Tracker.MergeEvent(now, m.Events[i].event())
 	}
 	a.applyLimits(now, m.Limits)
+	a.applyDepartures(now, m.VM, m.Departures)
 	for _, id := range m.Cancelled {
 		if o, ok := h.requests[id]; ok {
 			a.cancelRequest(h, id, o)
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -38,10 +38,11 @@
 	// ReportedGroups lists the groups of which the receiver has now been sent
 	// all placements.
 	ReportedGroups []wireGroup `cbor:"26,keyasint,omitempty"`
-	// Events are observations about upstreams, and Limits the rate limits that
-	// upstreams have named.
-	Events []wireEvent `cbor:"11,keyasint,omitempty"`
-	Limits []wireLimit `cbor:"27,keyasint,omitempty"`
+	// Events are observations about upstreams, Limits the rate limits that upstreams
+	// have named, and Departures the upstreams that have announced their leaving.
+	Events     []wireEvent     `cbor:"11,keyasint,omitempty"`
+	Limits     []wireLimit     `cbor:"27,keyasint,omitempty"`
+	Departures []wireDeparture `cbor:"28,keyasint,omitempty"`
 
 	// Grants and Refusals answer requests. Queued lists requests that wait,
 	// NotLeading those for which the receiver must use another leader, and
@@ -230,6 +231,22 @@
 	return tracker.Limit{Limited: w.Limited, Rate: w.Rate, AsOf: now.Add(-time.Duration(max(0, w.Age)) * time.Millisecond)}
 }
 
+// wireDeparture is the departure of an upstream's process, and its age in milliseconds.
+type wireDeparture struct {
+	_         struct{} `cbor:",toarray"`
+	Upstream  string
+	StartedAt int64
+	Age       int64
+}
+
+func newWireDeparture(now time.Time, d tracker.Departure) wireDeparture {
+	return wireDeparture{Upstream: d.Upstream, StartedAt: d.StartedAt, Age: max(0, now.Sub(d.AnnouncedAt).Milliseconds())}
+}
+
+func (w *wireDeparture) departure(now time.Time) tracker.Departure {
+	return tracker.Departure{Upstream: w.Upstream, StartedAt: w.StartedAt, AnnouncedAt: now.Add(-time.Duration(max(0, w.Age)) * time.Millisecond)}
+}
+
 // wireSummary is the load of a group.
 type wireSummary struct {
 	_           struct{} `cbor:",toarray"`
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -143,7 +143,7 @@
 	a.reportedAt = now
 	previous := a.reportsLeft
 	a.reportsLeft = make(map[netip.AddrPort]int)
-	limitsSent := make(map[reportTarget]bool)
+	groupsSent := make(map[reportTarget]bool)
 	for _, p := range a.placements {
 		if a.isLeader(now, p.group) {
 			a.adopt(p)
@@ -152,9 +152,9 @@
 			out := a.outgoingTo(at)
 			out.Held, out.HeldComplete = append(out.Held, p.id), true
 			a.reportsLeft[at] = emptyReports
-			if t := (reportTarget{at, p.group}); !limitsSent[t] {
-				limitsSent[t] = true
-				a.sendLimits(now, at, p.group)
+			if t := (reportTarget{at, p.group}); !groupsSent[t] {
+				groupsSent[t] = true
+				a.sendUpstreamState(now, at, p.group)
 			}
 		}
 	}
@@ -175,10 +175,16 @@
 	group Group
 }
 
-// reportGroup reports this VM's placements and the known limits in a group to a
-// VM that starts leading it.
+// sendUpstreamState sends a VM what upstreams of a group have announced.
+func (a *Allocator) sendUpstreamState(now time.Time, to netip.AddrPort, g Group) {
+	a.sendLimits(now, to, g)
+	a.sendDepartures(now, to, g)
+}
+
+// reportGroup reports this VM's placements, and what upstreams have announced, in a
+// group to a VM that starts leading it.
 func (a *Allocator) reportGroup(to netip.AddrPort, g Group) {
-	a.sendLimits(a.deps.Now(), to, g)
+	a.sendUpstreamState(a.deps.Now(), to, g)
 	out := a.outgoingTo(to)
 	out.ReportedGroups = append(out.ReportedGroups, g.wire())
 	for _, p := range a.placements {
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -221,6 +221,9 @@
 	probes := prober.New(prober.Deps{
 		Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log,
 		Rejected: func(status int, h http.Header) bool { return platform.ParseResponse(status, h).NotRun },
+		Observe: func(u tracker.Upstream, status int, h http.Header) {
+			v.relayer.RecordAnnouncements(u, platform.ParseResponse(status, h))
+		},
 	})
 	v.relayer = relayer.New(relayer.Deps{
 		Table: v.table.Load, Configured: v.configured, Protocol: platform, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
--- a/entry/process/prober/prober.go
+++ b/entry/process/prober/prober.go
@@ -50,9 +50,11 @@
 	// Rejected reports whether an upstream rejected the health check because it is
 	// full. Such a response says nothing about its health.
 	Rejected func(status int, h http.Header) bool
-	Meter    Meter
-	Now      func() time.Time
-	Log      zerolog.Logger
+	// Observe is called with each response of an upstream.
+	Observe func(u tracker.Upstream, status int, h http.Header)
+	Meter   Meter
+	Now     func() time.Time
+	Log     zerolog.Logger
 }
 
 // A Prober checks the health of upstreams, and reuses the result of a service's last
@@ -111,7 +113,7 @@
 	leaving := make([]bool, len(states))
 	var wg sync.WaitGroup
 	for i := range states {
-		wg.Go(func() { leaving[i] = p.reportsUnhealthy(ctx, states[i].Address, s.HealthPath) })
+		wg.Go(func() { leaving[i] = p.reportsUnhealthy(ctx, states[i].Upstream, s.HealthPath) })
 	}
 	wg.Wait()
 	var leavingIDs []string
@@ -128,12 +130,13 @@
 
 // reportsUnhealthy reports whether an upstream responded that it is unhealthy. An
 // upstream that does not respond in time may only be busy and does not count.
-func (p *Prober) reportsUnhealthy(ctx context.Context, address, path string) bool {
-	exchange, failure := p.deps.Carrier.Send(ctx, address, carrier.Request{Method: http.MethodGet, Target: path, Host: address})
+func (p *Prober) reportsUnhealthy(ctx context.Context, u tracker.Upstream, path string) bool {
+	exchange, failure := p.deps.Carrier.Send(ctx, u.Address, carrier.Request{Method: http.MethodGet, Target: path, Host: u.Address})
 	if failure != nil {
-		p.deps.Log.Debug().Str("address", address).Err(failure).Msg("health probe failed")
+		p.deps.Log.Debug().Str("address", u.Address).Err(failure).Msg("health probe failed")
 		return false
 	}
 	defer exchange.Close()
+	p.deps.Observe(u, exchange.Status, exchange.Header)
 	return exchange.Status == http.StatusServiceUnavailable && !p.deps.Rejected(exchange.Status, exchange.Header)
 }
--- a/entry/process/prober/prober_test.go
+++ b/entry/process/prober/prober_test.go
@@ -31,6 +31,7 @@
 
 func newProber(upstreams *tracker.Tracker) *prober.Prober {
 	return prober.New(prober.Deps{
+		Observe: func(tracker.Upstream, int, http.Header) {},
 		Tracker: upstreams, Carrier: carrier.New(time.Now), Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(),
 		Rejected: func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 	})
--- a/entry/process/tracker/event.go
+++ b/entry/process/tracker/event.go
@@ -24,6 +24,8 @@
 	FoundLeaving
 	// FoundLimit is an upstream that announced a limit, or that it no longer has one.
 	FoundLimit
+	// FoundDeparture is an upstream that announced that it is leaving.
+	FoundDeparture
 )
 
 // An Event is something that a VM found out about upstreams.
@@ -36,6 +38,8 @@
 	For time.Duration
 	// Limit is the limit of FoundLimit.
 	Limit Limit
+	// Departure is the departure of FoundDeparture.
+	Departure Departure
 }
 
 // SetListener sets the function that receives each Event from this VM's own requests,
@@ -69,6 +73,8 @@
 			}
 		case FoundLimit:
 			t.updateLimit(id, e.Limit)
+		case FoundDeparture:
+			t.MergeDeparture(now, e.Departure)
 		}
 	}
 }
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -79,14 +79,19 @@
 	outdated bool
 	// removed holds the last entries of upstreams that were removed, so that older
 	// entries which arrive later are ignored.
-	removed  map[string]Upstream
-	listener func(Event)
+	removed map[string]Upstream
+	// departures holds the announcements of upstreams that they are leaving.
+	departures map[string]Departure
+	listener   func(Event)
 }
 
 // New returns a Tracker without upstreams. Its list counts as current until
 // SetOutdated says otherwise.
 func New() *Tracker {
-	return &Tracker{upstreams: make(map[string]*State), disabledZones: make(map[string]bool), removed: make(map[string]Upstream)}
+	return &Tracker{
+		upstreams: make(map[string]*State), disabledZones: make(map[string]bool), removed: make(map[string]Upstream),
+		departures: make(map[string]Departure),
+	}
 }
 
 // Put stores an upstream's list entry. It reports whether anything has changed, apart
@@ -237,8 +242,17 @@
 	return ok && t.usable(s)
 }
 
+// TakesNoWork reports whether an upstream is known to take no work at this moment. It is
+// false for one that is not listed.
+func (t *Tracker) TakesNoWork(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.upstreams[id]
+	return ok && !t.usable(s)
+}
+
 func (t *Tracker) usable(s *State) bool {
-	return !t.outdated && !s.Draining && !t.disabledZones[s.Zone]
+	return !t.outdated && !s.Draining && !t.disabledZones[s.Zone] && !t.departures[s.ID].covers(&s.Upstream)
 }
 
 // Get returns the state of an upstream.
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -151,20 +151,20 @@
 		a.close()
 		return nil, deadlineRefusal()
 	}
+	if unusable := r.unusableUpstreams(grant); len(unusable) > 0 {
+		return nil, r.returnPlacement(ctx, j, a, unusable)
+	}
 	if !r.reserveMemory(ctx, j, a) {
 		a.close()
 		return nil, waitRetryDelay(ctx)
 	}
-	// The process may have been suspended since the upstream was chosen.
-	if now = r.deps.Now(); !r.deps.Tracker.IsUsable(grant.Upstream.ID) || j.deadline.Sub(now) < minTimeLeft {
+	if j.deadline.Sub(r.deps.Now()) < minTimeLeft {
 		a.close()
-		if j.deadline.Sub(now) < minTimeLeft {
-			return nil, deadlineRefusal()
-		}
-		// The VM that granted the placement may not know yet what this VM knows,
-		// and would grant the same upstream again.
-		j.tried = append(j.tried, grant.Upstream.ID)
-		return nil, waitRetryDelay(ctx)
+		return nil, deadlineRefusal()
+	}
+	// The process may have been suspended since the upstream was chosen.
+	if unusable := r.unusableUpstreams(grant); len(unusable) > 0 {
+		return nil, r.returnPlacement(ctx, j, a, unusable)
 	}
 	j.log.upstream, j.log.helpers = grant.Upstream.ID, nil
 	for _, h := range grant.Helpers {
@@ -174,6 +174,30 @@
 	return a, nil
 }
 
+// unusableUpstreams returns those upstreams of a placement to which this VM may send
+// nothing now. An engine that helps with a prompt may be missing in this VM's list.
+func (r *Relayer) unusableUpstreams(grant *allocator.Placement) (ids []string) {
+	if !r.deps.Tracker.IsUsable(grant.Upstream.ID) {
+		ids = append(ids, grant.Upstream.ID)
+	}
+	for _, h := range grant.Helpers {
+		if r.deps.Tracker.TakesNoWork(h.ID) {
+			ids = append(ids, h.ID)
+		}
+	}
+	return ids
+}
+
+// returnPlacement releases a placement that this VM may not use, and waits before the
+// next. The VM that granted it may not know yet what this VM knows, and would grant the
+// same upstreams again.
+func (r *Relayer) returnPlacement(ctx context.Context, j *job, a *attempt, unusable []string) *refuser.Refusal {
+	a.close()
+	r.deps.Meter.Count("placements.returned", 1)
+	j.tried = append(j.tried, unusable...)
+	return waitRetryDelay(ctx)
+}
+
 func deadlineRefusal() *refuser.Refusal {
 	return refuser.New(http.StatusServiceUnavailable, scheduler.CodeLate, "no upstream could answer it in time").WithRetryAfter(retryAfter)
 }
@@ -232,7 +256,9 @@
 		r.deps.Tracker.ReportCold(r.deps.Now(), id, a.response.ColdStart)
 	}
 	r.recordRateLimit(j, a)
-	r.recordAnnouncements(j, a)
+	if !a.response.Misdirected {
+		r.RecordAnnouncements(a.grant.Upstream, a.response)
+	}
 	if isForeign(j, x, a.response) {
 		// It may be the response to an earlier request on this connection. Whether
 		// this request ran is unknown.
@@ -270,15 +296,19 @@
 	}
 }
 
-// recordAnnouncements logs that an upstream said in its response that it is leaving, or
-// that it wants no requests from this VM for a while.
-func (r *Relayer) recordAnnouncements(j *job, a *attempt) {
-	id := a.grant.Upstream.ID
-	if a.response.Leaving {
-		r.deps.Log.Info().Str("upstream", id).Str("id", j.info.ID).Msg("upstream announced that it is leaving")
+// RecordAnnouncements records what an upstream said in a response about itself: that it
+// is leaving, or that it wants no requests from this VM for a while. It ignores the
+// response of another upstream that has taken over the address.
+func (r *Relayer) RecordAnnouncements(u tracker.Upstream, info ResponseInfo) {
+	if info.Upstream != "" && info.Upstream != u.ID {
+		return
+	}
+	if info.Leaving && r.deps.Tracker.ReportDeparture(r.deps.Now(), u.ID, u.StartedAt) {
+		r.deps.Meter.Count("departures", 1)
+		r.deps.Log.Info().Str("upstream", u.ID).Str("id", info.ID).Int64("born", u.StartedAt).Msg("upstream announced that it is leaving")
 	}
-	if a.response.Backoff > 0 {
-		r.deps.Log.Info().Str("upstream", id).Str("id", j.info.ID).Dur("for", a.response.Backoff).Msg("upstream requested a backoff")
+	if info.Backoff > 0 {
+		r.deps.Log.Info().Str("upstream", u.ID).Str("id", info.ID).Dur("for", info.Backoff).Msg("upstream requested a backoff")
 	}
 }
 
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -228,6 +228,7 @@
 		Table: b.currentTable, Configured: b.configured, Protocol: headerProtocol{}, Allocator: places, Tracker: b.tracker, Carrier: b.carrier,
 		Reserver: reserver.New("me-", b.memory, func() time.Duration { return time.Second }, zerolog.Nop()),
 		Prober: prober.New(prober.Deps{
+			Observe: func(tracker.Upstream, int, http.Header) {},
 			Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 			Rejected: func(status int, h http.Header) bool { return headerProtocol{}.ParseResponse(status, h).NotRun },
 		}),
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -109,6 +109,8 @@
 	// second from all VMs together. It applies until a response does not say so.
 	RateLimited bool
 	RateLimit   float64
+	// Upstream is the ID of the upstream that responded; empty if it does not say.
+	Upstream string
 	// Leaving is true if the upstream is about to stop and takes no new work.
 	Leaving bool
 	// Backoff is how long the upstream wants no more requests from this VM; 0 if it
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -551,3 +551,34 @@
 	assert.Equal(t, o.status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(b.requestsReceived()), 0)
 }
+
+// Two engines announce that they are leaving while memory is being reserved there for a
+// long prompt. The prompt must be sent to other engines, and neither of them may be asked
+// to help with it.
+func TestLeavingEnginesDoNotHelpWithPlacedPrompt(t *testing.T) {
+	b := newHarness(t, routes())
+	leaving := map[string]bool{}
+	for i, id := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
+		server := b.upstream(id, "model", events(1, false))
+		leaving[strings.TrimPrefix(server.URL, "http://")] = i < 2
+	}
+	b.memory.onReserve = func() {
+		b.tracker.ReportDeparture(time.Now(), "u1", 0)
+		b.tracker.ReportDeparture(time.Now(), "u2", 0)
+	}
+	for range 3 {
+		q := b.request(http.MethodPost, "/stream/x", "p")
+		q.Header.Set("Prompt", "400000")
+		o := b.do(q)
+		assert.NilError(t, o.err)
+		assert.Equal(t, o.status, http.StatusOK)
+	}
+	for _, received := range b.requestsReceived() {
+		upstream := received.header.Get("Upstream")
+		assert.Assert(t, upstream != "u1" && upstream != "u2", "%s got the prompt", upstream)
+		for _, helper := range received.header.Values("Helper") {
+			address, _, _ := strings.Cut(helper, "/")
+			assert.Assert(t, !leaving[address], "%s was asked to help", address)
+		}
+	}
+}
