Send nothing to an upstream that requested a backoff

Failures decay with a half-life of two seconds, after which the upstream was tried again, and the time that it had named went unread. The class: an upstream's own statement taken for a statistic.

Nothing kept to it.

Change: a VM keeps, per process of an upstream, until when it may send nothing there. It is that VM's alone, as others may send. VMs report theirs to the leaders of the group, at once and with each report of placements, and a leader leaves these upstreams out for requests of that VM only; a request that waits for this reason holds back no other VM's. Checked again after the grant, before memory is reserved, and, with the departures, once the connection is open: a connection to a busy upstream can take longer than the half second within which what is under way may still arrive. Health probes keep to it. What could only be served too late, as all upstreams want a pause, is refused at once with the time at which the first of them takes requests again, or moves to another zone.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -89,8 +89,15 @@
 	// MaxIdle limits the idle connections to the address when the exchange is closed:
 	// 0 means MaxIdlePerAddress, and a negative value means none.
 	MaxIdle int
+	// MaySend is asked once a connection is open; if it returns false nothing is sent
+	// and Send returns ErrWithheld. A new connection to a busy upstream may take so long
+	// that the request must not be sent any more. It may be nil.
+	MaySend func() bool
 }
 
+// ErrWithheld reports that a request was not sent because MaySend returned false.
+var ErrWithheld = errors.New("request withheld")
+
 // A Carrier sends requests to upstreams and keeps idle connections for reuse.
 type Carrier struct {
 	now func() time.Time
@@ -146,6 +153,10 @@
 		n.Close()
 		return nil, &SendError{Err: err}
 	}
+	if req.MaySend != nil && !req.MaySend() {
+		n.Close()
+		return nil, &SendError{Err: ErrWithheld}
+	}
 	inner, cancel := context.WithCancel(ctx)
 	x := &Exchange{Reused: reused, carrier: c, address: address, maxIdle: req.MaxIdle, conn: n, writeDone: make(chan error, 1), cancel: cancel}
 	// Closing the connection lets the upstream detect at once that the request was
--- a/entry/connection/carrier/carrier_test.go
+++ b/entry/connection/carrier/carrier_test.go
@@ -371,3 +371,27 @@
 		assert.Equal(t, conns.Load(), dials, "with %d idle connections", idle)
 	}
 }
+
+// An upstream announces that it is leaving while a connection to it is being opened. The
+// request that waits for the connection must not be sent there.
+func TestRequestIsWithheldIfItMayNoLongerBeSent(t *testing.T) {
+	received := &atomic.Int64{}
+	address, conns := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := r.ReadByte(); err == nil {
+			received.Add(1)
+		}
+		c.Close()
+	})
+	q := getRequest()
+	q.MaySend = func() bool { return false }
+	_, failure := carrier.New(time.Now).Send(t.Context(), address, q)
+	assert.ErrorIs(t, failure, carrier.ErrWithheld)
+	assert.Assert(t, !failure.Sent)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if conns.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no connection was opened")
+	})
+	assert.Equal(t, received.Load(), int64(0))
+}
--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -187,8 +187,8 @@
 	return m
 }
 
-// maxEntries is the maximum number of placements, of limits and of departures in
-// one datagram, chosen so that datagrams are not fragmented on the way.
+// maxEntries is the maximum number of placements, and of each kind of state of
+// upstreams, in one datagram, chosen so that datagrams are not fragmented on the way.
 const maxEntries = 12
 
 func (a *Allocator) flush() {
@@ -205,6 +205,10 @@
 			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Departures: m.Departures[:maxEntries]})
 			m.Departures = m.Departures[maxEntries:]
 		}
+		for len(m.Backoffs) > maxEntries {
+			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Backoffs: m.Backoffs[:maxEntries]})
+			m.Backoffs = m.Backoffs[maxEntries:]
+		}
 		a.transmit(at, m)
 	}
 	clear(a.outgoing)
@@ -303,11 +307,13 @@
 	a.locked(func(now time.Time) {
 		if m, self := a.leader(now, a.groupOf(u.Service, u.Zone)); !self {
 			out := a.outgoingTo(m.Address)
-			switch e.Finding { //nolint:exhaustive // the others are sent as they are
+			switch e.Finding {
 			case tracker.FoundLimit:
 				out.Limits = append(out.Limits, newWireLimit(now, u.ID, e.Limit))
 			case tracker.FoundDeparture:
 				out.Departures = append(out.Departures, newWireDeparture(now, e.Departure))
+			case tracker.FoundBackoff:
+				out.Backoffs = append(out.Backoffs, newWireBackoff(u.ID, e.For))
 			default:
 				out.Events = append(out.Events, newWireEvent(e))
 			}
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -92,7 +92,7 @@
 		a.lastID++
 		o.id, o.submitted = a.lastID, now
 		o.spec.Zone, o.spec.StopsAt = a.me.Zone, a.stopsAt
-		o.spec.Unreachable = a.deps.Tracker.Unreachable(now)
+		o.spec.Unreachable, o.spec.BackoffUntil = a.deps.Tracker.Unreachable(now), a.ownBackoff
 		o.group = a.initialGroup(c.Service.Name, a.me.Zone)
 		a.requests[o.id] = o
 		a.send(now, o)
@@ -191,8 +191,8 @@
 			}
 			return
 		}
-		if r != nil && r.Code == scheduler.CodeNoUpstream {
-			if zone, ok := a.betterZone(now, l, o.spec, o.hops); ok {
+		if r != nil && noneUsable(r) {
+			if zone, ok := a.betterZone(now, l, o.spec, o.hops, true); ok {
 				a.moveToZone(a.deps.Now(), o, zone)
 				return
 			}
@@ -212,7 +212,7 @@
 		return
 	}
 	o.local = queued
-	if zone, ok := a.betterZone(now, l, o.spec, o.hops); ok {
+	if zone, ok := a.betterZone(now, l, o.spec, o.hops, false); ok {
 		a.moveToZone(now, o, zone)
 	}
 }
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -85,6 +85,8 @@
 	// when. Reports that were sent earlier and still list them may arrive
 	// later.
 	released map[uint64]time.Time
+	// backoffs holds until when upstreams want no requests from the VM.
+	backoffs map[string]time.Time
 }
 
 // A remoteRequest is a request of another VM that waits here.
@@ -198,7 +200,7 @@
 		ok = false
 	}
 	if !ok {
-		h = &client{vm: m.VM, boot: m.Boot, requests: make(map[uint64]*remoteRequest), placements: make(map[uint64]*heldPlacement), released: make(map[uint64]time.Time)}
+		h = &client{vm: m.VM, boot: m.Boot, requests: make(map[uint64]*remoteRequest), placements: make(map[uint64]*heldPlacement), released: make(map[uint64]time.Time), backoffs: make(map[string]time.Time)}
 		a.clients[from] = h
 	}
 	if m.Boot < h.boot {
@@ -239,6 +241,7 @@
 	}
 	a.applyLimits(now, m.Limits)
 	a.applyDepartures(now, m.VM, m.Departures)
+	h.applyBackoffs(now, m.Backoffs)
 	for _, id := range m.Cancelled {
 		if o, ok := h.requests[id]; ok {
 			a.cancelRequest(h, id, o)
@@ -359,6 +362,12 @@
 	l.localOnly = false
 	o := &remoteRequest{group: l, spec: w.spec(now), hops: w.Hops, lastConfirmed: now}
 	o.spec.Service = service
+	o.spec.BackoffUntil = func(upstream string) time.Time {
+		if until := h.backoffs[upstream]; a.deps.Now().Before(until) {
+			return until
+		}
+		return time.Time{}
+	}
 	h.requests[w.ID] = o
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
@@ -367,7 +376,7 @@
 		return
 	}
 	out := a.outgoingTo(from)
-	if zone, ok := a.betterZone(now, l, o.spec, o.hops); ok {
+	if zone, ok := a.betterZone(now, l, o.spec, o.hops, false); ok {
 		a.cancelRequest(h, w.ID, o)
 		out.OtherZones = append(out.OtherZones, wireOtherZone{ID: w.ID, Zone: zone})
 		return
@@ -388,8 +397,8 @@
 	now := a.deps.Now()
 	out := a.outgoingTo(from)
 	if r != nil {
-		if r.Code == scheduler.CodeNoUpstream {
-			if zone, ok := a.betterZone(now, o.group, o.spec, o.hops); ok {
+		if noneUsable(r) {
+			if zone, ok := a.betterZone(now, o.group, o.spec, o.hops, true); ok {
 				out.OtherZones = append(out.OtherZones, wireOtherZone{ID: id, Zone: zone})
 				return
 			}
@@ -424,6 +433,7 @@
 				a.cancelRequest(h, id, o)
 			}
 		}
+		h.expireBackoffs(now)
 		for id, at := range h.released {
 			if now.Sub(at) > clientTimeout {
 				delete(h.released, id)
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -40,9 +40,11 @@
 	ReportedGroups []wireGroup `cbor:"26,keyasint,omitempty"`
 	// Events are observations about upstreams, Limits the rate limits that upstreams
 	// have named, and Departures the upstreams that have announced their leaving.
+	// Backoffs are the upstreams that want no requests from the sender for a while.
 	Events     []wireEvent     `cbor:"11,keyasint,omitempty"`
 	Limits     []wireLimit     `cbor:"27,keyasint,omitempty"`
 	Departures []wireDeparture `cbor:"28,keyasint,omitempty"`
+	Backoffs   []wireBackoff   `cbor:"29,keyasint,omitempty"`
 
 	// Grants and Refusals answer requests. Queued lists requests that wait,
 	// NotLeading those for which the receiver must use another leader, and
@@ -247,6 +249,18 @@
 	return tracker.Departure{Upstream: w.Upstream, StartedAt: w.StartedAt, AnnouncedAt: now.Add(-time.Duration(max(0, w.Age)) * time.Millisecond)}
 }
 
+// wireBackoff is for how many more milliseconds an upstream wants no requests from the
+// sender.
+type wireBackoff struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Left     int64
+}
+
+func newWireBackoff(upstream string, left time.Duration) wireBackoff {
+	return wireBackoff{Upstream: upstream, Left: left.Milliseconds()}
+}
+
 // wireSummary is the load of a group.
 type wireSummary struct {
 	_           struct{} `cbor:",toarray"`
--- a/entry/process/allocator/overflow.go
+++ b/entry/process/allocator/overflow.go
@@ -87,15 +87,24 @@
 	return sum
 }
 
+// noneUsable reports whether a request was refused because its VM may use no upstream of
+// the group.
+func noneUsable(r *scheduler.Refusal) bool {
+	return r.Code == scheduler.CodeNoUpstream || r.Code == scheduler.CodeBackoff
+}
+
 // betterZone returns a zone whose group has capacity for a request that has to
-// wait in this group. The summary is updated at once for each request that is
+// wait in this group, or that this group cannot serve at all if mustMove is set. The summary is updated at once for each request that is
 // sent there, so that not all waiting requests follow the same summary.
-func (a *Allocator) betterZone(now time.Time, l *ledGroup, c scheduler.Request, hops int) (zone string, ok bool) {
+func (a *Allocator) betterZone(now time.Time, l *ledGroup, c scheduler.Request, hops int, mustMove bool) (zone string, ok bool) {
 	g := l.group
 	if g.Zone == "" || hops >= maxHops {
 		return "", false
 	}
 	here := a.summaryOf(now, l)
+	if mustMove {
+		here.engines = 0
+	}
 	e := c.Service.Engine
 	long := e != nil && !placer.IsShort(e, c.Requirements.Prompt)
 	var best *summary
@@ -125,7 +134,7 @@
 func (a *Allocator) rebalance(now time.Time) {
 	for at, h := range a.clients {
 		for id, o := range h.requests {
-			if zone, ok := a.betterZone(now, o.group, o.spec, o.hops); ok {
+			if zone, ok := a.betterZone(now, o.group, o.spec, o.hops, false); ok {
 				a.cancelRequest(h, id, o)
 				out := a.outgoingTo(at)
 				out.OtherZones = append(out.OtherZones, wireOtherZone{ID: id, Zone: zone})
@@ -138,7 +147,7 @@
 			continue
 		}
 		if l, leads := a.ledGroups[o.group]; leads {
-			if zone, ok := a.betterZone(now, l, o.spec, o.hops); ok {
+			if zone, ok := a.betterZone(now, l, o.spec, o.hops, false); ok {
 				a.moveToZone(now, o, zone)
 			}
 		}
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -179,6 +179,7 @@
 func (a *Allocator) sendUpstreamState(now time.Time, to netip.AddrPort, g Group) {
 	a.sendLimits(now, to, g)
 	a.sendDepartures(now, to, g)
+	a.sendBackoffs(now, to, g)
 }
 
 // reportGroup reports this VM's placements, and what upstreams have announced, in a
--- a/entry/process/prober/prober.go
+++ b/entry/process/prober/prober.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	states := slices.DeleteFunc(p.deps.Tracker.Usable(r.startedAt, s.Name), func(u tracker.State) bool {
-		return r.startedAt.Before(u.ColdUntil) || r.startedAt.Before(u.LeavingUntil)
+		return r.startedAt.Before(u.ColdUntil) || r.startedAt.Before(u.LeavingUntil) || !p.deps.Tracker.BackoffUntil(r.startedAt, u.ID).IsZero()
 	})
 	states = states[:min(len(states), maxProbes)]
 	leaving := make([]bool, len(states))
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -138,12 +138,17 @@
 	if len(states) == 0 && !s.deps.Tracker.Outdated() {
 		return reply{refusal: &Refusal{Code: CodeNoUpstream, RetryAfter: defaultRetryAfter, WaitTimes: w.wait.stop(now)}}, true
 	}
+	states, backoffUntil := w.request.withoutBackoff(states)
+	if len(states) == 0 && w.timing.cannotFinish(backoffUntil, w.request.StopsAt) {
+		return reply{refusal: &Refusal{Code: CodeBackoff, RetryAfter: backoffUntil.Sub(now), WaitTimes: w.wait.stop(now)}}, true
+	}
 	placement, ok := s.choose(now, w, s.candidates(now, w.request, states))
 	if !ok {
 		// A request that no engine can start in time must not hold back later ones
-		// that have more time left.
-		w.blocks, w.retryAt = placement.Reason != placer.TooLate, now.Add(retryInterval)
-		if !w.blocks {
+		// that have more time left. One whose VM has to back off from some upstreams
+		// must not hold back those of other VMs.
+		w.blocks, w.retryAt = placement.Reason != placer.TooLate && backoffUntil.IsZero(), now.Add(retryInterval)
+		if placement.Reason == placer.TooLate {
 			w.retryAt = now.Add(tooLateRetryInterval)
 		}
 		p.blocked[c] = w.blocks
@@ -164,6 +169,31 @@
 	return slices.DeleteFunc(states, func(u tracker.State) bool { return u.Zone != s.zone })
 }
 
+// withoutBackoff returns those of the upstreams to which the requesting VM may send, and
+// when it may send to the first of the others; zero if there is none.
+func (r *Request) withoutBackoff(states []tracker.State) (allowed []tracker.State, until time.Time) {
+	if r.BackoffUntil == nil {
+		return states, time.Time{}
+	}
+	allowed = states
+	for i := range states {
+		ends := r.BackoffUntil(states[i].ID)
+		if ends.IsZero() {
+			continue
+		}
+		if until.IsZero() {
+			allowed = slices.Clone(states)
+		}
+		if until.IsZero() || ends.Before(until) {
+			until = ends
+		}
+	}
+	if until.IsZero() {
+		return allowed, until
+	}
+	return slices.DeleteFunc(allowed, func(u tracker.State) bool { return !r.BackoffUntil(u.ID).IsZero() }), until
+}
+
 func (s *Scheduler) choose(now time.Time, w *waiter, cs []placer.Candidate) (placer.Placement, bool) {
 	if w.request.Service.Engine == nil {
 		return placer.ChoosePlain(w.request.Requirements, cs)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	// that this VM cannot connect to.
 	Zone        string
 	Unreachable []string
+	// BackoffUntil returns until when that VM may not send anything to an upstream, or
+	// the zero time if it may. It may be nil.
+	BackoffUntil func(upstream string) time.Time
 	// StopsAt is when that VM shuts down; zero if no shutdown is planned.
 	StopsAt time.Time
 }
@@ -75,6 +78,10 @@
 // CodeNoUpstream refuses a request for a service without a usable upstream.
 const CodeNoUpstream = "no_upstream"
 
+// CodeBackoff refuses a request whose VM may send to none of the upstreams until it is too
+// late, because they asked it to back off.
+const CodeBackoff = "backoff"
+
 // CodeLate refuses a request that could not be completed in time.
 const CodeLate = "late"
 
--- a/entry/process/tracker/departure.go
+++ b/entry/process/tracker/departure.go
@@ -11,32 +11,47 @@
 	departureRetention = 10 * time.Minute
 )
 
-// A Departure records that the process of an upstream announced in a response that it is
-// leaving. Unlike the state of a listed upstream it outlives the upstream's entry: the
-// list may show the upstream as ready long after the announcement, and entries that
-// lapsed come back.
-type Departure struct {
-	Upstream string
-	// StartedAt is the start time of the process in Unix milliseconds, as listed at the
+// An announcement is something that the process of an upstream said about itself in a
+// response. It outlives the upstream's list entry: entries are late while the platform
+// is unavailable, lapse and come back.
+type announcement struct {
+	// startedAt is the start time of the process in Unix milliseconds, as listed at the
 	// announcement; 0 if it was not listed.
-	StartedAt int64
-	// AnnouncedAt is when a VM received the announcement.
-	AnnouncedAt time.Time
+	startedAt int64
+	at        time.Time
 }
 
-// covers reports whether a list entry describes the process that is leaving and not a
-// later one. The entry known at the announcement may have been of an earlier process, so
-// any process that had started well before it is covered as well.
-func (d Departure) covers(u *Upstream) bool {
+// newAnnouncement looks up the start time of the process if it is unknown. The caller
+// holds the lock.
+func (t *Tracker) newAnnouncement(at time.Time, id string, startedAt int64) announcement {
+	if s, ok := t.upstreams[id]; ok && startedAt == 0 {
+		startedAt = s.StartedAt
+	}
+	return announcement{startedAt, at}
+}
+
+// covers reports whether a list entry describes the process that made the announcement
+// and not a later one. The entry known at the announcement may have been of an earlier
+// process, so any process that had started well before it is covered as well.
+func (a announcement) covers(u *Upstream) bool {
 	switch {
-	case d.AnnouncedAt.IsZero():
+	case a.at.IsZero():
 		return false
-	case u.StartedAt == d.StartedAt, u.StartedAt == 0:
+	case u.StartedAt == a.startedAt, u.StartedAt == 0:
 		return true
-	case d.StartedAt == 0:
-		return u.StartedAt < d.AnnouncedAt.UnixMilli()
+	case a.startedAt == 0:
+		return u.StartedAt < a.at.UnixMilli()
 	}
-	return u.StartedAt < d.AnnouncedAt.Add(-maxClockSkew).UnixMilli()
+	return u.StartedAt < a.at.Add(-maxClockSkew).UnixMilli()
+}
+
+// A Departure is the announcement of an upstream's process that it is leaving.
+type Departure struct {
+	Upstream string
+	// StartedAt is the start time of the process in Unix milliseconds; 0 if unknown.
+	StartedAt int64
+	// AnnouncedAt is when a VM received the announcement.
+	AnnouncedAt time.Time
 }
 
 // ReportDeparture records that the process of an upstream, started at the given time in
@@ -55,20 +70,16 @@
 func (t *Tracker) MergeDeparture(now time.Time, d Departure) (isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if d.StartedAt == 0 {
-		if s, ok := t.upstreams[d.Upstream]; ok {
-			d.StartedAt = s.StartedAt
-		}
-	}
-	if t.departures[d.Upstream].covers(&Upstream{StartedAt: d.StartedAt}) {
+	a := t.newAnnouncement(d.AnnouncedAt, d.Upstream, d.StartedAt)
+	if t.departures[d.Upstream].covers(&Upstream{StartedAt: a.startedAt}) {
 		return false
 	}
 	for id, old := range t.departures {
-		if _, listed := t.upstreams[id]; !listed && now.Sub(old.AnnouncedAt) > departureRetention {
+		if _, listed := t.upstreams[id]; !listed && now.Sub(old.at) > departureRetention {
 			delete(t.departures, id)
 		}
 	}
-	t.departures[d.Upstream] = d
+	t.departures[d.Upstream] = a
 	return true
 }
 
@@ -77,9 +88,9 @@
 func (t *Tracker) Departures(service, zone string) (all []Departure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, d := range t.departures {
-		if s, ok := t.upstreams[id]; ok && s.Service == service && (zone == "" || s.Zone == zone) && d.covers(&s.Upstream) {
-			all = append(all, d)
+	for id, a := range t.departures {
+		if s, ok := t.upstreams[id]; ok && s.Service == service && (zone == "" || s.Zone == zone) && a.covers(&s.Upstream) {
+			all = append(all, Departure{id, a.startedAt, a.at})
 		}
 	}
 	return all
--- a/entry/process/tracker/event.go
+++ b/entry/process/tracker/event.go
@@ -26,6 +26,8 @@
 	FoundLimit
 	// FoundDeparture is an upstream that announced that it is leaving.
 	FoundDeparture
+	// FoundBackoff is an upstream that wants no requests from this VM for a while.
+	FoundBackoff
 )
 
 // An Event is something that a VM found out about upstreams.
@@ -33,8 +35,8 @@
 	Finding Finding
 	// Upstreams holds one ID, or several for FoundStall.
 	Upstreams []string
-	// For is the remaining cold start time of FoundCold, or the time without progress
-	// of FoundStall.
+	// For is the remaining cold start time of FoundCold, the time without progress of
+	// FoundStall, or the remaining time of FoundBackoff.
 	For time.Duration
 	// Limit is the limit of FoundLimit.
 	Limit Limit
@@ -75,6 +77,8 @@
 			t.updateLimit(id, e.Limit)
 		case FoundDeparture:
 			t.MergeDeparture(now, e.Departure)
+		case FoundBackoff:
+			// It concerns the VM that found it out, and not this one.
 		}
 	}
 }
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -80,8 +80,10 @@
 	// removed holds the last entries of upstreams that were removed, so that older
 	// entries which arrive later are ignored.
 	removed map[string]Upstream
-	// departures holds the announcements of upstreams that they are leaving.
-	departures map[string]Departure
+	// departures holds the announcements of upstreams that they are leaving, and backoffs
+	// those that they want no requests from this VM for a while.
+	departures map[string]announcement
+	backoffs   map[string]backoff
 	listener   func(Event)
 }
 
@@ -90,7 +92,7 @@
 func New() *Tracker {
 	return &Tracker{
 		upstreams: make(map[string]*State), disabledZones: make(map[string]bool), removed: make(map[string]Upstream),
-		departures: make(map[string]Departure),
+		departures: make(map[string]announcement), backoffs: make(map[string]backoff),
 	}
 }
 
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -83,7 +83,8 @@
 	answered outcome = iota
 	// retryable means that the request may be sent again if allowRetry agrees.
 	retryable
-	// retryGranted means that the retry was already taken from the budget.
+	// retryGranted means that the retry was already taken from the budget, or that
+	// nothing was sent to any upstream.
 	retryGranted
 	// final means that the request must not be sent again.
 	final
@@ -177,11 +178,12 @@
 // unusableUpstreams returns those upstreams of a placement to which this VM may send
 // nothing now. An engine that helps with a prompt may be missing in this VM's list.
 func (r *Relayer) unusableUpstreams(grant *allocator.Placement) (ids []string) {
-	if !r.deps.Tracker.IsUsable(grant.Upstream.ID) {
-		ids = append(ids, grant.Upstream.ID)
+	now := r.deps.Now()
+	if id := grant.Upstream.ID; !r.deps.Tracker.IsUsable(id) || !r.deps.Tracker.BackoffUntil(now, id).IsZero() {
+		ids = append(ids, id)
 	}
 	for _, h := range grant.Helpers {
-		if r.deps.Tracker.TakesNoWork(h.ID) {
+		if r.deps.Tracker.TakesNoWork(h.ID) || !r.deps.Tracker.BackoffUntil(now, h.ID).IsZero() {
 			ids = append(ids, h.ID)
 		}
 	}
@@ -308,6 +310,8 @@
 		r.deps.Log.Info().Str("upstream", u.ID).Str("id", info.ID).Int64("born", u.StartedAt).Msg("upstream announced that it is leaving")
 	}
 	if info.Backoff > 0 {
+		r.deps.Tracker.ReportBackoff(r.deps.Now(), u.ID, u.StartedAt, info.Backoff)
+		r.deps.Meter.Count("backoffs", 1)
 		r.deps.Log.Info().Str("upstream", u.ID).Str("id", info.ID).Dur("for", info.Backoff).Msg("upstream requested a backoff")
 	}
 }
@@ -351,6 +355,7 @@
 		// one turned out to be closed, it would be unknown whether the request ran.
 		NewConnection: !j.route.Repeatable(),
 		MaxIdle:       r.deps.MaxIdleConns(j.service.MaxConnections, a.grant.Upstream.ID),
+		MaySend:       func() bool { return len(r.unusableUpstreams(a.grant)) == 0 },
 	}
 	return q
 }
@@ -358,6 +363,11 @@
 // handleSendFailure handles an attempt without a response.
 func (r *Relayer) handleSendFailure(ctx context.Context, j *job, a *attempt, f *carrier.SendError) outcome {
 	id := a.grant.Upstream.ID
+	if errors.Is(f, carrier.ErrWithheld) && ctx.Err() == nil {
+		r.deps.Meter.Count("placements.returned", 1)
+		j.tried = append(j.tried, r.unusableUpstreams(a.grant)...)
+		return retryGranted
+	}
 	if f.Sent {
 		j.possibleRuns++
 	} else {
@@ -421,6 +431,7 @@
 	for _, h := range a.grant.Helpers {
 		if a.response.FaultyAddress != "" && h.Address == a.response.FaultyAddress {
 			id = h.ID
+			r.RecordAnnouncements(h.Upstream, ResponseInfo{ID: a.response.ID, Backoff: a.response.Backoff})
 		}
 	}
 	j.declines++
