--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -98,6 +98,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Born is the start of the worker's process that it reached.
+	Born int64
 	// Leaving is whether the response says that the worker leaves, and Backoff the
 	// time that it names in Retry-After; 0 where it names none.
 	Leaving bool
@@ -412,7 +414,7 @@
 		k.shedLeft--
 		backoff = k.shedFor
 	}
-	k.arrivals = append(k.arrivals, Arrival{ID: id, At: time.Now(), Leaving: k.leaving, Backoff: backoff})
+	k.arrivals = append(k.arrivals, Arrival{ID: id, At: time.Now(), Born: k.born, Leaving: k.leaving, Backoff: backoff})
 	if backoff > 0 {
 		return None, backoff, false
 	}
