Keep to the pause that a plain service requests, on the own interface too

The same cause as for the platform's upstreams: Retry-After of a call that a service reported as not run was passed to the caller and nothing else, so that each further call was sent there. The dispatcher keeps new work of this VM from the service until then. Engines of the own interface name no such time, and no upstream of it announces in responses that it leaves: operators take it out in the manifest.

TestBackoffThatAServiceRequestsIsKept and TestUpstreamThatRequestsBackoffGetsNoNewWork do not compile without it; no run of processes has shown the fault on this interface.

--- a/entry/process/dispatcher/candidate.go
+++ b/entry/process/dispatcher/candidate.go
@@ -21,7 +21,7 @@
 		if !group && slices.Contains(avoid, u.Name) {
 			continue
 		}
-		if p.dispatcher.avoids(u.Name) {
+		if p.dispatcher.avoids(now, u.Name) {
 			continue
 		}
 		if held && p.long(k, u) && slices.Contains(p.hold.names, u.Name) {
--- a/entry/process/dispatcher/dispatcher.go
+++ b/entry/process/dispatcher/dispatcher.go
@@ -117,11 +117,15 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+
+	backoffMu sync.Mutex
+	// backoffs holds until when upstreams want no requests from this VM.
+	backoffs map[string]time.Time
 }
 
 // New returns a Dispatcher without pools; Configure brings them.
 func New(c Config, s Supplier, v Speeds, now func() time.Time) *Dispatcher {
-	return &Dispatcher{config: c, supplier: s, speeds: v, now: now, pools: make(map[string]*pool)}
+	return &Dispatcher{config: c, supplier: s, speeds: v, now: now, pools: make(map[string]*pool), backoffs: make(map[string]time.Time)}
 }
 
 // Avoid names the upstreams that get no new work from now on; what runs there
@@ -131,9 +135,29 @@
 	d.avoided.Store(&names)
 }
 
-func (d *Dispatcher) avoids(name string) bool {
-	names := d.avoided.Load()
-	return names != nil && slices.Contains(*names, name)
+func (d *Dispatcher) avoids(now time.Time, name string) bool {
+	if names := d.avoided.Load(); names != nil && slices.Contains(*names, name) {
+		return true
+	}
+	d.backoffMu.Lock()
+	defer d.backoffMu.Unlock()
+	return now.Before(d.backoffs[name])
+}
+
+// BackOff keeps new work of this VM from an upstream that asked for it, for a duration. A
+// shorter one does not end a longer one.
+func (d *Dispatcher) BackOff(upstream string, wait time.Duration) {
+	d.backoffMu.Lock()
+	defer d.backoffMu.Unlock()
+	now := d.now()
+	for name, until := range d.backoffs {
+		if !now.Before(until) {
+			delete(d.backoffs, name)
+		}
+	}
+	if until := now.Add(wait); until.After(d.backoffs[upstream]) {
+		d.backoffs[upstream] = until
+	}
 }
 
 // Configure puts a version of the configuration in force. Requests that wait
--- a/entry/process/dispatcher/dispatcher_test.go
+++ b/entry/process/dispatcher/dispatcher_test.go
@@ -169,6 +169,24 @@
 	second.Done(dispatcher.Completed)
 }
 
+// An upstream asked this VM to send nothing for a while. Its places are free, but work sent
+// there would only be rejected.
+func TestUpstreamThatRequestsBackoffGetsNoNewWork(t *testing.T) {
+	r := newRig(t, 4, 10000, "e1", "e2")
+	r.BackOff("e1", time.Hour)
+	r.BackOff("e1", time.Millisecond)
+	for range 4 {
+		g, refusal := r.Acquire(t.Context(), r.call(100))
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, g.Names()[0], "e2")
+	}
+	r.BackOff("e3", 0)
+	waiting := r.acquire(t.Context(), r.call(100))
+	r.Pump()
+	assert.Equal(t, r.lender.inUse(), 4)
+	assert.Equal(t, len(waiting), 0)
+}
+
 // A caller goes away while its request waits, or in the very moment it gets its
 // place. The place must not stay taken.
 func TestACallerThatLeavesHoldsNoPlace(t *testing.T) {
--- a/entry/request/passer/crash_test.go
+++ b/entry/request/passer/crash_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,6 +23,8 @@
 	granted atomic.Int64
 }
 
+func (*rotatingAcquirer) BackOff(string, time.Duration) {}
+
 func (a *rotatingAcquirer) Acquire(context.Context, dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal) {
 	u := viewer.Upstream{Name: "b" + strconv.FormatInt(a.granted.Add(1), 10)}
 	u.Address = a.address
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -39,6 +39,8 @@
 // An Acquirer acquires slots at upstreams.
 type Acquirer interface {
 	Acquire(ctx context.Context, c dispatcher.Call) (*dispatcher.Grant, *refuser.Refusal)
+	// BackOff keeps new calls of this VM from an upstream for a duration.
+	BackOff(upstream string, wait time.Duration)
 }
 
 // An Observer is notified of evidence that an upstream is in cold start.
--- a/entry/request/passer/passer_test.go
+++ b/entry/request/passer/passer_test.go
@@ -76,6 +76,8 @@
 	return &dispatcher.Grant{Parts: []dispatcher.Part{{Upstream: c.Pool.Upstreams[0], Slot: fakeSlot(p)}}}, nil
 }
 
+func (fakeAcquirer) BackOff(string, time.Duration) {}
+
 type nopObserver struct{}
 
 func (nopObserver) ReportCold(string, uint64, string) {}
@@ -323,3 +325,29 @@
 
 // neverTrial lets no VM run a trial of a held call.
 func neverTrial(quarantiner.Fingerprint) bool { return false }
+
+// A backoffAcquirer records the backoffs that upstreams request.
+type backoffAcquirer struct {
+	fakeAcquirer
+	requested chan time.Duration
+}
+
+func (a backoffAcquirer) BackOff(_ string, wait time.Duration) { a.requested <- wait }
+
+// A service rejects a call and asks for a pause. The calls that follow would reach it all
+// the same if only the caller were told.
+func TestBackoffThatAServiceRequestsIsKept(t *testing.T) {
+	service := &fakeService{script: func(w http.ResponseWriter, _ int) {
+		w.Header().Set("Ran", "no")
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	upstream := httptest.NewServer(service)
+	defer upstream.Close()
+	requested := make(chan time.Duration, 10)
+	s := newProxyWithAcquirer(t, strings.TrimPrefix(upstream.URL, "http://"), backoffAcquirer{requested: requested})
+	a := send(t, s, http.MethodPost, "/services/booking/seats", "x")
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.header.Get("Retry-After"), "7")
+	assert.Equal(t, <-requested, 7*time.Second)
+}
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -202,11 +202,13 @@
 		if response.StatusCode == http.StatusServiceUnavailable {
 			p.deps.Observer.ReportCold(part.Upstream.Name, 0, "down")
 		}
-		seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
-		if err != nil {
-			seconds = 1
+		f := &failure{status: response.StatusCode, retryAfter: time.Second}
+		if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+			f.retryAfter = time.Duration(seconds) * time.Second
+			p.deps.Acquirer.BackOff(part.Upstream.Name, f.retryAfter)
+			p.deps.Meter.Count("service.backoffs", 1)
 		}
-		return nil, &failure{status: response.StatusCode, retryAfter: time.Duration(seconds) * time.Second}
+		return nil, f
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil || len(body) > maxResponseBytes {
