--- a/entry/process/replicator/replicator.go
+++ b/entry/process/replicator/replicator.go
@@ -57,18 +57,19 @@
 }
 
 // Merge adds records to the copy. With them the copy contains all records below end
-// as of the time asOf; end is 0 if that is unknown.
-func (c *Copy) Merge(rs []Record, end int64, asOf time.Time) {
+// as of the time asOf; end is 0 if that is unknown. It returns the number of records that
+// changed the copy.
+func (c *Copy) Merge(rs []Record, end int64, asOf time.Time) (accepted int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var accepted []Record
+	var changed []Record
 	for _, r := range rs {
 		old, ok := c.records[r.Key]
 		if ok && r.Offset <= old.Offset {
 			continue
 		}
 		c.records[r.Key] = r
-		accepted = append(accepted, r)
+		changed = append(changed, r)
 	}
 	c.silences.recordAnswer(asOf)
 	gap := c.silences.longest(c.asOf)
@@ -77,12 +78,13 @@
 		c.asOf = asOf
 		c.silences.discard(asOf)
 	}
-	if len(accepted) == 0 {
-		return
+	if len(changed) == 0 {
+		return 0
 	}
 	c.changes++
-	slices.SortFunc(accepted, func(a, b Record) int { return int(a.Offset - b.Offset) })
-	c.onChange(accepted, gap)
+	slices.SortFunc(changed, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	c.onChange(changed, gap)
+	return len(changed)
 }
 
 // RecordAnswer records that the platform answered some VM at a given time. A record
@@ -132,8 +134,8 @@
 
 // MergeSnapshot merges a full read of the stream and deletes every key that it does
 // not contain: the platform may discard the record of a deletion before this VM has
-// seen it.
-func (c *Copy) MergeSnapshot(rs []Record, end int64, asOf time.Time) {
+// seen it. It returns the number of records that changed the copy.
+func (c *Copy) MergeSnapshot(rs []Record, end int64, asOf time.Time) (accepted int) {
 	merged := slices.Clone(rs)
 	present := make(map[string]bool, len(rs))
 	for _, r := range rs {
@@ -149,7 +151,7 @@
 	c.floor = max(c.floor, end)
 	c.changes++
 	c.mu.Unlock()
-	c.Merge(merged, end, asOf)
+	return c.Merge(merged, end, asOf)
 }
 
 // End returns the offset below which no record is missing, and the time as of which
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -165,7 +165,8 @@
 			sleep(ctx, s.stream.Interval)
 			continue
 		case errors.Is(err, ErrNotRetained):
-			s.log.Info().Msg("platform no longer keeps the next records, reading the stream in full")
+			from, _ := s.stream.Copy.End()
+			s.log.Info().Int64("from", from).Msg("platform does not have the next records, reading the stream in full")
 			needSnapshot = true
 			continue
 		}
@@ -270,8 +271,9 @@
 		if err != nil {
 			return err
 		}
-		s.stream.Copy.MergeSnapshot(rs, end, asOf)
+		accepted := s.stream.Copy.MergeSnapshot(rs, end, asOf)
 		s.stream.Copy.MarkRead(asOf)
+		s.log.Info().Int64("from", from).Int64("end", end).Int("records", len(rs)).Int("accepted", accepted).Msg("stream read in full")
 		return nil
 	}
 	readCtx, cancel := context.WithTimeout(ctx, s.stream.Wait+readGrace)
