--- a/standin/broker/broker.go
+++ b/standin/broker/broker.go
@@ -64,11 +64,89 @@
 	mu     sync.Mutex
 	topics map[string]*topic
 	faults map[string]Fault
+	// era rises by one each time that the store comes back from a backup.
+	era int64
+	// written are the records that operators and upstreams wrote, in order.
+	written []write
+	calls   map[string]int
+}
+
+// A write is a keyed record that was written by another than the system.
+type write struct {
+	topic, key string
+	value      []byte
 }
 
 // New returns an empty Broker.
 func New() *Broker {
-	return &Broker{topics: make(map[string]*topic), faults: make(map[string]Fault)}
+	return &Broker{topics: make(map[string]*topic), faults: make(map[string]Fault), calls: make(map[string]int), era: 1}
+}
+
+// A Backup is a copy of all topics.
+type Backup struct {
+	topics  map[string]*topic
+	written int
+}
+
+// Backup returns a copy of what the store holds.
+func (b *Broker) Backup() *Backup {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &Backup{topics: clone(b.topics), written: len(b.written)}
+}
+
+func clone(from map[string]*topic) map[string]*topic {
+	all := make(map[string]*topic, len(from))
+	for name, t := range from {
+		all[name] = &topic{first: t.first, end: t.end, records: slices.Clone(t.records), newest: maps.Clone(t.newest), changed: make(chan struct{})}
+	}
+	return all
+}
+
+// Restore has the store come back from a backup. What was written since is gone, and its
+// offsets are given out again.
+func (b *Broker) Restore(k *Backup) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.topics
+	b.topics = clone(k.topics)
+	b.era++
+	for _, t := range old {
+		close(t.changed)
+	}
+}
+
+// WriteAgain writes what operators and upstreams had written since a backup and the store
+// has lost: the newest value of each key.
+func (b *Broker) WriteAgain(k *Backup) {
+	b.mu.Lock()
+	lost := slices.Clone(b.written[k.written:])
+	b.mu.Unlock()
+	type key struct{ topic, key string }
+	newest := make(map[key]int, len(lost))
+	for i, w := range lost {
+		newest[key{w.topic, w.key}] = i
+	}
+	for i, w := range lost {
+		if newest[key{w.topic, w.key}] == i {
+			b.Put(w.topic, w.key, w.value)
+		}
+	}
+}
+
+// Calls is how many calls a caller has made.
+func (b *Broker) Calls(caller string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[caller]
+}
+
+// count counts a call and returns the era.
+func (b *Broker) count(caller string) (era int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls[caller]++
+	return b.era
 }
 
 // Handler serves the store's calls to one caller, named so that faults can
@@ -109,6 +187,7 @@
 			next.ServeHTTP(w, q)
 			return
 		}
+		w.Header().Set("Store-Era", strconv.FormatInt(b.count(caller), 10))
 		switch f := b.struck(caller); f {
 		case Busy:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -241,8 +320,9 @@
 		t := b.topic(q.FormValue("Topic"))
 		changed, first, end := t.changed, t.first, t.end
 		records := t.records[min(len(t.records), max(0, int(from-first))):]
+		w.Header().Set("Store-Era", strconv.FormatInt(b.era, 10))
 		b.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			answer(w, http.StatusGone, map[string]int64{"FirstOffset": first})
 			return
 		}
@@ -286,6 +366,7 @@
 func (b *Broker) latest(w http.ResponseWriter, q *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(b.era, 10))
 	t := b.topic(q.FormValue("Topic"))
 	p := page{Entries: []entry{}, EndOffset: t.end}
 	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
@@ -331,6 +412,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	content := append(append([]byte{byte(len(key))}, key...), value...)
+	b.written = append(b.written, write{name, key, value})
 	return b.topic(name).add(name, [][]byte{content})
 }
 
