--- a/entry/process/gossiper/gossiper.go
+++ b/entry/process/gossiper/gossiper.go
@@ -192,7 +192,8 @@
 		return
 	}
 	remote := m
-	m.RemotePositions, m.Refused = g.remotePositions(now), g.refusedDigests(now)
+	m.RemotePositions, m.RemoteEras = g.remotePositions(now)
+	m.Refused = g.refusedDigests(now)
 	if sendRoster {
 		g.lastRosterAt = now
 		m.PeerAges, m.Peers = g.encodePeerAges(now, ""), g.describePeers(now)
@@ -269,7 +270,7 @@
 // newReport returns a message with this VM's state and read positions.
 func (g *Gossiper) newReport(now time.Time, positions map[string]StreamPosition) message {
 	m := g.newMessage()
-	m.Streams = encodePositions(now, positions)
+	m.Streams, m.StreamEras = encodePositions(now, positions)
 	return m
 }
 
@@ -277,16 +278,15 @@
 // than before. It must be called at most once, before the Gossiper is used.
 func (g *Gossiper) OnPeerAhead(call func()) { g.onPeerAhead = call }
 
-func encodePositions(now time.Time, positions map[string]StreamPosition) []wireStream {
-	var streams []wireStream
+func encodePositions(now time.Time, positions map[string]StreamPosition) (streams []wireStream, eras []int64) {
 	for name, position := range positions {
 		w := wireStream{Name: name, Offset: position.Offset, AgeMillis: unconfirmed, Failing: position.Failing}
 		if !position.ConfirmedAt.IsZero() {
 			w.AgeMillis = now.Sub(position.ConfirmedAt).Milliseconds()
 		}
-		streams = append(streams, w)
+		streams, eras = append(streams, w), append(eras, position.Era)
 	}
-	return streams
+	return streams, eras
 }
 
 func (g *Gossiper) newMessage() message {
--- a/entry/process/gossiper/gossiper_test.go
+++ b/entry/process/gossiper/gossiper_test.go
@@ -11,8 +11,12 @@
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
+// offsetOf returns a position whose era is unknown.
+func offsetOf(offset int64) replicator.Position { return replicator.Position{Offset: offset} }
+
 // A network queues datagrams between gossipers until a test delivers them.
 type network struct {
 	now       time.Time
@@ -63,7 +67,7 @@
 	a := address(i)
 	positions := map[string]gossiper.StreamPosition{}
 	for stream, offset := range offsets {
-		positions[stream] = gossiper.StreamPosition{Offset: offset, ConfirmedAt: n.now.Add(-time.Second)}
+		positions[stream] = gossiper.StreamPosition{Position: offsetOf(offset), ConfirmedAt: n.now.Add(-time.Second)}
 	}
 	n.positions[a] = positions
 	if n.zone != "" {
@@ -164,12 +168,12 @@
 	a.AddPeer(n.member(2))
 	a.AddPeer(n.member(3))
 	n.run(time.Second)
-	at, ok := a.MostAdvancedPeer("s", 5)
+	at, ok := a.MostAdvancedPeer("s", offsetOf(5))
 	assert.Assert(t, ok)
 	assert.Equal(t, at, address(2))
-	_, ok = a.MostAdvancedPeer("s", 9)
+	_, ok = a.MostAdvancedPeer("s", offsetOf(9))
 	assert.Assert(t, !ok)
-	_, ok = a.MostAdvancedPeer("other", 0)
+	_, ok = a.MostAdvancedPeer("other", offsetOf(0))
 	assert.Assert(t, !ok)
 }
 
@@ -246,8 +250,8 @@
 	a.AddPeer(n.member(2))
 	start := n.now
 	n.run(300 * time.Millisecond)
-	assert.Assert(t, a.ConfirmedAt("s", 8).IsZero(), "the stream extends beyond this offset")
-	at := a.ConfirmedAt("s", 9)
+	assert.Assert(t, a.ConfirmedAt("s", offsetOf(8)).IsZero(), "the stream extends beyond this offset")
+	at := a.ConfirmedAt("s", offsetOf(9))
 	assert.Assert(t, at.Sub(start.Add(-time.Second)).Abs() < 60*time.Millisecond, "%v", at.Sub(start))
 }
 
@@ -347,12 +351,12 @@
 	all := newFleet(n, zones, vmsPerZone)
 	n.run(3 * time.Second)
 	for i := range byte(vmsPerZone) {
-		n.positions[address(1+i)]["s"] = gossiper.StreamPosition{Offset: 0, Failing: true}
-		n.positions[address(1+vmsPerZone+i)]["s"] = gossiper.StreamPosition{Offset: 9, ConfirmedAt: n.now}
+		n.positions[address(1+i)]["s"] = gossiper.StreamPosition{Failing: true}
+		n.positions[address(1+vmsPerZone+i)]["s"] = gossiper.StreamPosition{Position: offsetOf(9), ConfirmedAt: n.now}
 	}
 	n.run(time.Second)
 	for i, g := range all[:vmsPerZone] {
-		at, ok := g.MostAdvancedPeer("s", 5)
+		at, ok := g.MostAdvancedPeer("s", offsetOf(5))
 		assert.Assert(t, ok && at.Compare(address(vmsPerZone)) > 0, "VM %d asks %v", i, at)
 		assert.Assert(t, n.now.Sub(g.LastConfirmed("s")) < 1200*time.Millisecond, "%v", n.now.Sub(g.LastConfirmed("s")))
 	}
@@ -387,3 +391,59 @@
 	n.run(4 * time.Second)
 	assert.Equal(t, len(restarted.ReachableMembers()), 7)
 }
+
+// The platform was restored from a backup, and the VM that reads it has fewer records than
+// before, at lower offsets. The others must find that it is ahead of them, and prefer it
+// to a VM whose build knows of no eras, whose offsets may be of an earlier one.
+func TestPeerInALaterEraIsAhead(t *testing.T) {
+	n := newNetwork()
+	a := n.start(1, 1, map[string]int64{"s": 10})
+	n.start(2, 1, map[string]int64{"s": 10})
+	n.start(3, 1, map[string]int64{"s": 12})
+	a.AddPeer(n.member(2))
+	a.AddPeer(n.member(3))
+	read := func(vm byte, era, offset int64) {
+		n.positions[address(vm)]["s"] = gossiper.StreamPosition{Position: replicator.Position{Era: era, Offset: offset}, ConfirmedAt: n.now}
+	}
+	read(2, 2, 10)
+	n.run(time.Second)
+	at, ok := a.MostAdvancedPeer("s", replicator.Position{Era: 2, Offset: 10})
+	assert.Assert(t, ok)
+	assert.Equal(t, at, address(3), "without an era only the offset counts")
+	read(2, 3, 4)
+	n.run(time.Second)
+	at, ok = a.MostAdvancedPeer("s", replicator.Position{Era: 2, Offset: 10})
+	assert.Assert(t, ok)
+	assert.Equal(t, at, address(2))
+	confirmed := n.now
+	read(2, 3, 4)
+	n.run(time.Second)
+	assert.Assert(t, a.ConfirmedAt("s", replicator.Position{Era: 2, Offset: 10}).Before(confirmed), "it confirms nothing of the earlier era")
+	assert.Assert(t, !a.ConfirmedAt("s", replicator.Position{Era: 3, Offset: 4}).Before(confirmed))
+}
+
+// The reader of another zone is known only through a relay, and its era must arrive with
+// its position.
+func TestRelaysForwardEras(t *testing.T) {
+	n := newNetwork()
+	n.zones[4] = "other"
+	a := n.start(1, 1, nil)
+	n.start(2, 1, nil)
+	n.start(3, 1, nil)
+	n.start(4, 1, nil)
+	for _, i := range []byte{1, 2, 3, 4} {
+		for _, j := range []byte{1, 2, 3, 4} {
+			if i != j {
+				n.nodes[address(i)].AddPeer(n.member(j))
+			}
+		}
+	}
+	n.positions[address(4)]["s"] = gossiper.StreamPosition{Position: replicator.Position{Era: 3, Offset: 4}, ConfirmedAt: n.now}
+	n.run(4 * time.Second)
+	last := n.nodes[address(3)]
+	for _, g := range []*gossiper.Gossiper{a, last} {
+		at, ok := g.MostAdvancedPeer("s", replicator.Position{Era: 2, Offset: 10})
+		assert.Assert(t, ok)
+		assert.Equal(t, at, address(4))
+	}
+}
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
 // ReachableMembers returns the other VMs from which heartbeats arrive.
@@ -69,8 +70,8 @@
 
 // A StreamPosition is how far this VM has read a stream of records.
 type StreamPosition struct {
-	Offset int64
-	// ConfirmedAt is when the platform last confirmed the offset to this VM itself, or
+	replicator.Position
+	// ConfirmedAt is when the platform last confirmed the position to this VM itself, or
 	// zero if it never did. Confirmations received by other VMs are not forwarded: each
 	// hop would make them look younger by its transit time, and VMs that all receive
 	// nothing from the platform would keep assuring one another that they are current.
@@ -80,10 +81,10 @@
 }
 
 // ConfirmedAt returns when the platform last confirmed to a reachable peer that a stream
-// did not extend beyond an offset.
-func (g *Gossiper) ConfirmedAt(stream string, offset int64) (at time.Time) {
+// did not extend beyond a position.
+func (g *Gossiper) ConfirmedAt(stream string, end replicator.Position) (at time.Time) {
 	g.forEachPosition(stream, func(_ *peer, position peerPosition) {
-		if position.offset <= offset {
+		if !position.IsAheadOf(end) {
 			at = later(at, position.confirmedAt)
 		}
 	})
@@ -97,18 +98,32 @@
 	return at
 }
 
-// MostAdvancedPeer returns the reachable peer that has read a stream furthest beyond an
-// offset. It prefers any such peer of this zone, because traffic between zones is
+// MostAdvancedPeer returns the reachable peer that has read a stream furthest beyond a
+// position. It prefers any such peer that names the era of its position, as the others may
+// be in an earlier one, and then any peer of this zone, because traffic between zones is
 // expensive.
-func (g *Gossiper) MostAdvancedPeer(stream string, offset int64) (peerAddress netip.AddrPort, ok bool) {
-	var best int64
+func (g *Gossiper) MostAdvancedPeer(stream string, than replicator.Position) (peerAddress netip.AddrPort, ok bool) {
+	var best peerPosition
 	bestIsLocal := false
 	g.forEachPosition(stream, func(p *peer, position peerPosition) {
+		if !position.IsAheadOf(than) {
+			return
+		}
 		isLocal := p.Zone == g.self.Zone
-		if position.offset <= offset || (bestIsLocal && !isLocal) || (bestIsLocal == isLocal && position.offset <= best) {
+		switch {
+		case !ok:
+		case (position.Era > 0) != (best.Era > 0):
+			if best.Era > 0 {
+				return
+			}
+		case isLocal != bestIsLocal:
+			if bestIsLocal {
+				return
+			}
+		case !best.Before(position.Position):
 			return
 		}
-		peerAddress, ok, best, bestIsLocal = p.Address, true, position.offset, isLocal
+		peerAddress, ok, best, bestIsLocal = p.Address, true, position, isLocal
 	})
 	return peerAddress, ok
 }
--- a/entry/process/gossiper/message.go
+++ b/entry/process/gossiper/message.go
@@ -37,6 +37,20 @@
 	Peers    []wirePeer `cbor:"11,keyasint,omitempty"`
 	// Shared is a part of the shared state, in that state's own encoding.
 	Shared []byte `cbor:"14,keyasint,omitempty"`
+	// StreamEras and RemoteEras hold the eras of the positions in Streams and in
+	// RemotePositions, in the same order. They are fields of their own because VMs of
+	// earlier builds reject positions with further elements.
+	StreamEras []int64 `cbor:"15,keyasint,omitempty"`
+	RemoteEras []int64 `cbor:"16,keyasint,omitempty"`
+}
+
+// eraAt returns the era of the position at an index, or 0 if the sender does not know of
+// eras.
+func eraAt(eras []int64, i int) int64 {
+	if i < len(eras) {
+		return eras[i]
+	}
+	return 0
 }
 
 // wireStream is the encoding of a StreamPosition.
--- a/entry/process/gossiper/receive.go
+++ b/entry/process/gossiper/receive.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
 // A peer is another VM.
@@ -30,18 +31,23 @@
 
 // A peerPosition is how far a peer has read a stream.
 type peerPosition struct {
-	offset int64
-	// confirmedAt is when the platform confirmed the offset to the peer, by this VM's clock.
+	replicator.Position
+	// confirmedAt is when the platform confirmed the position to the peer, by this VM's
+	// clock.
 	confirmedAt time.Time
 }
 
 // updatePosition records how far the peer has read a stream and reports whether that is
-// further than before.
-func (p *peer) updatePosition(now time.Time, w wireStream) (advanced bool) {
+// further than before. The era is 0 if the sender does not know of eras.
+func (p *peer) updatePosition(now time.Time, w wireStream, era int64) (advanced bool) {
 	position := p.positions[w.Name]
-	advanced = w.Offset > position.offset
-	if w.Offset >= position.offset {
-		position.offset = w.Offset
+	if era == 0 {
+		era = position.Era
+	}
+	reported := replicator.Position{Era: era, Offset: w.Offset}
+	advanced = position.Before(reported)
+	if !reported.Before(position.Position) {
+		position.Position = reported
 		if at := now.Add(-time.Duration(w.AgeMillis) * time.Millisecond); w.AgeMillis != unconfirmed && at.After(position.confirmedAt) {
 			position.confirmedAt = at
 		}
@@ -103,8 +109,8 @@
 	}
 	p.Zone, p.Cores = m.Zone, float64(m.Power)
 	p.refusedAt = time.Time{}
-	for _, w := range m.Streams {
-		advanced = p.updatePosition(now, w) || advanced
+	for i, w := range m.Streams {
+		advanced = p.updatePosition(now, w, eraAt(m.StreamEras, i)) || advanced
 		if w.Failing {
 			p.refusedAt = now
 		}
@@ -120,6 +126,6 @@
 		}
 	}
 	g.applyPeerAges(now, m.PeerAges)
-	g.applyRemotePositions(now, m.RemotePositions)
+	g.applyRemotePositions(now, m.RemotePositions, m.RemoteEras)
 	return newRun, advanced
 }
--- a/entry/process/gossiper/relay.go
+++ b/entry/process/gossiper/relay.go
@@ -200,8 +200,9 @@
 // others received: each hop would make them look younger by its transit time, and VMs that
 // all receive nothing from the platform would keep assuring one another that they are
 // current.
-func (g *Gossiper) remotePositions(now time.Time) []wireRemotePosition {
+func (g *Gossiper) remotePositions(now time.Time) (positions []wireRemotePosition, eras []int64) {
 	freshest := make(map[string]wireRemotePosition)
+	freshestEras := make(map[string]int64)
 	for _, p := range g.peers {
 		if p.Zone == g.self.Zone || now.Sub(p.directAt) > unreachableAfter {
 			continue
@@ -212,27 +213,27 @@
 			}
 			age := now.Sub(position.confirmedAt).Milliseconds()
 			if b, ok := freshest[name]; !ok || age < b.AgeMillis {
-				freshest[name] = wireRemotePosition{Address: p.Address.String(), Name: name, Offset: position.offset, AgeMillis: age}
+				freshest[name] = wireRemotePosition{Address: p.Address.String(), Name: name, Offset: position.Offset, AgeMillis: age}
+				freshestEras[name] = position.Era
 			}
 		}
 	}
-	var positions []wireRemotePosition
-	for _, w := range freshest {
-		positions = append(positions, w)
+	for name, w := range freshest {
+		positions, eras = append(positions, w), append(eras, freshestEras[name])
 	}
-	return positions
+	return positions, eras
 }
 
 // applyRemotePositions updates the peers of other zones from the positions that a relay
 // sent.
-func (g *Gossiper) applyRemotePositions(now time.Time, positions []wireRemotePosition) {
-	for _, w := range positions {
+func (g *Gossiper) applyRemotePositions(now time.Time, positions []wireRemotePosition, eras []int64) {
+	for i, w := range positions {
 		address, err := netip.ParseAddrPort(w.Address)
 		if err != nil {
 			continue
 		}
 		if p, ok := g.peers[address]; ok {
-			p.updatePosition(now, wireStream{Name: w.Name, Offset: w.Offset, AgeMillis: w.AgeMillis})
+			p.updatePosition(now, wireStream{Name: w.Name, Offset: w.Offset, AgeMillis: w.AgeMillis}, eraAt(eras, i))
 		}
 	}
 }
--- a/entry/process/gossiper/restart_test.go
+++ b/entry/process/gossiper/restart_test.go
@@ -100,12 +100,12 @@
 	b.SendHello()
 	n.deliver()
 	n.deliver()
-	_, ok := b.MostAdvancedPeer("s", 0)
+	_, ok := b.MostAdvancedPeer("s", offsetOf(0))
 	assert.Assert(t, !ok)
-	n.positions[address(1)]["s"] = gossiper.StreamPosition{Offset: 5, ConfirmedAt: n.now}
+	n.positions[address(1)]["s"] = gossiper.StreamPosition{Position: offsetOf(5), ConfirmedAt: n.now}
 	a.PublishOffsets()
 	n.deliver()
-	from, ok := b.MostAdvancedPeer("s", 0)
+	from, ok := b.MostAdvancedPeer("s", offsetOf(0))
 	assert.Assert(t, ok)
 	assert.Equal(t, from, address(1))
 	assert.Equal(t, notified, 1)
--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
@@ -88,16 +89,42 @@
 	positions := make(map[string]gossiper.StreamPosition, len(v.syncers))
 	for _, s := range v.syncers {
 		c := v.copies[s.Stream()]
-		if end, _ := c.End(); end > 0 || s.Failing() {
-			positions[s.Stream()] = gossiper.StreamPosition{Offset: v.relevantEnds[s.Stream()].Load(), ConfirmedAt: c.ReadAt(), Failing: s.Failing()}
+		if c.IsEmpty() && !s.Failing() {
+			continue
+		}
+		relevant := v.relevantEnds[s.Stream()].load()
+		if end, _ := c.End(); relevant.Era < end.Era {
+			// The platform was restored: others need all that it has now.
+			relevant = end
 		}
+		positions[s.Stream()] = gossiper.StreamPosition{Position: relevant, ConfirmedAt: c.ReadAt(), Failing: s.Failing()}
 	}
 	return positions
 }
 
 // markRelevant records that other VMs need a record, because it changes something.
 func (v *Process) markRelevant(stream string, r replicator.Record) {
-	v.relevantEnds[stream].Store(max(v.relevantEnds[stream].Load(), r.Offset+1))
+	v.relevantEnds[stream].advance(replicator.Position{Era: r.Era, Offset: r.Offset + 1})
+}
+
+// A relevantEnd is the position after the last record of a stream that changed anything.
+type relevantEnd struct {
+	mu  sync.Mutex
+	end replicator.Position
+}
+
+func (e *relevantEnd) load() replicator.Position {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.end
+}
+
+func (e *relevantEnd) advance(to replicator.Position) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.end.Before(to) {
+		e.end = to
+	}
 }
 
 // applyConfiguration applies records of the Configuration stream.
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -166,10 +166,8 @@
 	// vmListRead is closed once the first attempt to read the list of VMs has ended.
 	vmListRead chan struct{}
 	// registered is this VM's record in the list of VMs, or nil if it has none.
-	registered atomic.Pointer[allocator.Member]
-	// relevantEnds holds, for each stream, the offset after the last record that changed
-	// anything.
-	relevantEnds map[string]*atomic.Int64
+	registered   atomic.Pointer[allocator.Member]
+	relevantEnds map[string]*relevantEnd
 	copies       map[string]*replicator.Copy
 
 	table          atomic.Pointer[matcher.Table]
@@ -189,7 +187,7 @@
 		ticker: ticker.New(time.Now, tickInterval), tracker: tracker.New(), carrier: carrier.New(time.Now),
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), vmListRead: make(chan struct{}), configured: make(chan struct{}),
 		quarantineChanged: make(chan struct{}, 1),
-		relevantEnds:      map[string]*atomic.Int64{Configuration: {}, Upstreams: {}, VMs: {}},
+		relevantEnds:      map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&settings)
 	// Until a list of upstreams has been read, it counts as outdated.
@@ -200,6 +198,7 @@
 	v.copies[Configuration] = replicator.New(v.applyConfiguration)
 	v.copies[Upstreams] = replicator.New(v.applyUpstreams)
 	v.copies[VMs] = replicator.New(v.applyVMs)
+	v.setRestorePolicies()
 	address, err := netip.ParseAddrPort(v.datagrams.LocalAddr().String())
 	if err != nil {
 		return nil, err
@@ -294,6 +293,7 @@
 	v.ticker.Subscribe(idleSweepInterval, func(time.Time) { v.carrier.CloseExpired() })
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.gossiper.Tick)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLapsed)
+	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLost)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.retryBudget.recordMembers)
 	v.ticker.Subscribe(staleCheckInterval, func(time.Time) { v.checkOutdated() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine} {
--- a/entry/process/joiner/list_test.go
+++ b/entry/process/joiner/list_test.go
@@ -36,18 +36,18 @@
 // the allocator checks waiting requests.
 const entryReadTime = 4 * allocator.TickInterval
 
-func (p *slowPlatform) Newest(_ context.Context, stream string) ([]replicator.Record, int64, error) {
+func (p *slowPlatform) Newest(_ context.Context, stream string) ([]replicator.Record, replicator.Position, error) {
 	switch stream {
 	case joiner.Configuration:
-		return []replicator.Record{{Key: "config", Value: []byte("x")}}, 1, nil
+		return []replicator.Record{{Key: "config", Value: []byte("x")}}, replicator.Position{Offset: 1}, nil
 	case joiner.Upstreams:
 		<-p.listed
-		return []replicator.Record{{Key: "other", Value: []byte("x")}, {Key: "needed", Value: []byte("x"), Offset: 1}}, 2, nil
+		return []replicator.Record{{Key: "other", Value: []byte("x")}, {Key: "needed", Value: []byte("x"), Offset: 1}}, replicator.Position{Offset: 2}, nil
 	}
-	return nil, 1, nil
+	return nil, replicator.Position{Offset: 1}, nil
 }
 
-func (*slowPlatform) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]replicator.Record, int64, error) {
+func (*slowPlatform) Read(ctx context.Context, _ string, from replicator.Position, wait time.Duration) ([]replicator.Record, replicator.Position, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/entry/process/joiner/peers.go
+++ b/entry/process/joiner/peers.go
@@ -44,7 +44,7 @@
 // A fetcher fetches records from peers.
 type fetcher struct{ *gossiper.Gossiper }
 
-// Fetch fetches a peer's records of a stream, starting at an offset.
-func (f fetcher) Fetch(ctx context.Context, from netip.AddrPort, stream string, offset int64) (replicator.Page, error) {
-	return pager.Fetch(ctx, from, stream, offset, time.Now)
+// Fetch fetches a peer's records of a stream, starting at a position.
+func (f fetcher) Fetch(ctx context.Context, from netip.AddrPort, stream string, at replicator.Position) (replicator.Page, error) {
+	return pager.Fetch(ctx, from, stream, at, time.Now)
 }
--- a/entry/process/pager/pager.go
+++ b/entry/process/pager/pager.go
@@ -41,10 +41,12 @@
 	minCompressedBytes = 2 << 10
 )
 
-// Response headers: the offset below which no record is missing, the milliseconds
-// since the platform confirmed it, and whether the records are a full snapshot.
+// Response headers: the offset below which no record is missing and its era, the
+// milliseconds since the platform confirmed it, and whether the records are a full
+// snapshot. VMs of earlier builds send no era.
 const (
 	endHeader      = "Heathervane-End"
+	eraHeader      = "Heathervane-Era"
 	ageHeader      = "Heathervane-Age"
 	snapshotHeader = "Heathervane-Whole"
 )
@@ -68,9 +70,10 @@
 
 // A page holds the encoded records from an offset on.
 type page struct {
-	from, changes int64
-	data          []byte
-	compressed    bool
+	from       replicator.Position
+	changes    int64
+	data       []byte
+	compressed bool
 }
 
 // New returns a Pager for the given copies, by stream.
@@ -82,11 +85,16 @@
 func (p *Pager) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	stream := req.FormValue("stream")
 	c, ok := p.copies[stream]
-	from, err := strconv.ParseInt(req.FormValue("from"), 10, 64)
+	offset, err := strconv.ParseInt(req.FormValue("from"), 10, 64)
+	var era int64
+	if v := req.FormValue("era"); err == nil && v != "" {
+		era, err = strconv.ParseInt(v, 10, 64)
+	}
 	if !ok || err != nil {
 		http.Error(w, "no such stream or offset", http.StatusBadRequest)
 		return
 	}
+	from := replicator.Position{Era: era, Offset: offset}
 	state := c.State(from)
 	body, err := p.page(stream, c, from, state.Changes)
 	if err != nil {
@@ -95,7 +103,8 @@
 		return
 	}
 	h := w.Header()
-	h.Set(endHeader, strconv.FormatInt(state.End, 10))
+	h.Set(endHeader, strconv.FormatInt(state.End.Offset, 10))
+	h.Set(eraHeader, strconv.FormatInt(state.End.Era, 10))
 	h.Set(ageHeader, strconv.FormatInt(p.now().Sub(state.AsOf).Milliseconds(), 10))
 	h.Set(snapshotHeader, strconv.FormatBool(state.Snapshot))
 	if body.compressed {
@@ -106,9 +115,9 @@
 	}
 }
 
-// page returns the encoded records of a stream from an offset on, which may include
+// page returns the encoded records of a stream from a position on, which may include
 // later changes than the given count. Concurrent callers wait for a single encoding.
-func (p *Pager) page(stream string, c *replicator.Copy, from, changes int64) (*page, error) {
+func (p *Pager) page(stream string, c *replicator.Copy, from replicator.Position, changes int64) (*page, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if last, ok := p.pages[stream]; ok && last.from == from && last.changes >= changes {
@@ -151,11 +160,12 @@
 type query struct {
 	Stream string `url:"stream"`
 	From   int64  `url:"from"`
+	Era    int64  `url:"era,omitempty"`
 }
 
-// Fetch returns another VM's records from an offset on.
-func Fetch(ctx context.Context, from netip.AddrPort, stream string, offset int64, now func() time.Time) (replicator.Page, error) {
-	req, err := sling.New().Base("http://" + from.String()).Get(Path).QueryStruct(query{stream, offset}).Request()
+// Fetch returns another VM's records from a position on.
+func Fetch(ctx context.Context, from netip.AddrPort, stream string, at replicator.Position, now func() time.Time) (replicator.Page, error) {
+	req, err := sling.New().Base("http://" + from.String()).Get(Path).QueryStruct(query{stream, at.Offset, at.Era}).Request()
 	if err != nil {
 		return replicator.Page{}, Error.Wrap(err)
 	}
@@ -179,10 +189,13 @@
 		return replicator.Page{}, Error.Wrap(err)
 	}
 	var age int64
-	var parseErrs [3]error
-	p.End, parseErrs[0] = strconv.ParseInt(h.Get(endHeader), 10, 64)
+	var parseErrs [4]error
+	p.End.Offset, parseErrs[0] = strconv.ParseInt(h.Get(endHeader), 10, 64)
 	age, parseErrs[1] = strconv.ParseInt(h.Get(ageHeader), 10, 64)
 	p.Snapshot, parseErrs[2] = strconv.ParseBool(h.Get(snapshotHeader))
+	if v := h.Get(eraHeader); v != "" {
+		p.End.Era, parseErrs[3] = strconv.ParseInt(v, 10, 64)
+	}
 	if err = errors.Join(parseErrs[:]...); err != nil {
 		return replicator.Page{}, Error.Wrap(err)
 	}
--- a/entry/process/pager/pager_test.go
+++ b/entry/process/pager/pager_test.go
@@ -39,6 +39,9 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), m
 }
 
+// from returns a position whose era is unknown.
+func from(offset int64) replicator.Position { return replicator.Position{Offset: offset} }
+
 func newCopy() *replicator.Copy {
 	return replicator.New(func([]replicator.Record, time.Duration) {})
 }
@@ -47,14 +50,14 @@
 // a compressor for each request, a small VM would run out of memory.
 func TestSameRecordsAreEncodedOnce(t *testing.T) {
 	c := newCopy()
-	c.MergeSnapshot(records(200), 200, time.Now())
+	c.MergeSnapshot(records(200), from(200), time.Now())
 	at, m := serve(t, c)
 	var all sync.WaitGroup
 	for range 40 {
 		all.Go(func() {
-			p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+			p, err := pager.Fetch(t.Context(), at, "s", from(0), time.Now)
 			assert.Check(t, err)
-			assert.Check(t, len(p.Records) == 200 && p.End == 200 && p.Snapshot)
+			assert.Check(t, len(p.Records) == 200 && p.End == from(200) && p.Snapshot)
 		})
 	}
 	all.Wait()
@@ -64,16 +67,16 @@
 // A cached page must not hide records that arrived after it was encoded.
 func TestNewRecordsAreServed(t *testing.T) {
 	c := newCopy()
-	c.MergeSnapshot(records(3), 3, time.Now())
+	c.MergeSnapshot(records(3), from(3), time.Now())
 	at, _ := serve(t, c)
-	_, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	_, err := pager.Fetch(t.Context(), at, "s", from(0), time.Now)
 	assert.NilError(t, err)
-	c.Merge([]replicator.Record{{Key: "new", Value: []byte("x"), Offset: 3}}, 4, time.Now())
-	p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	c.Merge([]replicator.Record{{Key: "new", Value: []byte("x"), Offset: 3}}, from(4), time.Now())
+	p, err := pager.Fetch(t.Context(), at, "s", from(0), time.Now)
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.Records), 4)
-	assert.Equal(t, p.End, int64(4))
-	p, err = pager.Fetch(t.Context(), at, "s", 3, time.Now)
+	assert.Equal(t, p.End, from(4))
+	p, err = pager.Fetch(t.Context(), at, "s", from(3), time.Now)
 	assert.NilError(t, err)
 	assert.Equal(t, len(p.Records), 1)
 	assert.Assert(t, !p.Snapshot)
@@ -84,15 +87,15 @@
 // it.
 func TestAgeIsMeasuredFromLastConfirmation(t *testing.T) {
 	c := newCopy()
-	c.MergeSnapshot(records(1), 1, time.Now().Add(-2*time.Second))
+	c.MergeSnapshot(records(1), from(1), time.Now().Add(-2*time.Second))
 	at, _ := serve(t, c)
 	for range 2 {
-		p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+		p, err := pager.Fetch(t.Context(), at, "s", from(0), time.Now)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(p.AsOf) >= 2*time.Second)
 	}
 	c.Confirm(time.Now())
-	p, err := pager.Fetch(t.Context(), at, "s", 0, time.Now)
+	p, err := pager.Fetch(t.Context(), at, "s", from(0), time.Now)
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(p.AsOf) < time.Second)
 }
@@ -101,7 +104,7 @@
 // address, must not be taken for records.
 func TestErrorResponseIsAnError(t *testing.T) {
 	at, _ := serve(t, newCopy())
-	_, err := pager.Fetch(t.Context(), at, "unknown", 0, time.Now)
+	_, err := pager.Fetch(t.Context(), at, "unknown", from(0), time.Now)
 	assert.ErrorContains(t, err, "400")
 }
 
@@ -109,15 +112,15 @@
 // configuration has a few hundred kilobytes.
 func BenchmarkHundredVMs(b *testing.B) {
 	c := newCopy()
-	c.MergeSnapshot(records(300), 300, time.Now())
+	c.MergeSnapshot(records(300), from(300), time.Now())
 	at, _ := serve(b, c)
 	b.ReportAllocs()
 	for range b.N {
-		c.Merge([]replicator.Record{{Key: "key0", Value: []byte("x"), Offset: int64(400 + b.N)}}, int64(500+b.N), time.Now())
+		c.Merge([]replicator.Record{{Key: "key0", Value: []byte("x"), Offset: int64(400 + b.N)}}, from(int64(500+b.N)), time.Now())
 		var all sync.WaitGroup
 		for range 100 {
 			all.Go(func() {
-				_, err := pager.Fetch(b.Context(), at, "s", 0, time.Now)
+				_, err := pager.Fetch(b.Context(), at, "s", from(0), time.Now)
 				assert.Check(b, err)
 			})
 		}
--- a/entry/process/replicator/replicator_test.go
+++ b/entry/process/replicator/replicator_test.go
@@ -12,6 +12,9 @@
 
 var now = time.Unix(1_000_000, 0)
 
+// at returns a position whose era is unknown.
+func at(offset int64) replicator.Position { return replicator.Position{Offset: offset} }
+
 // Records arrive from the platform and from peers in any order, more than once, and
 // from reads that are seconds old. A VM that replaced a record with an older one
 // would accept a key that was revoked.
@@ -40,7 +43,7 @@
 				newest[r.Key] = max(newest[r.Key], r.Offset)
 				end = max(end, r.Offset+1)
 			}
-			c.Merge(rs, end, now)
+			c.Merge(rs, at(end), now)
 		}
 		for key, offset := range newest {
 			if seen[key] != offset {
@@ -59,12 +62,12 @@
 			deleted[r.Key] = r.Deleted
 		}
 	})
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}}, 3, now)
-	c.Merge([]replicator.Record{{Key: "new", Offset: 12}}, 0, now)
-	c.MergeSnapshot([]replicator.Record{{Key: "b", Offset: 2}}, 10, now)
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 2}}, at(3), now)
+	c.Merge([]replicator.Record{{Key: "new", Offset: 12}}, at(0), now)
+	c.MergeSnapshot([]replicator.Record{{Key: "b", Offset: 2}}, at(10), now)
 	assert.DeepEqual(t, deleted, map[string]bool{"a": true, "b": false, "new": false})
 	end, asOf := c.End()
-	assert.Equal(t, end, int64(10))
+	assert.Equal(t, end, at(10))
 	assert.Equal(t, asOf, now)
 }
 
@@ -72,14 +75,14 @@
 // from VM to VM do not appear fresher each time.
 func TestSinceReturnsRecordsFromOffset(t *testing.T) {
 	c := replicator.New(func([]replicator.Record, time.Duration) {})
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 5}}, 6, now)
-	p := c.Since(2)
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}, {Key: "b", Offset: 5}}, at(6), now)
+	p := c.Since(at(2))
 	assert.Equal(t, len(p.Records), 1)
 	assert.Equal(t, p.Records[0].Key, "b")
-	assert.Equal(t, p.End, int64(6))
+	assert.Equal(t, p.End, at(6))
 	assert.Equal(t, p.AsOf, now)
 	assert.Assert(t, !p.Snapshot)
-	c.Merge(nil, 4, now.Add(time.Second))
+	c.Merge(nil, at(4), now.Add(time.Second))
 	_, asOf := c.End()
 	assert.Equal(t, asOf, now, "an older end is no confirmation")
 }
@@ -90,10 +93,10 @@
 func TestGapIsTheTimeWithoutAnswers(t *testing.T) {
 	var gaps []time.Duration
 	c := replicator.New(func(_ []replicator.Record, gap time.Duration) { gaps = append(gaps, gap) })
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, 2, now)
-	c.Merge(nil, 2, now.Add(time.Second))
-	c.Merge([]replicator.Record{{Key: "a", Offset: 2}}, 3, now.Add(6*time.Second))
-	c.Merge([]replicator.Record{{Key: "a", Offset: 3}}, 4, now.Add(7*time.Second))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, at(2), now)
+	c.Merge(nil, at(2), now.Add(time.Second))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 2}}, at(3), now.Add(6*time.Second))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 3}}, at(4), now.Add(7*time.Second))
 	assert.DeepEqual(t, gaps, []time.Duration{0, 5 * time.Second, time.Second})
 }
 
@@ -107,17 +110,17 @@
 			deleted[r.Key] = r.Deleted
 		}
 	})
-	old.MergeSnapshot([]replicator.Record{{Key: "a", Offset: 1}, {Key: "gone", Offset: 2}}, 3, now)
+	old.MergeSnapshot([]replicator.Record{{Key: "a", Offset: 1}, {Key: "gone", Offset: 2}}, at(3), now)
 	fresh := replicator.New(func([]replicator.Record, time.Duration) {})
-	fresh.MergeSnapshot([]replicator.Record{{Key: "a", Offset: 1}}, 4, now.Add(time.Second))
-	page := fresh.Since(3)
+	fresh.MergeSnapshot([]replicator.Record{{Key: "a", Offset: 1}}, at(4), now.Add(time.Second))
+	page := fresh.Since(at(3))
 	assert.Assert(t, page.Snapshot)
 	old.MergePage(page)
 	assert.DeepEqual(t, deleted, map[string]bool{"a": false, "gone": true})
 	end, _ := old.End()
-	assert.Equal(t, end, int64(4))
-	old.Merge([]replicator.Record{{Key: "b", Offset: 4}}, 5, now.Add(2*time.Second))
-	assert.Assert(t, !old.Since(4).Snapshot, "nothing is missing from this offset on")
+	assert.Equal(t, end, at(4))
+	old.Merge([]replicator.Record{{Key: "b", Offset: 4}}, at(5), now.Add(2*time.Second))
+	assert.Assert(t, !old.Since(at(4)).Snapshot, "nothing is missing from this offset on")
 }
 
 // Copies that read the platform, read each other, restart and fall behind, in any
@@ -148,7 +151,7 @@
 					held[r.Key] = !r.Deleted
 				}
 			})
-			copies[i].MergeSnapshot(newest(), int64(len(log)), now)
+			copies[i].MergeSnapshot(newest(), at(int64(len(log))), now)
 		}
 		for i := range copies {
 			start(i)
@@ -162,11 +165,11 @@
 				})
 			case 1:
 				end, _ := copies[i].End()
-				copies[i].Merge(log[end:], int64(len(log)), now)
+				copies[i].Merge(log[end.Offset:], at(int64(len(log))), now)
 			case 2:
 				end, _ := copies[i].End()
 				from := copies[rapid.SampledFrom([]int{0, 1, 2, 3}).Draw(t, "from")]
-				if at, _ := from.End(); at > end {
+				if ahead, _ := from.End(); ahead.IsAheadOf(end) {
 					copies[i].MergePage(from.Since(end))
 				}
 			case 3:
@@ -174,7 +177,7 @@
 			}
 		}
 		for i, c := range copies {
-			if end, _ := c.End(); end != int64(len(log)) {
+			if end, _ := c.End(); end != at(int64(len(log))) {
 				continue
 			}
 			want := map[string]bool{}
--- a/entry/process/replicator/silence_test.go
+++ b/entry/process/replicator/silence_test.go
@@ -17,11 +17,11 @@
 func TestLateRecordsAreNotAnOutage(t *testing.T) {
 	var gaps []time.Duration
 	c := replicator.New(func(_ []replicator.Record, gap time.Duration) { gaps = append(gaps, gap) })
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, 2, now)
-	for at := 250 * time.Millisecond; at <= 2*time.Second; at += 250 * time.Millisecond {
-		c.RecordAnswer(now.Add(at))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, at(2), now)
+	for elapsed := 250 * time.Millisecond; elapsed <= 2*time.Second; elapsed += 250 * time.Millisecond {
+		c.RecordAnswer(now.Add(elapsed))
 	}
-	c.Merge([]replicator.Record{{Key: "a", Offset: 2, Deleted: true}}, 3, now.Add(1900*time.Millisecond))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 2, Deleted: true}}, at(3), now.Add(1900*time.Millisecond))
 	assert.DeepEqual(t, gaps, []time.Duration{0, 0})
 }
 
@@ -31,12 +31,12 @@
 func TestOutageIsReportedWithItsRecords(t *testing.T) {
 	var gaps []time.Duration
 	c := replicator.New(func(_ []replicator.Record, gap time.Duration) { gaps = append(gaps, gap) })
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, 2, now)
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, at(2), now)
 	c.RecordAnswer(now.Add(4 * time.Second))
 	c.RecordAnswer(now.Add(4250 * time.Millisecond))
-	c.Merge([]replicator.Record{{Key: "a", Offset: 2, Deleted: true}}, 3, now.Add(4100*time.Millisecond))
+	c.Merge([]replicator.Record{{Key: "a", Offset: 2, Deleted: true}}, at(3), now.Add(4100*time.Millisecond))
 	c.RecordAnswer(now.Add(4500 * time.Millisecond))
-	c.Merge([]replicator.Record{{Key: "b", Offset: 3, Deleted: true}}, 4, now.Add(4400*time.Millisecond))
+	c.Merge([]replicator.Record{{Key: "b", Offset: 3, Deleted: true}}, at(4), now.Add(4400*time.Millisecond))
 	assert.DeepEqual(t, gaps, []time.Duration{0, 4 * time.Second, 0})
 }
 
@@ -46,11 +46,11 @@
 	c := replicator.New(func([]replicator.Record, time.Duration) {})
 	c.RecordAnswer(now)
 	assert.Equal(t, c.Lag(), time.Duration(0), "an empty copy has no lag")
-	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, 2, now)
+	c.Merge([]replicator.Record{{Key: "a", Offset: 1}}, at(2), now)
 	assert.Equal(t, c.Lag(), time.Duration(0))
 	c.RecordAnswer(now.Add(2 * time.Second))
 	c.RecordAnswer(now.Add(time.Second))
 	assert.Equal(t, c.Lag(), 2*time.Second)
-	c.Merge(nil, 2, now.Add(2*time.Second))
+	c.Merge(nil, at(2), now.Add(2*time.Second))
 	assert.Equal(t, c.Lag(), time.Duration(0))
 }
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -19,9 +19,10 @@
 	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
-// ErrNotRetained reports that the platform no longer keeps the requested records, so
-// the stream has to be read in full again.
-var ErrNotRetained = errors.New("the requested records are no longer retained")
+// ErrNotRetained reports that the platform does not have the requested records: it no
+// longer keeps them, or lost them when it was restored from a backup. The stream has to
+// be read in full again.
+var ErrNotRetained = errors.New("the requested records are not retained")
 
 const (
 	// minBackoff is the wait after a failed read. It doubles with each further
@@ -56,12 +57,12 @@
 
 // A Source is the platform.
 type Source interface {
-	// Newest returns the newest record of each key, and an offset below which the
+	// Newest returns the newest record of each key, and a position below which the
 	// result is complete.
-	Newest(ctx context.Context, stream string) (rs []replicator.Record, end int64, err error)
-	// Read returns the records from an offset on. If there are none it waits for at
+	Newest(ctx context.Context, stream string) (rs []replicator.Record, end replicator.Position, err error)
+	// Read returns the records from a position on. If there are none it waits for at
 	// most the given time.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (rs []replicator.Record, end int64, err error)
+	Read(ctx context.Context, stream string, from replicator.Position, wait time.Duration) (rs []replicator.Record, end replicator.Position, err error)
 }
 
 // Peers are the other VMs.
@@ -77,13 +78,13 @@
 	// to a VM from which this one receives messages.
 	LastConfirmed(stream string) time.Time
 	// ConfirmedAt returns when the platform last confirmed to a VM that a stream has
-	// no records beyond an offset, or the zero time if none was.
-	ConfirmedAt(stream string, offset int64) time.Time
-	// MostAdvancedPeer returns the address of a VM that has read further than an
-	// offset.
-	MostAdvancedPeer(stream string, than int64) (netip.AddrPort, bool)
-	// Fetch returns another VM's records from an offset on.
-	Fetch(ctx context.Context, from netip.AddrPort, stream string, offset int64) (replicator.Page, error)
+	// no records beyond a position, or the zero time if none was.
+	ConfirmedAt(stream string, end replicator.Position) time.Time
+	// MostAdvancedPeer returns the address of a VM that has read further than a
+	// position.
+	MostAdvancedPeer(stream string, than replicator.Position) (netip.AddrPort, bool)
+	// Fetch returns another VM's records from a position on.
+	Fetch(ctx context.Context, from netip.AddrPort, stream string, at replicator.Position) (replicator.Page, error)
 }
 
 // A Stream configures how one stream of records is read.
@@ -117,8 +118,9 @@
 	createdAt    time.Time
 	// runStartedAt is when Run began. Only Run uses it.
 	runStartedAt time.Time
-	// wake receives a value when another VM has read further.
-	wake chan struct{}
+	// wake receives a value when another VM has read further, and reread when the
+	// platform is to be read without waiting for the end of the interval.
+	wake, reread chan struct{}
 	// failedAt is when the last read failed, in Unix milliseconds; 0 if it succeeded.
 	failedAt atomic.Int64
 }
@@ -126,7 +128,7 @@
 // New returns a Syncer for one stream.
 func New(s Stream, source Source, p Peers, now func() time.Time, log zerolog.Logger) *Syncer {
 	return &Syncer{
-		stream: s, source: source, peers: p, now: now, createdAt: now(), wake: make(chan struct{}, 1),
+		stream: s, source: source, peers: p, now: now, createdAt: now(), wake: make(chan struct{}, 1), reread: make(chan struct{}, 1),
 		log: log.With().Str("stream", s.Name).Logger(),
 	}
 }
@@ -136,9 +138,10 @@
 	backoff := minBackoff
 	lastRead := s.now()
 	s.runStartedAt = lastRead
-	// needSnapshot is set if the platform no longer keeps the records that this VM
-	// has not read.
+	// needSnapshot is set if the platform does not have the records that this VM has
+	// not read. snapshotAt is when that last led to a full read.
 	needSnapshot := false
+	var snapshotAt time.Time
 	for ctx.Err() == nil {
 		if !s.shouldRead() {
 			lastRead = s.now()
@@ -158,16 +161,25 @@
 				s.platformDown = false
 				s.log.Info().Dur("away", now.Sub(lastRead)).Msg("platform is available again")
 			}
+			if needSnapshot {
+				snapshotAt = now
+			}
 			needSnapshot, backoff, lastRead = false, minBackoff, now
 			if first && s.hasRecords() && s.stream.Shared {
 				s.peers.PublishOffsets()
 			}
-			sleep(ctx, s.stream.Interval)
+			s.awaitNextRead(ctx)
 			continue
 		case errors.Is(err, ErrNotRetained):
 			from, _ := s.stream.Copy.End()
-			s.log.Info().Int64("from", from).Msg("platform does not have the next records, reading the stream in full")
+			s.log.Info().Int64("from", from.Offset).Int64("era", from.Era).Msg("platform does not have the next records, reading the stream in full")
 			needSnapshot = true
+			if now.Sub(snapshotAt) < maxBackoff {
+				// The full read did not help. Without a pause, this VM would overload
+				// the platform.
+				sleep(ctx, backoff)
+				backoff = min(maxBackoff, 2*backoff)
+			}
 			continue
 		}
 		if !s.platformDown && ctx.Err() == nil && now.Sub(lastRead) > outageThreshold {
@@ -199,6 +211,29 @@
 	}
 }
 
+// Reread makes Run read the platform without waiting for the end of the interval. The
+// platform has been restored from a backup, which may have changed this stream too.
+func (s *Syncer) Reread() {
+	select {
+	case s.reread <- struct{}{}:
+	default:
+	}
+}
+
+// awaitNextRead waits for the end of the interval between two reads, or for Reread.
+func (s *Syncer) awaitNextRead(ctx context.Context) {
+	if s.stream.Interval <= 0 {
+		return
+	}
+	t := time.NewTimer(s.stream.Interval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-s.reread:
+	}
+}
+
 // pollInterval returns how often Run checks whether it has to read.
 func (s *Syncer) pollInterval() time.Duration {
 	if s.hasRecords() {
@@ -212,7 +247,7 @@
 // starts would make its own calls.
 func (s *Syncer) shouldStart() bool {
 	elapsed := s.now().Sub(s.runStartedAt)
-	if _, ahead := s.peers.MostAdvancedPeer(s.stream.Name, 0); ahead && elapsed < peerRecordsWait {
+	if _, ahead := s.peers.MostAdvancedPeer(s.stream.Name, replicator.Position{}); ahead && elapsed < peerRecordsWait {
 		return false
 	}
 	return elapsed >= peerRecordsWait || (elapsed >= peerDiscoveryWait && s.peers.ShouldReadAtStart())
@@ -227,8 +262,8 @@
 	if !s.stream.Shared {
 		return true
 	}
-	end, asOf := s.stream.Copy.End()
-	if end == 0 && s.failedAt.Load() == 0 {
+	_, asOf := s.stream.Copy.End()
+	if !s.hasRecords() && s.failedAt.Load() == 0 {
 		return s.shouldStart()
 	}
 	if asOf.IsZero() {
@@ -243,15 +278,12 @@
 	case gossiper.Follower:
 	}
 	answered := s.now().Sub(s.peers.LastConfirmed(s.stream.Name)) < s.stream.StaleAfter
-	return overdue >= followerGrace && (answered || end == 0)
+	return overdue >= followerGrace && (answered || !s.hasRecords())
 }
 
 // hasRecords reports whether this VM has read any records, so that peers may have
 // newer ones.
-func (s *Syncer) hasRecords() bool {
-	end, _ := s.stream.Copy.End()
-	return end > 0
-}
+func (s *Syncer) hasRecords() bool { return !s.stream.Copy.IsEmpty() }
 
 // hasSnapshot reports whether the stream has been read in full, so that reads may
 // continue from its end. This avoids repeated full reads of a stream that is still
@@ -273,7 +305,7 @@
 		}
 		accepted := s.stream.Copy.MergeSnapshot(rs, end, asOf)
 		s.stream.Copy.MarkRead(asOf)
-		s.log.Info().Int64("from", from).Int64("end", end).Int("records", len(rs)).Int("accepted", accepted).Msg("stream read in full")
+		s.log.Info().Int64("from", from.Offset).Int64("end", end.Offset).Int64("era", end.Era).Int("records", len(rs)).Int("accepted", accepted).Msg("stream read in full")
 		return nil
 	}
 	readCtx, cancel := context.WithTimeout(ctx, s.stream.Wait+readGrace)
@@ -307,7 +339,7 @@
 			behindSince = s.now()
 		}
 		overdue := s.stream.MaxLag > 0 && s.now().Sub(behindSince) >= s.stream.MaxLag
-		if end > 0 && s.now().Sub(asOf) < s.stream.StaleAfter && s.shouldRead() && !overdue {
+		if s.hasRecords() && s.now().Sub(asOf) < s.stream.StaleAfter && s.shouldRead() && !overdue {
 			continue
 		}
 		fetchCtx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -317,7 +349,7 @@
 			s.log.Info().Err(err).Str("peer", from.String()).Msg("could not fetch records from a peer")
 			continue
 		}
-		s.log.Debug().Str("peer", from.String()).Int("records", len(page.Records)).Int64("end", page.End).
+		s.log.Debug().Str("peer", from.String()).Int("records", len(page.Records)).Int64("end", page.End.Offset).Int64("era", page.End.Era).
 			Bool("whole", page.Snapshot).Dur("age", s.now().Sub(page.AsOf)).Msg("fetched records from a peer")
 		s.stream.Copy.MergePage(page)
 	}
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -30,28 +30,28 @@
 	reads     int
 }
 
-func (p *platform) Newest(context.Context, string) ([]replicator.Record, int64, error) {
+func (p *platform) Newest(context.Context, string) ([]replicator.Record, replicator.Position, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return nil, 0, errDown
+		return nil, at(0), errDown
 	}
 	p.truncated = false
 	p.snapshots++
-	return p.records, int64(len(p.records)), nil
+	return p.records, at(len(p.records)), nil
 }
 
-func (p *platform) Read(_ context.Context, _ string, from int64, _ time.Duration) ([]replicator.Record, int64, error) {
+func (p *platform) Read(_ context.Context, _ string, from replicator.Position, _ time.Duration) ([]replicator.Record, replicator.Position, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
 	switch {
 	case p.down:
-		return nil, 0, errDown
+		return nil, at(0), errDown
 	case p.truncated:
-		return nil, 0, syncer.ErrNotRetained
+		return nil, from, syncer.ErrNotRetained
 	}
-	return p.records[from:], int64(len(p.records)), nil
+	return p.records[from.Offset:], at(len(p.records)), nil
 }
 
 func (p *platform) set(change func()) {
@@ -90,7 +90,7 @@
 	}
 }
 
-func (p peers) ConfirmedAt(string, int64) time.Time {
+func (p peers) ConfirmedAt(string, replicator.Position) time.Time {
 	if p.ReadRole() == gossiper.Reader || p.stale {
 		return time.Time{}
 	}
@@ -99,14 +99,17 @@
 
 func (p peers) LastConfirmed(string) time.Time { return p.lastConfirmed }
 
-func (p peers) MostAdvancedPeer(_ string, than int64) (netip.AddrPort, bool) {
-	return netip.AddrPort{}, int64(len(p.records)) > than && (p.serving == nil || p.serving.Load())
+func (p peers) MostAdvancedPeer(_ string, than replicator.Position) (netip.AddrPort, bool) {
+	return netip.AddrPort{}, at(len(p.records)).IsAheadOf(than) && (p.serving == nil || p.serving.Load())
 }
 
-func (p peers) Fetch(_ context.Context, _ netip.AddrPort, _ string, from int64) (replicator.Page, error) {
-	return replicator.Page{Records: p.records[from:], End: int64(len(p.records)), AsOf: time.Now().Add(-30 * time.Millisecond)}, nil
+func (p peers) Fetch(_ context.Context, _ netip.AddrPort, _ string, from replicator.Position) (replicator.Page, error) {
+	return replicator.Page{Records: p.records[from.Offset:], End: at(len(p.records)), AsOf: time.Now().Add(-30 * time.Millisecond)}, nil
 }
 
+// at returns a position whose era is unknown.
+func at(offset int) replicator.Position { return replicator.Position{Offset: int64(offset)} }
+
 func record(key string, offset int64) replicator.Record {
 	return replicator.Record{Key: key, Offset: offset}
 }
@@ -132,10 +135,10 @@
 	return c
 }
 
-func waitForEnd(t *testing.T, c *replicator.Copy, end int64) {
+func waitForEnd(t *testing.T, c *replicator.Copy, end int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if at, _ := c.End(); at == end {
+		if reached, _ := c.End(); reached.Offset == int64(end) {
 			return poll.Success()
 		}
 		return poll.Continue("the copy has not reached the end")
@@ -227,10 +230,10 @@
 // stallingPlatform does not answer a long poll when there are new records.
 type stallingPlatform struct{ platform }
 
-func (f *stallingPlatform) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]replicator.Record, int64, error) {
+func (f *stallingPlatform) Read(ctx context.Context, _ string, from replicator.Position, wait time.Duration) ([]replicator.Record, replicator.Position, error) {
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, from, ctx.Err()
 	case <-time.After(wait):
 		return nil, from, nil
 	}
@@ -309,3 +312,44 @@
 	p.set(func() { p.records = append(p.records, record("a", 0)) })
 	waitForEnd(t, c, 1)
 }
+
+// A platform whose full reads bring nothing that its other reads accept must not be called
+// in a tight loop: each of these calls has a cost, and together they keep it from
+// answering others.
+func TestFullReadsThatDoNotHelpArePaced(t *testing.T) {
+	p := &brokenPlatform{platform{records: []replicator.Record{record("a", 0)}}}
+	start(t, p, peers{})
+	time.Sleep(time.Second)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Assert(t, p.snapshots > 0 && p.snapshots < 10, "%d full reads in a second", p.snapshots)
+}
+
+// brokenPlatform never has the records from an offset on.
+type brokenPlatform struct{ platform }
+
+func (*brokenPlatform) Read(_ context.Context, _ string, from replicator.Position, _ time.Duration) ([]replicator.Record, replicator.Position, error) {
+	return nil, from, syncer.ErrNotRetained
+}
+
+// The platform was restored from a backup, as the reading of another stream has shown. This
+// one must not wait for the end of its interval.
+func TestRereadEndsTheInterval(t *testing.T) {
+	p := &platform{records: []replicator.Record{record("a", 0)}}
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
+	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Interval: time.Hour, StaleAfter: time.Hour}, p, peers{}, time.Now, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	waitForEnd(t, c, 1)
+	p.set(func() { p.records = append(p.records, record("b", 1)) })
+	s.Reread()
+	waitForEnd(t, c, 2)
+}
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -102,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[u.ID]
-	if (ok && s.newerThan(u)) || t.removed[u.ID].newerThan(u) {
+	if (ok && s.NewerThan(u)) || t.removed[u.ID].NewerThan(u) {
 		return false
 	}
 	if !ok || (u.StartedAt != s.StartedAt && u.StartedAt != 0) {
@@ -125,10 +125,10 @@
 	return changed
 }
 
-// newerThan reports whether u was written after another entry of the same upstream.
+// NewerThan reports whether u was written after another entry of the same upstream.
 // The platform may carry out a write late: an entry that says "ready" must not bring
 // back an upstream that has since started draining or stopped.
-func (u Upstream) newerThan(other Upstream) bool {
+func (u Upstream) NewerThan(other Upstream) bool {
 	if u.StartedAt != other.StartedAt {
 		return u.StartedAt > other.StartedAt
 	}
