Store VMs' own records again after the platform was restored

VMs' addresses and the requests in quarantine, which only VMs write, were gone for good once the platform came back from a backup: each VM knew that they had been stored, and wrote them no more. A VM that started was known to others only by datagrams, and a restart of all VMs ended the quarantine of a request that crashes upstreams.

Cause: an acknowledgement taken for a promise that holds for ever. Ruled out: that the full reading of the stream of VMs does not take place; it does, as the reading of the configuration makes it.

Change: with the first full reading of an era a VM whose record is missing, or that of an earlier run of it at another address, registers again.

TestLostRecordIsStoredAgain has the decision alone.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -253,8 +253,12 @@
 		}
 		v.markRelevant(VMs, r)
 		v.gossiper.AddPeer(m)
-		if m.VM == v.self.VM {
-			v.registered.Store(&m)
+		if m.VM != v.self.VM {
+			continue
+		}
+		if old := v.registered.Swap(&m); old != nil && *old == v.self && m != v.self {
+			// A restored platform has the record of an earlier run at another address.
+			notify(v.registrationLost)
 		}
 	}
 }
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -165,6 +165,8 @@
 	listed     atomic.Bool
 	// vmListRead is closed once the first attempt to read the list of VMs has ended.
 	vmListRead chan struct{}
+	// registrationLost receives a value when the platform no longer has this VM's record.
+	registrationLost chan struct{}
 	// registered is this VM's record in the list of VMs, or nil if it has none.
 	registered   atomic.Pointer[allocator.Member]
 	relevantEnds map[string]*relevantEnd
@@ -186,8 +188,8 @@
 		platform: platform, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
 		ticker: ticker.New(time.Now, tickInterval), tracker: tracker.New(), carrier: carrier.New(time.Now),
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), vmListRead: make(chan struct{}), configured: make(chan struct{}),
-		quarantineChanged: make(chan struct{}, 1),
-		relevantEnds:      map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
+		quarantineChanged: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1),
+		relevantEnds: map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&settings)
 	// Until a list of upstreams has been read, it counts as outdated.
@@ -296,7 +298,7 @@
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLost)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.retryBudget.recordMembers)
 	v.ticker.Subscribe(staleCheckInterval, func(time.Time) { v.checkOutdated() })
-	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine} {
+	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine, v.keepRegistered} {
 		wg.Go(func() { run(ctx) })
 	}
 	for _, s := range v.syncers {
--- a/entry/process/joiner/restore.go
+++ b/entry/process/joiner/restore.go
@@ -1,9 +1,12 @@
 package joiner
 
 import (
+	"context"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
+	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 )
 
 // configRetention is how long the zones out of service stay so after the platform was
@@ -20,7 +23,7 @@
 	v.copies[Upstreams].SetRestorePolicy(replicator.RestorePolicy{
 		Retention: lapsedGracePeriod, IsOlder: v.isOlderEntry, OnRestore: func(r replicator.Restore) { v.onRestore(Upstreams, r) },
 	})
-	v.copies[VMs].SetRestorePolicy(replicator.RestorePolicy{OnRestore: func(r replicator.Restore) { v.onRestore(VMs, r) }})
+	v.copies[VMs].SetRestorePolicy(replicator.RestorePolicy{OnRestore: v.onVMsRestored})
 }
 
 // isOlderConfig reports whether a is an older version of the configuration than b.
@@ -48,6 +51,35 @@
 	}
 }
 
+// onVMsRestored makes this VM store its records again if the platform has lost them.
+func (v *Process) onVMsRestored(r replicator.Restore) {
+	v.onRestore(VMs, r)
+	if !r.Present[v.self.VM] {
+		notify(v.registrationLost)
+	}
+	kept := make(map[fingerprinter.Fingerprint]bool)
+	for key := range r.Present {
+		if q, ok, err := v.platform.ParseQuarantine(replicator.Record{Key: key, Deleted: true}); ok && err == nil {
+			kept[q.Fingerprint] = true
+		}
+	}
+	v.quarantine.MarkLost(kept, v.gossiper.ReadRole() == gossiper.Reader)
+	notify(v.quarantineChanged)
+}
+
+// keepRegistered registers this VM again whenever the platform has lost its record.
+func (v *Process) keepRegistered(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.registrationLost:
+			v.register(ctx)
+			v.log.Info().Msg("registered this VM again")
+		}
+	}
+}
+
 // expireLost drops what a restored platform lost and nobody wrote again.
 func (v *Process) expireLost(time.Time) {
 	for name, c := range v.copies {
--- a/entry/process/quarantiner/ledger_test.go
+++ b/entry/process/quarantiner/ledger_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 )
@@ -200,3 +202,31 @@
 	assert.DeepEqual(t, l.Expire(at(6)), []fingerprinter.Fingerprint{request})
 	assert.Equal(t, len(l.Expire(at(7))), 0)
 }
+
+// The platform was restored from a backup that lacks the record of a held request. Every
+// VM knows that it was stored, and without being told otherwise none would store it again;
+// the next restart of all VMs would then end the quarantine.
+func TestLostRecordIsStoredAgain(t *testing.T) {
+	now := start
+	q := quarantiner.New(quarantiner.Deps{
+		Meter: meter.New(), Now: func() time.Time { return now }, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: neverTrial,
+	})
+	record := quarantiner.Record{Fingerprint: request, Since: start}
+	q.Restore(record)
+	store, _ := q.Reconcile()
+	assert.Equal(t, len(store), 0)
+	q.MarkLost(map[fingerprinter.Fingerprint]bool{request: true}, true)
+	store, _ = q.Reconcile()
+	assert.Equal(t, len(store), 0, "the backup has it")
+	q.MarkLost(nil, false)
+	now = now.Add(time.Second)
+	store, _ = q.Reconcile()
+	assert.Equal(t, len(store), 0, "another VM may store it first")
+	q.MarkLost(nil, true)
+	store, _ = q.Reconcile()
+	assert.Equal(t, len(store), 1)
+	q.MarkStored(store[0])
+	now = now.Add(time.Minute)
+	store, _ = q.Reconcile()
+	assert.Equal(t, len(store), 0)
+}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -64,6 +64,8 @@
 	waiting map[fingerprinter.Fingerprint]map[*waiter]bool
 	// lastStoreAttempt is when the platform was last asked to record a hold.
 	lastStoreAttempt map[fingerprinter.Fingerprint]time.Time
+	// lost are the requests whose records the platform had and has lost.
+	lost map[fingerprinter.Fingerprint]bool
 }
 
 type waiter struct{ cancel context.CancelCauseFunc }
@@ -72,7 +74,7 @@
 func New(d Deps) *Quarantiner {
 	return &Quarantiner{
 		deps: d, ledger: NewLedger(), waiting: make(map[fingerprinter.Fingerprint]map[*waiter]bool),
-		lastStoreAttempt: make(map[fingerprinter.Fingerprint]time.Time),
+		lastStoreAttempt: make(map[fingerprinter.Fingerprint]time.Time), lost: make(map[fingerprinter.Fingerprint]bool),
 	}
 }
 
@@ -266,6 +268,7 @@
 	if since.After(now) {
 		since = now
 	}
+	delete(q.lost, r.Fingerprint)
 	e := Entry{Fingerprint: r.Fingerprint, RecordedSince: since, LastArrival: now, Stored: r.state()}
 	if r.Confirmed {
 		e.Confirmed = since
@@ -289,6 +292,26 @@
 	defer q.mu.Unlock()
 	q.ledger.MarkStored(r.Fingerprint, r.state())
 	delete(q.lastStoreAttempt, r.Fingerprint)
+	delete(q.lost, r.Fingerprint)
+}
+
+// MarkLost records that the platform has lost all records but those of the given
+// requests. The records of requests that are held are to be stored again: at once if
+// urgent is set, otherwise unless another VM does so first.
+func (q *Quarantiner) MarkLost(kept map[fingerprinter.Fingerprint]bool, urgent bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range q.ledger.AllHeld() {
+		f := e.Fingerprint
+		if kept[f] {
+			continue
+		}
+		q.lost[f] = true
+		delete(q.lastStoreAttempt, f)
+		if !urgent {
+			q.lastStoreAttempt[f] = q.deps.Now()
+		}
+	}
 }
 
 // Reconcile drops expired entries. It returns the records that the platform should be
@@ -304,10 +327,11 @@
 			wait = storeForOthers
 		}
 		since, ok := q.lastStoreAttempt[e.Fingerprint]
-		if !ok && !e.local {
+		lost := q.lost[e.Fingerprint]
+		if !ok && !e.local && !lost {
 			since = e.changedAt
 		}
-		if e.Stored >= e.wantStored() || now.Sub(since) < wait {
+		if (e.Stored >= e.wantStored() && !lost) || now.Sub(since) < wait {
 			continue
 		}
 		q.lastStoreAttempt[e.Fingerprint] = now
@@ -318,6 +342,11 @@
 			delete(q.lastStoreAttempt, f)
 		}
 	}
+	for f := range q.lost {
+		if !q.ledger.Known(f) {
+			delete(q.lost, f)
+		}
+	}
 	return store, drop
 }
 
