Do not use an upstream again whose last entry a restored platform lists

An upstream that drained and was removed stands in an older backup of the platform, with its last entry of then or before. Entries that are older than that of the removal were ignored; the very same one was not, so that a VM sent requests to an upstream that it had seen go. Found while reading what a restore can bring back; no run of processes has shown it, as the process that leaves writes another entry before.

TestRemovedUpstreamIsNotUsableAgainAfterARestore failed before.

--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -102,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.upstreams[u.ID]
-	if (ok && s.NewerThan(u)) || t.removed[u.ID].NewerThan(u) {
+	if (ok && s.NewerThan(u)) || t.removed[u.ID].NewerThan(u) || t.isRemovedEntry(u) {
 		return false
 	}
 	if !ok || (u.StartedAt != s.StartedAt && u.StartedAt != 0) {
@@ -125,6 +125,13 @@
 	return changed
 }
 
+// isRemovedEntry reports whether u is the last entry of an upstream that was removed. A
+// platform that was restored from a backup may list it again.
+func (t *Tracker) isRemovedEntry(u Upstream) bool {
+	last, ok := t.removed[u.ID]
+	return ok && u.Sequence > 0 && last.Sequence == u.Sequence && last.StartedAt == u.StartedAt
+}
+
 // NewerThan reports whether u was written after another entry of the same upstream.
 // The platform may carry out a write late: an entry that says "ready" must not bring
 // back an upstream that has since started draining or stopped.
--- a/entry/process/tracker/tracker_test.go
+++ b/entry/process/tracker/tracker_test.go
@@ -223,3 +223,18 @@
 	assert.Assert(t, tr.IsUsable("a"))
 	assert.Equal(t, len(tr.Usable(now, "s")), 1)
 }
+
+// A platform that was restored from a backup lists an upstream again that had been
+// removed, with the entry that it had last. It must not get requests. An entry that its
+// process has written since shows that it lives.
+func TestRemovedUpstreamIsNotUsableAgainAfterARestore(t *testing.T) {
+	tr := tracker.New()
+	last := upstream("a")
+	tr.Put(now, last)
+	tr.Remove(now, "a", false)
+	assert.Assert(t, !tr.Put(now, last))
+	assert.Equal(t, tr.Len(), 0)
+	last.Sequence++
+	assert.Assert(t, tr.Put(now, last))
+	assert.Assert(t, tr.IsUsable("a"))
+}
