Replay of the quarantine: a hold is stored at once, as processes do

Traced: one VM alone lost three upstreams at 7.67, 7.77 and 10.30 s and restarted at 11.00 s; the replay let it store its records once a second, so that none was stored. A process stores a hold as soon as it begins: the change wakes the goroutine that stores.

--- a/entry/process/quarantiner/fleet_test.go
+++ b/entry/process/quarantiner/fleet_test.go
@@ -58,6 +58,8 @@
 	gossip     *gossiper.Gossiper
 	quarantine *quarantiner.Quarantiner
 	started    time.Time
+	// changed is set if there may be changes to store.
+	changed bool
 }
 
 type datagram struct {
@@ -109,16 +111,14 @@
 	v.started = f.now
 	v.ticker = ticker.New(now, step)
 	v.gossip = gossiper.New(v.member, f.boot, v, func() map[string]gossiper.StreamPosition { return nil }, now, zerolog.Nop())
-	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: now, Log: zerolog.Nop(), Broadcast: v.gossip.ScheduleBroadcast, MayRunTrial: v.mayRunTrial})
+	v.changed = false
+	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: now, Log: zerolog.Nop(), Broadcast: func() {
+		v.gossip.ScheduleBroadcast()
+		v.changed = true
+	}, MayRunTrial: v.mayRunTrial})
 	v.gossip.SetSharedState(v.quarantine, v.ticker)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.gossip.Tick)
-	v.ticker.Subscribe(time.Second, func(time.Time) {
-		records, _ := v.quarantine.Reconcile()
-		for _, r := range records {
-			f.stored[r.Fingerprint.String()] = r
-			v.quarantine.MarkStored(r)
-		}
-	})
+	v.ticker.Subscribe(time.Second, func(time.Time) { v.store() })
 	for _, r := range f.stored {
 		v.quarantine.Restore(r)
 	}
@@ -128,6 +128,17 @@
 	v.gossip.SendHello()
 }
 
+// store stores changes with the platform, as a process does once a second and at once
+// after a change.
+func (v *vm) store() {
+	v.changed = false
+	records, _ := v.quarantine.Reconcile()
+	for _, r := range records {
+		v.fleet.stored[r.Fingerprint.String()] = r
+		v.quarantine.MarkStored(r)
+	}
+}
+
 // mayRunTrial has the first VM run all trials.
 func (v *vm) mayRunTrial(quarantiner.Fingerprint) bool { return v == v.fleet.vms[0] }
 
@@ -140,6 +151,9 @@
 		}
 		for _, v := range f.vms {
 			v.ticker.Tick()
+			if v.changed {
+				v.store()
+			}
 		}
 		f.deliver()
 		f.crash()
