Forget expired keys behind one that is claimed again

The ledger of keyed calls checked its entries in the order in which they were created, and stopped at the first that had not expired. A key that is abandoned and claimed again kept its place at the front, and with it every key that came after it.

An entry is queued again with each change of its claim, and its earlier places are passed over. TestKeyThatIsClaimedAgainKeepsNoOtherKeys: 101 keys kept before, at most 12 now.

--- a/entry/process/deduplicator/ledger.go
+++ b/entry/process/deduplicator/ledger.go
@@ -18,9 +18,15 @@
 	completeSince time.Time // no call was missed since then; zero if none ever was
 	latestTime    time.Time // the log's time of the newest record
 	entries       map[recorder.Hash]*entry
-	expiryQueue   []*entry // all entries, in the order in which they are checked for expiry
-	withBody      []*entry // entries with a stored body, the oldest outcome first
-	bodyBytes     int      // total size of stored bodies
+	expiryQueue   []queuedEntry // all entries by the time of their last change, and of earlier ones
+	withBody      []*entry      // entries with a stored body, the oldest outcome first
+	bodyBytes     int           // total size of stored bodies
+}
+
+// A queuedEntry is an entry as of a change of its claim.
+type queuedEntry struct {
+	*entry
+	at time.Time
 }
 
 // maxTotalBodyBytes limits the stored bodies of all keys together, because a VM has
@@ -156,10 +162,23 @@
 	}
 	e := &entry{key: key, changedAt: l.latestTime}
 	l.entries[key] = e
-	l.expiryQueue = append(l.expiryQueue, e)
+	l.expiryQueue = append(l.expiryQueue, queuedEntry{e, e.changedAt})
 	return e
 }
 
+// markChanged records a change of an entry's claim, from which on it is kept for the
+// retention.
+func (l *Ledger) markChanged(e *entry) {
+	if e.changedAt.Equal(l.latestTime) {
+		return
+	}
+	e.changedAt = l.latestTime
+	l.expiryQueue = append(l.expiryQueue, queuedEntry{e, e.changedAt})
+}
+
+// Len returns the number of keys that are kept, expired ones included.
+func (l *Ledger) Len() int { return len(l.entries) }
+
 // applyIntent lets the first intent win. A later one is lost at once: it does not
 // win when the first is abandoned, because its VM may have reported to its caller
 // by then that nothing ran.
@@ -169,7 +188,8 @@
 	case e.claimed:
 		e.lost = append(e.lost, c.Attempt)
 	default:
-		e.claimed, e.winner, e.fingerprint, e.changedAt = true, c.Attempt, c.Intent.Print, l.latestTime
+		e.claimed, e.winner, e.fingerprint = true, c.Attempt, c.Intent.Print
+		l.markChanged(e)
 	}
 }
 
@@ -195,23 +215,20 @@
 		return
 	}
 	e.lost = append(e.lost, by)
-	e.changedAt = l.latestTime
+	l.markChanged(e)
 	if e.claimed && e.winner == by {
 		e.claimed, e.winner, e.fingerprint = false, recorder.Attempt{}, recorder.Hash{}
 	}
 }
 
 // removeExpired removes expired entries from the front of the queue. An entry whose
-// claim changed after it was queued keeps its place, and expired entries behind it
-// are removed only once it has expired too; find ignores them until then.
+// claim has changed since it was queued has another place further back.
 func (l *Ledger) removeExpired() {
-	for range len(l.expiryQueue) {
-		e := l.expiryQueue[0]
-		if !l.expired(e) {
-			return
-		}
+	cutoff := l.latestTime.Add(-l.retention)
+	for len(l.expiryQueue) > 0 && l.expiryQueue[0].at.Before(cutoff) {
+		e := l.expiryQueue[0].entry
 		l.expiryQueue = l.expiryQueue[1:]
-		if l.entries[e.key] == e {
+		if l.expired(e) && l.entries[e.key] == e {
 			delete(l.entries, e.key)
 		}
 	}
--- a/entry/process/deduplicator/ledger_test.go
+++ b/entry/process/deduplicator/ledger_test.go
@@ -109,6 +109,22 @@
 	assert.Equal(t, l.Lookup(recorder.Hash{2}, recorder.Hash{9}).State, deduplicator.Claimed)
 }
 
+// Callers abandon and claim one key again and again. It must not keep the keys that were
+// claimed after it from being forgotten, or a VM's memory would fill with them.
+func TestKeyThatIsClaimedAgainKeepsNoOtherKeys(t *testing.T) {
+	const retention = 10 * time.Second
+	l := deduplicator.NewLedger(retention)
+	for i := range 100 {
+		at := start.Add(time.Duration(i) * time.Second)
+		a := attempt("a", uint64(i))
+		l.ApplyRecord(at, recorder.CallBatch{Calls: []recorder.CallEntry{intent(1, a), intent(byte(2+i), a), abandon(a)}})
+	}
+	assert.Assert(t, l.Len() <= 12, "%d keys are kept", l.Len())
+	assert.Equal(t, l.Lookup(recorder.Hash{1}, recorder.Hash{9}).State, deduplicator.Free)
+	l.ApplyRecord(start.Add(200*time.Second), recorder.CallBatch{})
+	assert.Equal(t, l.Len(), 0)
+}
+
 // Operators lengthen the window. Keys forgotten under the old window don't come back,
 // so for a while they must not be taken for new.
 func TestLongerWindow(t *testing.T) {
