Log a failure to load certificates that follows an unchanged file

A certificate that could not be read and came back as it was left the reloader in the state of a failure, so that the next failure was not logged. The state follows the files that were read last. TestFailureAfterAnUnchangedFileIsLogged: one line before, two now.

--- a/entry/version/reloader/reloader.go
+++ b/entry/version/reloader/reloader.go
@@ -50,9 +50,10 @@
 	stop   func()
 
 	current atomic.Pointer[credentials]
-	// lastContents holds the files as last read, valid or not. lastFailed reports
-	// whether the last reload failed.
+	// lastContents holds the files as last read, valid or not, and lastInvalid reports
+	// whether they were not. lastFailed reports whether the last reload failed.
 	lastContents []byte
+	lastInvalid  bool
 	lastFailed   bool
 
 	reloads, broken metrics.Counter
@@ -123,10 +124,13 @@
 func (r *Reloader) reload() {
 	c, err := r.readFiles()
 	if err == nil && bytes.Equal(c.joined(), r.lastContents) {
+		// Files that could not be read for a while and are as before are no failure.
+		r.lastFailed = r.lastInvalid
 		return
 	}
 	if err == nil {
 		err = r.apply(c)
+		r.lastInvalid = err != nil
 	}
 	if err != nil {
 		r.recordFailure(err)
--- a/entry/version/reloader/reloader_test.go
+++ b/entry/version/reloader/reloader_test.go
@@ -1,6 +1,7 @@
 package reloader_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -10,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,10 +64,14 @@
 }
 
 func newEndpoint(t *testing.T, f reloader.Files) *endpoint {
+	return newEndpointWithLog(t, f, zerolog.Nop())
+}
+
+func newEndpointWithLog(t *testing.T, f reloader.Files, log zerolog.Logger) *endpoint {
 	s := &endpoint{registry: metrics.NewRegistry(), clock: time.Now()}
 	s.ticker = ticker.New(func() time.Time { return s.clock }, time.Second)
 	var err error
-	s.Reloader, err = reloader.New("peers", f, s.ticker, s.registry, zerolog.Nop())
+	s.Reloader, err = reloader.New("peers", f, s.ticker, s.registry, log)
 	assert.NilError(t, err)
 	return s
 }
@@ -182,6 +188,25 @@
 	}
 }
 
+// A file is missing for a while and comes back unchanged. A later failure must be logged
+// like the first one.
+func TestFailureAfterAnUnchangedFileIsLogged(t *testing.T) {
+	a, folder := newTestCA(t), t.TempDir()
+	f := a.issue(folder, 1, time.Hour)
+	var logged bytes.Buffer
+	s := newEndpointWithLog(t, f, zerolog.New(&logged))
+	data, err := os.ReadFile(f.Certificate)
+	assert.NilError(t, err)
+	for range 2 {
+		assert.NilError(t, os.Remove(f.Certificate))
+		s.poll()
+		s.poll()
+		writeFile(t, f.Certificate, data)
+		s.poll()
+	}
+	assert.Equal(t, strings.Count(logged.String(), "cannot load"), 2)
+}
+
 func otherKey(t *testing.T, a testCA) []byte {
 	data, err := os.ReadFile(a.issue(t.TempDir(), 9, time.Hour).Key)
 	assert.NilError(t, err)
