Log metrics that cannot be served

A metric that failed to convert was left out of the metrics page without a line, and one of an unknown kind too. TestMetricThatCannotBeServedIsLogged: no line before.

--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -99,7 +99,7 @@
 }
 
 func (v *Process) serveMetrics() {
-	v.serve(v.metrics, v.meter.Handler(), "metrics")
+	v.serve(v.metrics, v.meter.Handler(v.log), "metrics")
 }
 
 func (v *Process) serve(l net.Listener, h http.Handler, name string) {
--- a/entry/process/meter/meter.go
+++ b/entry/process/meter/meter.go
@@ -3,6 +3,7 @@
 package meter
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 )
 
 // reservoirSize is the number of values that a histogram keeps, and reservoirAlpha
@@ -48,16 +50,18 @@
 	return m.registry.Register(name, metrics.NewFunctionalGauge(value))
 }
 
-// Handler returns a handler that serves the metrics.
-func (m *Meter) Handler() http.Handler {
+// Handler returns a handler that serves the metrics. It logs those that it cannot serve,
+// and serves the others.
+func (m *Meter) Handler(log zerolog.Logger) http.Handler {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collector{registry: m.registry})
+	r.MustRegister(collector{registry: m.registry, log: log})
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError})
 }
 
 // A collector converts go-metrics to Prometheus metrics.
 type collector struct {
 	registry metrics.Registry
+	log      zerolog.Logger
 }
 
 // Describe sends no descriptors, since counters are created on first use.
@@ -66,12 +70,18 @@
 // Collect sends every metric.
 func (c collector) Collect(out chan<- prometheus.Metric) {
 	c.registry.Each(func(name string, v any) {
-		if m, err := convert(name, v); err == nil && m != nil {
-			out <- m
+		m, err := convert(name, v)
+		if err != nil {
+			c.log.Warn().Str("metric", name).Err(err).Msg("metric not served")
+			return
 		}
+		out <- m
 	})
 }
 
+// errUnknownKind reports a go-metrics type that has no conversion.
+var errUnknownKind = errors.New("unknown kind of metric")
+
 func convert(name string, v any) (prometheus.Metric, error) {
 	switch v := v.(type) {
 	case metrics.Counter:
@@ -83,7 +93,7 @@
 	case metrics.Histogram:
 		return summary(name, v.Snapshot())
 	}
-	return nil, nil
+	return nil, errUnknownKind
 }
 
 // summary converts a histogram of microseconds to a summary in seconds.
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -168,7 +168,7 @@
 	mux.Handle(passer.PathPrefix, calls)
 	mux.HandleFunc("/", v.chatter.NotFound)
 	v.drainer = drainer.New(mux, v.settings.Limits.Streams)
-	v.watcher = watcher.New(v.meter.Handler(), v.status, v.configurationReady, v.coordinationReady, v.serviceReady)
+	v.watcher = watcher.New(v.meter.Handler(v.log), v.status, v.configurationReady, v.coordinationReady, v.serviceReady)
 }
 
 // Run serves until ctx ends, then shuts down without aborting requests. It
