--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -17,7 +17,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -237,13 +236,3 @@
 	}
 	return min(usual, Quota(limit, "idle "+upstream, vm, vms))
 }
-
-// AssumedVMs returns the names of the n VMs that a process assumes to be live,
-// itself included, before it has received messages from the others.
-func AssumedVMs(vm string, n int) []string {
-	vms := []string{vm}
-	for i := 1; i < n; i++ {
-		vms = append(vms, "unknown-"+strconv.Itoa(i))
-	}
-	return vms
-}
--- a/entry/process/tracker/tracker.go
+++ b/entry/process/tracker/tracker.go
@@ -51,8 +51,6 @@
 	// Outcomes counts the results of this VM's requests to the upstream, and of those
 	// that other VMs have reported.
 	Outcomes Outcomes
-	// StepTimeRatio is the measured step time divided by the promised one.
-	StepTimeRatio float64
 	// UnreachableUntil is the time before which the upstream gets no requests because
 	// connections to it have failed.
 	UnreachableUntil time.Time
@@ -107,7 +105,7 @@
 	}
 	if !ok || (u.StartedAt != s.StartedAt && u.StartedAt != 0) {
 		// A restarted upstream keeps nothing of its previous state.
-		s = &State{StepTimeRatio: 1}
+		s = &State{}
 		t.upstreams[u.ID] = s
 		changed = true
 	}
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -115,9 +115,7 @@
 	err error
 	// mayHaveRun reports whether a byte of the call may have been sent.
 	mayHaveRun bool
-	// status is the HTTP status with which the service reported the call as not
-	// run; 0 if it did not.
-	status     int
+	// retryAfter is when a service that reported the call as not run may take it.
 	retryAfter time.Duration
 }
 
@@ -202,7 +200,7 @@
 		if response.StatusCode == http.StatusServiceUnavailable {
 			p.deps.Observer.ReportCold(part.Upstream.Name, 0, "down")
 		}
-		f := &failure{status: response.StatusCode, retryAfter: time.Second}
+		f := &failure{retryAfter: time.Second}
 		if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
 			f.retryAfter = time.Duration(seconds) * time.Second
 			p.deps.Acquirer.BackOff(part.Upstream.Name, f.retryAfter)
