--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -92,7 +92,7 @@
 		a.lastID++
 		o.id, o.submitted = a.lastID, now
 		o.spec.Zone, o.spec.StopsAt = a.me.Zone, a.stopsAt
-		o.spec.Unreachable, o.spec.BackoffUntil = a.deps.Tracker.Unreachable(now), a.ownBackoff
+		o.spec.Unreachable, o.spec.Backoffs = a.deps.Tracker.Unreachable(now), a.ownBackoffs
 		o.group = a.initialGroup(c.Service.Name, a.me.Zone)
 		a.requests[o.id] = o
 		a.send(now, o)
--- a/entry/process/allocator/backoff.go
+++ b/entry/process/allocator/backoff.go
@@ -5,19 +5,20 @@
 	"time"
 )
 
-// ownBackoff returns until when this VM may not send anything to an upstream, or the zero
-// time if it may.
-func (a *Allocator) ownBackoff(upstream string) time.Time {
-	return a.deps.Tracker.BackoffUntil(a.deps.Now(), upstream)
+// ownBackoffs returns until when this VM may not send anything to some upstreams.
+func (a *Allocator) ownBackoffs() map[string]time.Time {
+	return a.deps.Tracker.Backoffs(a.deps.Now())
 }
 
 // sendBackoffs sends a VM the upstreams of a group that want no requests from this VM for
 // a while. A leader that does not know them would grant placements that this VM may not
 // use.
 func (a *Allocator) sendBackoffs(now time.Time, to netip.AddrPort, g Group) {
-	for id, left := range a.deps.Tracker.Backoffs(now, g.Service, g.Zone) {
-		out := a.outgoingTo(to)
-		out.Backoffs = append(out.Backoffs, newWireBackoff(id, left))
+	for id, until := range a.deps.Tracker.Backoffs(now) {
+		if u, ok := a.deps.Tracker.Get(id); ok && u.Service == g.Service && (g.Zone == "" || u.Zone == g.Zone) {
+			out := a.outgoingTo(to)
+			out.Backoffs = append(out.Backoffs, newWireBackoff(id, until.Sub(now)))
+		}
 	}
 }
 
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -362,12 +362,7 @@
 	l.localOnly = false
 	o := &remoteRequest{group: l, spec: w.spec(now), hops: w.Hops, lastConfirmed: now}
 	o.spec.Service = service
-	o.spec.BackoffUntil = func(upstream string) time.Time {
-		if until := h.backoffs[upstream]; a.deps.Now().Before(until) {
-			return until
-		}
-		return time.Time{}
-	}
+	o.spec.Backoffs = func() map[string]time.Time { return h.backoffs }
 	h.requests[w.ID] = o
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
--- a/entry/process/allocator/overflow.go
+++ b/entry/process/allocator/overflow.go
@@ -93,9 +93,10 @@
 	return r.Code == scheduler.CodeNoUpstream || r.Code == scheduler.CodeBackoff
 }
 
-// betterZone returns a zone whose group has capacity for a request that has to
-// wait in this group, or that this group cannot serve at all if mustMove is set. The summary is updated at once for each request that is
-// sent there, so that not all waiting requests follow the same summary.
+// betterZone returns a zone whose group has capacity for a request that has to wait in
+// this group or, if mustMove is set, that this group cannot serve at all. The summary is
+// updated at once for each request that is sent there, so that not all waiting requests
+// follow the same summary.
 func (a *Allocator) betterZone(now time.Time, l *ledGroup, c scheduler.Request, hops int, mustMove bool) (zone string, ok bool) {
 	g := l.group
 	if g.Zone == "" || hops >= maxHops {
--- a/entry/process/scheduler/backoff_test.go
+++ b/entry/process/scheduler/backoff_test.go
@@ -1,7 +1,6 @@
 package scheduler_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -10,14 +9,13 @@
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 )
 
-// backoffFrom returns a function for Request.BackoffUntil.
-func (f *fleet) backoffFrom(until time.Time, ids ...string) func(string) time.Time {
-	return func(id string) time.Time {
-		if slices.Contains(ids, id) && f.now.Before(until) {
-			return until
-		}
-		return time.Time{}
+// backoffFrom returns a function for Request.Backoffs.
+func backoffFrom(until time.Time, ids ...string) func() map[string]time.Time {
+	backoffs := make(map[string]time.Time, len(ids))
+	for _, id := range ids {
+		backoffs[id] = until
 	}
+	return func() map[string]time.Time { return backoffs }
 }
 
 // An overloaded upstream asked one VM to back off, and the other one is full. That VM's
@@ -26,7 +24,7 @@
 	f := newFleet(2)
 	f.adoptStreams("u1", 2)
 	c := f.request(1000, 10*time.Second)
-	c.BackoffUntil = f.backoffFrom(f.now.Add(5*time.Second), "u0")
+	c.Backoffs = backoffFrom(f.now.Add(5*time.Second), "u0")
 	waiting := f.submit(c)
 	g, _ := f.acquire(t, f.request(1000, 10*time.Second))
 	assert.Assert(t, g != nil && g.Upstream.ID == "u0")
@@ -48,7 +46,7 @@
 	f := newFleet(2)
 	until := f.now.Add(3 * time.Second)
 	long, short := f.request(1000, 10*time.Second), f.request(1000, 2*time.Second)
-	long.BackoffUntil, short.BackoffUntil = f.backoffFrom(until, "u0", "u1"), f.backoffFrom(until, "u0", "u1")
+	long.Backoffs, short.Backoffs = backoffFrom(until, "u0", "u1"), backoffFrom(until, "u0", "u1")
 	_, r := f.acquire(t, short)
 	assert.Assert(t, r != nil)
 	assert.Equal(t, r.Code, scheduler.CodeBackoff)
@@ -66,7 +64,7 @@
 func TestEnginesInBackoffGetNoPartOfAPrompt(t *testing.T) {
 	f := newFleet(8)
 	c := f.request(100_000, 20*time.Second)
-	c.BackoffUntil = f.backoffFrom(f.now.Add(time.Second), "u0", "u1")
+	c.Backoffs = backoffFrom(f.now.Add(time.Second), "u0", "u1")
 	g, r := f.acquire(t, c)
 	assert.Assert(t, r == nil)
 	assert.Assert(t, len(g.Helpers) > 0)
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -138,8 +138,8 @@
 	if len(states) == 0 && !s.deps.Tracker.Outdated() {
 		return reply{refusal: &Refusal{Code: CodeNoUpstream, RetryAfter: defaultRetryAfter, WaitTimes: w.wait.stop(now)}}, true
 	}
-	states, backoffUntil := w.request.withoutBackoff(states)
-	if len(states) == 0 && w.timing.cannotFinish(backoffUntil, w.request.StopsAt) {
+	states, backoffUntil := w.request.withoutBackoffs(now, states)
+	if len(states) == 0 && !backoffUntil.IsZero() && w.timing.cannotFinish(backoffUntil, w.request.StopsAt) {
 		return reply{refusal: &Refusal{Code: CodeBackoff, RetryAfter: backoffUntil.Sub(now), WaitTimes: w.wait.stop(now)}}, true
 	}
 	placement, ok := s.choose(now, w, s.candidates(now, w.request, states))
@@ -169,29 +169,27 @@
 	return slices.DeleteFunc(states, func(u tracker.State) bool { return u.Zone != s.zone })
 }
 
-// withoutBackoff returns those of the upstreams to which the requesting VM may send, and
+// withoutBackoffs returns those of the upstreams to which the requesting VM may send, and
 // when it may send to the first of the others; zero if there is none.
-func (r *Request) withoutBackoff(states []tracker.State) (allowed []tracker.State, until time.Time) {
-	if r.BackoffUntil == nil {
+func (r *Request) withoutBackoffs(now time.Time, states []tracker.State) (allowed []tracker.State, until time.Time) {
+	if r.Backoffs == nil {
+		return states, time.Time{}
+	}
+	backoffs := r.Backoffs()
+	if len(backoffs) == 0 {
 		return states, time.Time{}
 	}
-	allowed = states
 	for i := range states {
-		ends := r.BackoffUntil(states[i].ID)
-		if ends.IsZero() {
+		ends := backoffs[states[i].ID]
+		if !now.Before(ends) {
+			allowed = append(allowed, states[i])
 			continue
 		}
-		if until.IsZero() {
-			allowed = slices.Clone(states)
-		}
 		if until.IsZero() || ends.Before(until) {
 			until = ends
 		}
 	}
-	if until.IsZero() {
-		return allowed, until
-	}
-	return slices.DeleteFunc(allowed, func(u tracker.State) bool { return !r.BackoffUntil(u.ID).IsZero() }), until
+	return allowed, until
 }
 
 func (s *Scheduler) choose(now time.Time, w *waiter, cs []placer.Candidate) (placer.Placement, bool) {
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -55,9 +55,9 @@
 	// that this VM cannot connect to.
 	Zone        string
 	Unreachable []string
-	// BackoffUntil returns until when that VM may not send anything to an upstream, or
-	// the zero time if it may. It may be nil.
-	BackoffUntil func(upstream string) time.Time
+	// Backoffs returns until when that VM may not send anything to some upstreams. It may
+	// be nil, and so may its result.
+	Backoffs func() map[string]time.Time
 	// StopsAt is when that VM shuts down; zero if no shutdown is planned.
 	StopsAt time.Time
 }
--- a/entry/process/tracker/backoff.go
+++ b/entry/process/tracker/backoff.go
@@ -34,29 +34,32 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b, ok := t.backoffs[id]
-	if !ok || !now.Before(b.until) {
-		return time.Time{}
-	}
-	if s, listed := t.upstreams[id]; listed && !b.covers(&s.Upstream) {
+	if !ok || !t.applies(now, id, b) {
 		return time.Time{}
 	}
 	return b.until
 }
 
-// Backoffs returns how long this VM may not send anything to the listed upstreams of a
-// service in the given zone or, if zone is empty, in all zones.
-func (t *Tracker) Backoffs(now time.Time, service, zone string) (left map[string]time.Duration) {
+// Backoffs returns until when this VM may not send anything to upstreams, for those to
+// which that applies.
+func (t *Tracker) Backoffs(now time.Time) (until map[string]time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, b := range t.backoffs {
-		s, ok := t.upstreams[id]
-		if !ok || s.Service != service || (zone != "" && s.Zone != zone) || !b.covers(&s.Upstream) || !now.Before(b.until) {
+		if !t.applies(now, id, b) {
 			continue
 		}
-		if left == nil {
-			left = make(map[string]time.Duration)
+		if until == nil {
+			until = make(map[string]time.Time)
 		}
-		left[id] = b.until.Sub(now)
+		until[id] = b.until
 	}
-	return left
+	return until
+}
+
+// applies reports whether a backoff has not ended and was not requested by an earlier
+// process of the upstream than the listed one. The caller holds the lock.
+func (t *Tracker) applies(now time.Time, id string, b backoff) bool {
+	s, listed := t.upstreams[id]
+	return now.Before(b.until) && (!listed || b.covers(&s.Upstream))
 }
--- a/entry/process/tracker/backoff_test.go
+++ b/entry/process/tracker/backoff_test.go
@@ -25,7 +25,7 @@
 	heartbeat.Sequence = 7
 	tr.Put(now, heartbeat)
 	assert.Equal(t, tr.BackoffUntil(now.Add(pause-1), "a"), now.Add(pause))
-	assert.DeepEqual(t, tr.Backoffs(now.Add(time.Second), "s", ""), map[string]time.Duration{"a": 2 * time.Second})
+	assert.DeepEqual(t, tr.Backoffs(now.Add(time.Second)), map[string]time.Time{"a": now.Add(pause)})
 	assert.Assert(t, tr.BackoffUntil(now.Add(pause), "a").IsZero())
 	assert.Assert(t, tr.IsUsable("a"), "it may get requests of other VMs")
 
@@ -34,5 +34,5 @@
 	restarted.StartedAt, restarted.Sequence = now.Add(time.Second).UnixMilli(), 1
 	tr.Put(now, restarted)
 	assert.Assert(t, tr.BackoffUntil(now.Add(time.Minute), "a").IsZero(), "the process that started later did not ask for it")
-	assert.Equal(t, len(tr.Backoffs(now, "s", "")), 0)
+	assert.Equal(t, len(tr.Backoffs(now)), 0)
 }
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -240,7 +240,8 @@
 // send sends the request once. If the outcome is answered, the attempt has the
 // status and headers of the response.
 func (r *Relayer) send(ctx context.Context, j *job, a *attempt) outcome {
-	if j.possibleRuns+j.declines == 0 {
+	if !j.recorded {
+		j.recorded = true
 		r.deps.RetryBudget.RecordRequest(j.service.Name)
 	}
 	id := a.grant.Upstream.ID
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -212,6 +212,8 @@
 	arrivedAt   time.Time
 	// deadline is when the complete response must have been sent.
 	deadline time.Time
+	// recorded is set once the request counts in the retry budget.
+	recorded bool
 	// tried lists the upstreams that failed. possibleRuns counts the attempts that
 	// may have run the request. declines counts those that did not: nothing was
 	// sent, or the upstream said so.
