Word refusals and close reasons in the usual terms

Texts that callers and peers read, and that no test, tool or document matches: each was searched for letter by letter in the repository. Codes and statuses are as they were.

--- a/entry/connection/linker/link.go
+++ b/entry/connection/linker/link.go
@@ -118,7 +118,7 @@
 	conn.SetReadLimit(MaxMessageSize)
 	if !l.register(k) {
 		l.refused.Inc(1)
-		conn.Close(websocket.StatusPolicyViolation, "an earlier process of this VM")
+		conn.Close(websocket.StatusPolicyViolation, "replaced by a newer process of this VM")
 		return
 	}
 	var writer sync.WaitGroup
--- a/entry/connection/streamer/stream.go
+++ b/entry/connection/streamer/stream.go
@@ -22,7 +22,7 @@
 
 // ErrInterrupted reports a stream that ended before the response was complete. The
 // stream can be resumed.
-var ErrInterrupted = Error.New("cut before its end")
+var ErrInterrupted = Error.New("stream interrupted")
 
 // A Token is one token of a response.
 type Token struct {
--- a/entry/connection/streamer/streamer.go
+++ b/entry/connection/streamer/streamer.go
@@ -35,7 +35,7 @@
 var Error = errs.Class("stream")
 
 // ErrGone reports a stream that the engine no longer has.
-var ErrGone = Error.New("the engine no longer has it")
+var ErrGone = Error.New("the engine no longer has the stream")
 
 // A Job is a request to an engine: to generate a response, or to process one part of
 // a prompt.
--- a/entry/process/deduplicator/begin.go
+++ b/entry/process/deduplicator/begin.go
@@ -102,7 +102,7 @@
 		// response to an earlier call with the key, it would take the refusal for
 		// that response and book again under a new key.
 		return refuser.BadRequest("Idempotency-Key", "key_old",
-			"%v; this call was not run, whether an earlier one with the key ran is no longer known", err).WithRan(refuser.RanUnknown)
+			"%v: this call did not run; whether an earlier one with the key ran is no longer known", err).WithRan(refuser.RanUnknown)
 	}
 	return refuser.BadRequest("Idempotency-Key", "key_bad", "%v", err)
 }
@@ -117,7 +117,7 @@
 
 func outcomeUnknown() *refuser.Refusal {
 	return refuser.New(504, "outcome_unknown",
-		"a call with this key may have run; it is not run again").WithRan(refuser.RanUnknown)
+		"a call with this key may have run and is not repeated").WithRan(refuser.RanUnknown)
 }
 
 // claim appends an intent and waits until the attempt wins, loses, is rejected by
@@ -139,12 +139,12 @@
 		case <-changed:
 			continue
 		case <-rejected:
-			return Decision{Refusal: refuser.New(503, "keys_unready", "the log refuses records").WithRetryAfter(retryAfter)}, true
+			return Decision{Refusal: refuser.New(503, "keys_unready", "the log rejects records").WithRetryAfter(retryAfter)}, true
 		case <-ctx.Done():
 		}
 		// The intent may still be appended, now or later. Nothing was sent and
 		// nothing will be; the abandonment frees the key.
 		d.batcher.post(recorder.CallEntry{Key: keyHash, Attempt: attempt, Abandon: true}, nil)
-		return Decision{Refusal: refuser.New(504, "keys_slow", "the log did not decide in time").WithRetryAfter(retryAfter)}, true
+		return Decision{Refusal: refuser.New(504, "keys_slow", "the log did not respond in time").WithRetryAfter(retryAfter)}, true
 	}
 }
--- a/entry/process/dispatcher/group.go
+++ b/entry/process/dispatcher/group.go
@@ -36,7 +36,7 @@
 		return refuser.New(http.StatusUnprocessableEntity, "too_large", "%s", err)
 	}
 	if _, err := grouper.Plan(k.PromptTokens, k.MaxOutput, heard, groupShare()); err != nil {
-		return refuser.New(http.StatusServiceUnavailable, "engines_away", "of the engines that answer now: %s", err).WithRetryAfter(silence)
+		return refuser.New(http.StatusServiceUnavailable, "engines_away", "with the engines that respond now: %s", err).WithRetryAfter(silence)
 	}
 	return nil
 }
--- a/entry/process/dispatcher/pool.go
+++ b/entry/process/dispatcher/pool.go
@@ -119,7 +119,7 @@
 }
 
 func gone() *refuser.Refusal {
-	return refuser.New(http.StatusNotFound, "gone", "it is no longer served")
+	return refuser.New(http.StatusNotFound, "gone", "the model or service is no longer served")
 }
 
 func (p *pool) size() int {
@@ -184,7 +184,7 @@
 }
 
 func late() *refuser.Refusal {
-	return refuser.New(http.StatusGatewayTimeout, "late", "it could not be begun within its time limit").WithRetryAfter(time.Second)
+	return refuser.New(http.StatusGatewayTimeout, "late", "no slot became free within the time limit").WithRetryAfter(time.Second)
 }
 
 func (p *pool) pump() {
--- a/entry/request/chatter/models.go
+++ b/entry/request/chatter/models.go
@@ -62,5 +62,5 @@
 // NotFound serves paths that no other handler serves.
 func (h *Handler) NotFound(w http.ResponseWriter, q *http.Request) {
 	w.Header().Set(refuser.VMHeader, h.config.VM)
-	refuser.New(http.StatusNotFound, "no_such_path", "%s %.80q is served by nothing here", q.Method, q.URL.Path).Write(w)
+	refuser.New(http.StatusNotFound, "no_such_path", "no handler for %s %.80q", q.Method, q.URL.Path).Write(w)
 }
--- a/entry/request/chatter/run.go
+++ b/entry/request/chatter/run.go
@@ -22,8 +22,8 @@
 var Error = errs.Class("attempt")
 
 var (
-	errSlotExpired = Error.New("its place lapsed before it was used")
-	errEmptyGrant  = Error.New("a grant without parts")
+	errSlotExpired = Error.New("the slot expired before it was used")
+	errEmptyGrant  = Error.New("empty grant")
 )
 
 // run serves a request. If an attempt fails before the first token, the request
@@ -150,7 +150,7 @@
 // refusal returns the refusal to send to the caller.
 func (f *failure) refusal(ctx context.Context, j *job) *refuser.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").WithRan(j.ran)
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "time limit exceeded").WithRan(j.ran)
 	}
 	if !f.mayHaveRun {
 		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "%s", f.err).WithRan(j.ran).WithRetryAfter(time.Second)
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -139,12 +139,12 @@
 		ran = refuser.RanUnknown
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").WithRan(ran)
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "time limit exceeded").WithRan(ran)
 	}
 	if !f.mayHaveRun {
-		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "the service did not take the call").WithRetryAfter(max(f.retryAfter, time.Second))
+		return refuser.New(http.StatusServiceUnavailable, "upstream_refused", "the service did not accept the call").WithRetryAfter(max(f.retryAfter, time.Second))
 	}
-	return refuser.New(http.StatusBadGateway, "upstream_failed", "the service took the call and its answer was lost").WithRan(ran)
+	return refuser.New(http.StatusBadGateway, "upstream_failed", "the service accepted the call, but its response was lost").WithRan(ran)
 }
 
 // send makes one attempt at a call.
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -492,15 +492,15 @@
 func (j *job) failureRefusal(ctx context.Context) *refuser.Refusal {
 	switch {
 	case j.possibleRuns == 0:
-		return refuser.New(http.StatusServiceUnavailable, "declined", "no upstream took the request").WithRetryAfter(retryAfter)
+		return refuser.New(http.StatusServiceUnavailable, "declined", "no upstream accepted the request").WithRetryAfter(retryAfter)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refuser.New(http.StatusGatewayTimeout, "timeout", "the time limit is over").WithRan(refuser.RanUnknown)
+		return refuser.New(http.StatusGatewayTimeout, "timeout", "time limit exceeded").WithRan(refuser.RanUnknown)
 	}
 	return lostRefusal()
 }
 
 func lostRefusal() *refuser.Refusal {
-	return refuser.New(http.StatusBadGateway, "lost", "an upstream took the request and its answer was lost").WithRan(refuser.RanUnknown)
+	return refuser.New(http.StatusBadGateway, "lost", "an upstream accepted the request, but its response was lost").WithRan(refuser.RanUnknown)
 }
 
 // correctRan replaces a refusal that reports the request as not run if an earlier
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -357,7 +357,7 @@
 		j.service, ok = table.Service(name)
 	}
 	if !ok {
-		return refuser.New(http.StatusServiceUnavailable, "no_service", "the route leads to no service").WithRetryAfter(retryAfter)
+		return refuser.New(http.StatusServiceUnavailable, "no_service", "no service is configured for the route").WithRetryAfter(retryAfter)
 	}
 	j.lastEventID = j.info.LastEventID
 	return nil
