Pause as long as resumeDelay says before a stream is resumed again

The pause after a failed attempt was computed from the count of resumes, which had risen twice by then: 80 ms where the constant says 20. A stream whose engine drops one attempt, a trial: resumed 81 ms after it before, 21 ms now. The count that bounds attempts is as it was.

--- a/entry/request/chatter/relay.go
+++ b/entry/request/chatter/relay.go
@@ -15,8 +15,8 @@
 	// maxResumes limits how often one stream is resumed. A connection that
 	// breaks more often than this does not get a stream to its end.
 	maxResumes = 8
-	// resumeDelay is the base of the delay between attempts to resume; it
-	// doubles with each attempt.
+	// resumeDelay is the pause after the first failed attempt to resume a stream. It
+	// doubles with each further one.
 	resumeDelay = 20 * time.Millisecond
 	// writeGrace is how long after the time limit a write may still block on a
 	// caller that does not read.
@@ -59,7 +59,7 @@
 func (a *attempt) resume(ctx context.Context, s *streamer.Stream, n int) error {
 	a.handler.meter.Count("chat.resumes", 1)
 	upstream := a.grant.Parts[len(a.grant.Parts)-1].Upstream.Name
-	for {
+	for delay := resumeDelay; ; delay *= 2 {
 		err := s.Resume(ctx)
 		if err == nil {
 			return nil
@@ -68,7 +68,7 @@
 			a.handler.observer.ReportCold(upstream, 0, "lost")
 			return err
 		}
-		if n++; n > maxResumes || !sleep(ctx, resumeDelay<<n) {
+		if n++; n > maxResumes || !sleep(ctx, delay) {
 			a.handler.observer.ReportCold(upstream, 0, "reset")
 			return err
 		}
