--- a/standin/broker/broker.go
+++ b/standin/broker/broker.go
@@ -1,7 +1,7 @@
-// Package broker stands in for the users' platform's metadata store: a log with
-// topics, of which those named "keyed." keep the newest record of each key. It
-// plays its faults as well: refusals, silence, lost and late answers, and
-// forgotten history. It keeps all in memory and checks no rate.
+// Package broker is a test double of the platform's metadata store: a log with topics,
+// of which those named "keyed." are compacted to the newest record of each key. It can
+// reject calls, leave them unanswered, lose or delay responses, expire records, and be
+// restored from a backup. It keeps everything in memory and limits no rates.
 package broker
 
 import (
@@ -19,29 +19,29 @@
 )
 
 const (
-	// mostCall bounds one append in bytes, as the platform does.
-	mostCall = 2 << 20
-	// pageSize is how many keys one page of the newest records has. The
-	// platform's has 500; a small one makes tests meet several.
+	// maxCallBytes is the maximum size of one append, as on the platform.
+	maxCallBytes = 2 << 20
+	// pageSize is the number of keys in one page of the newest records. The platform's
+	// pages have 500; with a small one tests read several.
 	pageSize = 8
-	// longest bounds the wait of a reading.
-	longest = 30 * time.Second
-	// lateTime is how long after its call a late append is carried out.
-	lateTime = 300 * time.Millisecond
+	// maxReadWait is the maximum duration of a long poll.
+	maxReadWait = 30 * time.Second
+	// lateDelay is the time after which a call with the fault Late takes effect.
+	lateDelay = 300 * time.Millisecond
 )
 
-// A Fault is what goes wrong with calls.
+// A Fault is a way in which calls fail.
 type Fault string
 
 // The faults.
 const (
 	None Fault = ""
-	// Busy refuses calls with 503, Reset closes their connections, Silent
-	// answers nothing.
+	// Busy rejects calls with 503, Reset closes their connections, and Silent leaves
+	// them unanswered.
 	Busy   Fault = "busy"
 	Reset  Fault = "reset"
 	Silent Fault = "silent"
-	// Lost carries appends out and does not answer, Late does so later.
+	// Lost executes appends without responding, and Late does so after lateDelay.
 	Lost Fault = "lost"
 	Late Fault = "late"
 )
@@ -51,7 +51,7 @@
 	content []byte
 }
 
-// A topic is one partition: users of this stand-in have one each.
+// A topic has a single partition.
 type topic struct {
 	first, end int64
 	records    []record
@@ -59,19 +59,19 @@
 	changed    chan struct{}
 }
 
-// A Broker is the store.
+// A Broker is a store.
 type Broker struct {
 	mu     sync.Mutex
 	topics map[string]*topic
 	faults map[string]Fault
-	// era rises by one each time that the store comes back from a backup.
+	// era is incremented when the store is restored from a backup.
 	era int64
-	// written are the records that operators and upstreams wrote, in order.
+	// written holds the records of operators and upstreams, in order.
 	written []write
 	calls   map[string]int
 }
 
-// A write is a keyed record that was written by another than the system.
+// A write is a keyed record of an operator or an upstream.
 type write struct {
 	topic, key string
 	value      []byte
@@ -88,7 +88,7 @@
 	written int
 }
 
-// Backup returns a copy of what the store holds.
+// Backup returns a copy of all topics.
 func (b *Broker) Backup() *Backup {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -103,8 +103,8 @@
 	return all
 }
 
-// Restore has the store come back from a backup. What was written since is gone, and its
-// offsets are given out again.
+// Restore restores the store from a backup. Records that were written after it are lost,
+// and their offsets are assigned again.
 func (b *Broker) Restore(k *Backup) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,8 +116,8 @@
 	}
 }
 
-// WriteAgain writes what operators and upstreams had written since a backup and the store
-// has lost: the newest value of each key.
+// WriteAgain writes the newest value of each key that operators and upstreams have written
+// since a backup.
 func (b *Broker) WriteAgain(k *Backup) {
 	b.mu.Lock()
 	lost := slices.Clone(b.written[k.written:])
@@ -134,14 +134,14 @@
 	}
 }
 
-// Calls is how many calls a caller has made.
+// Calls returns the number of calls of a caller.
 func (b *Broker) Calls(caller string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.calls[caller]
 }
 
-// count counts a call and returns the era.
+// count counts a call and returns the current era.
 func (b *Broker) count(caller string) (era int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -149,29 +149,28 @@
 	return b.era
 }
 
-// Handler serves the store's calls to one caller, named so that faults can
-// strike it alone; the empty fault target strikes all.
+// Handler serves the store's API to one caller, by whose name faults can be injected.
 func (b *Broker) Handler(caller string) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/log-append", b.append)
-	mux.HandleFunc("GET /api/log-read", b.read)
-	mux.HandleFunc("GET /api/log-newest", b.latest)
-	mux.HandleFunc("POST /api/log-trim", b.trim)
-	// What operators and upstreams of the platform do is not open to the
-	// system, and has calls of its own here.
-	mux.HandleFunc("PUT /put", b.put)
-	mux.HandleFunc("PUT /faults", b.fault)
-	return b.gate(caller, mux)
-}
-
-// Strike sets the fault of a caller; empty names all.
-func (b *Broker) Strike(caller string, f Fault) {
+	mux.HandleFunc("POST /api/log-append", b.serveAppend)
+	mux.HandleFunc("GET /api/log-read", b.serveRead)
+	mux.HandleFunc("GET /api/log-newest", b.serveNewest)
+	mux.HandleFunc("POST /api/log-trim", b.serveTrim)
+	// Operators and upstreams write through calls that the platform does not offer to
+	// VMs.
+	mux.HandleFunc("PUT /put", b.servePut)
+	mux.HandleFunc("PUT /faults", b.serveFault)
+	return b.injectFaults(caller, mux)
+}
+
+// SetFault sets the fault of a caller, or of all callers if the name is empty.
+func (b *Broker) SetFault(caller string, f Fault) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.faults[caller] = f
 }
 
-func (b *Broker) struck(caller string) Fault {
+func (b *Broker) faultOf(caller string) Fault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if f := b.faults[""]; f != None {
@@ -180,61 +179,61 @@
 	return b.faults[caller]
 }
 
-// gate plays faults.
-func (b *Broker) gate(caller string, next http.Handler) http.Handler {
+// injectFaults applies the fault of a caller to its calls.
+func (b *Broker) injectFaults(caller string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if !strings.HasPrefix(q.URL.Path, "/api/") {
 			next.ServeHTTP(w, q)
 			return
 		}
 		w.Header().Set("Store-Era", strconv.FormatInt(b.count(caller), 10))
-		switch f := b.struck(caller); f {
+		switch f := b.faultOf(caller); f {
 		case Busy:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case Reset:
 			panic(http.ErrAbortHandler)
 		case Silent:
-			// Only once the body has been read does the server notice that the
-			// caller leaves, and end this.
-			io.Copy(io.Discard, q.Body) //nolint:errcheck // nobody is answered
+			// The server detects that the caller has disconnected only after the body
+			// has been read.
+			io.Copy(io.Discard, q.Body) //nolint:errcheck // there is no response
 			<-q.Context().Done()
 		case Lost, Late:
 			if q.Method != http.MethodPost {
 				next.ServeHTTP(w, q)
 				return
 			}
-			b.lose(next, q, f)
+			b.executeUnanswered(next, q, f)
 		default:
 			next.ServeHTTP(w, q)
 		}
 	})
 }
 
-// lose carries a call out, now or later, and does not answer it.
-func (b *Broker) lose(next http.Handler, q *http.Request, f Fault) {
-	body, err := io.ReadAll(io.LimitReader(q.Body, mostCall))
+// executeUnanswered executes a call, immediately or later, and closes the connection.
+func (b *Broker) executeUnanswered(next http.Handler, q *http.Request, f Fault) {
+	body, err := io.ReadAll(io.LimitReader(q.Body, maxCallBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	do := func() {
 		again := q.Clone(q.Context())
 		again.Body = io.NopCloser(strings.NewReader(string(body)))
-		next.ServeHTTP(&nowhere{http.Header{}}, again)
+		next.ServeHTTP(&discardingWriter{http.Header{}}, again)
 	}
 	if f == Late {
-		time.AfterFunc(lateTime, do)
+		time.AfterFunc(lateDelay, do)
 	} else {
 		do()
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// nowhere takes an answer that nobody gets.
-type nowhere struct{ header http.Header }
+// discardingWriter discards a response.
+type discardingWriter struct{ header http.Header }
 
-func (n *nowhere) Header() http.Header         { return n.header }
-func (n *nowhere) Write(p []byte) (int, error) { return len(p), nil }
-func (n *nowhere) WriteHeader(int)             {}
+func (n *discardingWriter) Header() http.Header         { return n.header }
+func (n *discardingWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (n *discardingWriter) WriteHeader(int)             {}
 
 func (b *Broker) topic(name string) *topic {
 	t, ok := b.topics[name]
@@ -245,14 +244,14 @@
 	return t
 }
 
-// add appends contents and wakes who waits.
+// add appends records and wakes waiting reads.
 func (t *topic) add(name string, contents [][]byte) (offset int64) {
 	offset = t.end
 	for _, c := range contents {
 		r := record{t.end, c}
 		t.records = append(t.records, r)
 		t.end++
-		if key, _, ok := keyed(c); ok && strings.HasPrefix(name, "keyed.") {
+		if key, _, ok := splitKeyed(c); ok && strings.HasPrefix(name, "keyed.") {
 			t.newest[key] = r
 		}
 	}
@@ -261,21 +260,21 @@
 	return offset
 }
 
-// keyed takes a keyed record apart: a byte of length, the key, the value.
-func keyed(c []byte) (key string, value []byte, ok bool) {
+// splitKeyed splits a keyed record: the length of the key in one byte, the key, the value.
+func splitKeyed(c []byte) (key string, value []byte, ok bool) {
 	if len(c) < 1 || len(c) < 1+int(c[0]) {
 		return "", nil, false
 	}
 	return string(c[1 : 1+int(c[0])]), c[1+int(c[0]):], true
 }
 
-func (b *Broker) append(w http.ResponseWriter, q *http.Request) {
+func (b *Broker) serveAppend(w http.ResponseWriter, q *http.Request) {
 	name := q.FormValue("Topic")
 	if name == "keyed.op" || name == "keyed.servers" {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, q.Body, mostCall))
+	data, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxCallBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -283,7 +282,7 @@
 	var contents [][]byte
 	for len(data) > 0 {
 		if len(data) < 4 || len(data)-4 < int(binary.BigEndian.Uint32(data)) {
-			http.Error(w, "a record is cut", http.StatusBadRequest)
+			http.Error(w, "truncated record", http.StatusBadRequest)
 			return
 		}
 		n := 4 + int(binary.BigEndian.Uint32(data))
@@ -294,27 +293,27 @@
 	defer b.mu.Unlock()
 	t := b.topic(name)
 	if at := q.FormValue("At"); at != "" && at != strconv.FormatInt(t.end, 10) {
-		answer(w, http.StatusPreconditionFailed, map[string]int64{"EndOffset": t.end})
+		writeJSON(w, http.StatusPreconditionFailed, map[string]int64{"EndOffset": t.end})
 		return
 	}
 	offset := t.add(name, contents)
-	answer(w, http.StatusOK, map[string]int64{"Offset": offset, "EndOffset": t.end})
+	writeJSON(w, http.StatusOK, map[string]int64{"Offset": offset, "EndOffset": t.end})
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
+func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(body) //nolint:errcheck,errchkjson // a caller that left is no matter here
+	json.NewEncoder(w).Encode(body) //nolint:errcheck,errchkjson // the caller may have disconnected
 }
 
-func (b *Broker) read(w http.ResponseWriter, q *http.Request) {
+func (b *Broker) serveRead(w http.ResponseWriter, q *http.Request) {
 	from, err := strconv.ParseInt(q.FormValue("From"), 10, 64)
 	if err != nil || from < 0 {
-		http.Error(w, "From is no offset", http.StatusBadRequest)
+		http.Error(w, "From is not an offset", http.StatusBadRequest)
 		return
 	}
 	wait, _ := strconv.Atoi(q.FormValue("WaitMs"))
-	until := time.After(min(longest, time.Duration(wait)*time.Millisecond))
+	until := time.After(min(maxReadWait, time.Duration(wait)*time.Millisecond))
 	for {
 		b.mu.Lock()
 		t := b.topic(q.FormValue("Topic"))
@@ -323,11 +322,11 @@
 		w.Header().Set("Store-Era", strconv.FormatInt(b.era, 10))
 		b.mu.Unlock()
 		if from < first || from > end {
-			answer(w, http.StatusGone, map[string]int64{"FirstOffset": first})
+			writeJSON(w, http.StatusGone, map[string]int64{"FirstOffset": first})
 			return
 		}
 		if len(records) > 0 || wait == 0 {
-			send(w, records, first, end)
+			writeRecords(w, records, first, end)
 			return
 		}
 		select {
@@ -340,8 +339,8 @@
 	}
 }
 
-// send writes a reading: the end and the first offset kept, and the records.
-func send(w http.ResponseWriter, records []record, first, end int64) {
+// writeRecords writes a read response: the end, the first retained offset and the records.
+func writeRecords(w http.ResponseWriter, records []record, first, end int64) {
 	data := binary.BigEndian.AppendUint64(nil, uint64(end))
 	data = binary.BigEndian.AppendUint64(data, uint64(first))
 	for _, r := range records {
@@ -363,7 +362,7 @@
 	EndOffset int64
 }
 
-func (b *Broker) latest(w http.ResponseWriter, q *http.Request) {
+func (b *Broker) serveNewest(w http.ResponseWriter, q *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w.Header().Set("Store-Era", strconv.FormatInt(b.era, 10))
@@ -371,7 +370,7 @@
 	p := page{Entries: []entry{}, EndOffset: t.end}
 	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
 		r := t.newest[key]
-		_, value, _ := keyed(r.content)
+		_, value, _ := splitKeyed(r.content)
 		if key <= q.FormValue("After") || len(value) == 0 {
 			continue
 		}
@@ -381,21 +380,21 @@
 		}
 		p.Entries = append(p.Entries, entry{key, base64.StdEncoding.EncodeToString(value), r.offset})
 	}
-	answer(w, http.StatusOK, p)
+	writeJSON(w, http.StatusOK, p)
 }
 
-func (b *Broker) trim(w http.ResponseWriter, q *http.Request) {
+func (b *Broker) serveTrim(w http.ResponseWriter, q *http.Request) {
 	before, err := strconv.ParseInt(q.FormValue("BeforeOffset"), 10, 64)
 	if err != nil {
-		http.Error(w, "BeforeOffset is no offset", http.StatusBadRequest)
+		http.Error(w, "BeforeOffset is not an offset", http.StatusBadRequest)
 		return
 	}
-	b.Forget(q.FormValue("Topic"), before)
+	b.Expire(q.FormValue("Topic"), before)
 	w.WriteHeader(http.StatusOK)
 }
 
-// Forget drops a topic's history before an offset.
-func (b *Broker) Forget(name string, before int64) {
+// Expire deletes a topic's records before an offset.
+func (b *Broker) Expire(name string, before int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.topic(name)
@@ -406,8 +405,8 @@
 	}
 }
 
-// Put writes a keyed record as operators and upstreams do; no value drops the
-// key.
+// Put appends a keyed record on behalf of an operator or an upstream. An empty value
+// deletes the key.
 func (b *Broker) Put(name, key string, value []byte) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -416,16 +415,16 @@
 	return b.topic(name).add(name, [][]byte{content})
 }
 
-func (b *Broker) put(w http.ResponseWriter, q *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, q.Body, mostCall))
+func (b *Broker) servePut(w http.ResponseWriter, q *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxCallBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	answer(w, http.StatusOK, map[string]int64{"Offset": b.Put(q.URL.Query().Get("topic"), q.URL.Query().Get("key"), value)})
+	writeJSON(w, http.StatusOK, map[string]int64{"Offset": b.Put(q.URL.Query().Get("topic"), q.URL.Query().Get("key"), value)})
 }
 
-func (b *Broker) fault(w http.ResponseWriter, q *http.Request) {
-	b.Strike(q.URL.Query().Get("caller"), Fault(q.URL.Query().Get("fault")))
+func (b *Broker) serveFault(w http.ResponseWriter, q *http.Request) {
+	b.SetFault(q.URL.Query().Get("caller"), Fault(q.URL.Query().Get("fault")))
 	w.WriteHeader(http.StatusOK)
 }
--- a/standin/flags.go
+++ b/standin/flags.go
@@ -199,7 +199,7 @@
 		if u.Store == "" {
 			return nil, nil, errs.New("--store is missing")
 		}
-		u.Address, u.Work, u.Beat = address, millis(work), millis(beat)
+		u.Address, u.Work, u.HeartbeatInterval = address, millis(work), millis(beat)
 		k := worker.New(u)
 		return k.Handler(), k.Run, nil
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -1,8 +1,7 @@
-// Package worker stands in for an upstream of the users' platform, a model
-// engine or a plain service: it writes its entry to the platform's list, answers
-// requests in the platform's dialect, sets memory aside, and can be told to go
-// wrong. It takes no time to compute anything but what a test asks for, and
-// remembers what ran, so that a test can tell whether something ran twice.
+// Package worker is a test double of an upstream of the platform, a model engine or a
+// plain service. It maintains its entry in the platform's list, serves requests in the
+// platform's protocol, reserves memory, and fails on demand. It records the requests that
+// it gets, so that tests can check that none ran twice.
 package worker
 
 import (
@@ -18,110 +17,109 @@
 	"time"
 )
 
-// A Config is what a worker is.
+// A Config configures a Worker.
 type Config struct {
 	ID, Service, Zone string
-	// Address is where it serves, and Store the store's address.
+	// Address is the address of the worker, and Store that of the store.
 	Address, Store string
 	Slots          int
-	// Work is how long a plain request or one event takes, Events how many
-	// events a stream has.
+	// Work is the duration of a plain request or of one event of a stream, which has
+	// Events events.
 	Work   time.Duration
 	Events int
-	// Memory is the tokens that can be set aside.
+	// Memory is the number of tokens that can be reserved.
 	Memory int
-	// Beat is the time between two writings of its entry.
-	Beat time.Duration
+	// HeartbeatInterval is the interval at which the entry is written.
+	HeartbeatInterval time.Duration
 }
 
-// A Fault is what goes wrong with the next requests.
+// A Fault is a way in which requests fail.
 type Fault string
 
 // The faults.
 const (
 	None Fault = ""
-	// Decline refuses as not run, Lose runs and breaks the connection, Cut
-	// breaks a stream inside its third event, Mute answers nothing, Foreign
-	// answers with another request's id.
-	Decline Fault = "decline"
-	Lose    Fault = "lose"
-	Cut     Fault = "cut"
-	Mute    Fault = "mute"
-	Foreign Fault = "foreign"
+	// Decline rejects the request as not run. Lose runs it and closes the connection,
+	// Cut closes the connection in the middle of a stream's event, NoResponse does not
+	// respond, and Foreign responds with the ID of another request.
+	Decline    Fault = "decline"
+	Lose       Fault = "lose"
+	Cut        Fault = "cut"
+	NoResponse Fault = "mute"
+	Foreign    Fault = "foreign"
 )
 
-// Poison is how the body of a request begins that crashes whoever runs it: all
-// that is in progress there breaks off, and it goes on as one that has just
-// started.
+// Poison is the prefix of the body of a request that crashes the worker: its running
+// requests are interrupted, and it continues as a new process.
 const Poison = "poison"
 
-// cutAt is the event inside which a stream is cut.
-const cutAt = 3
+// truncatedEvent is the event of a stream that the fault Cut truncates.
+const truncatedEvent = 3
 
-// A Worker is one upstream.
+// A Worker is an upstream.
 type Worker struct {
 	config Config
 	born   int64
 
 	mu sync.Mutex
-	// crashed is closed when what is in progress breaks off.
-	crashed  chan struct{}
-	state    string
-	sequence int64
-	running  int
-	fault    Fault
-	strikes  int
-	// limit is how many requests a second it says that it takes; negative where it
-	// says nothing.
+	// crashed is closed when the worker crashes.
+	crashed    chan struct{}
+	state      string
+	sequence   int64
+	running    int
+	fault      Fault
+	faultsLeft int
+	// limit is the announced rate limit in requests per second; negative if there is
+	// none.
 	limit float64
-	// leaving is whether it says that it leaves.
+	// leaving reports whether responses announce that the worker is leaving.
 	leaving bool
-	// shedLeft is how many requests it rejects with Retry-After, and shedFor the
-	// time that it names there.
-	shedLeft int
-	shedFor  time.Duration
-	arrivals []Arrival
-	runs     map[string]int
-	seen     []Run
-	tickets  map[string]ticket
+	// rejectionsLeft is the number of requests that are still to be rejected with
+	// Retry-After, and backoff its value.
+	rejectionsLeft int
+	backoff        time.Duration
+	arrivals       []Arrival
+	runs           map[string]int
+	ran            []Run
+	reservations   map[string]reservation
 }
 
-// A Run is a request that ran here.
+// A Run is a request that the worker ran.
 type Run struct {
 	ID, Method, Target, Tenant, Helpers, Body string
 	Key                                       bool
-	// At is when it began; it is known in this process only.
+	// At is when it began. It is not serialised.
 	At time.Time `json:"-"`
 }
 
-// An Arrival is a request that has reached the worker, whether or not it ran.
+// An Arrival is a request that reached the worker, whether or not it ran.
 type Arrival struct {
 	ID string
 	At time.Time
-	// Born is the start of the worker's process that it reached.
+	// Born is the start time of the worker's process.
 	Born int64
-	// Leaving is whether the response says that the worker leaves, and Backoff the
-	// time that it names in Retry-After; 0 where it names none.
+	// Leaving reports whether the response announces that the worker is leaving, and
+	// Backoff is the value of its Retry-After; 0 if there is none.
 	Leaving bool
 	Backoff time.Duration
 }
 
-type ticket struct {
+type reservation struct {
 	tokens int
 	until  time.Time
 }
 
-// New returns a Worker that is ready.
+// New returns a Worker in state "ready".
 func New(c Config) *Worker {
 	return &Worker{
 		config: c, born: time.Now().UnixMilli(), state: "ready", crashed: make(chan struct{}), limit: -1,
-		runs: make(map[string]int), tickets: make(map[string]ticket),
+		runs: make(map[string]int), reservations: make(map[string]reservation),
 	}
 }
 
-// Run writes the worker's entry until the context ends, and then drops it.
+// Run writes the worker's entry at each heartbeat until ctx is done, and then deletes it.
 func (k *Worker) Run(ctx context.Context) {
-	t := time.NewTicker(k.config.Beat)
+	t := time.NewTicker(k.config.HeartbeatInterval)
 	defer t.Stop()
 	for {
 		k.write(ctx, k.entry())
@@ -165,17 +163,17 @@
 	}
 }
 
-// Handler serves requests, and a test's own calls below /test/.
+// Handler serves requests, and the calls of tests below /test/.
 func (k *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", k.health)
-	mux.HandleFunc("GET /api/report", k.report)
-	mux.HandleFunc("POST /api/order", k.order)
-	mux.HandleFunc("GET /test/runs", k.list)
-	mux.HandleFunc("PUT /test/fault", k.strike)
-	mux.HandleFunc("PUT /test/drain", k.drain)
+	mux.HandleFunc("GET /health", k.serveHealth)
+	mux.HandleFunc("GET /api/report", k.serveReport)
+	mux.HandleFunc("POST /api/order", k.serveOrder)
+	mux.HandleFunc("GET /test/runs", k.serveRuns)
+	mux.HandleFunc("PUT /test/fault", k.serveSetFault)
+	mux.HandleFunc("PUT /test/drain", k.serveDrain)
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		k.name(w)
+		k.addAnnouncements(w)
 		if _, pattern := mux.Handler(q); pattern != "" {
 			mux.ServeHTTP(w, q)
 			return
@@ -184,7 +182,7 @@
 	})
 }
 
-func (k *Worker) health(w http.ResponseWriter, _ *http.Request) {
+func (k *Worker) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Instance-Id", k.config.ID)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -193,28 +191,28 @@
 	}
 }
 
-func (k *Worker) report(w http.ResponseWriter, _ *http.Request) {
+func (k *Worker) serveReport(w http.ResponseWriter, _ *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
 	used := 0
-	for _, t := range k.tickets {
+	for _, t := range k.reservations {
 		used += t.tokens
 	}
-	json.NewEncoder(w).Encode(map[string]int{ //nolint:errcheck,errchkjson // a caller that left is no matter here
-		"Running": k.running, "KvUsed": used, "KvTotal": k.config.Memory, "HandleCount": len(k.tickets),
+	json.NewEncoder(w).Encode(map[string]int{ //nolint:errcheck,errchkjson // the caller may have disconnected
+		"Running": k.running, "KvUsed": used, "KvTotal": k.config.Memory, "HandleCount": len(k.reservations),
 	})
 }
 
 func (k *Worker) expire() {
-	for name, t := range k.tickets {
+	for name, t := range k.reservations {
 		if time.Now().After(t.until) {
-			delete(k.tickets, name)
+			delete(k.reservations, name)
 		}
 	}
 }
 
-func (k *Worker) order(w http.ResponseWriter, q *http.Request) {
+func (k *Worker) serveOrder(w http.ResponseWriter, q *http.Request) {
 	var o struct {
 		Operation, InstanceId string //nolint:revive // the platform's spelling
 		TokenCount            int
@@ -228,11 +226,11 @@
 	defer k.mu.Unlock()
 	k.expire()
 	if o.Operation == "release" {
-		delete(k.tickets, o.InstanceId)
+		delete(k.reservations, o.InstanceId)
 		return
 	}
 	free := k.config.Memory
-	for name, t := range k.tickets {
+	for name, t := range k.reservations {
 		if name != o.InstanceId {
 			free -= t.tokens
 		}
@@ -241,38 +239,38 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	k.tickets[o.InstanceId] = ticket{o.TokenCount, time.Now().Add(time.Duration(o.HoldMs) * time.Millisecond)}
+	k.reservations[o.InstanceId] = reservation{o.TokenCount, time.Now().Add(time.Duration(o.HoldMs) * time.Millisecond)}
 }
 
-func (k *Worker) list(w http.ResponseWriter, _ *http.Request) {
+func (k *Worker) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	json.NewEncoder(w).Encode(k.seen) //nolint:errcheck,errchkjson // a caller that left is no matter here
+	json.NewEncoder(w).Encode(k.ran) //nolint:errcheck,errchkjson // the caller may have disconnected
 }
 
-// Runs are the requests that ran here.
+// Runs returns the requests that ran.
 func (k *Worker) Runs() []Run {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return append([]Run(nil), k.seen...)
+	return append([]Run(nil), k.ran...)
 }
 
-// Strike sets the fault of so many next requests.
-func (k *Worker) Strike(f Fault, n int) {
+// SetFault sets the fault of the next n requests.
+func (k *Worker) SetFault(f Fault, n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.fault, k.strikes = f, n
+	k.fault, k.faultsLeft = f, n
 }
 
-func (k *Worker) strike(_ http.ResponseWriter, q *http.Request) {
+func (k *Worker) serveSetFault(_ http.ResponseWriter, q *http.Request) {
 	n, err := strconv.Atoi(q.FormValue("n"))
 	if err != nil {
 		n = 1
 	}
-	k.Strike(Fault(q.FormValue("fault")), n)
+	k.SetFault(Fault(q.FormValue("fault")), n)
 }
 
-func (k *Worker) drain(http.ResponseWriter, *http.Request) {
+func (k *Worker) serveDrain(http.ResponseWriter, *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.state = "draining"
@@ -304,7 +302,7 @@
 		k.crash()
 	}
 	switch fault {
-	case Mute:
+	case NoResponse:
 		<-q.Context().Done()
 		return
 	case Lose:
@@ -322,14 +320,14 @@
 	k.stream(w, q, fault)
 }
 
-// crashing is closed when the worker next crashes.
+// crashing returns a channel that is closed when the worker crashes.
 func (k *Worker) crashing() <-chan struct{} {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.crashed
 }
 
-// crash breaks off all that is in progress, and the request that calls it.
+// crash interrupts all running requests, including the one that calls it.
 func (k *Worker) crash() {
 	k.mu.Lock()
 	close(k.crashed)
@@ -338,8 +336,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// work takes the time of a plain request or of one event, and says whether its
-// caller is still there.
+// work waits for the duration of a plain request or of one event, and reports whether the
+// caller is still connected.
 func (k *Worker) work(q *http.Request, crashing <-chan struct{}) bool {
 	select {
 	case <-crashing:
@@ -351,49 +349,48 @@
 	}
 }
 
-// Limit has the worker say from now on that it takes so many requests a second, or
-// nothing of it where that is negative.
-func (k *Worker) Limit(perSecond float64) {
+// SetRateLimit sets the announced rate limit in requests per second; a negative value
+// removes it.
+func (k *Worker) SetRateLimit(perSecond float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.limit = perSecond
 }
 
-// Leave has the worker say from now on that it leaves. It goes on serving, and its
-// entry in the list does not change.
-func (k *Worker) Leave() {
+// AnnounceLeaving makes responses announce that the worker is leaving. It continues to
+// serve, and its entry in the list does not change.
+func (k *Worker) AnnounceLeaving() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.leaving = true
 }
 
-// Restart has the worker go on as a new process: it no longer says that it leaves, nor
-// that it wants no requests.
+// Restart makes the worker continue as a new process, which has announced nothing.
 func (k *Worker) Restart() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leaving, k.shedLeft, k.born, k.sequence = false, 0, time.Now().UnixMilli(), 0
+	k.leaving, k.rejectionsLeft, k.born, k.sequence = false, 0, time.Now().UnixMilli(), 0
 }
 
-// Shed rejects the next n requests with 503 and asks their senders for a pause.
-func (k *Worker) Shed(n int, pause time.Duration) {
+// RejectWithBackoff rejects the next n requests with 503 and the given Retry-After.
+func (k *Worker) RejectWithBackoff(n int, retryAfter time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.shedLeft, k.shedFor = n, pause
+	k.rejectionsLeft, k.backoff = n, retryAfter
 }
 
-// Address is where the worker serves.
+// Address returns the address of the worker.
 func (k *Worker) Address() string { return k.config.Address }
 
-// Arrivals are the requests that have reached the worker.
+// Arrivals returns the requests that reached the worker.
 func (k *Worker) Arrivals() []Arrival {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return append([]Arrival(nil), k.arrivals...)
 }
 
-// name names in an answer what the worker says of itself in all of them.
-func (k *Worker) name(w http.ResponseWriter) {
+// addAnnouncements adds the headers that all responses of the worker have.
+func (k *Worker) addAnnouncements(w http.ResponseWriter) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.limit >= 0 {
@@ -404,23 +401,23 @@
 	}
 }
 
-// begin takes a request in, or not; and says what goes wrong with it, and for how long
-// its sender is to pause.
+// begin admits a request or rejects it. It returns the fault to apply to it, and the value
+// of Retry-After if it was rejected with one.
 func (k *Worker) begin(id string, q *http.Request, body string) (f Fault, backoff time.Duration, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
-	if k.shedLeft > 0 {
-		k.shedLeft--
-		backoff = k.shedFor
+	if k.rejectionsLeft > 0 {
+		k.rejectionsLeft--
+		backoff = k.backoff
 	}
 	k.arrivals = append(k.arrivals, Arrival{ID: id, At: time.Now(), Born: k.born, Leaving: k.leaving, Backoff: backoff})
 	if backoff > 0 {
 		return None, backoff, false
 	}
 	fault := None
-	if k.strikes > 0 {
-		k.strikes--
+	if k.faultsLeft > 0 {
+		k.faultsLeft--
 		fault = k.fault
 	}
 	if fault == Decline || k.running >= k.config.Slots {
@@ -429,7 +426,7 @@
 	k.running++
 	k.runs[id]++
 	h := q.Header
-	k.seen = append(k.seen, Run{
+	k.ran = append(k.ran, Run{
 		ID: id, Method: q.Method, Target: q.RequestURI, Tenant: h.Get("X-Tenant"), Helpers: h.Get("X-Helpers"),
 		Body: body, Key: h.Get("Authorization") != "", At: time.Now(),
 	})
@@ -454,7 +451,7 @@
 		if !k.work(q, crashing) {
 			return
 		}
-		if fault == Cut && i == cutAt {
+		if fault == Cut && i == truncatedEvent {
 			io.WriteString(w, "id: 3\nda")
 			flusher.Flush()
 			panic(http.ErrAbortHandler)
