--- a/standin/answerer/answerer.go
+++ b/standin/answerer/answerer.go
@@ -7,13 +7,13 @@
 	"net/http"
 )
 
-// Ran is the header of an upstream's refusal; No says that nothing ran.
+// Ran is the header that says whether a refused request ran, and No its value if it did not.
 const (
 	Ran = "Ran"
 	No  = "no"
 )
 
-// errorBody is the shape of every error.
+// errorBody is the body of an error response.
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
@@ -23,7 +23,7 @@
 	Message string `json:"message"`
 }
 
-// JSON answers v with a status.
+// JSON responds with a status and v as JSON.
 func JSON[T any](w http.ResponseWriter, status int, v T) {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -35,19 +35,19 @@
 	w.Write(data)
 }
 
-// Error answers an error.
+// Error responds with an error.
 func Error(w http.ResponseWriter, status int, code, message string) {
 	JSON(w, status, errorBody{Error: errorDetail{Code: code, Message: message}})
 }
 
-// Refuse answers an error before any work was done, and says so.
+// Refuse responds with an error and the header that says that the request did not run.
 func Refuse(w http.ResponseWriter, status int, code, message string) {
 	w.Header().Set(Ran, No)
 	Error(w, status, code, message)
 }
 
-// Read decodes a request's body of at most limit bytes into a T. Where it
-// can't, it answers 400 or 413 and returns false.
+// Read decodes a request body of at most limit bytes. If that fails, it responds with 400
+// or 413 and returns false.
 func Read[T any](w http.ResponseWriter, r *http.Request, limit int64) (v T, ok bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
--- a/standin/lister/lister.go
+++ b/standin/lister/lister.go
@@ -1,5 +1,4 @@
-// Package lister is a stand-in for the platform's list of VMs, which shows them
-// as they were a while ago.
+// Package lister is a test double of the platform's list of VMs, which lags behind.
 package lister
 
 import (
@@ -14,15 +13,15 @@
 	"github.com/heathervane/heathervane/standin/faulter"
 )
 
-// A Config sets up a list.
+// A Config configures a Lister.
 type Config struct {
-	// Lag is how late the list is.
+	// Lag is the time by which the list lags.
 	Lag time.Duration
-	// Now reads the time.
+	// Now returns the current time.
 	Now func() time.Time
 }
 
-// A vm is one entry, in its form for callers.
+// A vm is an entry of the list, as callers get it.
 type vm struct {
 	ID      string `json:"id"`
 	Zone    string `json:"zone"`
@@ -30,10 +29,10 @@
 	State   string `json:"state"`
 }
 
-// maxVM bounds the body that sets a VM, in bytes.
+// maxVM is the maximum size of an entry in bytes.
 const maxVM = 4 << 10
 
-// A Lister is one list. It is safe for concurrent use.
+// A Lister is a list of VMs. It is safe for concurrent use.
 type Lister struct {
 	config Config
 	faults *faulter.Faulter
@@ -43,7 +42,7 @@
 	late *delayer.Delayer[[]vm]
 }
 
-// New returns an empty list.
+// New returns an empty Lister.
 func New(c Config) *Lister {
 	return &Lister{
 		config: c,
@@ -53,7 +52,7 @@
 	}
 }
 
-// Handler serves the list, its changes and faults.
+// Handler serves the list, changes to it, and the injection of faults.
 func (l *Lister) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", l.list)
@@ -62,7 +61,7 @@
 	return l.faults.Wrap(mux)
 }
 
-// listAnswer is the list.
+// listAnswer is the response with the list.
 type listAnswer struct {
 	VMs []vm `json:"vms"`
 }
@@ -96,7 +95,7 @@
 	answerer.JSON(w, http.StatusOK, struct{}{})
 }
 
-// set replaces a VM, or takes it out where v is nil.
+// set replaces an entry, or removes it if v is nil.
 func (l *Lister) set(id string, v *vm) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/sender/sender.go
+++ b/standin/sender/sender.go
@@ -1,5 +1,5 @@
-// Package sender is a stand-in for the platform's weight store, whose readers
-// share one rate.
+// Package sender is a test double of the platform's weight store, whose readers share one
+// rate limit.
 package sender
 
 import (
@@ -11,30 +11,30 @@
 	"github.com/heathervane/heathervane/standin/faulter"
 )
 
-// A Config sets up a store.
+// A Config configures a Sender.
 type Config struct {
-	// Rate is in bytes a second over all readers.
+	// Rate is the rate limit of all readers together, in bytes per second.
 	Rate float64
-	// Size is how many bytes the weights of any model have.
+	// Size is the size of the weights of each model in bytes.
 	Size int64
 }
 
-// piece is how many bytes are sent at once.
+// piece is the number of bytes that are written at once.
 const piece = 16 << 10
 
-// A Sender is one store. It is safe for concurrent use.
+// A Sender is a weight store. It is safe for concurrent use.
 type Sender struct {
 	config Config
 	faults *faulter.Faulter
 	limit  *rate.Limiter
 }
 
-// New returns a store.
+// New returns a Sender.
 func New(c Config) *Sender {
 	return &Sender{config: c, faults: faulter.New(nil), limit: rate.NewLimiter(rate.Limit(c.Rate), piece)}
 }
 
-// Handler serves weights and faults.
+// Handler serves weights, and the injection of faults.
 func (s *Sender) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /weights/{model}/{version}", s.send)
--- a/standin/warmer/warmer.go
+++ b/standin/warmer/warmer.go
@@ -1,8 +1,8 @@
-// Package warmer is the cold state of an upstream: how it falls over when it is
-// given too much while cold, gets warm by completed requests, and has a new
-// boot number after each fall. It counts what came at once while cold, so that
-// a test can see whether a cold upstream ever got more than it bears. It reads
-// no clock and takes no lock.
+// Package warmer simulates the cold start of an upstream: it crashes if it gets too many
+// concurrent requests while cold, warms up with completed requests, and has a new boot
+// number after each crash. It records the highest concurrency while cold, so that tests
+// can check that a cold upstream was never overloaded. It reads no clock and is not safe
+// for concurrent use.
 package warmer
 
 import (
@@ -10,20 +10,20 @@
 	"time"
 )
 
-// A Config says how cold an upstream starts and how much it bears.
+// A Config configures a Warmer.
 type Config struct {
-	// Cold is how many requests at once it bears while cold; 0 means that it
-	// never falls over.
+	// Cold is the number of concurrent requests that a cold upstream can handle; with 0
+	// it never crashes.
 	Cold int
-	// Warm is after how many completed requests it is warm.
+	// Warm is the number of completed requests after which the upstream is warm.
 	Warm int
-	// Fall is how long it is down after it fell over.
+	// Fall is the downtime after a crash.
 	Fall time.Duration
-	// Started has it start warm.
+	// Started makes the upstream start warm.
 	Started bool
 }
 
-// A Warmer is the state of one upstream.
+// A Warmer is the cold start state of an upstream.
 type Warmer struct {
 	config Config
 	boot   uint64
@@ -34,7 +34,7 @@
 	peaks  map[uint64]int
 }
 
-// New returns the state of an upstream that starts now.
+// New returns a Warmer for an upstream that starts now.
 func New(c Config, now time.Time) *Warmer {
 	w := &Warmer{config: c, peaks: make(map[uint64]int)}
 	w.restart(now)
@@ -42,18 +42,18 @@
 	return w
 }
 
-// Boot is the number of the present start. Numbers only rise; they are Unix
-// milliseconds unless two starts share one.
+// Boot returns the boot number. Boot numbers increase; they are start times in Unix
+// milliseconds, unless two starts fall into the same millisecond.
 func (w *Warmer) Boot() uint64 { return w.boot }
 
-// Cold says whether it is cold.
+// Cold reports whether the upstream is cold.
 func (w *Warmer) Cold() bool { return w.cold }
 
-// Down says whether it lies fallen over.
+// Down reports whether the upstream is down after a crash.
 func (w *Warmer) Down(now time.Time) bool { return now.Before(w.until) }
 
-// Enter counts a request that brings those at once to n. It returns false where
-// the upstream falls over from it: then everything in it is gone.
+// Enter records a request that raises the concurrency to n. It returns false if the
+// upstream crashes from it, which loses all running requests.
 func (w *Warmer) Enter(now time.Time, n int) bool {
 	if !w.cold {
 		return true
@@ -68,7 +68,7 @@
 	return false
 }
 
-// Done counts a completed request.
+// Done records a completed request.
 func (w *Warmer) Done() {
 	w.done++
 	if w.done >= w.config.Warm {
@@ -76,7 +76,7 @@
 	}
 }
 
-// Turn makes it cold again with a new boot number; everything in it is gone.
+// Turn makes the upstream cold again under a new boot number, which loses all running requests.
 func (w *Warmer) Turn(now time.Time) { w.restart(now) }
 
 func (w *Warmer) restart(now time.Time) {
@@ -85,18 +85,18 @@
 	w.done = 0
 }
 
-// A Peak is what an upstream was given while cold, as GET /v1/peak shows it.
+// A Peak is the load that an upstream got while cold, in the format of GET /v1/peak.
 type Peak struct {
-	// Bears is how many requests at once it bears while cold.
+	// Bears is the number of concurrent requests that it can handle while cold.
 	Bears int `json:"bears"`
-	// Falls counts how often it fell over.
+	// Falls is the number of crashes.
 	Falls int `json:"falls"`
-	// Peaks is the highest number of requests at once while cold, by boot
-	// number. A fall counts the request that caused it.
+	// Peaks is the highest concurrency while cold, by boot number. It includes the
+	// request that caused a crash.
 	Peaks map[string]int `json:"peaks"`
 }
 
-// Peak returns the counts so far.
+// Peak returns the load so far.
 func (w *Warmer) Peak() Peak {
 	p := Peak{Bears: w.config.Cold, Falls: w.falls, Peaks: make(map[string]int, len(w.peaks))}
 	for boot, n := range w.peaks {
