Long-poll the records of VMs

VMs that could not reach each other, but all reach the platform, learned from it what the others had found out only with the next read of the records of VMs, up to 20 s later: a request that one side of a partition holds in quarantine crashed upstreams on the other side meanwhile.

The reader of a zone now waits for these records with a long poll of 19 s and a pause of 1 s: as many calls as before where nothing is written. Reread ends such a poll, or a restored platform would hold it for as long (TestRereadEndsALongPoll).

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -30,9 +30,12 @@
 	// maxUpstreamsInterval is the upper limit of that interval. It must be short enough to
 	// distinguish an outage of the platform from the time between two reads.
 	maxUpstreamsInterval = 900 * time.Millisecond
-	// vmsInterval is how often the addresses of VMs are read. New VMs announce themselves,
-	// so this only serves those that could not.
-	vmsInterval = 20 * time.Second
+	// vmsWait is how long the platform may hold a long poll for the records of VMs, and
+	// vmsInterval the pause between two. VMs tell each other of these records; the
+	// platform tells those that cannot reach each other. A wave of crashes writes many of
+	// them at a time.
+	vmsWait     = 19 * time.Second
+	vmsInterval = time.Second
 	// staleMargin is how much older than the time of a read the list of upstreams or the
 	// configuration may be before a peer is asked, or standby VMs read it themselves. VMs
 	// learn of a read with the reader's next heartbeat.
@@ -67,7 +70,7 @@
 	for _, s := range []syncer.Stream{
 		{Name: Configuration, Wait: wait, StaleAfter: wait + staleMargin, MaxLag: configMaxLag, Shared: true},
 		{Name: Upstreams, Interval: interval, StaleAfter: interval + staleMargin, Shared: true},
-		{Name: VMs, Interval: vmsInterval, StaleAfter: 2 * vmsInterval, Shared: true},
+		{Name: VMs, Wait: vmsWait, Interval: vmsInterval, StaleAfter: 2 * (vmsWait + vmsInterval), Shared: true},
 	} {
 		s.Copy = v.copies[s.Name]
 		v.syncers = append(v.syncers, syncer.New(s, v.platform, fetcher{v.gossiper}, time.Now, v.log))
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -24,6 +24,9 @@
 // be read in full again.
 var ErrNotRetained = errors.New("the requested records are not retained")
 
+// errReread ends a read because the platform is to be read again at once.
+var errReread = errors.New("the platform is to be read again")
+
 const (
 	// minBackoff is the wait after a failed read. It doubles with each further
 	// failure, up to maxBackoff.
@@ -152,7 +155,7 @@
 		err := s.read(ctx, needSnapshot || !s.hasSnapshot())
 		now := s.now()
 		s.failedAt.Store(0)
-		if err != nil && !errors.Is(err, ErrNotRetained) {
+		if err != nil && !errors.Is(err, ErrNotRetained) && !errors.Is(err, errReread) {
 			s.failedAt.Store(now.UnixMilli())
 		}
 		switch {
@@ -170,6 +173,8 @@
 			}
 			s.awaitNextRead(ctx)
 			continue
+		case errors.Is(err, errReread):
+			continue
 		case errors.Is(err, ErrNotRetained):
 			from, _ := s.stream.Copy.End()
 			s.log.Info().Int64("from", from.Offset).Int64("era", from.Era).Msg("platform does not have the next records, reading the stream in full")
@@ -211,8 +216,9 @@
 	}
 }
 
-// Reread makes Run read the platform without waiting for the end of the interval. The
-// platform has been restored from a backup, which may have changed this stream too.
+// Reread makes Run read the platform at once, without waiting for the end of the
+// interval or of a long poll. The platform has been restored from a backup, which may
+// have changed this stream too.
 func (s *Syncer) Reread() {
 	select {
 	case s.reread <- struct{}{}:
@@ -310,8 +316,16 @@
 	}
 	readCtx, cancel := context.WithTimeout(ctx, s.stream.Wait+readGrace)
 	defer cancel()
+	readCtx, interrupt := context.WithCancelCause(readCtx)
+	defer interrupt(nil)
+	if s.stream.Wait > 0 {
+		go s.interruptOnReread(readCtx, interrupt)
+	}
 	rs, end, err := s.source.Read(readCtx, s.stream.Name, from, s.stream.Wait)
 	if err != nil {
+		if cause := context.Cause(readCtx); errors.Is(cause, errReread) {
+			return cause
+		}
 		return err
 	}
 	now := s.now()
@@ -320,6 +334,16 @@
 	return nil
 }
 
+// interruptOnReread ends a long poll when Reread is called: after the platform was
+// restored it may not return for as long as the platform may hold it.
+func (s *Syncer) interruptOnReread(ctx context.Context, interrupt context.CancelCauseFunc) {
+	select {
+	case <-ctx.Done():
+	case <-s.reread:
+		interrupt(errReread)
+	}
+}
+
 // RunPeers reads from peers what the platform did not deliver, until the context
 // ends.
 func (s *Syncer) RunPeers(ctx context.Context) {
--- a/entry/process/syncer/syncer_test.go
+++ b/entry/process/syncer/syncer_test.go
@@ -353,3 +353,43 @@
 	s.Reread()
 	waitForEnd(t, c, 2)
 }
+
+// pollingPlatform holds a read that has no new records for as long as it is allowed to.
+type pollingPlatform struct{ platform }
+
+func (p *pollingPlatform) Read(ctx context.Context, stream string, from replicator.Position, wait time.Duration) ([]replicator.Record, replicator.Position, error) {
+	rs, end, err := p.platform.Read(ctx, stream, from, wait)
+	if err != nil || len(rs) > 0 {
+		return rs, end, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, end, ctx.Err()
+	case <-time.After(wait):
+		return nil, end, nil
+	}
+}
+
+// A platform that was restored from a backup may hold a long poll of the lost records for
+// as long as it is allowed to. Such a poll is no failed read either.
+func TestRereadEndsALongPoll(t *testing.T) {
+	p := &pollingPlatform{platform{records: []replicator.Record{record("a", 0)}}}
+	c := replicator.New(func([]replicator.Record, time.Duration) {})
+	s := syncer.New(syncer.Stream{Name: "s", Copy: c, Wait: time.Hour, StaleAfter: time.Hour}, p, peers{}, time.Now, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	waitForEnd(t, c, 1)
+	time.Sleep(50 * time.Millisecond)
+	p.set(func() { p.records = append(p.records, record("b", 1)) })
+	s.Reread()
+	waitForEnd(t, c, 2)
+	assert.Assert(t, !s.Failing())
+}
