Have VMs take turns in the trial of a held request

A held request may run once after 30 s, at the VM that a hash chooses among those that are live.

VMs now take turns of 20 s, in an order over all VMs that have not exited, also those that are silent. A trial starts in the first half of a turn, so that its outcome is known, through the platform if need be, before the next VM's turn. A VM that is gone passes its turn. Ruled out: a claim by a conditional append to the platform, which needs a call in the path of a request.

--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -55,17 +55,23 @@
 // been silent for a while, because they may only be unreachable and still send to
 // upstreams.
 func (g *Gossiper) FleetSize() int {
-	live := len(g.LiveVMs())
+	return max(len(g.LiveVMs()), len(g.KnownVMs()))
+}
+
+// KnownVMs returns the sorted names of the VMs that have not exited, including this one and
+// those that have been silent for a while.
+func (g *Gossiper) KnownVMs() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	known := 1
+	vms := []string{g.self.VM}
 	for _, p := range g.peers {
 		if !p.heardAt.IsZero() && !p.exited && now.Sub(p.heardAt) <= forgetAfter {
-			known++
+			vms = append(vms, p.VM)
 		}
 	}
-	return max(live, known)
+	slices.Sort(vms)
+	return slices.Compact(vms)
 }
 
 // A StreamPosition is how far this VM has read a stream of records.
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
@@ -92,10 +91,9 @@
 	}
 }
 
-// mayRunTrial reports whether this VM may run a held request once. A hash selects one of
-// the live VMs, so that a trial crashes at most one upstream.
+// mayRunTrial reports whether this VM may run a held request once now.
 func (v *Process) mayRunTrial(f quarantiner.Fingerprint) bool {
-	return budgeter.Quota(1, "trial "+f.String(), v.self.VM, v.gossiper.LiveVMs()) > 0
+	return quarantiner.IsTrialTurn(f, v.quarantine.HeldFor(f), v.self.VM, v.gossiper.KnownVMs())
 }
 
 // notify sends a value on a channel unless its buffer is full.
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -176,6 +176,15 @@
 	return max(left, trialTimeout), left > 0 || now.Sub(e.lastTrial) >= trialTimeout
 }
 
+// HeldFor returns how long a request has been held; 0 if it is not.
+func (l *Ledger) HeldFor(now time.Time, f fingerprinter.Fingerprint) time.Duration {
+	e, ok := l.entries[f]
+	if !ok || !e.isHeld() {
+		return 0
+	}
+	return now.Sub(e.HeldSince())
+}
+
 // Arrived is like Held, for a request that has just arrived. It also reports whether
 // the trial of the request is due, which StartTrial starts.
 func (l *Ledger) Arrived(now time.Time, f fingerprinter.Fingerprint) (after time.Duration, held, due bool) {
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -146,6 +146,13 @@
 	return 0, false
 }
 
+// HeldFor returns how long a request has been held; 0 if it is not.
+func (q *Quarantiner) HeldFor(f Fingerprint) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.HeldFor(q.deps.Now(), f)
+}
+
 // CancelWhenHeld returns a context that is cancelled with ErrHeld if the request turns
 // out to be held before release is called. The caller must call release.
 func (q *Quarantiner) CancelWhenHeld(ctx context.Context, f fingerprinter.Fingerprint) (guarded context.Context, release func()) {
--- /dev/null
+++ b/entry/process/quarantiner/turn_test.go
@@ -0,0 +1,31 @@
+package quarantiner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/quarantiner"
+)
+
+// Each side of a partition knows of all VMs but reaches only its own. If each let one of
+// its VMs run the trial, each trial would crash an upstream.
+func TestOneVMAtATimeMayStartTheTrial(t *testing.T) {
+	vms := []string{"a", "b", "c", "d", "e"}
+	turns := map[string]int{}
+	for heldFor := time.Duration(0); heldFor < 130*time.Second; heldFor += 500 * time.Millisecond {
+		n := 0
+		for _, vm := range vms {
+			if quarantiner.IsTrialTurn(request, heldFor, vm, vms) {
+				n++
+				turns[vm]++
+			}
+		}
+		assert.Assert(t, n <= 1, "%d VMs may start the trial after %v", n, heldFor)
+		assert.Assert(t, n == 0 || heldFor >= 30*time.Second, "trial after %v", heldFor)
+	}
+	for _, vm := range vms {
+		assert.Equal(t, turns[vm], 20, "half-second steps in which %s may start the trial", vm)
+	}
+}
