Store and replicate the losses of a request that is not held yet

Callers saw: a request that crashes every upstream that runs it was sent to a fourth and later upstream long after the third had crashed, once a VM had restarted or joined; each took down the other requests of its upstream.

Cause: until a request has lost three upstreams, each loss was kept in the memory of the VMs that had received one of three datagrams, and nowhere else. It was neither stored nor part of the state that VMs replicate, so that a VM that started, alone or beside others, began at none. Ruled out: the time until a hold is stored, since nothing was held; lost datagrams alone, since restarts suffice.

Each loss is stored now from the first on, in one call for all that a crash breaks, under a key of its VM, so that VMs that do not reach each other do not overwrite what the others know. Losses are part of the replicated state as well, of which a VM that starts gets the most important entries from each other VM, and an entry says that a request was served for as long as losses count.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -246,7 +246,7 @@
 // applyVMs applies records of the VMs stream.
 func (v *Process) applyVMs(rs []replicator.Record, _ time.Duration) {
 	for _, r := range rs {
-		if v.applyQuarantine(r) || r.Deleted {
+		if v.applyQuarantine(r) || v.applyLosses(r) || r.Deleted {
 			continue
 		}
 		m, err := v.platform.ParseMember(r)
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -40,7 +40,8 @@
 	Configuration = "configuration"
 	// Upstreams holds an entry for each upstream.
 	Upstreams = "upstreams"
-	// VMs holds the addresses of entry VMs and the requests in quarantine.
+	// VMs holds the addresses of entry VMs, the requests in quarantine and those that
+	// have lost upstreams.
 	VMs = "vms"
 )
 
@@ -133,6 +134,19 @@
 	// ParseQuarantine parses a record of the stream VMs and reports whether it was stored
 	// by StoreQuarantine. For a deleted record only the fingerprint is known.
 	ParseQuarantine(r replicator.Record) (q quarantiner.Record, ok bool, err error)
+	// StoreLosses stores what a VM knows of the losses of requests that are not held,
+	// DeleteLosses deletes such records, and ParseLosses parses a record of the stream
+	// VMs and reports whether it is one of them. For a deleted record only the key is
+	// known.
+	StoreLosses(ctx context.Context, vm string, rs []quarantiner.Record) error
+	DeleteLosses(ctx context.Context, keys []LossesKey) error
+	ParseLosses(r replicator.Record) (k LossesKey, q quarantiner.Record, ok bool, err error)
+}
+
+// A LossesKey identifies what a VM stored about the losses of a request.
+type LossesKey struct {
+	Fingerprint fingerprinter.Fingerprint
+	VM          string
 }
 
 // A Process is the process that forwards requests on one VM.
@@ -155,6 +169,8 @@
 	// records the platform may delete.
 	quarantine     *quarantiner.Quarantiner
 	pendingDeletes pendingDeletes
+	// storedLosses are the platform's records of losses.
+	storedLosses storedLosses
 	// quarantineChanged receives a value when the quarantine may have changes to store.
 	quarantineChanged chan struct{}
 	acceptor          *acceptor.Acceptor
@@ -212,7 +228,7 @@
 	v.quarantine = quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: log, Broadcast: func() {
 		v.gossiper.ScheduleBroadcast()
 		notify(v.quarantineChanged)
-	}, MayRunTrial: v.mayRunTrial})
+	}, MayRunTrial: v.mayRunTrial, MayStoreForOthers: v.readsForZone})
 	v.gossiper.SetSharedState(v.quarantine, v.ticker)
 	v.allocator = allocator.New(self, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.ReachableMembers, FleetSize: v.gossiper.FleetSize,
--- a/entry/process/joiner/list_test.go
+++ b/entry/process/joiner/list_test.go
@@ -82,6 +82,14 @@
 
 func (*slowPlatform) StoreQuarantine(context.Context, quarantiner.Record) error { return nil }
 
+func (*slowPlatform) StoreLosses(context.Context, string, []quarantiner.Record) error { return nil }
+
+func (*slowPlatform) DeleteLosses(context.Context, []joiner.LossesKey) error { return nil }
+
+func (*slowPlatform) ParseLosses(replicator.Record) (k joiner.LossesKey, q quarantiner.Record, ok bool, err error) {
+	return k, q, false, nil
+}
+
 func (*slowPlatform) DeleteQuarantine(context.Context, fingerprinter.Fingerprint) error { return nil }
 
 func (*slowPlatform) ParseQuarantine(replicator.Record) (q quarantiner.Record, ok bool, err error) {
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,14 +80,21 @@
 // syncQuarantine stores the requests in quarantine with the platform until ctx is done.
 // State that VMs only exchange among themselves would be lost with the last of them.
 func (v *Process) syncQuarantine(ctx context.Context) {
-	stop := v.ticker.Subscribe(quarantineSyncInterval, func(time.Time) { notify(v.quarantineChanged) })
-	defer stop()
+	deletesDue := make(chan struct{}, 1)
+	for _, stop := range []func(){
+		v.ticker.Subscribe(quarantineSyncInterval, func(time.Time) { notify(v.quarantineChanged) }),
+		v.ticker.Subscribe(obsoleteLossesInterval, func(time.Time) { notify(deletesDue) }),
+	} {
+		defer stop()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-v.quarantineChanged:
 			v.storeQuarantineChanges(ctx)
+		case <-deletesDue:
+			v.deleteObsoleteLosses(ctx)
 		}
 	}
 }
@@ -104,12 +112,18 @@
 	}
 }
 
-// storeQuarantineChanges stores new quarantine records with the platform and, if this VM is
-// the reader of its zone, deletes expired ones.
+// readsForZone reports whether this VM reads the platform for its zone.
+func (v *Process) readsForZone() bool { return v.gossiper.ReadRole() == gossiper.Reader }
+
+// storeQuarantineChanges stores new losses and quarantine records with the platform and, if
+// this VM is the reader of its zone, deletes expired quarantine records.
 func (v *Process) storeQuarantineChanges(ctx context.Context) {
 	store, remove := v.quarantine.Reconcile()
 	v.pendingDeletes.add(remove...)
 	for _, r := range store {
+		if !r.IsHeld() {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 		err := v.platform.StoreQuarantine(callCtx, r)
 		cancel()
@@ -120,7 +134,7 @@
 		v.quarantine.MarkStored(r)
 		v.log.Info().Stringer("fingerprint", r.Fingerprint).Time("held", r.Since).Bool("confirmed", r.Confirmed).Msg("quarantine record stored")
 	}
-	if v.gossiper.ReadRole() != gossiper.Reader {
+	if !v.storeLosses(ctx, slices.DeleteFunc(store, quarantiner.Record.IsHeld)) || !v.readsForZone() {
 		return
 	}
 	for _, f := range v.pendingDeletes.all() {
--- a/entry/process/joiner/restore.go
+++ b/entry/process/joiner/restore.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 )
@@ -63,7 +62,8 @@
 			kept[q.Fingerprint] = true
 		}
 	}
-	v.quarantine.MarkLost(kept, v.gossiper.ReadRole() == gossiper.Reader)
+	v.quarantine.MarkLost(kept, v.readsForZone())
+	v.quarantine.MarkLossesLost()
 	notify(v.quarantineChanged)
 }
 
--- a/entry/process/quarantiner/fleet_test.go
+++ b/entry/process/quarantiner/fleet_test.go
@@ -39,7 +39,13 @@
 	// lossRate is the share of datagrams that are lost. isolated drops all.
 	lossRate float64
 	isolated bool
-	vms      []*vm
+	// isCut reports whether datagrams between two VMs are dropped; nil if none are.
+	isCut func(from, to netip.AddrPort) bool
+	// platform takes the records that are stored; nil if it takes each at once.
+	platform *platform
+	// storesLate has VMs store changes once a second only.
+	storesLate bool
+	vms        []*vm
 	// stored are the records that the platform stores.
 	stored map[string]quarantiner.Record
 	queue  []datagram
@@ -76,7 +82,8 @@
 }
 
 func (v *vm) Send(to netip.AddrPort, data []byte) error {
-	if v.fleet.rand.Float64() >= v.fleet.lossRate && !v.fleet.isolated {
+	isCut := v.fleet.isCut != nil && v.fleet.isCut(v.member.Address, to)
+	if v.fleet.rand.Float64() >= v.fleet.lossRate && !v.fleet.isolated && !isCut {
 		delay := time.Duration(1+v.fleet.rand.IntN(10)) * time.Millisecond
 		v.fleet.queue = append(v.fleet.queue, datagram{v.member.Address, to, v.fleet.now.Add(delay), data})
 	}
@@ -122,6 +129,9 @@
 	for _, r := range f.stored {
 		v.quarantine.Restore(r)
 	}
+	if f.platform != nil {
+		f.platform.restore(v)
+	}
 	for _, o := range f.vms {
 		v.gossip.AddPeer(o.member)
 	}
@@ -133,14 +143,23 @@
 func (v *vm) store() {
 	v.changed = false
 	records, _ := v.quarantine.Reconcile()
+	if v.fleet.platform != nil {
+		v.fleet.platform.put(v, records)
+		return
+	}
 	for _, r := range records {
 		v.fleet.stored[r.Fingerprint.String()] = r
 		v.quarantine.MarkStored(r)
 	}
 }
 
-// mayRunTrial has the first VM run all trials.
-func (v *vm) mayRunTrial(quarantiner.Fingerprint) bool { return v == v.fleet.vms[0] }
+// mayRunTrial has the first VM run all trials. On a platform with faults, VMs take turns.
+func (v *vm) mayRunTrial(f quarantiner.Fingerprint) bool {
+	if v.fleet.platform != nil {
+		return quarantiner.IsTrialTurn(f, v.quarantine.HeldFor(f), v.member.VM, v.gossip.KnownVMs())
+	}
+	return v == v.fleet.vms[0]
+}
 
 // advance advances the time by d. Meanwhile the request arrives at random VMs, rate
 // times a second.
@@ -151,10 +170,13 @@
 		}
 		for _, v := range f.vms {
 			v.ticker.Tick()
-			if v.changed {
+			if v.changed && !f.storesLate {
 				v.store()
 			}
 		}
+		if f.platform != nil {
+			f.platform.advance(f.now)
+		}
 		f.deliver()
 		f.crash()
 	}
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -46,6 +47,9 @@
 	// counts as another one.
 	Upstream uint32
 	At       time.Time
+	// own reports whether this VM observed the loss, and stored whether the platform
+	// stores it, as far as is known here.
+	own, stored bool
 }
 
 // An Entry is what is known about a request. Merging is commutative and idempotent:
@@ -65,13 +69,16 @@
 	// lastTrial is when this VM last ran the request as a trial.
 	lastTrial time.Time
 	// changedAt is when something new became known here, local whether this VM
-	// observed it itself, and sendsLeft how often it is still to be sent.
+	// observed the last change itself, and sendsLeft how often it is still to be sent.
 	changedAt time.Time
 	local     bool
 	sendsLeft int
-	// lifted reports whether the request was held until it was served: a VM that
-	// has not learned of that keeps sending that it is held.
-	lifted bool
+	// cleared reports whether the request had losses or was held until it was served:
+	// a VM that has not learned of that keeps sending what it knows.
+	cleared bool
+	// written reports whether this VM wrote a record of losses to the platform, and
+	// isLost whether the platform may have lost it.
+	written, isLost bool
 }
 
 // HeldSince returns since when the request is held; zero if it is not.
@@ -87,6 +94,23 @@
 
 func (e *Entry) isHeld() bool { return !e.HeldSince().IsZero() }
 
+// isSuspected reports whether the request has lost upstreams, but too few to be held.
+func (e *Entry) isSuspected() bool { return len(e.Losses) > 0 && !e.isHeld() }
+
+// hasUnstoredLoss reports whether the platform may lack a loss of the request; with
+// ownOnly, one that this VM observed.
+func (e *Entry) hasUnstoredLoss(ownOnly bool) bool {
+	return slices.ContainsFunc(e.Losses, func(l Loss) bool { return !l.stored && (l.own || !ownOnly) })
+}
+
+// markLossesStored records that the platform stores the given losses.
+func (e *Entry) markLossesStored(stored []Loss) {
+	for i := range e.Losses {
+		l := &e.Losses[i]
+		l.stored = l.stored || slices.ContainsFunc(stored, func(s Loss) bool { return s.Upstream == l.Upstream })
+	}
+}
+
 // isConfirmed reports whether a trial of the held request crashed as well.
 func (e *Entry) isConfirmed() bool {
 	if e.Confirmed.After(e.Served) {
@@ -130,11 +154,14 @@
 	// lifted are the requests that are no longer held, but that the platform still
 	// records as held.
 	lifted []fingerprinter.Fingerprint
+	// obsolete are the requests of which the platform has a record of losses that this
+	// VM wrote and nobody needs.
+	obsolete map[fingerprinter.Fingerprint]bool
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{entries: make(map[fingerprinter.Fingerprint]*Entry)}
+	return &Ledger{entries: make(map[fingerprinter.Fingerprint]*Entry), obsolete: make(map[fingerprinter.Fingerprint]bool)}
 }
 
 // Lost records that an upstream was lost while it ran a request. It returns how many
@@ -142,7 +169,7 @@
 func (l *Ledger) Lost(now time.Time, f fingerprinter.Fingerprint, upstream uint32) (losses int, held bool) {
 	e := l.entry(now, f)
 	before := e.isHeld()
-	if l.merge(now, e, Entry{Losses: []Loss{{Upstream: upstream, At: now}}}) {
+	if l.merge(now, e, Entry{Losses: []Loss{{Upstream: upstream, At: now, own: true}}}) {
 		e.local = true
 	}
 	return len(e.Losses), e.isHeld() && !before
@@ -239,9 +266,53 @@
 	if stored != StoredNothing && !e.isHeld() {
 		l.lifted = append(l.lifted, e.Fingerprint)
 	}
+	if e.written && len(e.Losses) == 0 {
+		l.markObsolete(e)
+	}
 	return changed
 }
 
+// markObsolete records that nobody needs what this VM wrote about the losses of a
+// request.
+func (l *Ledger) markObsolete(e *Entry) {
+	if e.written {
+		l.obsolete[e.Fingerprint] = true
+	}
+	e.written, e.isLost = false, false
+}
+
+// Obsolete returns the requests whose losses this VM wrote to the platform and nobody
+// needs.
+func (l *Ledger) Obsolete() []fingerprinter.Fingerprint {
+	return slices.Collect(maps.Keys(l.obsolete))
+}
+
+// MarkDeleted records that the platform has dropped what this VM wrote about the losses
+// of requests.
+func (l *Ledger) MarkDeleted(fs []fingerprinter.Fingerprint) {
+	for _, f := range fs {
+		delete(l.obsolete, f)
+	}
+}
+
+// MarkLossesStored records that the platform stores losses of a request, and whether
+// this VM wrote them.
+func (l *Ledger) MarkLossesStored(f fingerprinter.Fingerprint, losses []Loss, written bool) {
+	e, ok := l.entries[f]
+	if !ok {
+		return
+	}
+	e.markLossesStored(losses)
+	if written {
+		e.written, e.isLost = true, false
+		delete(l.obsolete, f)
+	}
+	if len(e.Losses) == 0 {
+		// It was served while the platform stored the record.
+		l.markObsolete(e)
+	}
+}
+
 // MarkStored records what the platform stores about a request.
 func (l *Ledger) MarkStored(f fingerprinter.Fingerprint, s StoredState) {
 	if e, ok := l.entries[f]; ok {
@@ -249,6 +320,16 @@
 	}
 }
 
+// MarkLossesLost records that the platform may have lost all records of losses.
+func (l *Ledger) MarkLossesLost() {
+	for _, e := range l.entries {
+		for i := range e.Losses {
+			e.Losses[i].stored = false
+		}
+		e.isLost = e.written && len(e.Losses) > 0
+	}
+}
+
 func (l *Ledger) entry(now time.Time, f fingerprinter.Fingerprint) *Entry {
 	e, ok := l.entries[f]
 	if !ok {
@@ -268,6 +349,7 @@
 	var least *Entry
 	for f, e := range l.entries {
 		if e.expired(now) {
+			l.markObsolete(e)
 			delete(l.entries, f)
 			continue
 		}
@@ -276,6 +358,7 @@
 		}
 	}
 	if len(l.entries) >= maxEntries && least != nil {
+		l.markObsolete(least)
 		delete(l.entries, least.Fingerprint)
 	}
 }
@@ -302,6 +385,7 @@
 		if !e.expired(now) {
 			continue
 		}
+		l.markObsolete(e)
 		delete(l.entries, f)
 		if e.Stored != StoredNothing {
 			stored = append(stored, f)
@@ -318,8 +402,8 @@
 	case len(e.Losses) > 0:
 		return now.Sub(e.Losses[len(e.Losses)-1].At) >= lossTTL
 	}
-	if e.lifted {
-		return now.Sub(e.Served) >= holdTTL
+	if e.cleared {
+		return now.Sub(e.Served) >= max(holdTTL, lossTTL)
 	}
 	return now.Sub(e.Served) >= servedTTL
 }
@@ -327,7 +411,7 @@
 // merge merges another entry of the same request, and reports whether that changed
 // anything worth telling other VMs.
 func (e *Entry) merge(now time.Time, other Entry) (changed bool) {
-	before, confirmed := e.isHeld(), e.isConfirmed()
+	before, confirmed, suspected := e.isHeld(), e.isConfirmed(), len(e.Losses) > 0
 	if other.Served.After(e.Served) {
 		// A later time alone is not a change: several VMs report the same service,
 		// with times that differ by some milliseconds.
@@ -343,9 +427,9 @@
 	changed = changed || e.isHeld() != before || e.isConfirmed() != confirmed
 	if !e.isHeld() {
 		e.LastArrival, e.Stored, e.lastTrial = time.Time{}, StoredNothing, time.Time{}
-		e.lifted = e.lifted || before
+		e.cleared = len(e.Losses) == 0 && (e.cleared || before || suspected)
 	} else {
-		e.lifted = false
+		e.cleared = false
 		changed = changed || other.LastArrival.Sub(e.lastArrival()) >= arrivalStep
 		e.LastArrival = latest(e.LastArrival, other.LastArrival)
 		e.Stored = max(e.Stored, other.Stored)
@@ -358,8 +442,12 @@
 
 // addLoss adds a loss, and reports whether it is new.
 func (e *Entry) addLoss(loss Loss) bool {
-	same := func(l Loss) bool { return l.Upstream == loss.Upstream }
-	if !loss.At.After(e.Served) || slices.ContainsFunc(e.Losses, same) {
+	if i := slices.IndexFunc(e.Losses, func(l Loss) bool { return l.Upstream == loss.Upstream }); i >= 0 {
+		e.Losses[i].own = e.Losses[i].own || loss.own
+		e.Losses[i].stored = e.Losses[i].stored || loss.stored
+		return false
+	}
+	if !loss.At.After(e.Served) {
 		return false
 	}
 	if n := len(e.Losses); n >= maxLosses {
@@ -410,25 +498,43 @@
 }
 
 // AllHeld returns the entries of held requests.
-func (l *Ledger) AllHeld() []Entry {
+func (l *Ledger) AllHeld() []Entry { return l.filter((*Entry).isHeld) }
+
+// AllSuspected returns the entries of requests that have lost upstreams and are not
+// held.
+func (l *Ledger) AllSuspected() []Entry { return l.filter((*Entry).isSuspected) }
+
+func (l *Ledger) filter(matches func(*Entry) bool) []Entry {
 	var found []Entry
 	for _, e := range l.entries {
-		if e.isHeld() {
+		if matches(e) {
 			found = append(found, *e)
 		}
 	}
 	return found
 }
 
+// MostImportant returns up to limit replicated entries, those with the most losses
+// first.
+func (l *Ledger) MostImportant(limit int) []Entry {
+	found := l.Replicated()
+	slices.SortStableFunc(found, func(a, b Entry) int {
+		switch {
+		case b.less(&a):
+			return -1
+		case a.less(&b):
+			return 1
+		}
+		return 0
+	})
+	return found[:min(limit, len(found))]
+}
+
 // Replicated returns the entries that all VMs must agree on, sorted by fingerprint:
-// those of requests that are held, or were until they were served.
+// those of requests that have lost upstreams or are held, or were until they were
+// served. A VM that starts learns of losses below holdThreshold only from these.
 func (l *Ledger) Replicated() []Entry {
-	found := l.AllHeld()
-	for _, e := range l.entries {
-		if e.lifted {
-			found = append(found, *e)
-		}
-	}
+	found := l.filter(func(e *Entry) bool { return len(e.Losses) > 0 || e.isHeld() || e.cleared })
 	slices.SortFunc(found, func(a, b Entry) int {
 		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
 	})
--- a/entry/process/quarantiner/message.go
+++ b/entry/process/quarantiner/message.go
@@ -22,7 +22,9 @@
 	Losses                             []wireLoss
 	Served, RecordedSince, LastArrival int64
 	Confirmed                          int64
-	Stored                             StoredState
+	// Stored is what the platform stores about a request that is held. For another one
+	// it is StoredHeld if the platform stores all losses.
+	Stored StoredState
 }
 
 type wireLoss struct {
@@ -58,6 +60,9 @@
 				Fingerprint: e.Fingerprint[:], Served: ageOf(now, e.Served), RecordedSince: ageOf(now, e.RecordedSince),
 				LastArrival: ageOf(now, e.LastArrival), Confirmed: ageOf(now, e.Confirmed), Stored: e.Stored,
 			}
+			if e.isSuspected() && !e.hasUnstoredLoss(false) {
+				w.Stored = StoredHeld
+			}
 			for _, loss := range e.Losses {
 				w.Losses = append(w.Losses, wireLoss{Upstream: loss.Upstream, Age: ageOf(now, loss.At)})
 			}
@@ -93,6 +98,10 @@
 				e.Losses = append(e.Losses, Loss{Upstream: loss.Upstream, At: at})
 			}
 		}
+		if e.isSuspected() && e.Stored != StoredNothing {
+			e.Stored = StoredNothing
+			e.markLossesStored(e.Losses)
+		}
 		all = append(all, e)
 	}
 	return all, nil
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,10 @@
 	// MayRunTrial reports whether this VM, and no other, may run a held request once
 	// to find out whether it is at fault. It is called without holding a lock.
 	MayRunTrial func(f Fingerprint) bool
+	// MayStoreForOthers reports whether this VM asks the platform to store what other
+	// VMs observed and have not stored in time. It is called without holding a lock;
+	// nil stands for always.
+	MayStoreForOthers func() bool
 }
 
 // A Quarantiner is one VM's view of the quarantine. It is safe for concurrent use.
@@ -195,15 +200,17 @@
 	return q.encodeEntries(func() []Entry { return q.ledger.Pending(own, maxPending) })
 }
 
-// NextPart returns some of the entries of requests that are held, or were until they
-// were served, encoded; other ones on each call.
+// NextPart returns some of the entries of requests that have lost upstreams or are held,
+// or were until they were served, encoded; other ones on each call.
 func (q *Quarantiner) NextPart() [][]byte {
 	return q.encodeEntries(func() []Entry { return q.ledger.NextBatch(maxPartEntries) })
 }
 
-// All returns all of those entries, encoded.
+// All returns the most important of those entries, encoded. The number is limited
+// because each VM sends them to each VM that starts, which reads the others from the
+// platform.
 func (q *Quarantiner) All() [][]byte {
-	return q.encodeEntries(func() []Entry { return q.ledger.Replicated() })
+	return q.encodeEntries(func() []Entry { return q.ledger.MostImportant(maxPending) })
 }
 
 func (q *Quarantiner) encodeEntries(choose func() []Entry) [][]byte {
@@ -247,16 +254,30 @@
 	return changed
 }
 
-// A Record is what the platform stores about a held request.
+// A Record is what the platform stores about a request.
 type Record struct {
 	Fingerprint fingerprinter.Fingerprint
 	// Since is since when the request is held, and Confirmed whether a trial crashed
-	// as well.
+	// as well. Since is zero if the request is not held.
 	Since     time.Time
 	Confirmed bool
+	// Losses are the losses of a request that is not held.
+	Losses []Loss
 }
 
-// state returns the state that the record stands for.
+// IsHeld reports whether the request of the record is held.
+func (r Record) IsHeld() bool { return !r.Since.IsZero() }
+
+// ExpiresAt returns when the losses of the record no longer count.
+func (r Record) ExpiresAt() time.Time {
+	var last time.Time
+	for _, l := range r.Losses {
+		last = latest(last, l.At)
+	}
+	return last.Add(lossTTL)
+}
+
+// state returns the state of a held request that the record stands for.
 func (r Record) state() StoredState {
 	if r.Confirmed {
 		return StoredConfirmed
@@ -264,26 +285,57 @@
 	return StoredHeld
 }
 
+// entry returns the entry that the record stands for. Clocks differ: what happened in
+// the future happened now.
+func (r Record) entry(now time.Time) Entry {
+	e := Entry{Fingerprint: r.Fingerprint}
+	for _, loss := range r.Losses {
+		e.Losses = append(e.Losses, Loss{Upstream: loss.Upstream, At: earliest(loss.At, now), stored: true})
+	}
+	if !r.IsHeld() {
+		return e
+	}
+	e.RecordedSince, e.LastArrival, e.Stored = earliest(r.Since, now), now, r.state()
+	if r.Confirmed {
+		e.Confirmed = e.RecordedSince
+	}
+	return e
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Restore merges a record from the platform. It reports whether the record has
-// expired, so that the platform may drop it.
+// expired, so that the platform may drop it. What is news to this VM is sent to the
+// others, which it may reach while the VM that stored the record does not.
 func (q *Quarantiner) Restore(r Record) (expired bool) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	now := q.deps.Now()
-	// Clocks differ: a hold that begins in the future begins now.
-	since := r.Since
-	if since.After(now) {
-		since = now
+	if r.IsHeld() {
+		delete(q.lost, r.Fingerprint)
 	}
-	delete(q.lost, r.Fingerprint)
-	e := Entry{Fingerprint: r.Fingerprint, RecordedSince: since, LastArrival: now, Stored: r.state()}
-	if r.Confirmed {
-		e.Confirmed = since
+	e := r.entry(now)
+	changed := q.merge(now, e, "the platform")
+	q.mu.Unlock()
+	if changed {
+		q.deps.Broadcast()
 	}
-	q.merge(now, e, "the platform")
 	return e.expired(now)
 }
 
+// RestoreOwn is like Restore, for a record that an earlier run of this VM stored.
+func (q *Quarantiner) RestoreOwn(r Record) (expired bool) {
+	expired = q.Restore(r)
+	if !r.IsHeld() {
+		q.MarkStored(r)
+	}
+	return expired
+}
+
 // Lift ends the hold of a request whose record the platform has dropped.
 func (q *Quarantiner) Lift(f fingerprinter.Fingerprint) {
 	q.mu.Lock()
@@ -297,11 +349,30 @@
 func (q *Quarantiner) MarkStored(r Record) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.MarkStored(r.Fingerprint, r.state())
 	delete(q.lastStoreAttempt, r.Fingerprint)
+	if !r.IsHeld() {
+		q.ledger.MarkLossesStored(r.Fingerprint, r.Losses, true)
+		return
+	}
+	q.ledger.MarkStored(r.Fingerprint, r.state())
 	delete(q.lost, r.Fingerprint)
 }
 
+// Obsolete returns the requests whose losses this VM stored and the platform may drop.
+func (q *Quarantiner) Obsolete() []Fingerprint {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Obsolete()
+}
+
+// MarkDeleted records that the platform has dropped what this VM stored about the losses
+// of requests. It must not be called while such a record is being stored.
+func (q *Quarantiner) MarkDeleted(fs []Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.MarkDeleted(fs)
+}
+
 // MarkLost records that the platform has lost all records but those of the given
 // requests. The records of requests that are held are to be stored again: at once if
 // urgent is set, otherwise unless another VM does so first.
@@ -321,28 +392,34 @@
 	}
 }
 
+// MarkLossesLost records that the platform may have lost all records of losses. Those that
+// this VM wrote are to be stored again.
+func (q *Quarantiner) MarkLossesLost() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.MarkLossesLost()
+}
+
 // Reconcile drops expired entries. It returns the records that the platform should be
-// asked to store now, and the requests whose records it may drop.
+// asked to store now, and the requests whose hold it may drop.
 func (q *Quarantiner) Reconcile() (store []Record, drop []fingerprinter.Fingerprint) {
+	forOthers := q.deps.MayStoreForOthers == nil || q.deps.MayStoreForOthers()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.deps.Now()
 	drop = q.ledger.Expire(now)
 	for _, e := range q.ledger.AllHeld() {
-		wait := storeRetry
-		if !e.local {
-			wait = storeForOthers
-		}
-		since, ok := q.lastStoreAttempt[e.Fingerprint]
-		lost := q.lost[e.Fingerprint]
-		if !ok && !e.local && !lost {
-			since = e.changedAt
+		if q.mustStoreHold(now, &e, forOthers) {
+			store = append(store, Record{Fingerprint: e.Fingerprint, Since: e.HeldSince(), Confirmed: e.isConfirmed()})
 		}
-		if (e.Stored >= e.wantStored() && !lost) || now.Sub(since) < wait {
-			continue
+	}
+	for _, e := range q.ledger.AllSuspected() {
+		if q.mustStoreLosses(now, &e, forOthers) {
+			store = append(store, Record{Fingerprint: e.Fingerprint, Losses: slices.Clone(e.Losses)})
 		}
-		q.lastStoreAttempt[e.Fingerprint] = now
-		store = append(store, Record{Fingerprint: e.Fingerprint, Since: e.HeldSince(), Confirmed: e.isConfirmed()})
+	}
+	for _, r := range store {
+		q.lastStoreAttempt[r.Fingerprint] = now
 	}
 	for f := range q.lastStoreAttempt {
 		if !q.ledger.Known(f) {
@@ -357,6 +434,33 @@
 	return store, drop
 }
 
+// mustStoreHold reports whether the platform should be asked now to store a hold.
+func (q *Quarantiner) mustStoreHold(now time.Time, e *Entry, forOthers bool) bool {
+	wait, own := storeRetry, e.local
+	if !own {
+		wait = storeForOthers
+	}
+	since, ok := q.lastStoreAttempt[e.Fingerprint]
+	lost := q.lost[e.Fingerprint]
+	if !ok && !own && !lost {
+		since = e.changedAt
+	}
+	return (e.Stored < e.wantStored() || lost) && (own || lost || forOthers) && now.Sub(since) >= wait
+}
+
+// mustStoreLosses reports whether the platform should be asked now to store the losses
+// of a request that is not held: a restart of all VMs that know of them would otherwise
+// let the request crash as many upstreams again.
+func (q *Quarantiner) mustStoreLosses(now time.Time, e *Entry, forOthers bool) bool {
+	if now.Sub(q.lastStoreAttempt[e.Fingerprint]) < storeRetry {
+		return false
+	}
+	if e.hasUnstoredLoss(true) || e.isLost {
+		return true
+	}
+	return forOthers && e.hasUnstoredLoss(false) && now.Sub(e.changedAt) >= storeForOthers
+}
+
 // Len returns how many requests are held.
 func (q *Quarantiner) Len() int {
 	q.mu.Lock()
