Append to the log what an outage kept from it, below the threshold too

On the own interface, a change counts as sent to the log after three attempts, whether or not the log took it. Only requests that are held were appended again; losses below the threshold that fell into an outage of more than 6 s were known to their VM alone, and a VM that started later let the request crash three more upstreams.

The keeper now appends what the log lacks until the log has it, and no longer the whole state.

--- a/entry/process/keeper/keeper.go
+++ b/entry/process/keeper/keeper.go
@@ -41,7 +41,7 @@
 // A Quarantine holds the records to store.
 type Quarantine interface {
 	PendingChanges(own bool) [][]byte
-	All() [][]byte
+	Encode(rs []quarantiner.Record) [][]byte
 	MergeOlder(data []byte, age time.Duration) (changed bool)
 	Reconcile() (keep []quarantiner.Record, drop []quarantiner.Fingerprint)
 	MarkStored(r quarantiner.Record)
@@ -99,16 +99,17 @@
 			k.appendParts(ctx, k.quarantine.PendingChanges(true))
 		case <-k.tick:
 			k.appendParts(ctx, k.quarantine.PendingChanges(true))
-			k.retry(ctx)
+			k.appendUnstored(ctx)
 		}
 	}
 	<-ended
 }
 
-// retry appends all records if some are held but not stored on the log yet.
-func (k *Keeper) retry(ctx context.Context) {
+// appendUnstored appends what the log lacks. A change counts as sent even if the log did
+// not take it.
+func (k *Keeper) appendUnstored(ctx context.Context) {
 	due, _ := k.quarantine.Reconcile()
-	if len(due) == 0 || !k.appendParts(ctx, k.quarantine.All()) {
+	if len(due) == 0 || !k.appendParts(ctx, k.quarantine.Encode(due)) {
 		return
 	}
 	for _, r := range due {
--- a/entry/process/keeper/keeper_test.go
+++ b/entry/process/keeper/keeper_test.go
@@ -140,6 +140,30 @@
 	waitUntilHeld(t, again)
 }
 
+// The log is down when the first two losses are observed, for longer than changes are sent
+// again. A VM that starts later would not know of them, and let the request crash three more
+// upstreams.
+func TestLossesBelowTheThresholdSurviveLogOutage(t *testing.T) {
+	l := &log{down: true}
+	q, stop := l.start(t)
+	defer stop()
+	q.Lost(fingerprint, "a", 1)
+	q.Lost(fingerprint, "b", 1)
+	time.Sleep(7 * time.Second)
+	l.setDown(false)
+	l.waitForRecords(t)
+	later, stop := l.start(t)
+	defer stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if losses := later.Lost(fingerprint, "c", 1); losses < 3 {
+			return poll.Continue("the VM knows of %d losses", losses)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitTimeout))
+	_, held := later.Held(fingerprint)
+	assert.Assert(t, held)
+}
+
 // Losses of an hour ago must not count as current, however late a VM reads them.
 func TestOldLossesDoNotCount(t *testing.T) {
 	l := &log{}
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -504,6 +504,17 @@
 // held.
 func (l *Ledger) AllSuspected() []Entry { return l.filter((*Entry).isSuspected) }
 
+// Get returns the entries of the given requests that are known.
+func (l *Ledger) Get(fs []fingerprinter.Fingerprint) []Entry {
+	var found []Entry
+	for _, f := range fs {
+		if e, ok := l.entries[f]; ok {
+			found = append(found, *e)
+		}
+	}
+	return found
+}
+
 func (l *Ledger) filter(matches func(*Entry) bool) []Entry {
 	var found []Entry
 	for _, e := range l.entries {
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -224,6 +224,17 @@
 	return parts
 }
 
+// Encode returns the entries of the given records, encoded.
+func (q *Quarantiner) Encode(rs []Record) [][]byte {
+	return q.encodeEntries(func() []Entry {
+		var fs []fingerprinter.Fingerprint
+		for _, r := range rs {
+			fs = append(fs, r.Fingerprint)
+		}
+		return q.ledger.Get(fs)
+	})
+}
+
 // Merge merges entries from another VM, and reports whether they changed anything.
 func (q *Quarantiner) Merge(data []byte) (changed bool) { return q.MergeOlder(data, 0) }
 
