Store and send a VM's own losses though others become known

Callers saw: after a restart of all VMs a request that had crashed five upstreams crashed four more.

Cause: a VM stores a hold at once, and sends its losses to the relays, while the last change of the entry is its own. A loss at another VM that becomes known right after made the entry count as the other VM's; if that happens at each VM that observed losses, the hold is stored after 8 s instead of at once, and a VM that is no relay does not repeat its own losses.

An entry with a loss that this VM observed now counts as its own. Failing before: TestHoldIsStoredAtOnceAfterLossesAtTwoVMs.

--- a/entry/process/quarantiner/fleet_test.go
+++ b/entry/process/quarantiner/fleet_test.go
@@ -187,7 +187,10 @@
 	if _, held := v.quarantine.Arrived(request); held || attemptsLeft == 0 {
 		return
 	}
-	f.sent = append(f.sent, f.now)
+	if f.platform == nil || !f.platform.away || f.now.Sub(v.started) >= propagation {
+		// A VM that starts while the platform is away has that long to learn from others.
+		f.sent = append(f.sent, f.now)
+	}
 	f.runs = append(f.runs, run{v, f.now.Add(crashAfter), attemptsLeft - 1})
 }
 
--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -97,6 +97,12 @@
 // isSuspected reports whether the request has lost upstreams, but too few to be held.
 func (e *Entry) isSuspected() bool { return len(e.Losses) > 0 && !e.isHeld() }
 
+// isOwn reports whether this VM observed the last change or any of the losses. What it
+// observed must be sent and stored even if a loss at another VM becomes known right after.
+func (e *Entry) isOwn() bool {
+	return e.local || slices.ContainsFunc(e.Losses, func(l Loss) bool { return l.own })
+}
+
 // hasUnstoredLoss reports whether the platform may lack a loss of the request; with
 // ownOnly, one that this VM observed.
 func (e *Entry) hasUnstoredLoss(ownOnly bool) bool {
@@ -479,7 +485,7 @@
 func (l *Ledger) Pending(localOnly bool, limit int) []Entry {
 	var found []*Entry
 	for _, e := range l.entries {
-		if e.sendsLeft > 0 && (e.local || !localOnly) {
+		if e.sendsLeft > 0 && (e.isOwn() || !localOnly) {
 			found = append(found, e)
 		}
 	}
--- a/entry/process/quarantiner/losses_test.go
+++ b/entry/process/quarantiner/losses_test.go
@@ -117,3 +117,25 @@
 	_, held := later.Held(request)
 	assert.Assert(t, held)
 }
+
+// Two VMs observe losses of one request at the same time. Each learns of the other's losses
+// right after its own; if each then left it to the other to store the hold, none would.
+func TestHoldIsStoredAtOnceAfterLossesAtTwoVMs(t *testing.T) {
+	now := start
+	a, b := newQuarantiner(&now, false), newQuarantiner(&now, false)
+	for _, u := range []string{"u", "v", "w"} {
+		a.Lost(request, u, 1)
+	}
+	b.Lost(request, "x", 1)
+	fromA, fromB := a.PendingChanges(true), b.PendingChanges(true)
+	for _, part := range fromB {
+		a.Merge(part)
+	}
+	for _, part := range fromA {
+		b.Merge(part)
+	}
+	assert.Equal(t, len(a.PendingChanges(true)), 1, "its own losses must be sent again")
+	store := reconcile(a)
+	assert.Equal(t, len(store), 1)
+	assert.Assert(t, store[0].IsHeld())
+}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -447,7 +447,7 @@
 
 // mustStoreHold reports whether the platform should be asked now to store a hold.
 func (q *Quarantiner) mustStoreHold(now time.Time, e *Entry, forOthers bool) bool {
-	wait, own := storeRetry, e.local
+	wait, own := storeRetry, e.isOwn()
 	if !own {
 		wait = storeForOthers
 	}
