Measure retries against the requests that users measure them against

Callers saw: while all upstreams of a service rejected requests, each VM kept to its budget and all together exceeded it by two retries in ten seconds.

Cause: the limit on the retries of a window counts the requests of that window, of the one before it or of the one half a window before it. A VM counted those of the window before each retry. Where the load is highest between two windows that are measured, that is more. Ruled out: retries that are not taken from the budget (the lines account for all), VMs that count different members (the slack adds up to 102), and the frozen VM (its part is as large as the others').

A retry is now allowed by the fewest requests of any window that ended in the last half window. Two of the measured windows always end there, so that no load pattern exceeds the limit. Where load grows, the ratio's part of the budget follows half a window later. Ruled out: counting half a window only (half the budget), and mixing the three windows in fixed parts (an eighth less at steady load).

--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -142,13 +142,14 @@
 	// Ratio is how many retries each request adds. Slack is how many retries all VMs
 	// together get in addition, per span.
 	Ratio, Slack float64
+	span         time.Duration
 	requests     *Window
 	retries      *Window
 }
 
 // NewRetryBudget returns an empty budget over a sliding window of the given span.
 func NewRetryBudget(ratio, slack float64, span time.Duration) *RetryBudget {
-	return &RetryBudget{Ratio: ratio, Slack: slack, requests: NewWindow(span), retries: NewWindow(span)}
+	return &RetryBudget{Ratio: ratio, Slack: slack, span: span, requests: NewWindow(span + span/2), retries: NewWindow(span)}
 }
 
 // Sent counts the first attempt of a request.
@@ -156,7 +157,7 @@
 
 // TryRetry reports whether one retry is within the budget, and counts it if so.
 func (r *RetryBudget) TryRetry(now time.Time, vm string, h *MemberHistory) bool {
-	limit := r.Ratio*float64(r.requests.Count(now)) + float64(h.Quota(now, r.Slack, "repeats", vm))
+	limit := r.Ratio*float64(r.fewestRequests(now)) + float64(h.Quota(now, r.Slack, "repeats", vm))
 	if float64(r.retries.Count(now)+1) > limit {
 		return false
 	}
@@ -164,6 +165,41 @@
 	return true
 }
 
+// fewestRequests returns the smallest number of requests within a span that has ended in the
+// last half span. The retries of a span are measured against the requests of that span, of
+// the span before it or of the one half a span before it. The end of one of the latter two
+// is always among the ends considered here, whenever the measured span starts. If only the
+// last span counted, retries would exceed the limit where the load was highest between two
+// of those that are measured.
+func (r *RetryBudget) fewestRequests(now time.Time) int {
+	r.requests.Count(now)
+	times := r.requests.times
+	earliest := now.Add(-r.span / 2)
+	fewest := countWithin(times, now, r.span)
+	fewest = min(fewest, countWithin(times, earliest, r.span))
+	for _, at := range times {
+		// The number is lowest when a request has just expired.
+		if end := at.Add(r.span); end.After(earliest) && end.Before(now) {
+			fewest = min(fewest, countWithin(times, end, r.span))
+		}
+	}
+	return fewest
+}
+
+// countWithin returns how many of the sorted times lie within the span that ends at end.
+func countWithin(times []time.Time, end time.Time, span time.Duration) int {
+	after := func(at time.Time) int {
+		i, _ := slices.BinarySearchFunc(times, at, func(t, target time.Time) int {
+			if t.After(target) {
+				return 1
+			}
+			return -1
+		})
+		return i
+	}
+	return after(end) - after(end.Add(-span))
+}
+
 // coldWindow is the window over which requests to a cold upstream are counted.
 // Operators state the capacity of a cold upstream per second. The window is a
 // fifth longer, because requests sent within one window arrive within a shorter
