Repeat what was served for a while only, and send less to a VM that starts

With losses replicated from the first on, an entry says for 15 minutes that a request which lost an upstream was served; most of those that an upstream's crash breaks are. Each relay would repeat them in a datagram a second to each VM of its zone, and every VM would send 60 entries to one that starts. Entries of requests that were never held are now repeated for 10 s, and a VM that starts gets 20 of them from each; it reads the platform's records besides.

--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -73,9 +73,10 @@
 	changedAt time.Time
 	local     bool
 	sendsLeft int
-	// cleared reports whether the request had losses or was held until it was served:
-	// a VM that has not learned of that keeps sending what it knows.
-	cleared bool
+	// cleared reports whether the request had losses until it was served, and lifted
+	// whether it was held until then: a VM that has not learned of that keeps sending
+	// what it knows.
+	cleared, lifted bool
 	// written reports whether this VM wrote a record of losses to the platform, and
 	// isLost whether the platform may have lost it.
 	written, isLost bool
@@ -408,7 +409,7 @@
 	case len(e.Losses) > 0:
 		return now.Sub(e.Losses[len(e.Losses)-1].At) >= lossTTL
 	}
-	if e.cleared {
+	if e.cleared || e.lifted {
 		return now.Sub(e.Served) >= max(holdTTL, lossTTL)
 	}
 	return now.Sub(e.Served) >= servedTTL
@@ -434,8 +435,9 @@
 	if !e.isHeld() {
 		e.LastArrival, e.Stored, e.lastTrial = time.Time{}, StoredNothing, time.Time{}
 		e.cleared = len(e.Losses) == 0 && (e.cleared || before || suspected)
+		e.lifted = e.lifted || before
 	} else {
-		e.cleared = false
+		e.cleared, e.lifted = false, false
 		changed = changed || other.LastArrival.Sub(e.lastArrival()) >= arrivalStep
 		e.LastArrival = latest(e.LastArrival, other.LastArrival)
 		e.Stored = max(e.Stored, other.Stored)
@@ -531,10 +533,12 @@
 	return found
 }
 
-// MostImportant returns up to limit replicated entries, those with the most losses
-// first.
-func (l *Ledger) MostImportant(limit int) []Entry {
-	found := l.Replicated()
+// MostImportant returns all replicated entries of held requests and, up to limit, others,
+// those with the most losses first.
+func (l *Ledger) MostImportant(now time.Time, limit int) []Entry {
+	found := l.Replicated(now)
+	_, held := l.Len()
+	limit = max(limit, held)
 	slices.SortStableFunc(found, func(a, b Entry) int {
 		switch {
 		case b.less(&a):
@@ -549,9 +553,12 @@
 
 // Replicated returns the entries that all VMs must agree on, sorted by fingerprint:
 // those of requests that have lost upstreams or are held, or were until they were
-// served. A VM that starts learns of losses below holdThreshold only from these.
-func (l *Ledger) Replicated() []Entry {
-	found := l.filter(func(e *Entry) bool { return len(e.Losses) > 0 || e.isHeld() || e.cleared })
+// served. That a request which was not held was served is repeated for servedTTL only:
+// most requests that lose an upstream are served by another one soon.
+func (l *Ledger) Replicated(now time.Time) []Entry {
+	found := l.filter(func(e *Entry) bool {
+		return len(e.Losses) > 0 || e.isHeld() || e.lifted || (e.cleared && now.Sub(e.Served) < servedTTL)
+	})
 	slices.SortFunc(found, func(a, b Entry) int {
 		return slices.Compare(a.Fingerprint[:], b.Fingerprint[:])
 	})
@@ -559,8 +566,8 @@
 }
 
 // NextBatch returns up to limit replicated entries, other ones on each call.
-func (l *Ledger) NextBatch(limit int) []Entry {
-	all := l.Replicated()
+func (l *Ledger) NextBatch(now time.Time, limit int) []Entry {
+	all := l.Replicated(now)
 	if len(all) <= limit {
 		return all
 	}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -197,27 +197,27 @@
 // PendingChanges returns the encoded changes that are still to be sent to other VMs; with own,
 // only those that this VM observed itself.
 func (q *Quarantiner) PendingChanges(own bool) [][]byte {
-	return q.encodeEntries(func() []Entry { return q.ledger.Pending(own, maxPending) })
+	return q.encodeEntries(func(time.Time) []Entry { return q.ledger.Pending(own, maxPending) })
 }
 
 // NextPart returns some of the entries of requests that have lost upstreams or are held,
 // or were until they were served, encoded; other ones on each call.
 func (q *Quarantiner) NextPart() [][]byte {
-	return q.encodeEntries(func() []Entry { return q.ledger.NextBatch(maxPartEntries) })
+	return q.encodeEntries(func(now time.Time) []Entry { return q.ledger.NextBatch(now, maxPartEntries) })
 }
 
-// All returns the most important of those entries, encoded. The number is limited
-// because each VM sends them to each VM that starts, which reads the others from the
-// platform.
+// All returns those of held requests and the most important others, encoded. The number
+// of the latter is limited because every VM sends them to a VM that starts, which reads the
+// rest from the platform.
 func (q *Quarantiner) All() [][]byte {
-	return q.encodeEntries(func() []Entry { return q.ledger.MostImportant(maxPending) })
+	return q.encodeEntries(func(now time.Time) []Entry { return q.ledger.MostImportant(now, maxPartEntries) })
 }
 
-func (q *Quarantiner) encodeEntries(choose func() []Entry) [][]byte {
+func (q *Quarantiner) encodeEntries(choose func(now time.Time) []Entry) [][]byte {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.deps.Now()
-	parts, err := encode(now, choose())
+	parts, err := encode(now, choose(now))
 	if err != nil {
 		q.deps.Log.Error().Err(err).Msg("encoding of quarantined requests failed")
 	}
@@ -226,7 +226,7 @@
 
 // Encode returns the entries of the given records, encoded.
 func (q *Quarantiner) Encode(rs []Record) [][]byte {
-	return q.encodeEntries(func() []Entry {
+	return q.encodeEntries(func(time.Time) []Entry {
 		var fs []fingerprinter.Fingerprint
 		for _, r := range rs {
 			fs = append(fs, r.Fingerprint)
