Store a hold at once while a loss of the request is being stored

Callers saw, with a platform that takes 2 s: a request sent a fourth time after a restart of all VMs.

The attempt to store the loss at 8.4 s made the hold at 8.5 s wait for that, and the next check, so that it was asked for at 10 s, and not stored at 11.5 s when all VMs start again. Ruled out: datagrams (both VMs held the request from 8.51 s on).

A hold no longer counts the attempts for losses.

--- a/entry/process/quarantiner/losses_test.go
+++ b/entry/process/quarantiner/losses_test.go
@@ -139,3 +139,18 @@
 	assert.Equal(t, len(store), 1)
 	assert.Assert(t, store[0].IsHeld())
 }
+
+// The platform is slow to store the second loss when the third one follows. If the hold waited
+// for that call to be repeated, a restart of all VMs meanwhile would forget it.
+func TestHoldIsStoredAtOnceWhileALossIsBeingStored(t *testing.T) {
+	now := start
+	q := newQuarantiner(&now, false)
+	q.Lost(request, "u", 1)
+	q.Lost(request, "v", 1)
+	assert.Equal(t, len(reconcile(q)), 1)
+	now = now.Add(100 * time.Millisecond)
+	q.Lost(request, "w", 1)
+	store := reconcile(q)
+	assert.Equal(t, len(store), 1)
+	assert.Assert(t, store[0].IsHeld())
+}
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -182,6 +182,8 @@
 // onHeld cancels the waiting runs of a request that has just become held. It is
 // called with q.mu held.
 func (q *Quarantiner) onHeld(f fingerprinter.Fingerprint, source string) {
+	// The platform may still be storing a loss. The hold must not wait for that.
+	delete(q.lastStoreAttempt, f)
 	for w := range q.waiting[f] {
 		w.cancel(ErrHeld)
 	}
