Count a trial that crashed though the record of the hold is later

Callers would see: a request whose trial has crashed an upstream runs as a trial once more.

Cause, by reading and a test: that a trial crashed is told from a loss 30 s or more after the start of the hold. VMs store that start by their own clocks, and the latest counts, so that a record that arrives after the trial can move the start to less than 30 s before the crash. A hold that was confirmed now stays so. TestTrialThatCrashedCountsThoughTheRecordIsLater fails without it (a second trial).

--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -431,6 +431,11 @@
 	for _, loss := range other.Losses {
 		changed = e.addLoss(loss) || changed
 	}
+	if confirmed && e.isHeld() && !e.isConfirmed() {
+		// The hold began later according to the platform's record, as clocks differ. The
+		// trial crashed all the same and must not be repeated.
+		e.Confirmed = e.HeldSince()
+	}
 	changed = changed || e.isHeld() != before || e.isConfirmed() != confirmed
 	if !e.isHeld() {
 		e.LastArrival, e.Stored, e.lastTrial = time.Time{}, StoredNothing, time.Time{}
--- a/entry/process/quarantiner/turn_test.go
+++ b/entry/process/quarantiner/turn_test.go
@@ -29,3 +29,16 @@
 		assert.Equal(t, turns[vm], 20, "half-second steps in which %s may start the trial", vm)
 	}
 }
+
+// A VM whose clock is ahead stores the hold, and a trial has crashed an upstream already. If the
+// later start of the hold made that crash too early for a trial, another one would follow.
+func TestTrialThatCrashedCountsThoughTheRecordIsLater(t *testing.T) {
+	l := quarantiner.NewLedger()
+	for i := range 3 {
+		l.Lost(at(i), request, uint32(i))
+	}
+	assert.Assert(t, l.StartTrial(at(31_000), request))
+	l.Lost(at(31_100), request, 99)
+	l.Merge(at(31_200), quarantiner.Entry{Fingerprint: request, RecordedSince: at(3000)})
+	assert.Assert(t, !l.StartTrial(at(70_000), request), "a second trial")
+}
