Store a hold while a call to store losses is in progress

One goroutine made all calls for the quarantine in turn, with 2 s for each. Where the platform took seconds, a hold waited for the losses before it, and a platform that takes more than 2 s got nothing. Losses are stored and deleted by a goroutine of their own now, and a call has 4 s.

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -171,8 +171,10 @@
 	pendingDeletes pendingDeletes
 	// storedLosses are the platform's records of losses.
 	storedLosses storedLosses
-	// quarantineChanged receives a value when the quarantine may have changes to store.
+	// quarantineChanged receives a value when the quarantine may have changes to store, and
+	// lossesToStore the losses among these.
 	quarantineChanged chan struct{}
+	lossesToStore     chan []quarantiner.Record
 	acceptor          *acceptor.Acceptor
 	syncers           []*syncer.Syncer
 	// configured is closed once a configuration is in force, and listed is set once a first
@@ -204,7 +206,7 @@
 		platform: platform, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
 		ticker: ticker.New(time.Now, tickInterval), tracker: tracker.New(), carrier: carrier.New(time.Now),
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), vmListRead: make(chan struct{}), configured: make(chan struct{}),
-		quarantineChanged: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1),
+		quarantineChanged: make(chan struct{}, 1), lossesToStore: make(chan []quarantiner.Record, 1), registrationLost: make(chan struct{}, 1),
 		relevantEnds: map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&settings)
@@ -314,7 +316,7 @@
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLost)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.retryBudget.recordMembers)
 	v.ticker.Subscribe(staleCheckInterval, func(time.Time) { v.checkOutdated() })
-	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine, v.keepRegistered} {
+	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine, v.syncLosses, v.keepRegistered} {
 		wg.Go(func() { run(ctx) })
 	}
 	for _, s := range v.syncers {
--- a/entry/process/joiner/losses.go
+++ b/entry/process/joiner/losses.go
@@ -72,22 +72,35 @@
 	return true
 }
 
-// storeLosses stores losses with the platform and reports whether it did.
-func (v *Process) storeLosses(ctx context.Context, rs []quarantiner.Record) bool {
-	if len(rs) == 0 {
-		return true
+// syncLosses stores losses with the platform and deletes those that are no longer needed,
+// until ctx is done. A hold does not wait for these calls.
+func (v *Process) syncLosses(ctx context.Context) {
+	deletesDue := make(chan struct{}, 1)
+	stop := v.ticker.Subscribe(obsoleteLossesInterval, func(time.Time) { notify(deletesDue) })
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case rs := <-v.lossesToStore:
+			v.storeLosses(ctx, rs)
+		case <-deletesDue:
+			v.deleteObsoleteLosses(ctx)
+		}
 	}
+}
+
+func (v *Process) storeLosses(ctx context.Context, rs []quarantiner.Record) {
 	callCtx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 	defer cancel()
 	if err := v.platform.StoreLosses(callCtx, v.self.VM, rs); err != nil {
 		v.log.Warn().Int("requests", len(rs)).Err(err).Msg("failed to store losses")
-		return false
+		return
 	}
 	for _, r := range rs {
 		v.quarantine.MarkStored(r)
 	}
 	v.log.Info().Int("requests", len(rs)).Msg("losses stored")
-	return true
 }
 
 // deleteObsoleteLosses deletes the records of losses that are no longer needed.
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -16,9 +16,9 @@
 	// quarantineSyncInterval is how often the quarantine is checked for changes that the
 	// platform must store.
 	quarantineSyncInterval = time.Second
-	// quarantineCallTimeout is the timeout of a call to the platform to store or delete a
-	// quarantine record.
-	quarantineCallTimeout = 2 * time.Second
+	// quarantineCallTimeout is the timeout of a call to the platform to store or delete
+	// quarantine records. A platform that takes seconds must still get them.
+	quarantineCallTimeout = 4 * time.Second
 )
 
 // pendingDeletes is the set of requests whose quarantine has expired but whose records the
@@ -80,21 +80,14 @@
 // syncQuarantine stores the requests in quarantine with the platform until ctx is done.
 // State that VMs only exchange among themselves would be lost with the last of them.
 func (v *Process) syncQuarantine(ctx context.Context) {
-	deletesDue := make(chan struct{}, 1)
-	for _, stop := range []func(){
-		v.ticker.Subscribe(quarantineSyncInterval, func(time.Time) { notify(v.quarantineChanged) }),
-		v.ticker.Subscribe(obsoleteLossesInterval, func(time.Time) { notify(deletesDue) }),
-	} {
-		defer stop()
-	}
+	stop := v.ticker.Subscribe(quarantineSyncInterval, func(time.Time) { notify(v.quarantineChanged) })
+	defer stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-v.quarantineChanged:
 			v.storeQuarantineChanges(ctx)
-		case <-deletesDue:
-			v.deleteObsoleteLosses(ctx)
 		}
 	}
 }
@@ -115,11 +108,19 @@
 // readsForZone reports whether this VM reads the platform for its zone.
 func (v *Process) readsForZone() bool { return v.gossiper.ReadRole() == gossiper.Reader }
 
-// storeQuarantineChanges stores new losses and quarantine records with the platform and, if
-// this VM is the reader of its zone, deletes expired quarantine records.
+// storeQuarantineChanges stores new quarantine records with the platform, has syncLosses
+// store new losses and, if this VM is the reader of its zone, deletes expired quarantine
+// records.
 func (v *Process) storeQuarantineChanges(ctx context.Context) {
 	store, remove := v.quarantine.Reconcile()
 	v.pendingDeletes.add(remove...)
+	if losses := slices.DeleteFunc(slices.Clone(store), quarantiner.Record.IsHeld); len(losses) > 0 {
+		select {
+		case v.lossesToStore <- losses:
+		default:
+			// They are stored when the call in progress has ended.
+		}
+	}
 	for _, r := range store {
 		if !r.IsHeld() {
 			continue
@@ -134,7 +135,7 @@
 		v.quarantine.MarkStored(r)
 		v.log.Info().Stringer("fingerprint", r.Fingerprint).Time("held", r.Since).Bool("confirmed", r.Confirmed).Msg("quarantine record stored")
 	}
-	if !v.storeLosses(ctx, slices.DeleteFunc(store, quarantiner.Record.IsHeld)) || !v.readsForZone() {
+	if !v.readsForZone() {
 		return
 	}
 	for _, f := range v.pendingDeletes.all() {
