Log what becomes known of losses, with its age

A VM's belief about a request's losses changed without a line unless the request was held. One line is written now where another VM or the platform tells of a loss or that the request was served; a trial's line says how long the request had been held.

--- a/entry/process/quarantiner/ledger.go
+++ b/entry/process/quarantiner/ledger.go
@@ -453,6 +453,14 @@
 	return changed
 }
 
+// lastChange returns when the request last lost an upstream, or was served since.
+func (e *Entry) lastChange() time.Time {
+	if n := len(e.Losses); n > 0 {
+		return e.Losses[n-1].At
+	}
+	return e.Served
+}
+
 // addLoss adds a loss, and reports whether it is new.
 func (e *Entry) addLoss(loss Loss) bool {
 	if i := slices.IndexFunc(e.Losses, func(l Loss) bool { return l.Upstream == loss.Upstream }); i >= 0 {
--- a/entry/process/quarantiner/quarantiner.go
+++ b/entry/process/quarantiner/quarantiner.go
@@ -147,7 +147,7 @@
 	if !q.ledger.StartTrial(q.deps.Now(), f) {
 		return after, held
 	}
-	q.deps.Log.Info().Stringer("fingerprint", f).Msg("quarantine trial started")
+	q.deps.Log.Info().Stringer("fingerprint", f).Dur("held", q.ledger.HeldFor(q.deps.Now(), f)).Msg("quarantine trial started")
 	return 0, false
 }
 
@@ -264,6 +264,11 @@
 	if lifted {
 		q.onLifted(e.Fingerprint, source)
 	}
+	if changed && !held && !lifted {
+		known := q.ledger.Get([]fingerprinter.Fingerprint{e.Fingerprint})[0]
+		q.deps.Log.Info().Stringer("fingerprint", e.Fingerprint).Str("source", source).Int("losses", len(known.Losses)).
+			Dur("age", now.Sub(known.lastChange())).Msg("losses of a request changed")
+	}
 	return changed
 }
 
