--- a/entry/version/follower/counts.go
+++ b/entry/version/follower/counts.go
@@ -16,20 +16,20 @@
 }
 
 func newCounts(r metrics.Registry) counts {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("config."+name, r) }
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
 	return counts{
 		version:     metrics.GetOrRegisterGauge("config.version", r),
 		read:        metrics.GetOrRegisterGauge("config.read", r),
-		accepted:    counter("accepted"),
-		refused:     counter("refused"),
-		ignored:     counter("ignored"),
-		broken:      counter("broken"),
-		back:        counter("back"),
-		gaps:        counter("gaps"),
-		errors:      counter("errors"),
-		adopted:     counter("adopted"),
-		checkpoints: counter("checkpoints"),
-		disagreed:   counter("disagreed"),
+		accepted:    counter("config.accepted"),
+		refused:     counter("config.refused"),
+		ignored:     counter("config.ignored"),
+		broken:      counter("config.broken"),
+		back:        counter("config.back"),
+		gaps:        counter("config.gaps"),
+		errors:      counter("config.errors"),
+		adopted:     counter("config.adopted"),
+		checkpoints: counter("config.checkpoints"),
+		disagreed:   counter("config.disagreed"),
 	}
 }
 
