--- a/entry/process/claimer/table.go
+++ b/entry/process/claimer/table.go
@@ -18,7 +18,7 @@
 	Boot uint64
 	// Handed says that the holder before stopped before the record was written.
 	Handed bool
-	// First says that no claim stood before in a log that has forgotten nothing.
+	// First reports whether the log holds no earlier claim and has dropped no records.
 	First bool
 	// Since is the offset of the first claim in this process's unbroken series.
 	Since uint64
--- a/entry/process/coordinator/node.go
+++ b/entry/process/coordinator/node.go
@@ -77,7 +77,7 @@
 	Open   []member.Member
 	// More says that more may be started here than before.
 	More bool
-	// Woke is how long the process had stood still, if it had.
+	// Woke is how long the process was suspended; zero if it was not.
 	Woke time.Duration
 }
 
--- a/entry/process/coordinator/run.go
+++ b/entry/process/coordinator/run.go
@@ -82,7 +82,7 @@
 func (o *Coordinator) do(ctx context.Context, s Step) {
 	if s.Woke > 0 {
 		o.count.woke.Inc(1)
-		o.d.Logger.Warn().Dur("after", s.Woke).Msg("the process had stood still")
+		o.d.Logger.Warn().Dur("after", s.Woke).Msg("the process was suspended")
 	}
 	for _, m := range s.Open {
 		o.d.Links.Open(m.VM, m.Address)
