Let a VM that has just started retry by its own requests

Cause: the fewest requests of the windows that ended in the last half window are none for a VM that started less than half a window ago, and it has no slack for 12 s, so that it may retry nothing.

A VM that has just started counts the requests since its start, as before. TestVMThatStartsMayRetry fails without the change.

--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -118,13 +118,18 @@
 	}
 }
 
+// isStarting reports whether this VM has just started.
+func (h *MemberHistory) isStarting(now time.Time) bool {
+	return !h.startedAt.IsZero() && now.Sub(h.startedAt) < h.span+rejoinDelay
+}
+
 // Quota returns how many whole units of a limit over the span a VM may use: its
 // smallest quota within that span. When the quota grows because other VMs have
 // ended, the added units belonged to those VMs until then. A VM that has just
 // started gets none: it does not know what it used before, and the units that the
 // other VMs had in its absence may be used up.
 func (h *MemberHistory) Quota(now time.Time, limit float64, resource, vm string) int {
-	if len(h.memberships) == 0 || (!h.startedAt.IsZero() && now.Sub(h.startedAt) < h.span+rejoinDelay) {
+	if len(h.memberships) == 0 || h.isStarting(now) {
 		return 0
 	}
 	quota := math.MaxInt
@@ -157,7 +162,14 @@
 
 // TryRetry reports whether one retry is within the budget, and counts it if so.
 func (r *RetryBudget) TryRetry(now time.Time, vm string, h *MemberHistory) bool {
-	limit := r.Ratio*float64(r.fewestRequests(now)) + float64(h.Quota(now, r.Slack, "repeats", vm))
+	requests := r.fewestRequests(now)
+	if h.isStarting(now) {
+		// It does not know the requests from before its start, and has no slack yet.
+		// With the fewest it would retry nothing for half a span, when retries are
+		// needed most: other VMs have started as well.
+		requests = countWithin(r.requests.times, now, r.span)
+	}
+	limit := r.Ratio*float64(requests) + float64(h.Quota(now, r.Slack, "repeats", vm))
 	if float64(r.retries.Count(now)+1) > limit {
 		return false
 	}
--- a/entry/process/budgeter/window_test.go
+++ b/entry/process/budgeter/window_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
@@ -55,3 +56,19 @@
 		}
 	})
 }
+
+// All VMs have started again, and upstreams fail. A budget that lags would let none of the
+// requests be retried.
+func TestVMThatStartsMayRetry(t *testing.T) {
+	budget, live := budgeter.NewRetryBudget(0.2, 100, span), budgeter.NewMemberHistory(span, start)
+	live.Record(start, names(7))
+	retries := 0
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		budget.Sent(now)
+		if budget.TryRetry(now, "vm-0", live) {
+			retries++
+		}
+	}
+	assert.Equal(t, retries, 4)
+}
