Tell a VM that reaches no upstream from upstreams that are down

After two failed connections within 2 s a VM connects to six upstreams of the service; with fewer than half reached these count as unreachable, and are checked again every 0.5 s until two checks in a row are good. The line, the counter reachability.checks and the gauge unreachable say so; no request is handled in another way.

Ruled out: counting failures alone. Upstreams that crash make the same failures.

Tests: the detector's decisions over rapid histories of failures and checks.

--- /dev/null
+++ b/entry/process/detector/detector.go
@@ -0,0 +1,147 @@
+// Package detector detects that this VM cannot reach the upstreams of a service. It
+// answers a network partition between one VM and the upstreams: each connection fails
+// there as if its upstream had crashed, while other VMs reach all of them. A few failed
+// connections may as well mean that their upstreams have crashed, so they only cause a
+// check, which connects to a sample of the service's upstreams.
+//
+// The package reads no clock and opens no connections. A Detector is safe for concurrent
+// use.
+package detector
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// checkThreshold is the number of failures within failureWindow that cause a check.
+	checkThreshold = 2
+	failureWindow  = 2 * time.Second
+	// checkInterval is the least time between two checks of a service, and the interval of
+	// checks while its upstreams are unreachable.
+	checkInterval = 500 * time.Millisecond
+	// recoveryChecks is the number of consecutive good checks after which upstreams count
+	// as reachable again: a lossy path lets single connections through.
+	recoveryChecks = 2
+	// reachedDivisor is the inverse of the share of the sample that must be reached.
+	reachedDivisor = 2
+)
+
+// A Detector holds the state of each service.
+type Detector struct {
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+type service struct {
+	// failures are the times of recent failures, oldest first.
+	failures    []time.Time
+	checkedAt   time.Time
+	checking    bool
+	unreachable bool
+	goodChecks  int
+}
+
+// A Check is the result of connecting to a sample of a service's upstreams.
+type Check struct {
+	// Asked is the size of the sample, and Reached the number of successful connections.
+	Asked, Reached int
+}
+
+func (c Check) isGood() bool { return c.Reached*reachedDivisor >= c.Asked }
+
+// New returns a Detector for which all upstreams are reachable.
+func New() *Detector { return &Detector{services: make(map[string]*service)} }
+
+// RecordFailure records that a connection to an upstream of a service failed, or that a
+// request on it made no progress. It reports whether to check the service now; if so,
+// RecordCheck must follow.
+func (d *Detector) RecordFailure(now time.Time, name string) (check bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.services[name]
+	if !ok {
+		s = &service{}
+		d.services[name] = s
+	}
+	s.failures = slices.DeleteFunc(s.failures, func(at time.Time) bool { return now.Sub(at) > failureWindow })
+	if len(s.failures) < checkThreshold {
+		s.failures = append(s.failures, now)
+	}
+	return len(s.failures) >= checkThreshold && s.beginCheck(now)
+}
+
+// beginCheck reports whether a check is due, and begins it.
+func (s *service) beginCheck(now time.Time) bool {
+	if s.checking || (!s.checkedAt.IsZero() && now.Sub(s.checkedAt) < checkInterval) {
+		return false
+	}
+	s.checking, s.checkedAt = true, now
+	return true
+}
+
+// DueChecks returns the services whose upstreams are unreachable and that are to be
+// checked now. RecordCheck must follow for each.
+func (d *Detector) DueChecks(now time.Time) (names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, s := range d.services {
+		if s.unreachable && s.beginCheck(now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// RecordCheck records the result of a check. It reports whether the upstreams are
+// unreachable, and whether that has changed.
+func (d *Detector) RecordCheck(name string, c Check) (unreachable, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.services[name]
+	if !ok {
+		return false, false
+	}
+	s.checking = false
+	s.failures = nil
+	before := s.unreachable
+	switch {
+	case !c.isGood():
+		s.unreachable, s.goodChecks = true, 0
+	case s.unreachable:
+		s.goodChecks++
+		s.unreachable = s.goodChecks < recoveryChecks
+	}
+	return s.unreachable, s.unreachable != before
+}
+
+// Unreachable reports whether this VM cannot reach the upstreams of a service.
+func (d *Detector) Unreachable(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.services[name]
+	return ok && s.unreachable
+}
+
+// InDoubt reports whether failed connections may be due to this VM's own network path:
+// upstreams are unreachable, or a check is running.
+func (d *Detector) InDoubt(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.services[name]
+	return ok && (s.unreachable || s.checking)
+}
+
+// CountUnreachable returns the number of services whose upstreams are unreachable.
+func (d *Detector) CountUnreachable() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, s := range d.services {
+		if s.unreachable {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/process/detector/detector_test.go
@@ -0,0 +1,103 @@
+package detector_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/heathervane/heathervane/entry/process/detector"
+)
+
+var start = time.Unix(1000, 0)
+
+// failUntilCheck records failures until a check is due.
+func failUntilCheck(t *testing.T, d *detector.Detector, at time.Time) {
+	t.Helper()
+	assert.Assert(t, !d.RecordFailure(at, "s"))
+	assert.Assert(t, d.RecordFailure(at.Add(50*time.Millisecond), "s"))
+}
+
+// A VM whose network path to all upstreams is broken must find that out from its first
+// failures, and at the latest within two checks when the path is repaired.
+func TestPartitionedVMDetectsThatUpstreamsAreUnreachable(t *testing.T) {
+	d := detector.New()
+	failUntilCheck(t, d, start)
+	assert.Assert(t, d.InDoubt("s") && !d.Unreachable("s"))
+	unreachable, changed := d.RecordCheck("s", detector.Check{Asked: 6})
+	assert.Assert(t, unreachable && changed && d.Unreachable("s"))
+	assert.Assert(t, !d.Unreachable("other"))
+	assert.Equal(t, d.CountUnreachable(), 1)
+
+	now := start.Add(time.Second)
+	for i := range 2 {
+		assert.DeepEqual(t, d.DueChecks(now), []string{"s"})
+		assert.Equal(t, len(d.DueChecks(now)), 0, "a check is running")
+		unreachable, changed = d.RecordCheck("s", detector.Check{Asked: 6, Reached: 6})
+		assert.Equal(t, unreachable, i == 0)
+		assert.Equal(t, changed, i == 1)
+		now = now.Add(500 * time.Millisecond)
+	}
+	assert.Assert(t, !d.InDoubt("s"))
+	assert.Equal(t, len(d.DueChecks(now)), 0)
+}
+
+// One failed connection, or upstreams that crash while most others are reached, must not
+// count as a broken path of this VM.
+func TestCrashedUpstreamsAreNotABrokenPath(t *testing.T) {
+	d := detector.New()
+	assert.Assert(t, !d.RecordFailure(start, "s"))
+	assert.Assert(t, !d.RecordFailure(start.Add(3*time.Second), "s"), "the first failure is too old")
+	assert.Assert(t, d.RecordFailure(start.Add(4*time.Second), "s"))
+	unreachable, changed := d.RecordCheck("s", detector.Check{Asked: 6, Reached: 3})
+	assert.Assert(t, !unreachable && !changed && !d.InDoubt("s"))
+	assert.Assert(t, !d.RecordFailure(start.Add(4100*time.Millisecond), "s"))
+	assert.Assert(t, !d.RecordFailure(start.Add(4200*time.Millisecond), "s"), "the last check is too recent")
+}
+
+// Whatever the order of events, checks of a service never overlap or follow each other
+// faster than their interval, and the state follows the results.
+func TestChecksAreBoundedAndDecideAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now := detector.New(), start
+		checking, unreachable, good := false, false, 0
+		var lastCheck time.Time
+		begin := func() {
+			assert.Assert(t, !checking)
+			assert.Assert(t, lastCheck.IsZero() || now.Sub(lastCheck) >= 500*time.Millisecond)
+			checking, lastCheck = true, now
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				if d.RecordFailure(now, "s") {
+					begin()
+				}
+			case 1:
+				if len(d.DueChecks(now)) > 0 {
+					assert.Assert(t, unreachable)
+					begin()
+				}
+			case 2:
+				if !checking {
+					continue
+				}
+				c := detector.Check{Asked: 4, Reached: rapid.IntRange(0, 4).Draw(t, "reached")}
+				switch {
+				case c.Reached < 2:
+					unreachable, good = true, 0
+				case unreachable:
+					good++
+					unreachable = good < 2
+				}
+				checking = false
+				got, _ := d.RecordCheck("s", c)
+				assert.Equal(t, got, unreachable)
+			}
+			assert.Equal(t, d.Unreachable("s"), unreachable)
+			assert.Equal(t, d.InDoubt("s"), unreachable || checking)
+		}
+	})
+}
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -20,6 +20,7 @@
 	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/bounder"
+	"github.com/heathervane/heathervane/entry/process/detector"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/prober"
@@ -165,6 +166,8 @@
 	carrier     *carrier.Carrier
 	relayer     *relayer.Relayer
 	retryBudget *retryBudget
+	// reachability tells which services' upstreams this VM can reach.
+	reachability *reachability
 	// quarantine holds the requests that crash upstreams, and pendingDeletes those whose
 	// records the platform may delete.
 	quarantine     *quarantiner.Quarantiner
@@ -237,6 +240,7 @@
 		Service: v.service, ColdStartQuota: v.coldStartQuota, Now: time.Now, Log: log,
 	})
 	v.retryBudget = newRetryBudget(v)
+	v.reachability = &reachability{Detector: detector.New(), process: v}
 	probes := prober.New(prober.Deps{
 		Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log,
 		Rejected: func(status int, h http.Header) bool { return platform.ParseResponse(status, h).NotRun },
@@ -249,7 +253,7 @@
 		Reserver:     reserver.New(settings.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", platform, v.leaseDuration, log),
 		MaxIdleConns: v.maxIdleConns,
 		Prober:       probes, RetryBudget: v.retryBudget, Quarantine: v.quarantine, BodyMemory: bounder.New(settings.Memory / bodyMemoryDivisor), Meter: v.meter, Now: time.Now, Log: log,
-		ShuttingDown: v.leaving,
+		ShuttingDown: v.leaving, Reachability: v.reachability,
 	})
 	v.acceptor = acceptor.New(v.callers, v, settings.Descriptors/callerConnsDivisor, time.Now, log)
 	v.newSyncers()
@@ -272,7 +276,9 @@
 		"vms":       func() int64 { return int64(len(v.gossiper.LiveVMs())) },
 		"dials":     v.carrier.Dials,
 		"held":      func() int64 { return int64(v.quarantine.Len()) },
-		"version":   v.version,
+		// The number of services whose upstreams this VM cannot reach.
+		"unreachable": func() int64 { return int64(v.reachability.CountUnreachable()) },
+		"version":     v.version,
 	} {
 		if err := v.meter.Gauge(name, value); err != nil {
 			return err
@@ -315,6 +321,7 @@
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLapsed)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLost)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.retryBudget.recordMembers)
+	v.ticker.Subscribe(reachabilityInterval, v.reachability.runDueChecks)
 	v.ticker.Subscribe(staleCheckInterval, func(time.Time) { v.checkOutdated() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine, v.syncLosses, v.keepRegistered} {
 		wg.Go(func() { run(ctx) })
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"slices"
@@ -381,6 +382,9 @@
 		r.handleStall(j, a)
 		return retryGranted
 	}
+	if isBrokenPath(f) {
+		r.deps.Reachability.ReportFailure(j.service.Name)
+	}
 	r.recordLoss(j, a, f)
 	r.recordFailure(j, id, f.Error())
 	// A reused connection that was closed is no evidence against the upstream.
@@ -402,6 +406,17 @@
 	j.log.losses = r.deps.Quarantine.Lost(j.fingerprint, a.grant.Upstream.ID, a.grant.Upstream.StartedAt)
 }
 
+// isBrokenPath reports whether an error may be due to the network path to the upstream:
+// the connection could not be made, was lost, or timed out.
+func isBrokenPath(err error) bool {
+	var f *carrier.SendError
+	if errors.As(err, &f) && !f.Sent {
+		return true
+	}
+	var timeout net.Error
+	return isConnectionLoss(err) || (errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // isConnectionLoss reports whether the upstream ended the connection prematurely.
 func isConnectionLoss(err error) bool {
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE} {
@@ -417,6 +432,7 @@
 // the upstream are dropped: if only the network path from this VM is broken, each of
 // them would stall in turn, while opening a new one detects it.
 func (r *Relayer) handleStall(j *job, a *attempt) {
+	r.deps.Reachability.ReportFailure(j.service.Name)
 	r.deps.Carrier.CloseIdle(a.grant.Upstream.Address)
 	blamed := r.deps.Tracker.ReportStall(r.deps.Now(), a.sentAt, a.upstreams())
 	if slices.Contains(blamed, a.grant.Upstream.ID) {
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -167,6 +167,15 @@
 
 	mu       sync.Mutex
 	received []upstreamRequest
+	// pathFailures counts the failures that may be due to this VM's network path.
+	pathFailures int
+}
+
+// ReportFailure implements relayer.Reachability.
+func (b *harness) ReportFailure(string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pathFailures++
 }
 
 var engine = &matcher.Engine{
@@ -235,6 +244,7 @@
 		MaxIdleConns: func(int, string) int { return 0 },
 		Quarantine:   lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
 		RetryBudget:  b.budget, BodyMemory: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+		Reachability: b,
 		ShuttingDown: func() (bool, time.Duration) { return b.shutdownIn.Load() > 0, time.Duration(b.shutdownIn.Load()) },
 	})
 	b.server = httptest.NewServer(r)
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -159,6 +159,14 @@
 	Served(f fingerprinter.Fingerprint)
 }
 
+// Reachability tells whether this VM can reach the upstreams of a service. Without it
+// the upstreams would be blamed for a network partition of this VM.
+type Reachability interface {
+	// ReportFailure records that a connection to an upstream of a service failed, or that
+	// a request on it made no progress.
+	ReportFailure(service string)
+}
+
 // Deps are the dependencies of a Relayer.
 type Deps struct {
 	Table func() *matcher.Table
@@ -179,11 +187,12 @@
 	Prober      *prober.Prober
 	RetryBudget RetryBudget
 	// Quarantine holds the requests that crash upstreams.
-	Quarantine Quarantine
-	BodyMemory reader.MemoryBudget
-	Meter      Meter
-	Now        func() time.Time
-	Log        zerolog.Logger
+	Quarantine   Quarantine
+	BodyMemory   reader.MemoryBudget
+	Meter        Meter
+	Now          func() time.Time
+	Log          zerolog.Logger
+	Reachability Reachability
 	// ShuttingDown reports whether this VM is about to stop, and the time left.
 	ShuttingDown func() (bool, time.Duration)
 }
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -59,6 +59,9 @@
 			continue
 		}
 		if ctx.Err() == nil {
+			if isBrokenPath(err) {
+				r.deps.Reachability.ReportFailure(j.service.Name)
+			}
 			r.recordLoss(j, a, err)
 			r.recordFailure(j, a.grant.Upstream.ID, "stream interrupted: "+err.Error())
 			r.deps.Tracker.ReportFailure(r.deps.Now(), a.grant.Upstream.ID, true)
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -38,6 +38,9 @@
 		}
 		a.close()
 		if ctx.Err() == nil {
+			if isBrokenPath(err) {
+				r.deps.Reachability.ReportFailure(j.service.Name)
+			}
 			r.recordLoss(j, a, err)
 			r.recordFailure(j, a.grant.Upstream.ID, "response interrupted: "+err.Error())
 			r.deps.Tracker.ReportFailure(r.deps.Now(), a.grant.Upstream.ID, false)
