Forward requests to other VMs while this VM reaches no upstream

Cause: a VM could send a request only over its own network path. Placing is shared among VMs, sending was not, so a VM without a path failed each request at one upstream after the other, although others reached all of them and it reached the others. The class: a failure of the observer is taken for failures of all that it observes. It also blamed the upstreams: each reset counted as an upstream lost under its request, so that requests were held at all VMs, and leaders took upstreams for broken.

Ruled out: leaders (requests fail at their own dials, whichever VM leads) and the retry budget and quarantine as causes (no attempt of these VMs succeeds at all).

Change: a VM whose check says that the upstreams of a service are unreachable forwards the service's requests, as they came, to other VMs, which serve them like their own: they place, retry, reserve memory, keep limits, backoffs and departures. What it takes to keep every promise goes along in headers: the time since arrival, how often the request may have run, whether it counts in the retry budget, the last event, the version of the configuration. A VM declines what it cannot serve better (it reaches no upstream either, leaves, has an older configuration), and never forwards what was forwarded to it. A request that may have run is not forwarded again unless it may be repeated, within the retry budget. While the path is broken and another VM takes the requests, failures are not held against upstreams, and a held request gets no trial there. A VM that has begun a check waits for it before it judges a failed connection, 0.3 s at most.

Weighed: a tunnel through another VM to the upstream, which leaves all decisions with the first VM, but hides its answers from the VM that upstreams see, so that what they ask of that VM (backoff, leaving) would not be known there; reporting not ready, which moves new connections only, and none where a zone is cut off whole.

--- a/bench/main.go
+++ b/bench/main.go
@@ -1,7 +1,7 @@
 // Command bench shows and measures a whole fleet as separate processes on
 // loopback: demo sends one request of each kind, run plays an experiment, and
 // compare sets two runs side by side. emulate plays loads against the decisions
-// alone. It is no part of what serves callers.
+// alone, and tally counts from logs how VMs without a path to upstreams serve. It is no part of what serves callers.
 package main
 
 import (
@@ -33,6 +33,7 @@
 	var p play
 	var c comparison
 	var e emulation
+	var t tallying
 	commands := []struct {
 		command *flaggy.Subcommand
 		run     func(context.Context) error
@@ -41,6 +42,7 @@
 		{p.command(), p.run},
 		{c.command(), c.run},
 		{e.command(), e.run},
+		{t.command(), t.run},
 	}
 	for _, one := range commands {
 		parser.AttachSubcommand(one.command, 1)
@@ -54,5 +56,5 @@
 		}
 	}
 	parser.ShowHelp()
-	return errs.New("name a subcommand: demo, run, compare or emulate")
+	return errs.New("name a subcommand: demo, run, compare, emulate or tally")
 }
--- a/entry/process/detector/detector.go
+++ b/entry/process/detector/detector.go
@@ -9,13 +9,14 @@
 package detector
 
 import (
-	"slices"
+	"maps"
 	"sync"
 	"time"
 )
 
 const (
-	// checkThreshold is the number of failures within failureWindow that cause a check.
+	// checkThreshold is the number of upstreams with failures within failureWindow that
+	// cause a check.
 	checkThreshold = 2
 	failureWindow  = 2 * time.Second
 	// checkInterval is the least time between two checks of a service, and the interval of
@@ -24,8 +25,9 @@
 	// recoveryChecks is the number of consecutive good checks after which upstreams count
 	// as reachable again: a lossy path lets single connections through.
 	recoveryChecks = 2
-	// reachedDivisor is the inverse of the share of the sample that must be reached.
-	reachedDivisor = 2
+	// reachedDivisor is the inverse of the share of the sample that must be reached. It is
+	// small, because upstreams of a whole zone may have crashed.
+	reachedDivisor = 3
 )
 
 // A Detector holds the state of each service.
@@ -35,8 +37,8 @@
 }
 
 type service struct {
-	// failures are the times of recent failures, oldest first.
-	failures    []time.Time
+	// failures are the times of recent failures by upstream.
+	failures    map[string]time.Time
 	checkedAt   time.Time
 	checking    bool
 	unreachable bool
@@ -49,7 +51,8 @@
 	Asked, Reached int
 }
 
-func (c Check) isGood() bool { return c.Reached*reachedDivisor >= c.Asked }
+// Good reports whether enough upstreams were reached.
+func (c Check) Good() bool { return c.Reached*reachedDivisor >= c.Asked }
 
 // New returns a Detector for which all upstreams are reachable.
 func New() *Detector { return &Detector{services: make(map[string]*service)} }
@@ -57,18 +60,16 @@
 // RecordFailure records that a connection to an upstream of a service failed, or that a
 // request on it made no progress. It reports whether to check the service now; if so,
 // RecordCheck must follow.
-func (d *Detector) RecordFailure(now time.Time, name string) (check bool) {
+func (d *Detector) RecordFailure(now time.Time, name, upstream string) (check bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{}
+		s = &service{failures: make(map[string]time.Time)}
 		d.services[name] = s
 	}
-	s.failures = slices.DeleteFunc(s.failures, func(at time.Time) bool { return now.Sub(at) > failureWindow })
-	if len(s.failures) < checkThreshold {
-		s.failures = append(s.failures, now)
-	}
+	maps.DeleteFunc(s.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureWindow })
+	s.failures[upstream] = now
 	return len(s.failures) >= checkThreshold && s.beginCheck(now)
 }
 
@@ -104,10 +105,10 @@
 		return false, false
 	}
 	s.checking = false
-	s.failures = nil
+	clear(s.failures)
 	before := s.unreachable
 	switch {
-	case !c.isGood():
+	case !c.Good():
 		s.unreachable, s.goodChecks = true, 0
 	case s.unreachable:
 		s.goodChecks++
@@ -124,15 +125,6 @@
 	return ok && s.unreachable
 }
 
-// InDoubt reports whether failed connections may be due to this VM's own network path:
-// upstreams are unreachable, or a check is running.
-func (d *Detector) InDoubt(name string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s, ok := d.services[name]
-	return ok && (s.unreachable || s.checking)
-}
-
 // CountUnreachable returns the number of services whose upstreams are unreachable.
 func (d *Detector) CountUnreachable() int {
 	d.mu.Lock()
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -20,9 +20,9 @@
 	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/bounder"
-	"github.com/heathervane/heathervane/entry/process/detector"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/meter"
+	"github.com/heathervane/heathervane/entry/process/picker"
 	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
@@ -158,12 +158,14 @@
 	boot     int64
 	self     allocator.Member
 
-	meter       *meter.Meter
-	ticker      *ticker.Ticker
-	tracker     *tracker.Tracker
-	allocator   *allocator.Allocator
-	gossiper    *gossiper.Gossiper
-	carrier     *carrier.Carrier
+	meter     *meter.Meter
+	ticker    *ticker.Ticker
+	tracker   *tracker.Tracker
+	allocator *allocator.Allocator
+	gossiper  *gossiper.Gossiper
+	carrier   *carrier.Carrier
+	// peerCarrier sends requests to other VMs.
+	peerCarrier *carrier.Carrier
 	relayer     *relayer.Relayer
 	retryBudget *retryBudget
 	// reachability tells which services' upstreams this VM can reach.
@@ -201,13 +203,15 @@
 	callers, readiness, metrics net.Listener
 	datagrams                   *net.UDPConn
 	records                     net.Listener
+	// peerServer serves other VMs.
+	peerServer *http.Server
 }
 
 // New creates a Process and opens its listeners.
 func New(settings Settings, platform Platform, log zerolog.Logger) (*Process, error) {
 	v := &Process{
 		platform: platform, log: log, boot: time.Now().UnixNano(), meter: meter.New(),
-		ticker: ticker.New(time.Now, tickInterval), tracker: tracker.New(), carrier: carrier.New(time.Now),
+		ticker: ticker.New(time.Now, tickInterval), tracker: tracker.New(), carrier: carrier.New(time.Now), peerCarrier: carrier.New(time.Now),
 		zones: make(map[string]bool), copies: make(map[string]*replicator.Copy), vmListRead: make(chan struct{}), configured: make(chan struct{}),
 		quarantineChanged: make(chan struct{}, 1), lossesToStore: make(chan []quarantiner.Record, 1), registrationLost: make(chan struct{}, 1),
 		relevantEnds: map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
@@ -240,7 +244,7 @@
 		Service: v.service, ColdStartQuota: v.coldStartQuota, Now: time.Now, Log: log,
 	})
 	v.retryBudget = newRetryBudget(v)
-	v.reachability = &reachability{Detector: detector.New(), process: v}
+	v.reachability = newReachability(v)
 	probes := prober.New(prober.Deps{
 		Tracker: v.tracker, Carrier: v.carrier, Meter: v.meter, Now: time.Now, Log: log,
 		Rejected: func(status int, h http.Header) bool { return platform.ParseResponse(status, h).NotRun },
@@ -249,6 +253,7 @@
 		},
 	})
 	v.relayer = relayer.New(relayer.Deps{
+		VM: settings.VM, Peers: peers{picker.New(), v}, PeerCarrier: v.peerCarrier,
 		Table: v.table.Load, Configured: v.configured, Protocol: platform, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver:     reserver.New(settings.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", platform, v.leaseDuration, log),
 		MaxIdleConns: v.maxIdleConns,
@@ -256,10 +261,18 @@
 		ShuttingDown: v.leaving, Reachability: v.reachability,
 	})
 	v.acceptor = acceptor.New(v.callers, v, settings.Descriptors/callerConnsDivisor, time.Now, log)
+	v.peerServer = v.newPeerServer()
 	v.newSyncers()
 	return v, v.registerGauges()
 }
 
+// serveForwarded serves a request that another VM has forwarded.
+func (v *Process) serveForwarded(w http.ResponseWriter, q *http.Request) {
+	v.activeRequests.Add(1)
+	defer v.activeRequests.Add(-1)
+	v.relayer.ServeForwarded(w, q)
+}
+
 // ServeHTTP passes a request to the relayer and counts the requests in progress.
 func (v *Process) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	v.activeRequests.Add(1)
@@ -316,12 +329,15 @@
 }
 
 func (v *Process) startBackground(ctx context.Context, wg *sync.WaitGroup) {
-	v.ticker.Subscribe(idleSweepInterval, func(time.Time) { v.carrier.CloseExpired() })
+	v.ticker.Subscribe(idleSweepInterval, func(time.Time) {
+		v.carrier.CloseExpired()
+		v.peerCarrier.CloseExpired()
+	})
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.gossiper.Tick)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLapsed)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.expireLost)
 	v.ticker.Subscribe(gossiper.HeartbeatInterval, v.retryBudget.recordMembers)
-	v.ticker.Subscribe(reachabilityInterval, v.reachability.runDueChecks)
+	v.ticker.Subscribe(reachabilityInterval, v.reachability.startDueChecks)
 	v.ticker.Subscribe(staleCheckInterval, func(time.Time) { v.checkOutdated() })
 	for _, run := range []func(context.Context){v.ticker.Run, v.readVMListAndRegister, v.syncQuarantine, v.syncLosses, v.keepRegistered} {
 		wg.Go(func() { run(ctx) })
@@ -330,7 +346,7 @@
 		wg.Go(func() { v.runSyncer(ctx, s) })
 		wg.Go(func() { s.RunPeers(ctx) })
 	}
-	for _, run := range []func(){v.receiveDatagrams, v.acceptor.Run, v.serveReadiness, v.serveRecords, v.serveMetrics} {
+	for _, run := range []func(){v.receiveDatagrams, v.acceptor.Run, v.serveReadiness, v.servePeers, v.serveMetrics} {
 		wg.Go(run)
 	}
 }
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/pager"
+	"github.com/heathervane/heathervane/entry/request/relayer"
 )
 
 const (
@@ -79,6 +80,9 @@
 	if err := v.acceptor.Shutdown(ctx); err != nil {
 		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("requests interrupted at the end of the grace period")
 	}
+	if err := v.peerServer.Shutdown(ctx); err != nil {
+		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("forwarded requests interrupted at the end of the grace period")
+	}
 }
 
 func (v *Process) serveReadiness() {
@@ -92,19 +96,31 @@
 	v.serve(v.readiness, mux, "ready")
 }
 
-func (v *Process) serveRecords() {
+// newPeerServer returns the server for other VMs, which fetch records and forward requests.
+func (v *Process) newPeerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+pager.Path, pager.New(v.copies, v.meter, time.Now, v.log))
-	v.serve(v.records, mux, "records")
+	return &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if relayer.IsForwarded(q) {
+			v.serveForwarded(w, q)
+			return
+		}
+		mux.ServeHTTP(w, q)
+	})}
 }
 
+func (v *Process) servePeers() { v.serveOn(v.records, v.peerServer, "peers") }
+
 func (v *Process) serveMetrics() {
 	v.serve(v.metrics, v.meter.Handler(v.log), "metrics")
 }
 
 func (v *Process) serve(l net.Listener, h http.Handler, name string) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	if err := s.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+	v.serveOn(l, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, name)
+}
+
+func (v *Process) serveOn(l net.Listener, s *http.Server, name string) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		v.log.Error().Str("side", name).Err(err).Msg("server stopped")
 	}
 }
--- a/entry/process/joiner/quarantine.go
+++ b/entry/process/joiner/quarantine.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// mayRunTrial reports whether this VM may run a held request once now.
+// mayRunTrial reports whether this VM may run a held request once now. A VM that reaches no
+// upstream would forward it to one that holds it.
 func (v *Process) mayRunTrial(f quarantiner.Fingerprint) bool {
-	return quarantiner.IsTrialTurn(f, v.quarantine.HeldFor(f), v.self.VM, v.gossiper.KnownVMs())
+	return v.reachability.CountUnreachable() == 0 && quarantiner.IsTrialTurn(f, v.quarantine.HeldFor(f), v.self.VM, v.gossiper.KnownVMs())
 }
 
 // notify sends a value on a channel unless its buffer is full.
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -36,9 +36,12 @@
 	minTimeLeft = 20 * time.Millisecond
 )
 
-// An attempt is one sending of a request to an upstream. Its exchange and response
-// are set once the response headers were received.
+// An attempt is one sending of a request to an upstream or, if peer is set, to another
+// VM, which sends it to an upstream. Its exchange and response are set once the response
+// headers were received.
 type attempt struct {
+	// peer is the name of the VM; grant is nil then.
+	peer        string
 	grant       *allocator.Placement
 	reservation *reserver.Reservation
 	exchange    *carrier.Exchange
@@ -73,7 +76,9 @@
 	if a.reservation != nil {
 		a.reservation.Release()
 	}
-	a.grant.Release()
+	if a.grant != nil {
+		a.grant.Release()
+	}
 }
 
 // An outcome is the result of sending a request once.
@@ -87,6 +92,9 @@
 	// retryGranted means that the retry was already taken from the budget, or that
 	// nothing was sent to any upstream.
 	retryGranted
+	// notForwarded means that no other VM takes the request. Nothing was sent to any
+	// upstream.
+	notForwarded
 	// final means that the request must not be sent again.
 	final
 )
@@ -97,6 +105,21 @@
 	ctx, release := r.deps.Quarantine.CancelWhenHeld(ctx, j.fingerprint)
 	defer release()
 	for {
+		if r.canForward(j) {
+			a, s := r.forward(ctx, j)
+			if s == answered {
+				return a, nil
+			}
+			if s == final || (s == retryable && !r.allowRetry(ctx, j)) {
+				return nil, r.failureRefusal(ctx, j)
+			}
+			if s == retryable {
+				continue
+			}
+		}
+		if r.mustDecline(j) {
+			return nil, j.correctRan(unreachableRefusal())
+		}
 		a, refusal := r.acquire(ctx, j)
 		if refusal != nil {
 			if after, held := r.deps.Quarantine.Held(j.fingerprint); held {
@@ -124,7 +147,7 @@
 func (r *Relayer) acquire(ctx context.Context, j *job) (*attempt, *refuser.Refusal) {
 	waitStart := r.deps.Now()
 	giveUpAt := time.Time{}
-	if j.route.CallerTimeout > 0 && !j.headerSent {
+	if j.route.CallerTimeout > 0 && !j.headerSent && !j.resumed {
 		giveUpAt = j.arrivedAt.Add(j.route.CallerTimeout)
 	}
 	grant, refused := r.deps.Allocator.Acquire(ctx, scheduler.Request{
@@ -382,8 +405,12 @@
 		r.handleStall(j, a)
 		return retryGranted
 	}
-	if isBrokenPath(f) {
-		r.deps.Reachability.ReportFailure(j.service.Name)
+	if isConnectionFailure(f) && r.isPathBroken(ctx, j, id) {
+		r.recordFailure(j, id, f.Error())
+		if !f.Sent {
+			return retryGranted
+		}
+		return j.afterPossibleRun()
 	}
 	r.recordLoss(j, a, f)
 	r.recordFailure(j, id, f.Error())
@@ -406,9 +433,9 @@
 	j.log.losses = r.deps.Quarantine.Lost(j.fingerprint, a.grant.Upstream.ID, a.grant.Upstream.StartedAt)
 }
 
-// isBrokenPath reports whether an error may be due to the network path to the upstream:
-// the connection could not be made, was lost, or timed out.
-func isBrokenPath(err error) bool {
+// isConnectionFailure reports whether an error may be due to the network path to the
+// upstream: the connection could not be made, was lost, or timed out.
+func isConnectionFailure(err error) bool {
 	var f *carrier.SendError
 	if errors.As(err, &f) && !f.Sent {
 		return true
@@ -432,8 +459,11 @@
 // the upstream are dropped: if only the network path from this VM is broken, each of
 // them would stall in turn, while opening a new one detects it.
 func (r *Relayer) handleStall(j *job, a *attempt) {
-	r.deps.Reachability.ReportFailure(j.service.Name)
 	r.deps.Carrier.CloseIdle(a.grant.Upstream.Address)
+	if r.isPathBroken(context.Background(), j, a.grant.Upstream.ID) {
+		r.recordFailure(j, a.grant.Upstream.ID, "upstream stalled; this VM reaches none")
+		return
+	}
 	blamed := r.deps.Tracker.ReportStall(r.deps.Now(), a.sentAt, a.upstreams())
 	if slices.Contains(blamed, a.grant.Upstream.ID) {
 		j.log.losses = r.deps.Quarantine.Lost(j.fingerprint, a.grant.Upstream.ID, a.grant.Upstream.StartedAt)
@@ -487,6 +517,24 @@
 	return true
 }
 
+// recordInterruption handles a response that ended before it was complete. broken is set
+// if the upstream is to be avoided for it.
+func (r *Relayer) recordInterruption(ctx context.Context, j *job, a *attempt, cause string, err error, broken bool) {
+	if a.peer != "" {
+		r.deps.Peers.Avoid(j.service.Name, a.peer)
+		r.recordFailure(j, a.peer, cause+": "+err.Error())
+		return
+	}
+	id := a.grant.Upstream.ID
+	if isConnectionFailure(err) && r.isPathBroken(ctx, j, id) {
+		r.recordFailure(j, id, cause+": "+err.Error())
+		return
+	}
+	r.recordLoss(j, a, err)
+	r.recordFailure(j, id, cause+": "+err.Error())
+	r.deps.Tracker.ReportFailure(r.deps.Now(), id, broken)
+}
+
 // recordFailure logs a failed attempt and adds the upstream to those tried.
 func (r *Relayer) recordFailure(j *job, upstream, cause string) {
 	j.tried = append(j.tried, upstream)
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -159,16 +159,10 @@
 	Served(f fingerprinter.Fingerprint)
 }
 
-// Reachability tells whether this VM can reach the upstreams of a service. Without it
-// the upstreams would be blamed for a network partition of this VM.
-type Reachability interface {
-	// ReportFailure records that a connection to an upstream of a service failed, or that
-	// a request on it made no progress.
-	ReportFailure(service string)
-}
-
 // Deps are the dependencies of a Relayer.
 type Deps struct {
+	// VM is the name of this VM.
+	VM    string
 	Table func() *matcher.Table
 	// Configured is closed once Table returns a table.
 	Configured <-chan struct{}
@@ -193,6 +187,10 @@
 	Now          func() time.Time
 	Log          zerolog.Logger
 	Reachability Reachability
+	// PeerCarrier sends requests to Peers if Reachability says that this VM reaches no
+	// upstream.
+	Peers       Peers
+	PeerCarrier *carrier.Carrier
 	// ShuttingDown reports whether this VM is about to stop, and the time left.
 	ShuttingDown func() (bool, time.Duration)
 }
@@ -221,6 +219,14 @@
 	arrivedAt   time.Time
 	// deadline is when the complete response must have been sent.
 	deadline time.Time
+	// forwarded is set if another VM has forwarded the request to this one, and minVersion
+	// is the version of the configuration by which it was accepted there.
+	forwarded  bool
+	minVersion int64
+	// resumed is set if the caller already has a part of the stream from there, and
+	// earlierRuns is how often the request may have run before it came.
+	resumed     bool
+	earlierRuns int
 	// recorded is set once the request counts in the retry budget.
 	recorded bool
 	// tried lists the upstreams that failed. possibleRuns counts the attempts that
@@ -252,6 +258,9 @@
 	// leader is the VM that granted the placement; empty if it is this one.
 	leader string
 	cause  string
+	// from is the VM that forwarded the request to this one, and peer the one to which
+	// this VM forwarded it.
+	from, peer string
 	// losses is the number of upstreams lost while running the request, as far as
 	// this VM knew after the last of them.
 	losses int
@@ -259,13 +268,18 @@
 
 // ServeHTTP forwards one request.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	arrived := r.deps.Now()
 	r.deps.Meter.Count("requests", 1)
+	r.serve(w, &job{info: r.deps.Protocol.ParseRequest(q.Header), request: q, arrivedAt: r.deps.Now()})
+}
+
+func (r *Relayer) serve(w http.ResponseWriter, j *job) {
 	if leaving, _ := r.deps.ShuttingDown(); leaving {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{info: r.deps.Protocol.ParseRequest(q.Header), request: q, arrivedAt: arrived}
 	if refusal := r.accept(w, j); refusal != nil {
+		if j.forwarded && refusal.Code != codeQuarantined {
+			w.Header().Set(declinedHeader, refusal.Code)
+		}
 		r.refuse(w, j, refusal)
 		return
 	}
@@ -274,7 +288,7 @@
 	if err := control.SetWriteDeadline(j.deadline.Add(writeGrace)); err != nil {
 		r.deps.Log.Warn().Str("id", j.info.ID).Err(err).Msg("could not set the write deadline of the caller's connection")
 	}
-	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
+	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
 	defer cancel()
 	if j.route.Kind == matcher.Stream {
 		r.serveStream(ctx, w, j)
@@ -286,9 +300,9 @@
 // accept resolves and reads a request. It returns a refusal if the request is not
 // to be forwarded.
 func (r *Relayer) accept(w http.ResponseWriter, j *job) *refuser.Refusal {
-	table := r.awaitTable(j)
-	if table == nil {
-		return refuser.New(http.StatusServiceUnavailable, "not_ready", "this VM has no configuration yet").WithRetryAfter(retryAfter)
+	table := r.awaitVersion(j, r.awaitTable(j))
+	if table == nil || table.Version < j.minVersion {
+		return refuser.New(http.StatusServiceUnavailable, "not_ready", "this VM has no configuration yet, or an older one").WithRetryAfter(retryAfter)
 	}
 	j.configVersion = table.Version
 	if refusal := r.resolve(table, j); refusal != nil {
@@ -302,7 +316,10 @@
 		timeout = defaultTimeout
 	}
 	j.deadline = j.arrivedAt.Add(timeout)
-	if leaving, left := r.deps.ShuttingDown(); leaving && left < r.expectedDuration(j) {
+	if r.mustDecline(j) {
+		return unreachableRefusal()
+	}
+	if leaving, left := r.deps.ShuttingDown(); leaving && (j.forwarded || left < r.expectedDuration(j)) {
 		return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(retryAfter)
 	}
 	bodies := reader.Reader{MaxBytes: table.Limits.MaxBodyBytes, Budget: r.deps.BodyMemory, Timeout: min(timeout, maxBodyReadTime)}
@@ -323,8 +340,11 @@
 	return nil
 }
 
+// codeQuarantined is the code of refusals of requests in quarantine.
+const codeQuarantined = "quarantined"
+
 func quarantineRefusal(after time.Duration) *refuser.Refusal {
-	return refuser.New(http.StatusServiceUnavailable, "quarantined", "the request has crashed the upstreams that ran it").WithRetryAfter(after)
+	return refuser.New(http.StatusServiceUnavailable, codeQuarantined, "the request has crashed the upstreams that ran it").WithRetryAfter(after)
 }
 
 // awaitTable returns the configuration, or nil if it does not arrive in time. A
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -59,12 +59,7 @@
 			continue
 		}
 		if ctx.Err() == nil {
-			if isBrokenPath(err) {
-				r.deps.Reachability.ReportFailure(j.service.Name)
-			}
-			r.recordLoss(j, a, err)
-			r.recordFailure(j, a.grant.Upstream.ID, "stream interrupted: "+err.Error())
-			r.deps.Tracker.ReportFailure(r.deps.Now(), a.grant.Upstream.ID, true)
+			r.recordInterruption(ctx, j, a, "stream interrupted", err, true)
 		}
 		if j.route.Repeatable() && r.allowRetry(ctx, j) {
 			continue
@@ -138,6 +133,9 @@
 // recordEvent tells the tracker that an upstream has sent an event. The first one
 // also marks the placement as started.
 func (r *Relayer) recordEvent(now time.Time, a *attempt) {
+	if a.peer != "" {
+		return
+	}
 	if a.firstEventSeen {
 		r.deps.Tracker.ReportActivity(now, a.grant.Upstream.ID)
 		return
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -38,12 +38,7 @@
 		}
 		a.close()
 		if ctx.Err() == nil {
-			if isBrokenPath(err) {
-				r.deps.Reachability.ReportFailure(j.service.Name)
-			}
-			r.recordLoss(j, a, err)
-			r.recordFailure(j, a.grant.Upstream.ID, "response interrupted: "+err.Error())
-			r.deps.Tracker.ReportFailure(r.deps.Now(), a.grant.Upstream.ID, false)
+			r.recordInterruption(ctx, j, a, "response interrupted", err, false)
 		}
 		if !j.route.Repeatable() || !r.allowRetry(ctx, j) {
 			r.refuse(w, j, j.failureRefusal(ctx))
@@ -72,13 +67,15 @@
 func (r *Relayer) deliver(ctx context.Context, w http.ResponseWriter, j *job, res response) {
 	defer res.attempt.close()
 	x := res.attempt.exchange
-	if impliesNotRun(x.Status) {
+	if impliesNotRun(x.Status) && res.attempt.peer == "" {
 		// Callers take this status for "not run", which the upstream did not say.
 		r.refuse(w, j, lostRefusal())
 		return
 	}
-	res.attempt.grant.MarkStarted()
-	r.deps.Tracker.ReportAnswer(r.deps.Now(), res.attempt.grant.Upstream.ID)
+	if grant := res.attempt.grant; grant != nil {
+		grant.MarkStarted()
+		r.deps.Tracker.ReportAnswer(r.deps.Now(), grant.Upstream.ID)
+	}
 	r.copyHeader(w, j, x.Header)
 	if !res.partial && (len(res.data) > 0 || x.Header.Get("Content-Length") == "") && mayHaveBody(j.request.Method, x.Status) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.data)))
@@ -162,6 +159,9 @@
 	} else {
 		j.log.cause = f.Code + " after " + j.log.cause
 	}
+	if j.service != nil && r.mustDecline(j) {
+		h.Set(declinedHeader, f.Code)
+	}
 	r.deps.Meter.Count("refused."+f.Code, 1)
 	w.WriteHeader(f.Status)
 	w.Write(f.Body())
@@ -195,6 +195,12 @@
 	if l.leader != "" {
 		line.Str("leader", l.leader)
 	}
+	if l.from != "" {
+		line.Str("from", l.from)
+	}
+	if l.peer != "" {
+		line.Str("peer", l.peer)
+	}
 	if l.cause != "" {
 		line.Str("cause", l.cause)
 	}
