Bound forwarded requests, and keep configurations from going back between VMs

Three gaps of forwarding, found in review, each with a test:

- A VM forwards a request to one with a newer configuration and handles the next by its own older one, so that callers see a version go back.
Responses of other VMs now say by which version they were served; later requests wait for it, 0.5 s at most.
- Nothing bounded what a VM takes from others.
It takes at most an eighth of its descriptors, since each forwarded request needs two, and declines the rest.
- A VM with few requests notices late that its own path is broken; requests that were forwarded to it waited there for 1.2 s.
It now checks its path first, if the last check is older than a second.
A request that waited for a place while the path broke is forwarded at once.

--- a/entry/process/detector/detector.go
+++ b/entry/process/detector/detector.go
@@ -22,6 +22,9 @@
 	// checkInterval is the least time between two checks of a service, and the interval of
 	// checks while its upstreams are unreachable.
 	checkInterval = 500 * time.Millisecond
+	// confirmedPeriod is how long the result of a check is good enough to take requests from
+	// VMs that reach no upstream.
+	confirmedPeriod = time.Second
 	// recoveryChecks is the number of consecutive good checks after which upstreams count
 	// as reachable again: a lossy path lets single connections through.
 	recoveryChecks = 2
@@ -63,14 +66,28 @@
 func (d *Detector) RecordFailure(now time.Time, name, upstream string) (check bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s := d.service(name)
+	maps.DeleteFunc(s.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureWindow })
+	s.failures[upstream] = now
+	return len(s.failures) >= checkThreshold && s.beginCheck(now)
+}
+
+// ConfirmReachable reports whether to check a service now because it was not checked for
+// confirmedPeriod. RecordCheck must follow then.
+func (d *Detector) ConfirmReachable(now time.Time, name string) (check bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(name)
+	return now.Sub(s.checkedAt) >= confirmedPeriod && s.beginCheck(now)
+}
+
+func (d *Detector) service(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
 		s = &service{failures: make(map[string]time.Time)}
 		d.services[name] = s
 	}
-	maps.DeleteFunc(s.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureWindow })
-	s.failures[upstream] = now
-	return len(s.failures) >= checkThreshold && s.beginCheck(now)
+	return s
 }
 
 // beginCheck reports whether a check is due, and begins it.
--- a/entry/process/detector/detector_test.go
+++ b/entry/process/detector/detector_test.go
@@ -71,7 +71,12 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 3:
+				if d.ConfirmReachable(now, "s") {
+					assert.Assert(t, lastCheck.IsZero() || now.Sub(lastCheck) >= time.Second)
+					begin()
+				}
 			case 0:
 				if d.RecordFailure(now, "s", rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "upstream")) {
 					begin()
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -60,6 +60,10 @@
 	// callerConnsDivisor limits callers' connections to this fraction (1/n) of the file
 	// descriptors, because each request may need another one for its upstream.
 	callerConnsDivisor = 2
+	// forwardedDivisor limits the requests in progress that other VMs have forwarded to this
+	// fraction (1/n) of the file descriptors. Each needs one for that VM and one for its
+	// upstream.
+	forwardedDivisor = 8
 )
 
 // Settings configure a Process.
@@ -253,7 +257,7 @@
 		},
 	})
 	v.relayer = relayer.New(relayer.Deps{
-		VM: settings.VM, Peers: peers{picker.New(), v}, PeerCarrier: v.peerCarrier,
+		VM: settings.VM, Peers: peers{picker.New(), v}, PeerCarrier: v.peerCarrier, MaxForwarded: settings.Descriptors / forwardedDivisor,
 		Table: v.table.Load, Configured: v.configured, Protocol: platform, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver:     reserver.New(settings.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", platform, v.leaseDuration, log),
 		MaxIdleConns: v.maxIdleConns,
--- a/entry/process/joiner/reachability.go
+++ b/entry/process/joiner/reachability.go
@@ -42,8 +42,19 @@
 // ReportFailure records a failure, waits for a running check and reports whether the
 // upstreams of the service are unreachable.
 func (r *reachability) ReportFailure(ctx context.Context, service, upstream string) (unreachable bool) {
+	return r.checkIf(ctx, service, func(now time.Time) bool { return r.RecordFailure(now, service, upstream) })
+}
+
+// Confirm reports whether the upstreams of a service are unreachable, after a check if the
+// last one is too old.
+func (r *reachability) Confirm(ctx context.Context, service string) (unreachable bool) {
+	return r.checkIf(ctx, service, func(now time.Time) bool { return r.ConfirmReachable(now, service) })
+}
+
+// checkIf starts a check if isDue says so, and waits for a running one.
+func (r *reachability) checkIf(ctx context.Context, service string, isDue func(time.Time) bool) (unreachable bool) {
 	r.mu.Lock()
-	if now := time.Now(); r.RecordFailure(now, service, upstream) {
+	if now := time.Now(); isDue(now) {
 		r.startCheck(now, service)
 	}
 	done := r.running[service]
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -130,6 +130,11 @@
 		if a == nil {
 			continue
 		}
+		if r.canForward(j) || r.mustDecline(j) {
+			// The path has broken during the wait.
+			a.close()
+			continue
+		}
 		s := r.send(ctx, j, a)
 		if s == answered {
 			return a, nil
--- a/entry/request/relayer/forward.go
+++ b/entry/request/relayer/forward.go
@@ -19,7 +19,8 @@
 	fromHeader = "Heathervane-From"
 	// elapsedHeader is the time since the request arrived there, in milliseconds.
 	elapsedHeader = "Heathervane-Elapsed"
-	// versionHeader is the version of the configuration in force there.
+	// versionHeader is the version of the configuration in force there. A response has the
+	// version by which the request was served.
 	versionHeader = "Heathervane-Version"
 	// runsHeader is how often the request may have run already, and countedHeader is set
 	// if it counts in the retry budget.
@@ -49,8 +50,11 @@
 	// it made no progress. It waits for a check of the service's upstreams, if one is
 	// running, and reports whether they are unreachable.
 	ReportFailure(ctx context.Context, service, upstream string) (unreachable bool)
-	// Unreachable reports whether the upstreams of a service are unreachable.
+	// Unreachable reports whether the upstreams of a service are unreachable. Confirm
+	// reports the same, after a check if the last one is too old: a VM that gets few
+	// requests may not have noticed yet that its path is broken.
 	Unreachable(service string) bool
+	Confirm(ctx context.Context, service string) (unreachable bool)
 }
 
 // Peers are the VMs to which requests may be forwarded.
@@ -72,6 +76,12 @@
 func (r *Relayer) ServeForwarded(w http.ResponseWriter, q *http.Request) {
 	r.deps.Meter.Count("forwarded.received", 1)
 	w.Header().Set(refuser.VMHeader, r.deps.VM)
+	defer r.activeForwarded.Add(-1)
+	if r.activeForwarded.Add(1) > int64(r.deps.MaxForwarded) {
+		w.Header().Set(declinedHeader, "busy")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	j := &job{request: q, forwarded: true}
 	j.log.from = q.Header.Get(fromHeader)
 	j.arrivedAt = r.deps.Now().Add(-time.Duration(parseCount(q.Header.Get(elapsedHeader))) * time.Millisecond)
@@ -99,8 +109,9 @@
 	return n
 }
 
-// awaitVersion waits until the configuration in force is at least as new as the one by
-// which the request was accepted. An older one could refuse it, or send it elsewhere.
+// awaitVersion waits until the configuration in force is at least as new as the one that
+// another VM has applied to the request, or to an earlier one of this VM. An older one could
+// refuse it, or send it elsewhere.
 func (r *Relayer) awaitVersion(j *job, table *matcher.Table) *matcher.Table {
 	for end := r.deps.Now().Add(configWait); table != nil && table.Version < j.minVersion && r.deps.Now().Before(end); {
 		t := time.NewTimer(configPollInterval)
@@ -116,7 +127,7 @@
 }
 
 // mustDecline reports whether another VM has forwarded the request to this one, which
-// reaches no upstream either and has not sent it to any.
+// reaches no upstream either and has not sent the request to any.
 func (r *Relayer) mustDecline(j *job) bool {
 	return j.forwarded && j.possibleRuns == j.earlierRuns && r.deps.Reachability.Unreachable(j.service.Name)
 }
@@ -170,7 +181,9 @@
 		}
 		r.deps.Peers.Accepted(service, m.VM)
 		r.deps.Meter.Count("forwarded", 1)
+		r.recordPeerVersion(parseCount(x.Header.Get(versionHeader)))
 		x.Header.Del(refuser.VMHeader)
+		x.Header.Del(versionHeader)
 		a.response = r.deps.Protocol.ParseResponse(x.Status, x.Header)
 		j.possibleRuns++
 		j.log.peer = m.VM
@@ -179,6 +192,14 @@
 	return nil, notForwarded
 }
 
+// recordPeerVersion records the version of the configuration by which another VM has served a
+// request of this one.
+func (r *Relayer) recordPeerVersion(version int64) {
+	for old := r.peerVersion.Load(); version > old && !r.peerVersion.CompareAndSwap(old, version); {
+		old = r.peerVersion.Load()
+	}
+}
+
 // isDeclined reports whether a VM has not taken a forwarded request, and why.
 func isDeclined(x *carrier.Exchange) (cause string, declined bool) {
 	if x.Header.Get(refuser.VMHeader) == "" {
@@ -197,7 +218,7 @@
 	}
 	h.Set(fromHeader, r.deps.VM)
 	h.Set(elapsedHeader, strconv.FormatInt(now.Sub(j.arrivedAt).Milliseconds(), 10))
-	h.Set(versionHeader, strconv.FormatInt(j.configVersion, 10))
+	h.Set(versionHeader, strconv.FormatInt(max(j.configVersion, j.minVersion), 10))
 	h.Set(runsHeader, strconv.Itoa(j.possibleRuns))
 	h.Del(countedHeader)
 	if j.recorded {
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -236,3 +236,49 @@
 		t.Fatal("the upstream still works on the request")
 	}
 }
+
+// Another VM must not be overrun by the requests of VMs that reach no upstream.
+func TestForwardedRequestsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	other := newHarness(t, routes())
+	other.upstream("u1", "plain", func(w http.ResponseWriter, q *http.Request) {
+		<-release
+		echo(w, q)
+	})
+	b := newCutOffVM(t, other.servePeers())
+	var callers sync.WaitGroup
+	for range 2 {
+		q := b.request(http.MethodPost, "/unsafe/x", "")
+		callers.Go(func() { assert.Check(t, b.do(q).status == http.StatusOK) })
+	}
+	for len(other.requestsReceived()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	q := b.request(http.MethodPost, "/unsafe/x", "")
+	q.Header.Set("Limit", "300ms")
+	assert.Equal(t, b.do(q).status, http.StatusServiceUnavailable)
+	close(release)
+	callers.Wait()
+	assert.Equal(t, len(other.requestsReceived()), 2)
+}
+
+// Another VM has served a request by a newer configuration than this VM has. The next
+// request must not be handled by the older one.
+func TestConfigurationDoesNotGoBackBetweenVMs(t *testing.T) {
+	newer := routes()
+	newer.Version = 9
+	other := newHarness(t, newer)
+	other.upstream("u1", "plain", echo)
+	b := newCutOffVM(t, other.servePeers())
+	assert.Equal(t, b.do(b.request(http.MethodGet, "/safe/x", "")).status, http.StatusOK)
+	var changed sync.WaitGroup
+	changed.Go(func() {
+		time.Sleep(100 * time.Millisecond)
+		newer.Routes = newer.Routes[1:]
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.table = matcher.New(newer)
+	})
+	assert.Equal(t, b.do(b.request(http.MethodGet, "/safe/x", "")).status, http.StatusNotFound)
+	changed.Wait()
+}
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -194,6 +194,9 @@
 	return b.unreachable
 }
 
+// Confirm implements relayer.Reachability.
+func (b *harness) Confirm(context.Context, string) bool { return b.Unreachable("") }
+
 // Candidates implements relayer.Peers.
 func (b *harness) Candidates(string) (ms []allocator.Member) {
 	b.mu.Lock()
@@ -284,7 +287,7 @@
 		MaxIdleConns: func(int, string) int { return 0 },
 		Quarantine:   lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
 		RetryBudget:  b.budget, BodyMemory: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
-		VM: "me", Reachability: b, Peers: b, PeerCarrier: carrier.New(time.Now),
+		VM: "me", Reachability: b, Peers: b, PeerCarrier: carrier.New(time.Now), MaxForwarded: 2,
 		ShuttingDown: func() (bool, time.Duration) { return b.shutdownIn.Load() > 0, time.Duration(b.shutdownIn.Load()) },
 	})
 	b.relayer = r
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -13,6 +13,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -191,6 +193,8 @@
 	// upstream.
 	Peers       Peers
 	PeerCarrier *carrier.Carrier
+	// MaxForwarded is the number of requests in progress that this VM takes from other VMs.
+	MaxForwarded int
 	// ShuttingDown reports whether this VM is about to stop, and the time left.
 	ShuttingDown func() (bool, time.Duration)
 }
@@ -199,6 +203,10 @@
 type Relayer struct {
 	deps      Deps
 	startedAt time.Time
+	// activeForwarded is the number of requests in progress that other VMs have forwarded,
+	// and peerVersion the newest version of the configuration by which another VM has
+	// served a request of this one.
+	activeForwarded, peerVersion atomic.Int64
 }
 
 // New returns a Relayer.
@@ -219,8 +227,9 @@
 	arrivedAt   time.Time
 	// deadline is when the complete response must have been sent.
 	deadline time.Time
-	// forwarded is set if another VM has forwarded the request to this one, and minVersion
-	// is the version of the configuration by which it was accepted there.
+	// forwarded is set if another VM has forwarded the request to this one. minVersion is
+	// the version of the configuration by which it was accepted there or, at the first VM,
+	// by which another VM has served an earlier request.
 	forwarded  bool
 	minVersion int64
 	// resumed is set if the caller already has a part of the stream from there, and
@@ -269,7 +278,7 @@
 // ServeHTTP forwards one request.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	r.deps.Meter.Count("requests", 1)
-	r.serve(w, &job{info: r.deps.Protocol.ParseRequest(q.Header), request: q, arrivedAt: r.deps.Now()})
+	r.serve(w, &job{info: r.deps.Protocol.ParseRequest(q.Header), request: q, arrivedAt: r.deps.Now(), minVersion: r.peerVersion.Load()})
 }
 
 func (r *Relayer) serve(w http.ResponseWriter, j *job) {
@@ -301,10 +310,13 @@
 // to be forwarded.
 func (r *Relayer) accept(w http.ResponseWriter, j *job) *refuser.Refusal {
 	table := r.awaitVersion(j, r.awaitTable(j))
-	if table == nil || table.Version < j.minVersion {
+	if table == nil || (j.forwarded && table.Version < j.minVersion) {
 		return refuser.New(http.StatusServiceUnavailable, "not_ready", "this VM has no configuration yet, or an older one").WithRetryAfter(retryAfter)
 	}
 	j.configVersion = table.Version
+	if j.forwarded {
+		w.Header().Set(versionHeader, strconv.FormatInt(table.Version, 10))
+	}
 	if refusal := r.resolve(table, j); refusal != nil {
 		return refusal
 	}
@@ -316,7 +328,7 @@
 		timeout = defaultTimeout
 	}
 	j.deadline = j.arrivedAt.Add(timeout)
-	if r.mustDecline(j) {
+	if j.forwarded && r.deps.Reachability.Confirm(j.request.Context(), j.service.Name) {
 		return unreachableRefusal()
 	}
 	if leaving, left := r.deps.ShuttingDown(); leaving && (j.forwarded || left < r.expectedDuration(j)) {
