Ask again for a retry that the budget denied to a silent attempt

Callers of requests that may be repeated waited until their time limit at an upstream that had fallen silent, although the retry budget allowed another sending a moment later.

Cause: the watchdog of an attempt asked the budget once, and never again where it was denied. A process that has just started has no slack in its budget for 12 s, so that there each such request waited until its end.

Change: it asks every 250 ms, until an event comes or the response ends. The budget itself is unchanged.

TestSilentUpstreamIsLeftOnceTheBudgetAllowsIt: 504 after 5 s before, 200 now.

--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -582,3 +583,32 @@
 		}
 	}
 }
+
+// An upstream falls silent while the retry budget is used up. The request must be sent to
+// another upstream once the budget allows it, and not wait there until its end.
+func TestSilentUpstreamIsLeftOnceTheBudgetAllowsIt(t *testing.T) {
+	b := newHarness(t, routes())
+	b.budget.remaining = 0
+	silent := func(w http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+	var first sync.Once
+	for _, id := range []string{"u1", "u2"} {
+		b.upstream(id, "plain", func(w http.ResponseWriter, q *http.Request) {
+			isFirst := false
+			first.Do(func() { isFirst = true })
+			if isFirst {
+				silent(w, q)
+				return
+			}
+			echo(w, q)
+		})
+	}
+	timer := time.AfterFunc(2500*time.Millisecond, func() {
+		b.budget.mu.Lock()
+		defer b.budget.mu.Unlock()
+		b.budget.remaining = 1
+	})
+	defer timer.Stop()
+	got := b.do(b.request(http.MethodGet, "/safe/x", ""))
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, b.budget.taken, 1)
+}
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -2,51 +2,97 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// deniedRetryInterval is how often a watchdog asks again for a retry that the budget did not
+// allow. The budget grows with each request, and used retries expire.
+const deniedRetryInterval = 250 * time.Millisecond
+
 // A watchdog ends an attempt whose upstream is silent for too long, but only if the
 // request may be sent to another one: silence alone is no reason to end a response.
 // It detects upstreams that have lost power, which do not close their connections.
 type watchdog struct {
-	timer *time.Timer
 	// retryGranted is true once the watchdog has ended the attempt. Its retry was
 	// taken from the budget.
 	retryGranted atomic.Bool
+
+	mu sync.Mutex
+	// timer is nil if the attempt is not watched, or no longer.
+	timer *time.Timer
+	// dueAt is when the upstream will have been silent for too long.
+	dueAt time.Time
+	now   func() time.Time
+	// mayRetry reports whether the request may be sent to another upstream, and takes the
+	// retry from the budget.
+	mayRetry func() bool
+	cancel   context.CancelFunc
 }
 
 // startWatchdog starts the watchdog of one attempt, which it ends by calling cancel.
 func (r *Relayer) startWatchdog(j *job, firstTimeout time.Duration, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{}
+	w := &watchdog{now: r.deps.Now, cancel: cancel}
 	if !j.route.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts {
 		return w
 	}
 	service := j.service.Name
-	w.timer = time.AfterFunc(firstTimeout, func() {
+	w.mayRetry = func() bool {
 		// A VM that is about to stop has no time left for another attempt. Ending
 		// this one could only truncate a response that is merely slow.
 		if leaving, left := r.deps.ShuttingDown(); leaving && left < r.expectedDuration(j) {
-			return
+			return false
 		}
-		if r.deps.RetryBudget.TakeRetry(service) {
-			r.deps.Meter.Count("repeats", 1)
-			w.retryGranted.Store(true)
-			cancel()
+		if !r.deps.RetryBudget.TakeRetry(service) {
+			return false
 		}
-	})
+		r.deps.Meter.Count("repeats", 1)
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dueAt = w.now().Add(firstTimeout)
+	w.timer = time.AfterFunc(firstTimeout, w.check)
 	return w
 }
 
+// check ends the attempt if the upstream has been silent for too long and a retry is
+// allowed.
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		return
+	}
+	if left := w.dueAt.Sub(w.now()); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
+	if !w.mayRetry() {
+		w.timer.Reset(deniedRetryInterval)
+		return
+	}
+	w.timer = nil
+	w.retryGranted.Store(true)
+	w.cancel()
+}
+
 // reset restarts the timer, to wait for the next event.
 func (w *watchdog) reset(wait time.Duration) {
-	if w.timer != nil && w.timer.Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.dueAt = w.now().Add(wait)
 		w.timer.Reset(wait)
 	}
 }
 
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
+		w.timer = nil
 	}
 }
