Count failed calls for engines' memory as failures of the path

A VM that gets long prompts only did not find out that it reaches no upstream: calls that reserve memory at engines failed, and prompts waited until their end. Such a failure now causes the check, too; a refusal of an engine that is full does not. The check's line names the age of the first failure. TestPromptThatFindsNoEngineForItsMemoryIsForwarded: 503 before, 200 now.

--- a/entry/process/detector/detector.go
+++ b/entry/process/detector/detector.go
@@ -45,7 +45,19 @@
 	checkedAt   time.Time
 	checking    bool
 	unreachable bool
-	goodChecks  int
+	// since is when the first of the failures occurred that led to unreachable, or the
+	// current ones.
+	since      time.Time
+	goodChecks int
+}
+
+// A Result is what a check has shown.
+type Result struct {
+	// Unreachable reports whether the upstreams are unreachable, and Changed whether they
+	// were not, or were, before.
+	Unreachable, Changed bool
+	// Since is when the first failure occurred; zero if there was none.
+	Since time.Time
 }
 
 // A Check is the result of connecting to a sample of a service's upstreams.
@@ -68,6 +80,9 @@
 	defer d.mu.Unlock()
 	s := d.service(name)
 	maps.DeleteFunc(s.failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureWindow })
+	if len(s.failures) == 0 && !s.unreachable {
+		s.since = now
+	}
 	s.failures[upstream] = now
 	return len(s.failures) >= checkThreshold && s.beginCheck(now)
 }
@@ -112,15 +127,11 @@
 	return names
 }
 
-// RecordCheck records the result of a check. It reports whether the upstreams are
-// unreachable, and whether that has changed.
-func (d *Detector) RecordCheck(name string, c Check) (unreachable, changed bool) {
+// RecordCheck records the result of a check.
+func (d *Detector) RecordCheck(name string, c Check) Result {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s, ok := d.services[name]
-	if !ok {
-		return false, false
-	}
+	s := d.service(name)
 	s.checking = false
 	clear(s.failures)
 	before := s.unreachable
@@ -131,7 +142,7 @@
 		s.goodChecks++
 		s.unreachable = s.goodChecks < recoveryChecks
 	}
-	return s.unreachable, s.unreachable != before
+	return Result{Unreachable: s.unreachable, Changed: s.unreachable != before, Since: s.since}
 }
 
 // Unreachable reports whether this VM cannot reach the upstreams of a service.
--- a/entry/process/detector/detector_test.go
+++ b/entry/process/detector/detector_test.go
@@ -25,8 +25,8 @@
 	d := detector.New()
 	failUntilCheck(t, d, start)
 	assert.Assert(t, !d.Unreachable("s"))
-	unreachable, changed := d.RecordCheck("s", detector.Check{Asked: 6})
-	assert.Assert(t, unreachable && changed && d.Unreachable("s"))
+	assert.DeepEqual(t, d.RecordCheck("s", detector.Check{Asked: 6}), detector.Result{Unreachable: true, Changed: true, Since: start})
+	assert.Assert(t, d.Unreachable("s"))
 	assert.Assert(t, !d.Unreachable("other"))
 	assert.Equal(t, d.CountUnreachable(), 1)
 
@@ -34,9 +34,7 @@
 	for i := range 2 {
 		assert.DeepEqual(t, d.DueChecks(now), []string{"s"})
 		assert.Equal(t, len(d.DueChecks(now)), 0, "a check is running")
-		unreachable, changed = d.RecordCheck("s", detector.Check{Asked: 6, Reached: 6})
-		assert.Equal(t, unreachable, i == 0)
-		assert.Equal(t, changed, i == 1)
+		assert.DeepEqual(t, d.RecordCheck("s", detector.Check{Asked: 6, Reached: 6}), detector.Result{Unreachable: i == 0, Changed: i == 1, Since: start})
 		now = now.Add(500 * time.Millisecond)
 	}
 	assert.Assert(t, !d.Unreachable("s"))
@@ -51,8 +49,7 @@
 	assert.Assert(t, !d.RecordFailure(start.Add(3*time.Second), "s", "u2"), "the first failure is too old")
 	assert.Assert(t, !d.RecordFailure(start.Add(3100*time.Millisecond), "s", "u2"), "it is the same upstream")
 	assert.Assert(t, d.RecordFailure(start.Add(4*time.Second), "s", "u3"))
-	unreachable, changed := d.RecordCheck("s", detector.Check{Asked: 6, Reached: 2})
-	assert.Assert(t, !unreachable && !changed)
+	assert.DeepEqual(t, d.RecordCheck("s", detector.Check{Asked: 6, Reached: 2}), detector.Result{Since: start.Add(3 * time.Second)})
 	assert.Assert(t, !d.RecordFailure(start.Add(4100*time.Millisecond), "s", "u1"))
 	assert.Assert(t, !d.RecordFailure(start.Add(4200*time.Millisecond), "s", "u2"), "the last check is too recent")
 }
@@ -99,8 +96,7 @@
 					unreachable = good < 2
 				}
 				checking = false
-				got, _ := d.RecordCheck("s", c)
-				assert.Equal(t, got, unreachable)
+				assert.Equal(t, d.RecordCheck("s", c).Unreachable, unreachable)
 			}
 			assert.Equal(t, d.Unreachable("s"), unreachable)
 		}
--- a/entry/process/joiner/reachability.go
+++ b/entry/process/joiner/reachability.go
@@ -93,15 +93,19 @@
 	upstreams := r.process.tracker.Usable(now, service)
 	rand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
 	c := connectToAll(upstreams[:min(len(upstreams), reachabilitySample)])
-	unreachable, changed := r.RecordCheck(service, c)
+	result := r.RecordCheck(service, c)
 	r.process.meter.Count("reachability.checks", 1)
 	line := r.process.log.Info()
-	if changed {
+	if result.Changed {
 		line = r.process.log.Warn()
 	}
-	line.Str("service", service).Int("asked", c.Asked).Int("reached", c.Reached).Bool("unreachable", unreachable).
-		Bool("changed", changed).Dur("took", time.Since(now)).Msg("connected to upstreams to check this VM's path to them")
-	if changed && unreachable {
+	line.Str("service", service).Int("asked", c.Asked).Int("reached", c.Reached).Bool("unreachable", result.Unreachable).
+		Bool("changed", result.Changed).Dur("took", time.Since(now))
+	if !result.Since.IsZero() {
+		line.Dur("age", time.Since(result.Since))
+	}
+	line.Msg("connected to upstreams to check this VM's path to them")
+	if result.Changed && result.Unreachable {
 		// Requests on idle connections would hang or be reset.
 		for _, u := range r.process.tracker.Usable(now, service) {
 			r.process.carrier.CloseIdle(u.Address)
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -249,6 +249,9 @@
 	reservation, err := r.deps.Reserver.Reserve(ctx, j.info.ID, parts)
 	if err != nil {
 		r.deps.Meter.Count("memory.refused", 1)
+		if isConnectionFailure(err) {
+			r.deps.Reachability.ReportFailure(ctx, j.service.Name, a.grant.Helpers[0].ID)
+		}
 		return false
 	}
 	a.reservation = reservation
@@ -446,7 +449,11 @@
 		return true
 	}
 	var timeout net.Error
-	return isConnectionLoss(err) || (errors.As(err, &timeout) && timeout.Timeout())
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return true
+	}
+	var network *net.OpError
+	return isConnectionLoss(err) || (errors.As(err, &network) && network.Op == "dial")
 }
 
 // isConnectionLoss reports whether the upstream ended the connection prematurely.
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,6 +187,25 @@
 	assert.Equal(t, len(b.tracker.Unreachable(time.Now())), 0)
 }
 
+// A prompt needs memory at several engines, none of which this VM reaches. Another VM must
+// serve it.
+func TestPromptThatFindsNoEngineForItsMemoryIsForwarded(t *testing.T) {
+	other := newHarness(t, routes())
+	b := newHarness(t, routes())
+	b.peers = []allocator.Member{{VM: "peer-0", Address: netip.MustParseAddrPort(other.servePeers().Listener.Addr().String())}}
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		other.upstream(id, "model", events(3, false))
+		b.upstream(id, "model", events(3, false)).Close()
+	}
+	b.memory.err = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	b.onFailure = func() { b.unreachable = true }
+	q := b.request(http.MethodPost, "/stream/x", "")
+	q.Header.Set("Prompt", "400000")
+	got := b.do(q)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, len(b.requestsReceived()), 0)
+}
+
 // A VM that has an older configuration than the one from which a request comes must wait for
 // it, and decline the request where it does not come.
 func TestForwardedRequestIsNotServedByAnOlderConfiguration(t *testing.T) {
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -100,6 +100,8 @@
 	mu   sync.Mutex
 	held map[string]int
 	full map[string]bool
+	// err, if not nil, is the error of each reservation.
+	err error
 	// onReserve, if not nil, is called before each reservation.
 	onReserve func()
 }
@@ -113,6 +115,9 @@
 	if m.full[address] {
 		return errors.New("full")
 	}
+	if m.err != nil {
+		return m.err
+	}
 	m.held[name] = tokens
 	return nil
 }
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -589,14 +589,13 @@
 func TestSilentUpstreamIsLeftOnceTheBudgetAllowsIt(t *testing.T) {
 	b := newHarness(t, routes())
 	b.budget.remaining = 0
-	silent := func(w http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
 	var first sync.Once
 	for _, id := range []string{"u1", "u2"} {
 		b.upstream(id, "plain", func(w http.ResponseWriter, q *http.Request) {
 			isFirst := false
 			first.Do(func() { isFirst = true })
 			if isFirst {
-				silent(w, q)
+				<-q.Context().Done()
 				return
 			}
 			echo(w, q)
