Leave a paused VM to which a request was forwarded

A paused process keeps its connections open, so that a request which was forwarded to it waited until its end, while another VM could serve it. A request that may be repeated is now sent to another VM, within the retry budget, once its VM sends no heartbeats; one that may run only once waits on, since silence is no reason to end it. TestForwardedRequestDoesNotWaitForAPausedVM: 504 at the time limit before, 200 within 3 s now.

--- a/entry/process/joiner/reachability.go
+++ b/entry/process/joiner/reachability.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,3 +157,8 @@
 
 // Avoid records that a VM declined a request or could not be reached.
 func (p peers) Avoid(service, vm string) { p.Picker.Avoid(time.Now(), service, vm) }
+
+// IsLive reports whether a VM sends heartbeats.
+func (p peers) IsLive(vm string) bool {
+	return slices.ContainsFunc(p.process.gossiper.ReachableMembers(), func(m allocator.Member) bool { return m.VM == vm })
+}
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -113,7 +113,7 @@
 			if s == final || (s == retryable && !r.allowRetry(ctx, j)) {
 				return nil, r.failureRefusal(ctx, j)
 			}
-			if s == retryable {
+			if s != notForwarded {
 				continue
 			}
 		}
@@ -471,6 +471,11 @@
 // the upstream are dropped: if only the network path from this VM is broken, each of
 // them would stall in turn, while opening a new one detects it.
 func (r *Relayer) handleStall(j *job, a *attempt) {
+	if a.peer != "" {
+		r.deps.Peers.Avoid(j.service.Name, a.peer)
+		r.recordFailure(j, a.peer, "VM stalled")
+		return
+	}
 	r.deps.Carrier.CloseIdle(a.grant.Upstream.Address)
 	if r.isPathBroken(context.Background(), j, a.grant.Upstream.ID) {
 		r.recordFailure(j, a.grant.Upstream.ID, "upstream stalled; this VM reaches none")
@@ -520,12 +525,11 @@
 		j.log.cause += ", quarantined"
 		return false
 	}
-	if !r.deps.RetryBudget.TakeRetry(j.service.Name) {
+	if !r.takeRetry(j) {
 		r.deps.Meter.Count("repeats.refused", 1)
 		j.log.cause += ", retry budget exhausted"
 		return false
 	}
-	r.deps.Meter.Count("repeats", 1)
 	return true
 }
 
--- a/entry/request/relayer/forward.go
+++ b/entry/request/relayer/forward.go
@@ -35,12 +35,15 @@
 // of earlier builds lack.
 const declinedHeader = "Heathervane-Declined"
 
-// configWait is how long a forwarded request waits for the version of the configuration
-// that is in force at the VM from which it comes, and configPollInterval how often that
-// is checked.
 const (
+	// configWait is how long a forwarded request waits for the version of the
+	// configuration that is in force at the VM from which it comes, and
+	// configPollInterval how often that is checked.
 	configWait         = 500 * time.Millisecond
 	configPollInterval = 10 * time.Millisecond
+	// peerCheckInterval is after how long without a response a VM to which a request was
+	// forwarded must be live.
+	peerCheckInterval = 250 * time.Millisecond
 )
 
 // Reachability tells whether this VM can reach the upstreams of a service. Without it
@@ -65,6 +68,8 @@
 	// it accepted one.
 	Avoid(service, vm string)
 	Accepted(service, vm string)
+	// IsLive reports whether a VM sends heartbeats.
+	IsLive(vm string) bool
 }
 
 // IsForwarded reports whether another VM forwarded a request. Only connections of other
@@ -154,7 +159,8 @@
 	service := j.service.Name
 	for _, m := range r.deps.Peers.Candidates(service) {
 		attemptCtx, cancel := context.WithCancel(ctx)
-		a := &attempt{peer: m.VM, watchdog: &watchdog{}, cancel: cancel, sentAt: r.deps.Now()}
+		a := &attempt{peer: m.VM, cancel: cancel, sentAt: r.deps.Now()}
+		a.watchdog = r.startPeerWatchdog(j, m.VM, cancel)
 		x, failure := r.deps.PeerCarrier.Send(attemptCtx, m.Address.String(), r.newForwardedRequest(j, a.sentAt))
 		if failure != nil {
 			a.close()
@@ -166,7 +172,10 @@
 			}
 			r.deps.Peers.Avoid(service, m.VM)
 			r.recordFailure(j, m.VM, "forwarding failed: "+failure.Error())
-			if failure.Sent {
+			switch {
+			case a.watchdog.retryGranted.Load():
+				return nil, retryGranted
+			case failure.Sent:
 				return nil, j.afterPossibleRun()
 			}
 			continue
@@ -192,6 +201,18 @@
 	return nil, notForwarded
 }
 
+// startPeerWatchdog starts the watchdog of an attempt at another VM. It ends the attempt if
+// that VM sends no heartbeats: a paused process keeps its connections open. A request may
+// well wait at a VM that is live.
+func (r *Relayer) startPeerWatchdog(j *job, vm string, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{now: r.deps.Now, cancel: cancel}
+	if !j.route.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts {
+		return w
+	}
+	w.start(peerCheckInterval, func() bool { return !r.deps.Peers.IsLive(vm) && r.takeRetry(j) })
+	return w
+}
+
 // recordPeerVersion records the version of the configuration by which another VM has served a
 // request of this one.
 func (r *Relayer) recordPeerVersion(version int64) {
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -147,6 +147,28 @@
 	assert.Equal(t, requests.Load(), int32(4))
 }
 
+// A VM is paused after a request was forwarded to it. What may be repeated must not wait for
+// it, and what may run only once must not be sent again.
+func TestForwardedRequestDoesNotWaitForAPausedVM(t *testing.T) {
+	paused := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }))
+	t.Cleanup(paused.Close)
+	other := newHarness(t, routes())
+	other.upstream("u1", "plain", echo)
+	b := newCutOffVM(t, paused, other.servePeers())
+	b.silentPeers = map[string]bool{"peer-0": true}
+	start := time.Now()
+	got := b.do(b.request(http.MethodGet, "/safe/x", ""))
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Assert(t, time.Since(start) < 3*time.Second, "%v", time.Since(start))
+	assert.Equal(t, b.budget.taken, 1)
+
+	b.avoided = map[string]bool{}
+	q := b.request(http.MethodPost, "/unsafe/x", "")
+	q.Header.Set("Limit", "1s")
+	assert.Equal(t, b.do(q).status, http.StatusGatewayTimeout)
+	assert.Equal(t, len(other.requestsReceived()), 1)
+}
+
 // A VM dies in the middle of a stream that it serves for another one. The stream must go on
 // after the last event that the caller has, without a gap or a repetition.
 func TestForwardedStreamIsResumedAfterItsVMDied(t *testing.T) {
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -180,6 +180,8 @@
 	// peers are the other VMs to which requests are forwarded, avoided those that declined.
 	peers   []allocator.Member
 	avoided map[string]bool
+	// silentPeers send no heartbeats.
+	silentPeers map[string]bool
 }
 
 // ReportFailure implements relayer.Reachability.
@@ -221,6 +223,9 @@
 	b.avoided[vm] = true
 }
 
+// IsLive implements relayer.Peers.
+func (b *harness) IsLive(vm string) bool { return !b.silentPeers[vm] }
+
 // Accepted implements relayer.Peers.
 func (*harness) Accepted(string, string) {}
 
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -37,24 +37,32 @@
 	if !j.route.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts {
 		return w
 	}
-	service := j.service.Name
-	w.mayRetry = func() bool {
+	w.start(firstTimeout, func() bool {
 		// A VM that is about to stop has no time left for another attempt. Ending
 		// this one could only truncate a response that is merely slow.
 		if leaving, left := r.deps.ShuttingDown(); leaving && left < r.expectedDuration(j) {
 			return false
 		}
-		if !r.deps.RetryBudget.TakeRetry(service) {
-			return false
-		}
-		r.deps.Meter.Count("repeats", 1)
-		return true
+		return r.takeRetry(j)
+	})
+	return w
+}
+
+// takeRetry takes a retry from the budget and reports whether there was one.
+func (r *Relayer) takeRetry(j *job) bool {
+	if !r.deps.RetryBudget.TakeRetry(j.service.Name) {
+		return false
 	}
+	r.deps.Meter.Count("repeats", 1)
+	return true
+}
+
+func (w *watchdog) start(firstTimeout time.Duration, mayRetry func() bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.mayRetry = mayRetry
 	w.dueAt = w.now().Add(firstTimeout)
 	w.timer = time.AfterFunc(firstTimeout, w.check)
-	return w
 }
 
 // check ends the attempt if the upstream has been silent for too long and a retry is
