Keep upstreams from declining a forwarded request in a VM's name

A response header of an upstream could look like the word of the VM that serves a forwarded request, so that a request that ran would be sent to another VM. Found in review. TestUpstreamCannotDeclineForAVM: the request ran, and 503 said that it had not; now the answer is delivered. A line of a request that was sent on the own path after all no longer names a peer.

--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -196,7 +196,7 @@
 	if unusable := r.unusableUpstreams(grant); len(unusable) > 0 {
 		return nil, r.returnPlacement(ctx, j, a, unusable)
 	}
-	j.log.upstream, j.log.helpers = grant.Upstream.ID, nil
+	j.log.upstream, j.log.helpers, j.log.peer = grant.Upstream.ID, nil, ""
 	for _, h := range grant.Helpers {
 		j.log.helpers = append(j.log.helpers, h.ID)
 	}
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -147,6 +147,21 @@
 	assert.Equal(t, requests.Load(), int32(4))
 }
 
+// An upstream's response has a header by which VMs decline requests. The request must not
+// run again at another VM.
+func TestUpstreamCannotDeclineForAVM(t *testing.T) {
+	other := newHarness(t, routes())
+	other.upstream("u1", "plain", func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Heathervane-Declined", "busy")
+		echo(w, q)
+	})
+	server := other.servePeers()
+	b := newCutOffVM(t, server, server)
+	got := b.do(b.request(http.MethodPost, "/unsafe/x", ""))
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, len(other.requestsReceived()), 1)
+}
+
 // A VM is paused after a request was forwarded to it. What may be repeated must not wait for
 // it, and what may run only once must not be sent again.
 func TestForwardedRequestDoesNotWaitForAPausedVM(t *testing.T) {
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -114,7 +114,14 @@
 // headers as sent.
 func (r *Relayer) copyHeader(w http.ResponseWriter, j *job, from http.Header) {
 	h := w.Header()
-	for name, values := range trimmer.EndToEndHeaders(from) {
+	kept := trimmer.EndToEndHeaders(from)
+	if j.forwarded {
+		// An upstream must not speak for this VM.
+		kept.Del(declinedHeader)
+		kept.Del(versionHeader)
+		kept.Del(refuser.VMHeader)
+	}
+	for name, values := range kept {
 		h[name] = values
 	}
 	if h.Get("Date") == "" {
