Count retries for longer than the window by how late they may arrive

Cause: a VM used its slack at 0.5 s and again at 10.5 s, as retries left its window exactly 10 s after they were counted, and a window that begins with the first holds both. Where upstreams count, the first may even have arrived later than it was counted.

Change: retries count for 100 ms longer than the window.

--- a/entry/process/budgeter/budgeter.go
+++ b/entry/process/budgeter/budgeter.go
@@ -152,9 +152,13 @@
 	retries      *Window
 }
 
+// arrivalJitter is how much longer than the span a retry counts. Upstreams count retries when
+// they arrive: the first of two that were sent a span apart may have been delayed.
+const arrivalJitter = 100 * time.Millisecond
+
 // NewRetryBudget returns an empty budget over a sliding window of the given span.
 func NewRetryBudget(ratio, slack float64, span time.Duration) *RetryBudget {
-	return &RetryBudget{Ratio: ratio, Slack: slack, span: span, requests: NewWindow(span + span/2), retries: NewWindow(span)}
+	return &RetryBudget{Ratio: ratio, Slack: slack, span: span, requests: NewWindow(span + span/2), retries: NewWindow(span + arrivalJitter)}
 }
 
 // Sent counts the first attempt of a request.
