Say which features decide under load, by settings or by the configuration

Cause: the parts for callers who compete for capacity, and for demand that differs between zones, must take effect only where a deployment calls for them.

A service knows the different priorities of its requests, which call for admission, claims, headroom, preemption and shares. Nothing reads the modes yet.

Ruled out: a switch for each deployment, since nothing may depend on its name.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -31,6 +31,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
@@ -80,8 +81,11 @@
 	// all VMs. leads reports whether this VM places them as a leader rather
 	// than only for its own requests.
 	ColdStartQuota func(upstream string, rate float64, leads bool) int
-	Now            func() time.Time
-	Log            zerolog.Logger
+	// Policy returns the features that the settings select; nil leaves each to the
+	// configuration.
+	Policy func() switcher.Policy
+	Now    func() time.Time
+	Log    zerolog.Logger
 }
 
 // An Allocator requests placements for the requests of one VM, and grants
@@ -416,6 +420,14 @@
 	return a.deps.Tracker.CountUsableByZone(service)
 }
 
+// policy returns the features that the settings select.
+func (a *Allocator) policy() switcher.Policy {
+	if a.deps.Policy == nil {
+		return switcher.Policy{}
+	}
+	return a.deps.Policy()
+}
+
 // isLeader reports whether this VM considers itself the leader of a group.
 func (a *Allocator) isLeader(now time.Time, g Group) bool {
 	_, self := a.leader(now, g)
@@ -427,7 +439,7 @@
 	if !ok {
 		l = &ledGroup{group: g}
 		l.scheduler = scheduler.New(g.Zone, scheduler.Deps{
-			Tracker: a.deps.Tracker, Now: a.deps.Now,
+			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy,
 			ColdQuota: func(upstream string, rate float64) int {
 				if a.deps.Now().Before(l.coldAllowedAt) {
 					return 0
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -27,6 +27,7 @@
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/syncer"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
@@ -84,6 +85,8 @@
 	Memory      int64
 	Descriptors int
 	Bounds      Bounds
+	// Policy selects features that decide under load.
+	Policy switcher.Policy
 }
 
 // Bounds are the operators' requirements for the whole fleet.
@@ -245,7 +248,7 @@
 	v.gossiper.SetSharedState(v.quarantine, v.ticker)
 	v.allocator = allocator.New(self, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.ReachableMembers, FleetSize: v.gossiper.FleetSize,
-		Service: v.service, ColdStartQuota: v.coldStartQuota, Now: time.Now, Log: log,
+		Service: v.service, ColdStartQuota: v.coldStartQuota, Policy: func() switcher.Policy { return v.settings.Load().Policy }, Now: time.Now, Log: log,
 	})
 	v.retryBudget = newRetryBudget(v)
 	v.reachability = newReachability(v)
@@ -315,7 +318,7 @@
 // restarted.
 func (v *Process) Reload(s Settings) {
 	old := *v.settings.Swap(&s)
-	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Msg("settings reloaded")
+	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Bool("policy", old.Policy != s.Policy).Msg("settings reloaded")
 }
 
 // Run serves requests until ctx is done, then shuts down without interrupting requests.
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/ranker"
@@ -40,7 +41,10 @@
 	// RateQuota returns how many requests per second this Scheduler may place at
 	// an upstream that has announced a rate limit for all VMs together.
 	RateQuota func(limit float64) float64
-	Now       func() time.Time
+	// Policy returns the features that the settings select; nil leaves each to the
+	// configuration.
+	Policy func() switcher.Policy
+	Now    func() time.Time
 }
 
 // A Request asks for a slot at an upstream.
@@ -140,6 +144,13 @@
 	}
 }
 
+func (s *Scheduler) policy() switcher.Policy {
+	if s.deps.Policy == nil {
+		return switcher.Policy{}
+	}
+	return s.deps.Policy()
+}
+
 // A Pending is a submitted request that may still be queued.
 type Pending struct {
 	scheduler *Scheduler
--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -78,8 +78,15 @@
 	ColdStartRate float64
 	// Engine is the performance model of model engines; nil for plain services.
 	Engine *Engine
+	// Priorities are the different priorities that requests of the service may have, in
+	// ascending order. New sets them from the routes and teams.
+	Priorities []int
 }
 
+// HasPriorities reports whether some requests of the service are more urgent than
+// others.
+func (s *Service) HasPriorities() bool { return len(s.Priorities) > 1 }
+
 // An Engine holds the performance figures of one kind of model engine. Times are in
 // milliseconds, because an engine's operations take far less than a second.
 type Engine struct {
@@ -145,9 +152,31 @@
 			t.keys[key] = &c.Teams[i]
 		}
 	}
+	for name, s := range t.services {
+		s.Priorities = c.priorities(name)
+	}
 	return t
 }
 
+// priorities returns the different priorities of a service's requests in ascending
+// order.
+func (c *Config) priorities(service string) []int {
+	var all []int
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if slices.ContainsFunc(r.Split, func(w WeightedService) bool { return w.Service == service }) {
+			all = append(all, r.Priority)
+		}
+	}
+	for i := range c.Teams {
+		if len(all) > 0 && c.Teams[i].HasPriority {
+			all = append(all, c.Teams[i].Priority)
+		}
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // Route returns the route of a request. The path must be as sent, with its escapes:
 // unescaping it would let a request match a route that its raw path doesn't name.
 func (t *Table) Route(host, path string) (*Route, bool) {
--- a/entry/version/matcher/matcher_test.go
+++ b/entry/version/matcher/matcher_test.go
@@ -88,3 +88,28 @@
 	_, ok := (&matcher.Route{}).PickService()
 	assert.Assert(t, !ok)
 }
+
+// A service's requests compete by priority only where its routes or teams differ in it:
+// another service's routes must not count.
+func TestServiceKnowsThePrioritiesOfItsRequests(t *testing.T) {
+	table := matcher.New(matcher.Config{
+		Routes: []matcher.Route{
+			{Prefix: "/a/", Priority: 2, Split: []matcher.WeightedService{{Service: "s", Weight: 1}}},
+			{Prefix: "/b/", Priority: 0, Split: []matcher.WeightedService{{Service: "s", Weight: 1}, {Service: "u", Weight: 1}}},
+		},
+		Services: []matcher.Service{{Name: "s"}, {Name: "u"}, {Name: "idle"}},
+	})
+	for name, want := range map[string][]int{"s": {0, 2}, "u": {0}, "idle": nil} {
+		s, ok := table.Service(name)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, s.Priorities, want)
+		assert.Equal(t, s.HasPriorities(), len(want) > 1)
+	}
+	table = matcher.New(matcher.Config{
+		Routes:   []matcher.Route{{Prefix: "/a/", Priority: 2, Split: []matcher.WeightedService{{Service: "s", Weight: 1}}}},
+		Services: []matcher.Service{{Name: "s"}},
+		Teams:    []matcher.Team{{Name: "urgent", Priority: 0, HasPriority: true}},
+	})
+	s, _ := table.Service("s")
+	assert.DeepEqual(t, s.Priorities, []int{0, 2})
+}
