--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/ranker"
@@ -27,12 +28,13 @@
 
 // sortQueue updates the sort keys of the queued requests and sorts the queue.
 func (s *Scheduler) sortQueue(now time.Time) {
+	shares := s.policy().Shares != switcher.Off
 	for _, w := range s.queue {
 		w.late, w.overShare = 0, 0
 		if w.timing.late(now) {
 			w.late = 1
 		}
-		if s.ranker(w.request.Service.Name).OverShare(now, w.request.Team) {
+		if shares && s.ranker(w.request.Service.Name).OverShare(now, w.request.Team) {
 			w.overShare = 1
 		}
 	}
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -13,8 +13,9 @@
 const (
 	// Auto uses the feature where the configuration calls for it.
 	Auto Mode = iota
-	// On uses it always, Off never.
+	// On always uses it.
 	On
+	// Off never uses it.
 	Off
 )
 
