Show operators what waits and runs in each group

Cause: an operator who is told of late answers could see how many requests wait at a VM, not whose they are, nor what runs at the leader for other VMs.

Change: a VM serves what it knows of its groups at /load on the metrics address, by priority, team and kind, at most 100 classes a group; vanectl load shows it. Ruled out: a metric for each class, which would make thousands of series where teams are many.

Tests: TestLeaderDescribesTheRequestsOfAllVMs, TestLargeReportKeepsTheLargestClasses, TestLoadShowsWhatWaitsByPriorityAndTeam.

--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/pager"
 	"github.com/heathervane/heathervane/entry/request/relayer"
+	"github.com/heathervane/heathervane/library/describer"
 )
 
 const (
@@ -112,7 +114,27 @@
 func (v *Process) servePeers() { v.serveOn(v.records, v.peerServer, "peers") }
 
 func (v *Process) serveMetrics() {
-	v.serve(v.metrics, v.meter.Handler(v.log), "metrics")
+	mux := http.NewServeMux()
+	mux.Handle("/", v.meter.Handler(v.log))
+	mux.HandleFunc("GET "+describer.Path, v.serveLoad)
+	v.serve(v.metrics, mux, "metrics")
+}
+
+// refusedPrefix begins the names of the counters of refused requests.
+const refusedPrefix = "refused."
+
+// serveLoad serves what this VM knows of the load, for operators.
+func (v *Process) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.Marshal(describer.Load{
+		VM: v.self.VM, Groups: v.allocator.Describe(), Refusals: v.meter.Counters(refusedPrefix),
+	})
+	if err != nil {
+		v.log.Error().Err(err).Msg("failed to describe the load")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(data)
 }
 
 func (v *Process) serve(l net.Listener, h http.Handler, name string) {
--- a/entry/process/meter/meter.go
+++ b/entry/process/meter/meter.go
@@ -50,6 +50,20 @@
 	return m.registry.Register(name, metrics.NewFunctionalGauge(value))
 }
 
+// Counters returns the values of the counters whose names begin with prefix, by the rest
+// of the name.
+func (m *Meter) Counters(prefix string) map[string]int64 {
+	all := make(map[string]int64)
+	m.registry.Each(func(name string, v any) {
+		if rest, ok := strings.CutPrefix(name, prefix); ok {
+			if c, ok := v.(metrics.Counter); ok {
+				all[rest] = c.Count()
+			}
+		}
+	})
+	return all
+}
+
 // Handler returns a handler that serves the metrics. It logs those that it cannot serve,
 // and serves the others.
 func (m *Meter) Handler(log zerolog.Logger) http.Handler {
--- /dev/null
+++ b/entry/process/scheduler/describe.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"github.com/heathervane/heathervane/library/describer"
+)
+
+// Waiting returns the queued requests by class.
+func (s *Scheduler) Waiting() []describer.Class {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, all := s.deps.Now(), describer.Classes{}
+	for _, w := range s.queue {
+		all.Add(w.class(), now.Sub(w.request.Requirements.Arrived).Milliseconds())
+	}
+	return all.List()
+}
+
+// Running returns the requests that this Scheduler has placed and that have not ended,
+// by class. Those that another Scheduler has placed are not among them.
+func (s *Scheduler) Running() []describer.Class {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, all := s.deps.Now(), describer.Classes{}
+	for g := range s.running {
+		all.Add(g.class, now.Sub(g.grantedAt).Milliseconds())
+	}
+	return all.List()
+}
+
+// class returns the class of a request in reports to operators.
+func (w *waiter) class() describer.Class {
+	kind := describer.Plain
+	switch {
+	case w.request.Service.Engine == nil:
+	case w.timing.long:
+		kind = describer.Long
+	default:
+		kind = describer.Short
+	}
+	return describer.Class{Priority: w.request.Priority, Team: w.request.Team, Kind: kind}
+}
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/library/describer"
 )
 
 // A Helper is an upstream that prefills a part of a prompt.
@@ -32,6 +33,9 @@
 	loads     []upstreamLoad
 	started   bool
 	ended     bool
+	// class and grantedAt describe the request to operators.
+	class     describer.Class
+	grantedAt time.Time
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -83,7 +87,8 @@
 // grant takes the chosen slots. The caller holds the lock.
 func (s *Scheduler) grant(now time.Time, w *waiter, c placer.Placement, states []tracker.State) *Grant {
 	main := states[c.Main]
-	g := &Grant{Upstream: main, Estimate: c.TimeToFirstEvent, scheduler: s}
+	g := &Grant{Upstream: main, Estimate: c.TimeToFirstEvent, scheduler: s, class: w.class(), grantedAt: now}
+	s.running[g] = struct{}{}
 	if l, ok := s.loads[main.ID]; ok {
 		g.Load = *l
 	}
@@ -154,6 +159,7 @@
 			return
 		}
 		g.ended, g.scheduler.capacityFreed = true, true
+		delete(g.scheduler.running, g)
 		g.markStarted()
 		for _, h := range g.loads {
 			g.scheduler.addLoad(h.id, h.untilEnd, -1)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -99,6 +99,8 @@
 	coldLimiters map[string]*budgeter.ColdLimiter
 	rateLimiters map[string]*budgeter.RateLimiter
 	queue        []*waiter
+	// running are the grants that have not ended.
+	running map[*Grant]struct{}
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
 	// pausedUntil is the time before which nothing is placed.
@@ -139,7 +141,7 @@
 // empty.
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
-		zone: zone, deps: d,
+		zone: zone, deps: d, running: make(map[*Grant]struct{}),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 	}
 }
--- a/operator/commander/commander.go
+++ b/operator/commander/commander.go
@@ -95,6 +95,8 @@
 		return c.status(ctx)
 	case "audit":
 		return c.audit(ctx)
+	case "load":
+		return c.load(ctx)
 	default:
 		return c.order(ctx, recorder.Target(positional[0]), positional[1] == "out")
 	}
--- a/operator/commander/status.go
+++ b/operator/commander/status.go
@@ -11,6 +11,9 @@
 	"github.com/dghubble/sling"
 )
 
+// notReached begins the problem of a VM that did not answer.
+const notReached = "not reached: "
+
 // maxStatus limits the size of a VM's status response in bytes.
 const maxStatus = 64 << 10
 
@@ -51,7 +54,7 @@
 	}
 	res, err := c.client.Do(req.WithContext(ctx))
 	if err != nil {
-		v.Problem = "not reached: " + err.Error()
+		v.Problem = notReached + err.Error()
 		return v
 	}
 	defer res.Body.Close()
--- a/operator/commander/words.go
+++ b/operator/commander/words.go
@@ -35,7 +35,7 @@
 
 // Command names, and those commands that take a direction.
 var (
-	commands          = []string{"check", "publish", "vm", "zone", "upstream", "status", "audit"}
+	commands          = []string{"check", "publish", "vm", "zone", "upstream", "status", "audit", "load"}
 	directionCommands = []string{"vm", "zone", "upstream"}
 	directions        = []string{"out", "in"}
 
@@ -115,7 +115,10 @@
 
 	audit := command("audit", "show who changed what, when, and at which offset")
 
-	all := []*flaggy.Subcommand{check, publish, status, audit}
+	load := command("load", "show what waits and runs in the groups of upstreams that VMs lead")
+	load.StringSlice(&o.vms, "", "vm", "base URL of a VM's metrics; may be repeated")
+
+	all := []*flaggy.Subcommand{check, publish, status, audit, load}
 	for _, kind := range directionCommands {
 		all = append(all, order(kind, o))
 	}
@@ -166,6 +169,7 @@
 		"upstream out|in NAME": "take an upstream out, or bring it in",
 		"status":               "show the configuration in force",
 		"audit":                "show who changed what, when, and at which offset",
+		"load":                 "show what waits and runs, by priority, team and kind",
 	}
 	var b strings.Builder
 	b.WriteString("vanectl COMMAND, with --help for more:\n")
