Repeat the calls of a first read that are not answered

Cause: after all VMs lost power while a part of the store was silent, the first read of each VM hung until snapshotTimeout (4 s), also after the store answered again, as a lost call is never answered. Ruled out: a shorter timeout alone, which a store that is slow by a factor of 50 would reach in the middle of its pages, and which starts the pages anew.

A page of a first read that is not answered is asked for again beside the call that hangs, after 250 ms at a zone's reader, 1 s at a standby, and never at a follower; the first answer wins. The timeout holds for each page. A first read ends when a peer has delivered the records. The wait for the list of VMs is 400 ms, so that a silent list does not hold up the other streams.

--- a/entry/process/joiner/fold.go
+++ b/entry/process/joiner/fold.go
@@ -9,6 +9,7 @@
 	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/hedger"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 	"github.com/heathervane/heathervane/entry/process/syncer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
@@ -272,7 +273,7 @@
 	bootstrapDelay = 400 * time.Millisecond
 	// vmListWait is how long a process waits for the list of VMs before it starts to read
 	// the streams.
-	vmListWait = 600 * time.Millisecond
+	vmListWait = 400 * time.Millisecond
 )
 
 // readVMListAndRegister reads the list of VMs and registers this one, unless an earlier run
@@ -286,6 +287,7 @@
 		sleep(ctx, bootstrapDelay)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+	callCtx = hedger.NewContext(callCtx, hedger.Policy{Wait: vmListRepeat})
 	rs, end, err := v.platform.Newest(callCtx, VMs)
 	cancel()
 	if err != nil {
@@ -299,6 +301,15 @@
 	}
 }
 
+// vmListRepeat returns how long the first read of the list of VMs waits for an answer before
+// the call is repeated. Once the syncer of the list runs, that repeats its own calls.
+func vmListRepeat(calls int) time.Duration {
+	if calls > 1 {
+		return hedger.Never
+	}
+	return syncer.RepeatWait(gossiper.Reader, calls)
+}
+
 // runSyncer syncs a stream. It first waits for the list of VMs, from which it is known
 // which VM reads the stream for the others.
 func (v *Process) runSyncer(ctx context.Context, s *syncer.Syncer) {
--- a/entry/process/syncer/syncer.go
+++ b/entry/process/syncer/syncer.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/hedger"
 	"github.com/heathervane/heathervane/entry/process/replicator"
 )
 
@@ -35,8 +36,24 @@
 	// readGrace is how much longer than the requested wait a read may take before it
 	// times out.
 	readGrace = 900 * time.Millisecond
-	// snapshotTimeout bounds a read of all keys.
-	snapshotTimeout = 4 * time.Second
+	// snapshotTimeout bounds a read of all keys, and pageTimeout each of its pages. A slow
+	// platform needs some hundred milliseconds for a page.
+	snapshotTimeout = 16 * time.Second
+	pageTimeout     = 4 * time.Second
+	// A VM without records does not serve, and waits for the platform's answer to its first
+	// read only for a while before it repeats the call. A lost answer must not hold up the
+	// fleet, and a slow platform must not get several calls for each answer. The reader of
+	// a zone repeats earliest, and less often after the first repeats; a standby only in
+	// case the reader cannot reach the platform; followers get the records from them.
+	readerRepeat       = 250 * time.Millisecond
+	laterReaderRepeat  = 400 * time.Millisecond
+	earlyReaderRepeats = 4
+	standbyRepeat      = time.Second
+	// maxStartBackoff is the longest wait after a failed read while a VM has no records.
+	maxStartBackoff = 300 * time.Millisecond
+	// recordsCheckInterval is how often a first read checks whether a peer has delivered
+	// the records.
+	recordsCheckInterval = 25 * time.Millisecond
 	// peerInterval is how often this VM checks whether a peer has read further, and
 	// peerTimeout bounds a read from a peer.
 	peerInterval = 150 * time.Millisecond
@@ -61,7 +78,8 @@
 // A Source is the platform.
 type Source interface {
 	// Newest returns the newest record of each key, and a position below which the
-	// result is complete.
+	// result is complete. It repeats unanswered calls as the hedger.Policy of the context
+	// says.
 	Newest(ctx context.Context, stream string) (rs []replicator.Record, end replicator.Position, err error)
 	// Read returns the records from a position on. If there are none it waits for at
 	// most the given time.
@@ -191,6 +209,9 @@
 			s.platformDown = true
 			s.log.Warn().Err(err).Dur("since", now.Sub(lastRead)).Msg("platform is unavailable")
 		}
+		if !s.hasRecords() {
+			backoff = min(maxStartBackoff, backoff)
+		}
 		// The jitter keeps VMs that failed together from retrying together.
 		sleep(ctx, backoff*3/4+rand.N(backoff/2))
 		backoff = min(maxBackoff, 2*backoff)
@@ -305,8 +326,16 @@
 	if full {
 		readCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
-		rs, end, err := s.source.Newest(readCtx, s.stream.Name)
+		readCtx, interrupt := context.WithCancelCause(readCtx)
+		defer interrupt(nil)
+		if !s.hasSnapshot() {
+			go s.interruptOnRecords(readCtx, interrupt)
+		}
+		rs, end, err := s.source.Newest(hedger.NewContext(readCtx, s.repeatPolicy()), s.stream.Name)
 		if err != nil {
+			if cause := context.Cause(readCtx); errors.Is(cause, errReread) {
+				return cause
+			}
 			return err
 		}
 		accepted := s.stream.Copy.MergeSnapshot(rs, end, asOf)
@@ -334,6 +363,64 @@
 	return nil
 }
 
+// repeatPolicy returns when the calls of a full read are repeated. A VM that has records
+// serves with them meanwhile, and repeats none.
+func (s *Syncer) repeatPolicy() hedger.Policy {
+	return hedger.Policy{
+		Timeout: pageTimeout,
+		Wait: func(calls int) time.Duration {
+			if s.hasSnapshot() {
+				return hedger.Never
+			}
+			return RepeatWait(s.readRole(), calls)
+		},
+		Repeated: func(call int, elapsed time.Duration) {
+			s.log.Info().Int("call", call).Dur("elapsed", elapsed).Msg("repeating a first read that was not answered")
+		},
+	}
+}
+
+// RepeatWait returns how long a VM with the given role waits for the answer to its first
+// read, after a number of calls, before it makes another.
+func RepeatWait(role gossiper.ReadRole, calls int) time.Duration {
+	switch role {
+	case gossiper.Reader:
+		if calls <= earlyReaderRepeats {
+			return readerRepeat
+		}
+		return laterReaderRepeat
+	case gossiper.Standby:
+		return standbyRepeat
+	case gossiper.Follower:
+	}
+	return hedger.Never
+}
+
+func (s *Syncer) readRole() gossiper.ReadRole {
+	if !s.stream.Shared {
+		return gossiper.Reader
+	}
+	return s.peers.ReadRole()
+}
+
+// interruptOnRecords ends a first read once a peer has delivered the records: the answer
+// may be lost, and the newer records are to be read.
+func (s *Syncer) interruptOnRecords(ctx context.Context, interrupt context.CancelCauseFunc) {
+	t := time.NewTicker(recordsCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if s.hasSnapshot() {
+				interrupt(errReread)
+				return
+			}
+		}
+	}
+}
+
 // interruptOnReread ends a long poll when Reread is called: after the platform was
 // restored it may not return for as long as the platform may hold it.
 func (s *Syncer) interruptOnReread(ctx context.Context, interrupt context.CancelCauseFunc) {
