Take no retry for a connection that never came up

Cause: a request to which no connection came up took a retry from the budget, though nothing reached an upstream; where a third of the engines went dark the budget ran out and requests were declined (dial tcp ...: i/o timeout, retry budget exhausted). The budget is for arrivals beyond the first of a request.

Such a request goes to another upstream without a retry, within a token bucket of its own for each service and VM (16 at once, 4 a second and one for each request), at most three times as before; beyond the bucket it takes a retry as before. A connection that came up and was lost counts as before, since it may have brought the request. The upstream is reported as unreachable to the group's leader at once, as it was.

--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -83,6 +83,9 @@
 	answered outcome = iota
 	// retryable means that the request may be sent again if allowRetry agrees.
 	retryable
+	// unsent means that no connection to the upstream came up, so that it got nothing of
+	// the request, which may be sent elsewhere if allowReconnect agrees.
+	unsent
 	// retryGranted means that the retry was already taken from the budget, or that
 	// nothing was sent to any upstream.
 	retryGranted
@@ -134,7 +137,7 @@
 			return a, nil
 		}
 		a.close()
-		if s == final || (s == retryable && !r.allowRetry(ctx, j)) {
+		if s == final || (s == retryable && !r.allowRetry(ctx, j)) || (s == unsent && !r.allowReconnect(ctx, j)) {
 			return nil, r.failureRefusal(ctx, j)
 		}
 	}
@@ -269,6 +272,7 @@
 	if !j.recorded {
 		j.recorded = true
 		r.deps.RetryBudget.RecordRequest(j.service.Name)
+		r.redialer.RecordRequest(r.deps.Now(), j.service.Name)
 	}
 	id := a.grant.Upstream.ID
 	attemptCtx, cancel := context.WithCancel(ctx)
@@ -390,6 +394,28 @@
 // allowRetry reports whether the request may be sent once more. If so, the retry is
 // taken from the budget.
 func (r *Relayer) allowRetry(ctx context.Context, j *job) bool {
+	return r.mayRepeat(ctx, j) && r.takeBudgetedRetry(j)
+}
+
+// allowReconnect reports whether a request of which the upstream got nothing may be sent to
+// another. The retry budget bounds what reaches upstreams and is used only beyond the limit
+// on such connections.
+func (r *Relayer) allowReconnect(ctx context.Context, j *job) bool {
+	if !r.mayRepeat(ctx, j) {
+		return false
+	}
+	if !r.redialer.Allow(r.deps.Now(), j.service.Name) {
+		return r.takeBudgetedRetry(j)
+	}
+	r.deps.Meter.Count("reconnects", 1)
+	r.deps.Log.Info().Str("id", j.info.ID).Str("service", j.service.Name).Str("upstream", j.log.upstream).Int("refused", j.declines).
+		Msg("no connection came up, sending the request to another upstream")
+	return true
+}
+
+// mayRepeat reports whether a request that failed may be sent once more, apart from limits
+// that it shares with others.
+func (r *Relayer) mayRepeat(ctx context.Context, j *job) bool {
 	if ctx.Err() != nil || j.declines > maxDeclines || j.possibleRuns >= max(1, j.route.MaxAttempts) {
 		return false
 	}
@@ -397,6 +423,11 @@
 		j.log.cause += ", quarantined"
 		return false
 	}
+	return true
+}
+
+// takeBudgetedRetry takes a retry from the budget, and records it if there is none.
+func (r *Relayer) takeBudgetedRetry(j *job) bool {
 	if !r.takeRetry(j) {
 		r.deps.Meter.Count("repeats.refused", 1)
 		j.log.cause += ", retry budget exhausted"
--- a/entry/request/relayer/failure.go
+++ b/entry/request/relayer/failure.go
@@ -46,7 +46,7 @@
 	// A reused connection that was closed is no evidence against the upstream.
 	r.deps.Tracker.ReportFailure(r.deps.Now(), id, !f.Reused)
 	if !f.Sent {
-		return retryable
+		return unsent
 	}
 	return j.afterPossibleRun()
 }
--- /dev/null
+++ b/entry/request/relayer/reconnect_test.go
@@ -0,0 +1,64 @@
+package relayer_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// stopUpstreams adds upstreams of the plain service that accept no connections.
+func (b *harness) stopUpstreams(ids ...string) {
+	for _, id := range ids {
+		b.upstream(id, "plain", answerSealed).Close()
+	}
+}
+
+// Some upstreams are gone and the retry budget is used up. A request for which no connection
+// came up reached none of them, and must still be served by another.
+func TestConnectionThatNeverCameUpTakesNoRetry(t *testing.T) {
+	b := newHarness(t, routes())
+	b.budget.remaining = 0
+	b.stopUpstreams("gone-1", "gone-2")
+	b.upstream("u", "plain", answerSealed)
+	for _, target := range []string{"/safe/1", "/unsafe/1", "/safe/2", "/unsafe/2"} {
+		a := b.do(b.request(http.MethodPost, target, "x"))
+		assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
+	}
+	assert.Equal(t, b.budget.taken, 0)
+	assert.Equal(t, len(b.requestsReceived()), 4)
+}
+
+// A connection that came up and was lost may have brought the request to its upstream: it
+// counts as a retry, also if the attempt before it did not.
+func TestLostConnectionTakesARetry(t *testing.T) {
+	b := newHarness(t, routes())
+	b.budget.remaining = 0
+	b.stopUpstreams("gone")
+	b.upstream("u", "plain", dropConnection)
+	b.upstream("v", "plain", dropConnection)
+	a := b.do(b.request(http.MethodGet, "/safe/1", ""))
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	assert.Equal(t, len(b.requestsReceived()), 1, "more than one upstream got the request without a retry")
+}
+
+// All upstreams of a service are gone while many callers come. What each request may try is
+// bounded, and then what all may try.
+func TestFailedConnectionsAreLimited(t *testing.T) {
+	c := routes()
+	c.Routes = []matcher.Route{c.Routes[0]}
+	b := newHarness(t, c)
+	b.budget.remaining = 0
+	b.stopUpstreams("a", "b", "c", "d", "e", "f", "g", "h")
+	const requests = 40
+	for range requests {
+		a := b.do(b.request(http.MethodGet, "/safe/1", ""))
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	}
+	// The first attempts, one more for each of them, and the burst with what some seconds add.
+	const bound = 2*requests + 16 + 4*5
+	assert.Assert(t, b.carrier.Dials() <= bound, "%d connections", b.carrier.Dials())
+	assert.Equal(t, b.budget.taken, 0)
+}
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -28,6 +28,7 @@
 	"github.com/heathervane/heathervane/entry/request/fingerprinter"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/request/reader"
+	"github.com/heathervane/heathervane/entry/request/redialer"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
@@ -202,6 +203,7 @@
 // A Relayer forwards requests to upstreams.
 type Relayer struct {
 	deps      Deps
+	redialer  *redialer.Redialer
 	startedAt time.Time
 	// activeForwarded is the number of requests in progress that other VMs have forwarded,
 	// and peerVersion the newest version of the configuration by which another VM has
@@ -210,7 +212,7 @@
 }
 
 // New returns a Relayer.
-func New(d Deps) *Relayer { return &Relayer{deps: d, startedAt: d.Now()} }
+func New(d Deps) *Relayer { return &Relayer{deps: d, redialer: redialer.New(), startedAt: d.Now()} }
 
 // A job is the state of one request that is being forwarded.
 type job struct {
