Count what engines still do after most VMs started again

Cause: engines go on with the requests of VMs that lost power. A leader that begins after such a loss knows of no load and takes all engines for idle, so that its first estimates don't hold and memory in use counts as free.

Policy.Inspection switches it off.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -23,6 +23,7 @@
 package allocator
 
 import (
+	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
@@ -81,6 +83,11 @@
 	// all VMs. leads reports whether this VM places them as a leader rather
 	// than only for its own requests.
 	ColdStartQuota func(upstream string, rate float64, leads bool) int
+	// Report returns an engine's report of its load; nil if there is no such report.
+	Report func(ctx context.Context, address string) (inspector.Report, error)
+	// FleetRestarted reports whether most of the VMs from which this one hears started
+	// within a given time of its own start.
+	FleetRestarted func(within time.Duration) bool
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -47,6 +47,9 @@
 	// because no leader answers them.
 	localOnly     bool
 	coldAllowedAt time.Time
+	// inspecting is set while engines are asked what they still do, and inspected once
+	// they have been asked.
+	inspecting, inspected bool
 	// awaited are the VMs whose reports on their placements are still missing.
 	awaited map[netip.AddrPort]bool
 }
@@ -67,7 +70,12 @@
 		return
 	}
 	delete(l.awaited, from)
-	if len(l.awaited) == 0 {
+	l.resume(now)
+}
+
+// resume ends the pause of placement once all reports have arrived.
+func (l *ledGroup) resume(now time.Time) {
+	if len(l.awaited) == 0 && !l.inspecting {
 		l.scheduler.PauseUntil(now)
 		l.scheduler.Dispatch()
 	}
@@ -132,6 +140,9 @@
 			}
 		}
 	}
+	if a.mustInspect(now, l) {
+		a.inspect(now, l)
+	}
 	// If every VM that decides alone asked all others, the messages would
 	// overload a fleet that has lost its leaders.
 	announces := remote || a.isLeaderOrBackup(g)
--- a/entry/process/gossiper/known.go
+++ b/entry/process/gossiper/known.go
@@ -27,6 +27,25 @@
 	return reachable
 }
 
+// FleetRestarted reports whether at least half of the VMs from which this one hears started
+// within a given time of its own start. Their clocks may differ a little.
+func (g *Gossiper) FleetRestarted(within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	heard, together := 0, 0
+	for _, p := range g.peers {
+		if p.heardAt.IsZero() || now.Sub(p.heardAt) > g.allowedSilence(p, now) {
+			continue
+		}
+		heard++
+		if apart := time.Duration(p.boot - g.boot); apart.Abs() <= within {
+			together++
+		}
+	}
+	return heard > 0 && 2*together >= heard
+}
+
 // LiveVMs returns the sorted names of the VMs that are not gone, including this one.
 // During startupPeriod it includes all known VMs, and placeholders up to minAssumedVMs.
 func (g *Gossiper) LiveVMs() []string {
--- a/entry/process/gossiper/restart_test.go
+++ b/entry/process/gossiper/restart_test.go
@@ -127,3 +127,30 @@
 	n.deliver()
 	assert.Assert(t, a.ShouldReadAtStart() != b.ShouldReadAtStart())
 }
+
+// A VM that alone has started again must not take the whole fleet for restarted, and VMs that
+// all have, must.
+func TestFleetRestartedNeedsMostVMs(t *testing.T) {
+	const window = 5 * time.Second
+	for _, test := range []struct {
+		name  string
+		boots []int64
+		want  bool
+	}{
+		{"alone", nil, false},
+		{"others run on", []int64{1, 1, 1}, false},
+		{"one more", []int64{1, 1, int64(time.Minute)}, false},
+		{"most", []int64{1, int64(time.Minute + 2*time.Second), int64(time.Minute - time.Second)}, true},
+	} {
+		n := newNetwork()
+		restarted := n.start(1, int64(time.Minute), nil)
+		for i, boot := range test.boots {
+			g := n.start(byte(i+2), boot, nil)
+			g.AddPeer(n.member(1))
+			g.SendHello()
+		}
+		n.deliver()
+		n.deliver()
+		assert.Equal(t, restarted.FleetRestarted(window), test.want, test.name)
+	}
+}
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -21,6 +21,7 @@
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
+	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/picker"
 	"github.com/heathervane/heathervane/entry/process/prober"
@@ -126,6 +127,8 @@
 	syncer.Source
 	reserver.EngineClient
 	relayer.Protocol
+	// Report returns what an engine says it does.
+	Report(ctx context.Context, address string) (inspector.Report, error)
 	// RegisterVM stores a record of this VM for the other VMs.
 	RegisterVM(ctx context.Context, m allocator.Member) error
 	// StoreQuarantine stores a record for the other VMs that a request is held in
@@ -248,6 +251,7 @@
 	v.gossiper.SetSharedState(v.quarantine, v.ticker)
 	v.allocator = allocator.New(self, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.ReachableMembers, FleetSize: v.gossiper.FleetSize,
+		Report: platform.Report, FleetRestarted: v.gossiper.FleetRestarted,
 		Service: v.service, ColdStartQuota: v.coldStartQuota, Policy: func() switcher.Policy { return v.settings.Load().Policy }, Now: time.Now, Log: log,
 	})
 	v.retryBudget = newRetryBudget(v)
--- a/entry/process/joiner/list_test.go
+++ b/entry/process/joiner/list_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
+	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/joiner"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/replicator"
@@ -55,6 +56,10 @@
 	return nil, from, ctx.Err()
 }
 
+func (*slowPlatform) Report(context.Context, string) (inspector.Report, error) {
+	return inspector.Report{}, nil
+}
+
 func (*slowPlatform) RegisterVM(context.Context, allocator.Member) error { return nil }
 
 func (*slowPlatform) ParseChange(replicator.Record) (joiner.ConfigChange, error) {
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -214,6 +214,7 @@
 			c.Load = *l
 		}
 		c.Load.Add(s.assumedLoadAt(u.Slots))
+		c.Load.Add(s.unreportedLoadAt(now, u))
 		if rate := r.Service.ColdStartRate; rate > 0 && c.Cold {
 			c.Quota = s.coldLimiter(u.ID).Available(now, s.deps.ColdQuota(u.ID, rate))
 		}
@@ -225,6 +226,23 @@
 	return cs
 }
 
+// unreportedLoadAt returns the load of requests of VMs that are gone at an upstream. It
+// leaves one slot, because an upstream that seems full gets no requests, and that work may
+// have ended.
+func (s *Scheduler) unreportedLoadAt(now time.Time, u *tracker.State) placer.Load {
+	w, ok := s.unreported[u.ID]
+	if !ok {
+		return placer.Load{}
+	}
+	l, left := w.At(now)
+	if !left {
+		delete(s.unreported, u.ID)
+		return placer.Load{}
+	}
+	l.Streams = min(l.Streams, max(0, u.Slots-1))
+	return l
+}
+
 // assumedLoadAt returns the assumed load of other VMs at an upstream. It covers at
 // most half of the slots, because an upstream that seems full gets no requests.
 func (s *Scheduler) assumedLoadAt(slots int) placer.Load {
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -108,6 +109,8 @@
 	// assumedLoad is the load at each upstream that other VMs may have added
 	// without reporting it.
 	assumedLoad placer.Load
+	// unreported is what upstreams do for requests of VMs that are gone.
+	unreported map[string]inspector.Work
 	// replies are delivered once the lock is released.
 	replies []reply
 }
@@ -141,6 +144,7 @@
 	return &Scheduler{
 		zone: zone, deps: d,
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
+		unreported: make(map[string]inspector.Work),
 	}
 }
 
@@ -209,6 +213,14 @@
 	s.assumedLoad = l
 }
 
+// AssumeWork adds work that no VM reports to the known load of an upstream, until it is
+// expected to be done.
+func (s *Scheduler) AssumeWork(upstream string, w inspector.Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreported[upstream] = w
+}
+
 // PauseUntil stops placement until the given time, by which the current load is
 // known.
 func (s *Scheduler) PauseUntil(until time.Time) {
@@ -266,6 +278,7 @@
 func (s *Scheduler) Forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.unreported, id)
 	delete(s.coldLimiters, id)
 	delete(s.rateLimiters, id)
 }
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -55,4 +55,7 @@
 	Lending, Forecasts Mode
 	// Speeds learns how fast each upstream is. It is always called for.
 	Speeds Mode
+	// Inspection asks engines what they still do after most VMs have started again. A
+	// service whose engines name their usual prompts and answers calls for it.
+	Inspection Mode
 }
--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -104,6 +104,10 @@
 	PrefillRate, AttentionTime float64
 	// HopTime is the extra time per step if several engines hold a prompt.
 	HopTime float64
+	// UsualPrompt and UsualOutput are the mean numbers of tokens of prompts and of answers;
+	// 0 if unknown. ReportLag is how old an engine's report of its load is.
+	UsualPrompt, UsualOutput int
+	ReportLag                time.Duration
 }
 
 // A Team is a customer and its API keys.
