--- a/entry/request/relayer/reconnect_test.go
+++ b/entry/request/relayer/reconnect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -62,3 +63,29 @@
 	assert.Assert(t, b.carrier.Dials() <= bound, "%d connections", b.carrier.Dials())
 	assert.Equal(t, b.budget.taken, 0)
 }
+
+// Whatever upstreams do, those that get a request beyond the first take a retry each.
+func TestArrivalsBeyondTheFirstTakeRetries(t *testing.T) {
+	kinds := map[string]http.HandlerFunc{"gone": nil, "drops": dropConnection, "declines": decline, "answers": answerSealed}
+	for first := range kinds {
+		for second := range kinds {
+			for third := range kinds {
+				t.Run(first+" "+second+" "+third, func(t *testing.T) {
+					c := routes()
+					c.Routes[0].MaxAttempts = 4
+					b := newHarness(t, c)
+					b.budget.remaining = 1
+					for i, kind := range []string{first, second, third} {
+						u := b.upstream(strconv.Itoa(i), "plain", kinds[kind])
+						if kind == "gone" {
+							u.Close()
+						}
+					}
+					b.do(b.request(http.MethodGet, "/safe/1", ""))
+					arrivals := len(b.requestsReceived())
+					assert.Assert(t, arrivals <= 1+b.budget.taken, "%d arrivals, %d retries taken", arrivals, b.budget.taken)
+				})
+			}
+		}
+	}
+}
