Let requests wait for a leader that has just started

Cause: after all VMs started together, the leader of a group had the configuration 130 ms after many others (its link is narrow, and it read the store for its zone).

A leader without configuration or list of upstreams says so for the first 0.3 s of its process (key 45, ignored by earlier builds, without which all is as before); a request waits for it for half of the time to its objective.

--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -28,6 +28,11 @@
 			o.confirmed = now
 		}
 	}
+	for _, id := range m.Starting {
+		if o := a.requestAt(from, id); o != nil && o.mayAwaitStart(now) {
+			o.firstSent = now
+		}
+	}
 	for _, w := range m.OtherZones {
 		if o := a.requestAt(from, w.ID); o != nil && o.hops < maxHops {
 			a.moveToZone(now, o, w.Zone)
@@ -66,6 +71,12 @@
 	}
 }
 
+// mayAwaitStart reports whether a request may wait for a leader that has just started:
+// for half of the time to its objective, which leaves time for another leader.
+func (o *request) mayAwaitStart(now time.Time) bool {
+	return now.Sub(o.submitted) < o.spec.Requirements.Objective.Sub(o.submitted)/2
+}
+
 // requestAt returns the request with the given ID if it waits at the leader
 // with the given address, and nil otherwise. A leader that was paused may
 // answer old requests that have since moved to another leader.
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -353,8 +353,10 @@
 	service, ok := a.deps.Service(w.Group.Service)
 	if (!ok || a.deps.Tracker.Outdated()) && now.Sub(a.startedAt) < startupGrace {
 		// The VM will resend the request shortly. If it were informed that this
-		// VM does not lead, the VMs that start at the same time would each use
-		// another leader for the next second.
+		// VM does not lead, or heard nothing, the VMs that start at the same time
+		// would each use another leader for the next second.
+		out := a.outgoingTo(from)
+		out.Starting = append(out.Starting, w.ID)
 		return
 	}
 	if !ok || a.leaving || a.deps.Tracker.Outdated() {
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -54,6 +54,9 @@
 	Queued     []uint64        `cbor:"18,keyasint,omitempty"`
 	NotLeading []uint64        `cbor:"19,keyasint,omitempty"`
 	OtherZones []wireOtherZone `cbor:"20,keyasint,omitempty"`
+	// Starting lists requests for which the sender has no configuration or list of
+	// upstreams yet, as its process has just started.
+	Starting []uint64 `cbor:"45,keyasint,omitempty"`
 	// UnknownRequests lists requests that the sender does not know.
 	UnknownRequests []uint64 `cbor:"25,keyasint,omitempty"`
 	// UnknownPlacements lists placements that the sender asks the receiver to
--- a/entry/process/allocator/restart_test.go
+++ b/entry/process/allocator/restart_test.go
@@ -57,6 +57,35 @@
 	assert.Assert(t, !n.leaderSkipped)
 }
 
+// All VMs start together, and the list of upstreams reaches the leader last, after the time
+// within which a leader has to answer. The VMs must not use two leaders for the next second,
+// as each would take the engines for idle that the other uses.
+func TestLeaderThatStartsLateIsAwaited(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	n.vms[0].tracker.SetOutdated(true)
+	o := n.vms[1].Submit(n.call())
+	n.run(200 * time.Millisecond)
+	n.vms[0].tracker.SetOutdated(false)
+	n.run(50 * time.Millisecond)
+	p, _ := o.Poll()
+	assert.Assert(t, p != nil)
+	assert.Equal(t, p.Leader, "vm0")
+	assert.Assert(t, !n.leaderSkipped)
+}
+
+// A request whose time is short must not wait for such a leader until it is late.
+func TestUrgentRequestDoesNotAwaitAStartingLeader(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	n.vms[0].tracker.SetOutdated(true)
+	call := n.call()
+	call.Requirements.Objective = n.now.Add(200 * time.Millisecond)
+	o := n.vms[2].Submit(call)
+	n.run(190 * time.Millisecond)
+	p, _ := o.Poll()
+	assert.Assert(t, p != nil)
+	assert.Equal(t, p.Leader, "vm1")
+}
+
 // A leader whose list is outdated long after its start must be skipped.
 func TestLeaderWithAnOutdatedListIsSkipped(t *testing.T) {
 	n := newNetwork(t, []string{"z", "z", "z"}, 2)
