Log engines' reports, and take long prompts that wait for long

What waits or is being read at an engine for VMs that are gone was taken for prompts of the usual length; where it holds more memory, it is longer and takes longer. The reports are logged one by one at level debug.

--- a/entry/process/allocator/inspection.go
+++ b/entry/process/allocator/inspection.go
@@ -88,7 +88,7 @@
 	a.locked(func(now time.Time) {
 		known = l.scheduler.Loads()
 		for _, r := range early {
-			sum.add(l.assume(now, e, r, known))
+			sum.add(a.assume(now, l, e, r, known))
 		}
 		l.inspecting = false
 		l.resume(now)
@@ -96,7 +96,7 @@
 	sum.early = sum.answered
 	for range len(states) - len(early) {
 		r := <-results
-		a.locked(func(now time.Time) { sum.add(l.assume(now, e, r, known)) })
+		a.locked(func(now time.Time) { sum.add(a.assume(now, l, e, r, known)) })
 	}
 	a.deps.Log.Info().Str("service", l.group.Service).Str("zone", l.group.Zone).Int("asked", len(states)).Int("answered", sum.answered).
 		Int("early", sum.early).Int("streams", sum.streams).Int("context", sum.context).Dur("age", e.ReportLag).
@@ -104,7 +104,9 @@
 }
 
 // assume makes the scheduler count what an engine does beyond the known load.
-func (l *ledGroup) assume(now time.Time, e *matcher.Engine, r engineReport, known map[string]placer.Load) (left placer.Load, err error) {
+func (a *Allocator) assume(now time.Time, l *ledGroup, e *matcher.Engine, r engineReport, known map[string]placer.Load) (left placer.Load, err error) {
+	a.deps.Log.Debug().Str("upstream", r.upstream).Int("waiting", r.report.Waiting).Int("running", r.report.Running).Int("context", r.report.UsedTokens).
+		Float64("pace", r.report.Pace).Int("known", known[r.upstream].Streams).Err(r.err).Msg("report of an engine")
 	if r.err != nil {
 		return left, r.err
 	}
--- a/entry/process/inspector/inspector.go
+++ b/entry/process/inspector/inspector.go
@@ -41,10 +41,12 @@
 	w := Work{pace: max(1, r.Pace), asOf: now.Add(-e.ReportLag)}
 	requests := max(0, r.Running+r.Waiting-known.Streams)
 	waiting := min(max(0, r.Waiting), requests)
-	w.load = placer.Load{
-		Streams: requests, Starting: waiting,
-		ContextTokens:  max(0, r.UsedTokens-known.ContextTokens),
-		PendingPrefill: float64(waiting) * placer.PrefillTime(e, e.UsualPrompt, 1),
+	w.load = placer.Load{Streams: requests, Starting: waiting, ContextTokens: max(0, r.UsedTokens-known.ContextTokens)}
+	// The prompts that wait or are being read may be much longer than usual; then they hold
+	// most of the memory.
+	if requests > 0 {
+		prompt := max(e.UsualPrompt, w.load.ContextTokens/requests)
+		w.load.PendingPrefill = float64(waiting) * placer.PrefillTime(e, prompt, 1)
 	}
 	output := e.UsualOutput
 	if output <= 0 {
--- a/entry/process/inspector/inspector_test.go
+++ b/entry/process/inspector/inspector_test.go
@@ -70,3 +70,11 @@
 		}
 	})
 }
+
+// A long prompt that an engine still reads for a VM that is gone delays the next one by more
+// than a usual prompt does.
+func TestLongPromptsThatWaitTakeLonger(t *testing.T) {
+	usual, _ := inspector.Estimate(engine, inspector.Report{Waiting: 1, UsedTokens: 5_000}, placer.Load{}, now).At(now)
+	long, _ := inspector.Estimate(engine, inspector.Report{Waiting: 1, UsedTokens: 190_000}, placer.Load{}, now).At(now)
+	assert.Assert(t, usual.PendingPrefill < 100 && long.PendingPrefill > 2000, "%v and %v ms", usual.PendingPrefill, long.PendingPrefill)
+}
