--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -31,6 +31,11 @@
 	for _, id := range m.Starting {
 		if o := a.requestAt(from, id); o != nil && o.mayAwaitStart(now) {
 			o.firstSent = now
+			if !o.awaitsStart {
+				o.awaitsStart = true
+				a.deps.Log.Info().Str("leader", m.VM).Str("service", o.group.Service).Dur("waited", now.Sub(o.submitted)).
+					Msg("waiting for a leader that has just started")
+			}
 		}
 	}
 	for _, w := range m.OtherZones {
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -50,6 +50,8 @@
 	// hops counts the moves to another group, silentLeaders the leaders that
 	// did not answer this request.
 	hops, silentLeaders int
+	// awaitsStart is set once the request waits for a leader that has just started.
+	awaitsStart bool
 	// leader is the address of the leader to which the request was sent; local
 	// is set if this VM schedules it itself.
 	leader    netip.AddrPort
