Keep requests at a VM that starts until it knows the leader

Cause: a VM that has just started placed its requests alone as soon as it had the list of upstreams, since it took itself for the leader of a group (no list yet, or no other VM heard).

The requests stay for the first 0.3 s of the process while it has no list or has heard fewer than half of the VMs that it knows by name, for at most half of the time to their objective. The tests fail without it. The harness of the allocator's tests gets a number of known VMs; no existing test changes.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -76,6 +76,9 @@
 	// FleetSize returns the number of VMs that may exist, including this one
 	// and those that are currently unreachable.
 	FleetSize func() int
+	// KnownVMs returns the number of VMs that have not exited as far as is known, with
+	// this one, whether or not they have been heard; nil if that is unknown.
+	KnownVMs func() int
 	// Service looks up a service in the configuration.
 	Service func(name string) (*matcher.Service, bool)
 	// ColdStartQuota returns how many requests per second this VM may place at
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -50,6 +50,8 @@
 	// hops counts the moves to another group, silentLeaders the leaders that
 	// did not answer this request.
 	hops, silentLeaders int
+	// held is set while the request waits for the start of this VM.
+	held bool
 	// awaitsStart is set once the request waits for a leader that has just started.
 	awaitsStart bool
 	// leader is the address of the leader to which the request was sent; local
@@ -155,6 +157,20 @@
 
 // send sends a request to the leader of its group.
 func (a *Allocator) send(now time.Time, o *request) {
+	if a.isStarting(now) && o.mayAwaitStart(now) {
+		// It is sent at a later tick.
+		o.leader, o.held = netip.AddrPort{}, true
+		return
+	}
+	if o.held && o.hops == 0 {
+		// The list of upstreams may have changed how they are grouped.
+		o.group = a.initialGroup(o.spec.Service.Name, a.me.Zone)
+	}
+	if o.held {
+		o.held = false
+		a.deps.Log.Info().Str("service", o.group.Service).Dur("waited", now.Sub(o.submitted)).Int("members", len(a.deps.Members())).
+			Msg("sending a request that waited for the start of this VM")
+	}
 	m, self := a.leader(now, o.group)
 	if self || o.silentLeaders >= o.maxSilent() || a.deps.Tracker.Outdated() {
 		a.scheduleLocally(now, o)
@@ -174,6 +190,17 @@
 	out.Requests = append(out.Requests, o.wire(now))
 }
 
+// isStarting reports whether this VM has just started and does not know yet which VM leads:
+// it has no list of upstreams, or has heard only from few of the VMs that it knows by name.
+// VMs that start together and place requests without a leader meet at the same engines.
+func (a *Allocator) isStarting(now time.Time) bool {
+	if now.Sub(a.startedAt) >= startupGrace {
+		return false
+	}
+	const most = 2 // the inverse of the share of VMs that must have been heard
+	return a.deps.Tracker.Outdated() || (a.deps.KnownVMs != nil && most*(len(a.deps.Members())+1) < a.deps.KnownVMs())
+}
+
 func (o *request) maxSilent() int {
 	if e := o.spec.Service.Engine; e != nil && !placer.IsShort(e, o.spec.Requirements.Prompt) {
 		return maxSilentLeadersLong
--- a/entry/process/allocator/network_test.go
+++ b/entry/process/allocator/network_test.go
@@ -65,6 +65,8 @@
 	buffered []datagram
 	// unreachable holds the VMs that this one considers dead.
 	unreachable map[int]bool
+	// known is the number of VMs that it knows by name, or 0 if it does not say.
+	known int
 }
 
 func address(i int) netip.AddrPort {
@@ -137,7 +139,8 @@
 			}
 			return 0
 		},
-		Now: func() time.Time { return n.now }, Log: zerolog.Nop(),
+		KnownVMs: func() int { return v.known },
+		Now:      func() time.Time { return n.now }, Log: zerolog.Nop(),
 	})
 }
 
--- a/entry/process/allocator/restart_test.go
+++ b/entry/process/allocator/restart_test.go
@@ -73,6 +73,44 @@
 	assert.Assert(t, !n.leaderSkipped)
 }
 
+// All VMs start together, and one gets a request before it has the list of upstreams, or
+// before it has heard from the others. It must not place it without the leader once it has the
+// list, as all of them would then use the same engines.
+func TestStartingVMDoesNotPlaceAlone(t *testing.T) {
+	for name, prevent := range map[string]func(v *vm, starting bool){
+		"no list": func(v *vm, starting bool) { v.tracker.SetOutdated(starting) },
+		"no other VM heard": func(v *vm, starting bool) {
+			v.unreachable[0], v.unreachable[1] = starting, starting
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(t, []string{"z", "z", "z"}, 2)
+			v := n.vms[2]
+			v.known = 3
+			n.start(v, 2)
+			prevent(v, true)
+			o := v.Submit(n.call())
+			n.run(100 * time.Millisecond)
+			prevent(v, false)
+			n.run(40 * time.Millisecond)
+			p, _ := o.Poll()
+			assert.Assert(t, p != nil)
+			assert.Equal(t, p.Leader, "vm0")
+		})
+	}
+}
+
+// A VM that starts alone serves soon.
+func TestVMThatStartsAlonePlaces(t *testing.T) {
+	n := newNetwork(t, []string{"z", "z", "z"}, 2)
+	v := n.vms[2]
+	v.known = 3
+	n.start(v, 2)
+	v.unreachable[0], v.unreachable[1] = true, true
+	p := n.acquire(2, 350*time.Millisecond)
+	assert.Equal(t, p.Leader, "")
+}
+
 // A request whose time is short must not wait for such a leader until it is late.
 func TestUrgentRequestDoesNotAwaitAStartingLeader(t *testing.T) {
 	n := newNetwork(t, []string{"z", "z", "z"}, 2)
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -252,7 +252,8 @@
 	v.allocator = allocator.New(self, v.boot, allocator.Deps{
 		Tracker: v.tracker, Sender: sender{v.datagrams}, Timer: v.ticker, Meter: v.meter, Members: v.gossiper.ReachableMembers, FleetSize: v.gossiper.FleetSize,
 		Report: platform.Report, FleetRestarted: v.gossiper.FleetRestarted,
-		Service: v.service, ColdStartQuota: v.coldStartQuota, Policy: func() switcher.Policy { return v.settings.Load().Policy }, Now: time.Now, Log: log,
+		KnownVMs: func() int { return len(v.gossiper.KnownVMs()) },
+		Service:  v.service, ColdStartQuota: v.coldStartQuota, Policy: func() switcher.Policy { return v.settings.Load().Policy }, Now: time.Now, Log: log,
 	})
 	v.retryBudget = newRetryBudget(v)
 	v.reachability = newReachability(v)
