--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -23,6 +23,7 @@
 package allocator
 
 import (
+	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
@@ -74,6 +76,9 @@
 	// FleetSize returns the number of VMs that may exist, including this one
 	// and those that are currently unreachable.
 	FleetSize func() int
+	// KnownVMs returns the number of VMs that have not exited as far as is known, with
+	// this one, whether or not they have been heard; nil if that is unknown.
+	KnownVMs func() int
 	// Service looks up a service in the configuration.
 	Service func(name string) (*matcher.Service, bool)
 	// ColdStartQuota returns how many requests per second this VM may place at
@@ -81,6 +86,11 @@
 	// all VMs. leads reports whether this VM places them as a leader rather
 	// than only for its own requests.
 	ColdStartQuota func(upstream string, rate float64, leads bool) int
+	// Report returns an engine's report of its load; nil if there is no such report.
+	Report func(ctx context.Context, address string) (inspector.Report, error)
+	// FleetRestarted reports whether most of the VMs from which this one hears started
+	// within a given time of its own start.
+	FleetRestarted func(within time.Duration) bool
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
