--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -123,6 +123,11 @@
 	// nothing waits.
 	stopFastTicks func()
 
+	// promises are the claims of callers of this VM, by fingerprint, and promisesSentAt is
+	// when they were last sent to the leaders.
+	promises       map[uint64]promise
+	promisesSentAt time.Time
+
 	// ledGroups are the groups that this VM leads or has led, and clients the
 	// VMs that have sent it messages, with their requests and placements.
 	ledGroups map[Group]*ledGroup
@@ -144,7 +149,7 @@
 	a := &Allocator{
 		me: me, boot: boot, deps: d, startedAt: d.Now(), lastTick: d.Now(),
 		suspects: make(map[netip.AddrPort]suspicion), leaderCache: make(map[Group]cachedLeader), splitByZone: make(map[string]bool),
-		requests: make(map[uint64]*request), placements: make(map[uint64]*Placement), reportsLeft: make(map[netip.AddrPort]int),
+		requests: make(map[uint64]*request), placements: make(map[uint64]*Placement), reportsLeft: make(map[netip.AddrPort]int), promises: make(map[uint64]promise),
 		ledGroups: make(map[Group]*ledGroup), clients: make(map[netip.AddrPort]*client), summaries: make(map[Group]*summary),
 		outgoing: make(map[netip.AddrPort]*message), actingLeaders: make(map[Group]map[netip.AddrPort]time.Time),
 	}
@@ -213,6 +218,10 @@
 			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Backoffs: m.Backoffs[:maxEntries]})
 			m.Backoffs = m.Backoffs[maxEntries:]
 		}
+		for len(m.Claims) > maxEntries {
+			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Claims: m.Claims[:maxEntries]})
+			m.Claims = m.Claims[maxEntries:]
+		}
 		a.transmit(at, m)
 	}
 	clear(a.outgoing)
@@ -281,6 +290,7 @@
 		a.dispatch()
 		a.retryRequests(now, paused)
 		a.reportPlacements(now)
+		a.reportPromises(now)
 		a.expireClients(now)
 		a.sendSummaries(now)
 	})
@@ -446,7 +456,8 @@
 				}
 				return a.deps.ColdStartQuota(upstream, rate, !l.localOnly)
 			},
-			RateQuota: func(rate float64) float64 { return a.limitShare(l, rate) },
+			RateQuota:  func(rate float64) float64 { return a.limitShare(l, rate) },
+			OnDecision: func(d scheduler.Decision) { a.logDecision(g, &d) },
 		})
 		a.ledGroups[g] = l
 	}
--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -18,6 +18,7 @@
 		w := &m.Refusals[i]
 		if o := a.requestAt(from, w.ID); o != nil {
 			delete(a.requests, o.id)
+			a.recordPromise(o)
 			refusal := &scheduler.Refusal{Code: w.Code, RetryAfter: time.Duration(w.RetryAfter) * time.Millisecond, WaitTimes: decodeWaitTimes(w.Waits)}
 			refusal.WaitTimes.AddRemainder(now.Sub(o.submitted))
 			o.outcome <- outcome{refusal: refusal}
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -170,6 +170,9 @@
 	o.lastSent = now
 	out := a.outgoingTo(m.Address)
 	out.Requests = append(out.Requests, o.wire(now))
+	if f := o.spec.Fingerprint; f != 0 {
+		out.Fingerprints = append(out.Fingerprints, wireFingerprint{ID: o.id, Fingerprint: f})
+	}
 }
 
 func (o *request) maxSilent() int {
@@ -199,9 +202,12 @@
 		}
 		delete(a.requests, o.id)
 		if g == nil {
+			a.shareClaim(a.deps.Now(), l.group, netip.AddrPort{}, r.Claim)
+			a.recordPromise(o)
 			o.outcome <- outcome{refusal: r}
 			return
 		}
+		a.shareUsedClaim(a.deps.Now(), l.group, g.UsedClaim)
 		a.deliver(now, o, &Placement{
 			Upstream: g.Upstream.Upstream, Helpers: g.Helpers, Estimate: g.Estimate, Load: g.Load, WaitTimes: g.WaitTimes,
 			workload: g.Workload, grant: g,
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -242,6 +242,7 @@
 	a.applyLimits(now, m.Limits)
 	a.applyDepartures(now, m.VM, m.Departures)
 	h.applyBackoffs(now, m.Backoffs)
+	a.applyClaims(now, from, m)
 	for _, id := range m.Cancelled {
 		if o, ok := h.requests[id]; ok {
 			a.cancelRequest(h, id, o)
@@ -294,7 +295,7 @@
 		}
 	}
 	for i := range m.Requests {
-		a.handleRequest(now, from, h, &m.Requests[i])
+		a.handleRequest(now, from, h, &m.Requests[i], m.fingerprintOf(m.Requests[i].ID))
 	}
 }
 
@@ -319,7 +320,7 @@
 }
 
 // handleRequest handles another VM's request for a placement.
-func (a *Allocator) handleRequest(now time.Time, from netip.AddrPort, h *client, w *wireRequest) {
+func (a *Allocator) handleRequest(now time.Time, from netip.AddrPort, h *client, w *wireRequest, fingerprint uint64) {
 	if o, ok := h.requests[w.ID]; ok {
 		// The request was resent.
 		o.lastConfirmed = now
@@ -361,7 +362,7 @@
 	l := a.lead(now, g, true)
 	l.localOnly = false
 	o := &remoteRequest{group: l, spec: w.spec(now), hops: w.Hops, lastConfirmed: now}
-	o.spec.Service = service
+	o.spec.Service, o.spec.Fingerprint = service, fingerprint
 	o.spec.Backoffs = func() map[string]time.Time { return h.backoffs }
 	h.requests[w.ID] = o
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
@@ -398,6 +399,7 @@
 				return
 			}
 		}
+		a.shareClaim(now, o.group.group, from, r.Claim)
 		out.Refusals = append(out.Refusals, wireRefusal{ID: id, Code: r.Code, RetryAfter: r.RetryAfter.Milliseconds(), Waits: encodeWaitTimes(r.WaitTimes)})
 		return
 	}
@@ -411,6 +413,7 @@
 	}
 	h.placements[id] = &heldPlacement{grant: g, countedAt: now, sentGrant: &w}
 	a.typicalLoad.add(g.Load, o.spec.Requirements)
+	a.shareUsedClaim(now, o.group.group, g.UsedClaim)
 	out.Grants = append(out.Grants, w)
 	if l := g.Upstream.Limit; l.Limited {
 		// Without this the VM would not notice when the upstream's responses
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -46,6 +46,12 @@
 	Departures []wireDeparture `cbor:"28,keyasint,omitempty"`
 	Backoffs   []wireBackoff   `cbor:"29,keyasint,omitempty"`
 
+	// Fingerprints identify the callers' requests of Requests. Claims and UsedClaims are
+	// claims that the receiver is to keep, and those that were used.
+	Fingerprints []wireFingerprint `cbor:"30,keyasint,omitempty"`
+	Claims       []wireClaim       `cbor:"31,keyasint,omitempty"`
+	UsedClaims   []wireUsedClaim   `cbor:"32,keyasint,omitempty"`
+
 	// Grants and Refusals answer requests. Queued lists requests that wait,
 	// NotLeading those for which the receiver must use another leader, and
 	// OtherZones those that should move to the group of another zone.
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -186,6 +186,7 @@
 // group to a VM that starts leading it.
 func (a *Allocator) reportGroup(to netip.AddrPort, g Group) {
 	a.sendUpstreamState(a.deps.Now(), to, g)
+	a.sendClaims(a.deps.Now(), to, g)
 	out := a.outgoingTo(to)
 	out.ReportedGroups = append(out.ReportedGroups, g.wire())
 	for _, p := range a.placements {
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -24,6 +24,8 @@
 	Load     placer.Load
 	// WaitTimes is how long the request was queued, by reason.
 	WaitTimes WaitTimes
+	// UsedClaim is the fingerprint of the claim that ended with this grant; 0 for none.
+	UsedClaim uint64
 
 	// Workload is the load of the grant, as another Scheduler needs it for Adopt.
 	Workload Workload
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/projector"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -14,14 +15,14 @@
 // unlimitedQuota is the quota of an upstream that is neither cold nor rate limited.
 const unlimitedQuota = 1 << 20
 
-// compareWaiters orders by priority, then requests that can still be in time before
+// compareWaiters orders by priority, then requests with a due claim, then requests that can still be in time before
 // late ones, then teams within their share before teams over it, then by latest
 // start. Without the second criterion a backlog of late prompts would go before
 // every request that can still be in time, and make it late as well. Without the
 // third, one team's burst would go before the other teams' short prompts.
 func compareWaiters(a, b *waiter) int {
 	return cmp.Or(
-		cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.late, b.late), cmp.Compare(a.overShare, b.overShare),
+		cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(b.claimed, a.claimed), cmp.Compare(a.late, b.late), cmp.Compare(a.overShare, b.overShare),
 		a.timing.latestStart.Compare(b.timing.latestStart),
 	)
 }
@@ -65,15 +66,20 @@
 
 // dispatch makes one pass over the queue. The caller holds the lock.
 func (s *Scheduler) dispatch() {
+	now := s.deps.Now()
 	if len(s.queue) == 0 {
+		s.observeLanes(now)
 		return
 	}
-	now := s.deps.Now()
-	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity)}
+	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity), ahead: make(map[projector.Lane]float64)}
 	s.sortQueue(now)
 	remaining := s.queue[:0:0]
 	for _, w := range s.queue {
-		if r, done := s.tryPlace(now, w, p); done {
+		r, done := s.tryPlace(now, w, p)
+		if !done {
+			r, done = s.judge(now, w, p)
+		}
+		if done {
 			r.waiter = w
 			s.replies = append(s.replies, r)
 			continue
@@ -81,6 +87,7 @@
 		remaining = append(remaining, w)
 	}
 	s.queue, s.capacityFreed = remaining, false
+	s.observeLanes(now)
 }
 
 // A class identifies requests that compete for the same slots, so that none of them
@@ -103,6 +110,8 @@
 	// capacities is what the rate limits leave of each service, nil if one of its
 	// upstreams has announced none.
 	capacities map[string]*rateCapacity
+	// ahead is the work of the requests that stay queued in each lane.
+	ahead map[projector.Lane]float64
 }
 
 func (p dispatchPass) usableUpstreams(s *Scheduler, now time.Time, service string) []tracker.State {
@@ -119,7 +128,7 @@
 func (s *Scheduler) tryPlace(now time.Time, w *waiter, p dispatchPass) (reply, bool) {
 	c := class{w.request.Service.Name, w.timing.sizeClass, !w.timing.long && w.timing.late(now)}
 	if w.timing.cannotFinish(now, w.request.StopsAt) {
-		return reply{refusal: &Refusal{Code: CodeLate, RetryAfter: defaultRetryAfter, WaitTimes: w.wait.stop(now)}}, true
+		return reply{refusal: s.refuse(now, w, p, CodeLate, Decision{Waited: now.Sub(w.request.Requirements.Arrived)})}, true
 	}
 	if now.Before(s.pausedUntil) {
 		w.wait.switchTo(now, waitSync)
@@ -159,6 +168,8 @@
 	}
 	g := s.grant(now, w, placement, states)
 	g.WaitTimes = w.wait.stop(now)
+	s.projector.Started(now, w.lane(now), w.work())
+	s.useClaim(now, w, g)
 	return reply{grant: g}, true
 }
 
@@ -198,7 +209,7 @@
 	if w.request.Service.Engine == nil {
 		return placer.ChoosePlain(w.request.Requirements, cs)
 	}
-	return placer.ChooseEngines(w.request.Service.Engine, w.request.Requirements, cs, now, w.timing.urgency(now))
+	return placer.ChooseEngines(w.request.Service.Engine, w.request.Requirements, cs, now, w.urgency(now))
 }
 
 func (s *Scheduler) candidates(now time.Time, r Request, states []tracker.State) []placer.Candidate {
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/deferrer"
+	"github.com/heathervane/heathervane/entry/process/projector"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -44,7 +46,10 @@
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
-	Now    func() time.Time
+	// OnDecision is told of decisions under load, with the Scheduler locked. It may be
+	// nil.
+	OnDecision func(Decision)
+	Now        func() time.Time
 }
 
 // A Request asks for a slot at an upstream.
@@ -53,8 +58,10 @@
 	Requirements placer.Request
 	// Priority orders the queue; 0 is the most urgent.
 	Priority int
-	// Team is the team that sent the request.
-	Team string
+	// Team is the team that sent the request, and Fingerprint identifies the request when
+	// it comes again; 0 if it cannot be recognised.
+	Team        string
+	Fingerprint uint64
 	// Zone is the zone of the requesting VM, and Unreachable are the upstreams
 	// that this VM cannot connect to.
 	Zone        string
@@ -74,6 +81,8 @@
 	RetryAfter time.Duration
 	// WaitTimes is how long the request was queued, by reason.
 	WaitTimes WaitTimes
+	// Claim is the claim that was kept for the request; nil if there is none.
+	Claim *deferrer.Claim
 }
 
 // Error returns the refusal in one line.
@@ -101,6 +110,10 @@
 	queue        []*waiter
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
+	// projector estimates when requests could begin, and deferrer holds the claims of
+	// those that were told to come back.
+	projector *projector.Projector
+	deferrer  *deferrer.Deferrer
 	// pausedUntil is the time before which nothing is placed.
 	pausedUntil time.Time
 	// capacityFreed is set if a slot may have become free since the last dispatch.
@@ -126,6 +139,10 @@
 	// late is 1 if the request could no longer be in time, and overShare is 1 if
 	// its team used more than its share, when the queue was last sorted.
 	late, overShare int
+	// claimed is 1 if the request was told to come back at about this time, and accepted
+	// is set if it stays queued although it will be late.
+	claimed  int
+	accepted bool
 }
 
 // A reply is a grant or a refusal that has not been delivered yet.
@@ -139,7 +156,7 @@
 // empty.
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
-		zone: zone, deps: d,
+		zone: zone, deps: d, projector: projector.New(), deferrer: deferrer.New(),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 	}
 }
@@ -163,6 +180,7 @@
 	w := &waiter{request: r, timing: newTiming(r), notify: notify}
 	w.wait.since = s.deps.Now()
 	s.withLock(func() {
+		s.takeClaim(w)
 		s.queue = append(s.queue, w)
 		s.dispatch()
 	})
@@ -190,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w == p.waiter })
+	s.returnClaim(p.waiter)
 	return p.waiter.wait.stop(s.deps.Now())
 }
 
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"runtime"
 	"time"
@@ -150,7 +151,7 @@
 		giveUpAt = j.arrivedAt.Add(j.route.CallerTimeout)
 	}
 	grant, refused := r.deps.Allocator.Acquire(ctx, scheduler.Request{
-		Service: j.service, Priority: j.priority(), Team: j.teamName(),
+		Service: j.service, Priority: j.priority(), Team: j.teamName(), Fingerprint: binary.BigEndian.Uint64(j.fingerprint[:]),
 		Requirements: placer.Request{
 			Prompt: j.info.PromptTokens, Output: j.info.MaxOutputTokens, Tried: j.tried, MaxPause: float64(j.route.GapTarget.Milliseconds()),
 			Arrived: j.arrivedAt, Objective: j.arrivedAt.Add(j.route.Objective), Deadline: j.deadline, CallerTimeout: giveUpAt,
