--- a/entry/process/allocator/claims.go
+++ b/entry/process/allocator/claims.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"time"
 
@@ -83,14 +84,24 @@
 
 // nextLeader returns the member that leads a group if this VM does not.
 func (a *Allocator) nextLeader(now time.Time, g Group) (netip.AddrPort, bool) {
+	return a.bestMember(g, func(m *Member) bool { return !now.Before(a.suspects[m.Address].until) })
+}
+
+// firstRanked returns the member that ranks first in a group, if this VM does not.
+func (a *Allocator) firstRanked(g Group) (netip.AddrPort, bool) {
+	if a.rankIn(g) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return a.bestMember(g, func(*Member) bool { return true })
+}
+
+// bestMember returns the first-ranked of the other members that stay and are eligible.
+func (a *Allocator) bestMember(g Group, eligible func(*Member) bool) (netip.AddrPort, bool) {
 	members := a.deps.Members()
 	best := -1
 	for i := range members {
 		o := &members[i]
-		if o.Leaving || now.Before(a.suspects[o.Address].until) {
-			continue
-		}
-		if best < 0 || o.Outranks(&members[best], g) {
+		if !o.Leaving && eligible(o) && (best < 0 || o.Outranks(&members[best], g)) {
 			best = i
 		}
 	}
@@ -190,7 +201,12 @@
 			delete(a.promises, f)
 			continue
 		}
-		for _, at := range a.leadersOf(now, p.group) {
+		targets := a.leadersOf(now, p.group)
+		if first, ok := a.firstRanked(p.group); ok && !slices.Contains(targets, first) {
+			// This VM may skip a leader that others use.
+			targets = append(targets, first)
+		}
+		for _, at := range targets {
 			out := a.outgoingTo(at)
 			out.Claims = append(out.Claims, newWireClaim(now, p.group, &p.claim))
 		}
--- a/entry/process/deferrer/deferrer.go
+++ b/entry/process/deferrer/deferrer.go
@@ -92,6 +92,15 @@
 	return c, true
 }
 
+// Merge is like Add for a claim that was made elsewhere. Of two claims for a fingerprint the
+// earlier one stands, as the caller may have been told either.
+func (d *Deferrer) Merge(now time.Time, c Claim) (Claim, bool) {
+	if old := d.find(now, c.Fingerprint); old != nil && c.Due.Before(old.Due) && !c.Expired(now) {
+		old.Due = c.Due
+	}
+	return d.Add(now, c)
+}
+
 func (d *Deferrer) full(team string) bool {
 	return len(d.claims) >= maxClaims || d.teams[team] >= maxTeamClaims
 }
--- a/entry/process/deferrer/deferrer_test.go
+++ b/entry/process/deferrer/deferrer_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// Two leaders have refused the request, and told it different times.
+func TestTheEarlierOfTwoClaimsStands(t *testing.T) {
+	for _, late := range []time.Duration{time.Second, 2 * time.Second} {
+		d, now := deferrer.New(), time.Unix(1_000_000, 0)
+		d.Add(now, deferrer.Claim{Fingerprint: 1, Due: now.Add(3*time.Second - late)})
+		c, ok := d.Merge(now, deferrer.Claim{Fingerprint: 1, Due: now.Add(late)})
+		assert.Assert(t, ok && c.Due.Equal(now.Add(time.Second)))
+		assert.Equal(t, len(d.All(now)), 1)
+	}
+}
+
 func TestWorkCountsTheClaimsOfAKindThatAreDue(t *testing.T) {
 	d, now := deferrer.New(), time.Unix(1_000_000, 0)
 	for i, c := range []deferrer.Claim{{Work: 1}, {Work: 2, Long: true}, {Work: 4, Priority: 1}, {Work: 8, Due: now.Add(2 * time.Second)}} {
--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -203,8 +203,9 @@
 const minRetryAfter = 100 * time.Millisecond
 
 // retryAfter returns when the request is likely to get a place that is not needed by
-// those that wait or have claims, as far as callers wait that long. It reports false if
-// they do not: to keep a claim would promise a place that is not there.
+// those that wait or have claims. It reports false if callers do not wait that long: to
+// keep a claim would promise a place that is not there. While there may be one sooner,
+// such a caller is told to try as late as it can; otherwise it would only be refused again.
 func (s *Scheduler) retryAfter(now time.Time, w *waiter, p dispatchPass) (wait time.Duration, promised bool) {
 	lane := w.lane(now)
 	ahead := p.ahead[lane]
@@ -220,10 +221,14 @@
 	})
 	wait = max(defaultRetryAfter, projection.Expected)
 	spread := retrySpread * float64(w.request.Fingerprint%spreadSteps) / spreadSteps
-	if wait = time.Duration(float64(wait) * (1 + spread)); wait <= left {
+	wait = time.Duration(float64(wait) * (1 + spread))
+	switch {
+	case wait <= left:
 		return wait, true
+	case projection.Earliest <= left:
+		return max(defaultRetryAfter, time.Duration(float64(left)*(1-spread))), false
 	}
-	return max(defaultRetryAfter, time.Duration(float64(left)*(1-spread))), false
+	return min(maxRetryAfter, wait), false
 }
 
 func (s *Scheduler) hasClaim(now time.Time, w *waiter) bool {
@@ -289,7 +294,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Now()
-	if _, ok := s.deferrer.Add(now, c); ok {
+	if _, ok := s.deferrer.Merge(now, c); ok {
 		for _, w := range s.queue {
 			if w.request.Fingerprint == c.Fingerprint && w.claimed == 0 {
 				s.takeClaim(w)
