--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -204,8 +204,8 @@
 
 // retryAfter returns when the request is likely to get a place that is not needed by
 // those that wait or have claims. It reports false if callers do not wait that long: to
-// keep a claim would promise a place that is not there. While there may be one sooner,
-// such a caller is told to try as late as it can; otherwise it would only be refused again.
+// keep a claim would promise a place that is not there. Such a caller is told to try as
+// late as it can.
 func (s *Scheduler) retryAfter(now time.Time, w *waiter, p dispatchPass) (wait time.Duration, promised bool) {
 	lane := w.lane(now)
 	ahead := p.ahead[lane]
@@ -222,13 +222,10 @@
 	wait = max(defaultRetryAfter, projection.Expected)
 	spread := retrySpread * float64(w.request.Fingerprint%spreadSteps) / spreadSteps
 	wait = time.Duration(float64(wait) * (1 + spread))
-	switch {
-	case wait <= left:
+	if wait <= left {
 		return wait, true
-	case projection.Earliest <= left:
-		return max(defaultRetryAfter, time.Duration(float64(left)*(1-spread))), false
 	}
-	return min(maxRetryAfter, wait), false
+	return max(defaultRetryAfter, time.Duration(float64(left)*(1-spread))), false
 }
 
 func (s *Scheduler) hasClaim(now time.Time, w *waiter) bool {
