--- a/entry/process/allocator/claims.go
+++ b/entry/process/allocator/claims.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/deferrer"
--- a/entry/process/allocator/claims_test.go
+++ b/entry/process/allocator/claims_test.go
@@ -45,28 +45,28 @@
 	}
 	assert.Assert(t, refused.Service != nil || tamper != nil, "nothing was refused")
 	for _, a := range all {
-		a.pending.Cancel()
+		_ = a.pending.Cancel()
 	}
 	n.run(10 * time.Millisecond)
 	return n, held, refused, due
 }
 
-// returnsFirst has a caller come back at a VM at the given time, after others who have
+// returnsFirst has a caller come back at the fourth VM at the given time, after others who have
 // just come there, and reports whether it gets the slot that becomes free, and whether one
 // of the others gets a slot before it.
-func returnsFirst(n *network, v int, held *allocator.Placement, refused scheduler.Request, at time.Time) (first, overtaken bool) {
+func returnsFirst(n *network, held *allocator.Placement, refused scheduler.Request, at time.Time) (first, overtaken bool) {
 	n.run(at.Sub(n.now))
 	fresh := n.call()
 	fresh.Service = refused.Service
 	var others []*allocator.Pending
 	for range 2 {
-		others = append(others, n.vms[v].Submit(fresh))
+		others = append(others, n.vms[3].Submit(fresh))
 	}
 	n.run(placementTime)
 	others = collectReplies(others, map[*allocator.Placement]bool{})
 	before := len(others)
 	refused.Requirements = n.call().Requirements
-	back := n.vms[v].Submit(refused)
+	back := n.vms[3].Submit(refused)
 	n.run(300 * time.Millisecond)
 	held.Release()
 	n.run(placementTime)
@@ -79,7 +79,7 @@
 // behind all that came meanwhile.
 func TestReturningCallerGoesFirstAtAnyVM(t *testing.T) {
 	n, held, refused, due := crowded(t, nil)
-	first, _ := returnsFirst(n, 3, held, refused, due)
+	first, _ := returnsFirst(n, held, refused, due)
 	assert.Assert(t, first)
 }
 
@@ -87,7 +87,7 @@
 func TestCallerThatReturnsEarlyGainsNothing(t *testing.T) {
 	n, held, refused, due := crowded(t, nil)
 	assert.Assert(t, due.Sub(n.now) > 400*time.Millisecond, "the claim is due too soon for this test")
-	first, _ := returnsFirst(n, 3, held, refused, n.now)
+	first, _ := returnsFirst(n, held, refused, n.now)
 	assert.Assert(t, !first)
 }
 
@@ -96,7 +96,7 @@
 func TestClaimOutlivesTheLeaderAndTheRefusedVM(t *testing.T) {
 	n, held, refused, due := crowded(t, nil)
 	n.vms[0].dead, n.vms[2].dead = true, true
-	first, _ := returnsFirst(n, 3, held, refused, due)
+	first, _ := returnsFirst(n, held, refused, due)
 	assert.Assert(t, first)
 }
 
@@ -106,7 +106,7 @@
 	n, held, refused, due := crowded(t, nil)
 	n.start(n.vms[0], 2)
 	n.vms[1].dead = true
-	first, _ := returnsFirst(n, 3, held, refused, due)
+	first, _ := returnsFirst(n, held, refused, due)
 	assert.Assert(t, first)
 }
 
@@ -127,7 +127,7 @@
 			n.vms[0].dead = true
 		}
 		// Two leaders may have granted more than the two slots. The freed one is taken then.
-		if _, overtaken := returnsFirst(n, 3, held, refused, due); overtaken {
+		if _, overtaken := returnsFirst(n, held, refused, due); overtaken {
 			rt.Fatal("the caller came back as told and had no claim")
 		}
 	})
@@ -139,6 +139,6 @@
 func TestRequestsWithoutFingerprintsHaveNoClaim(t *testing.T) {
 	n, held, refused, due := crowded(t, nil)
 	refused.Fingerprint = 0
-	first, _ := returnsFirst(n, 3, held, refused, due)
+	first, _ := returnsFirst(n, held, refused, due)
 	assert.Assert(t, !first)
 }
--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -81,11 +81,15 @@
 }
 
 // urgency returns how much the request may cost others now. One that was accepted late,
-// or told to come back, has been promised a place.
+// or told to come back, has been promised a place, and does not wait for it behind less
+// urgent ones.
 func (w *waiter) urgency(now time.Time) placer.Urgency {
 	if !w.accepted && w.claimed == 0 {
 		return w.timing.urgency(now)
 	}
+	if w.accepted && w.outranks {
+		return placer.LastChance
+	}
 	limit := w.timing.limit(w.request.StopsAt)
 	window := min(urgentWindow, limit.Sub(w.timing.latestStart)/lastChanceShare)
 	if limit.Sub(now) < window || (w.claimed != 0 && w.timing.late(now)) {
@@ -118,8 +122,9 @@
 
 // judge refuses a request that was not placed in this pass if too much is ahead of it. It
 // does not judge requests that an upstream may have seen, nor those that were promised a
-// place. Whatever the projection, the first request of a lane waits: a lane in which
-// nothing waits has no backlog.
+// place. The first request of a lane waits whatever the projection, because a lane in which
+// nothing waits has no backlog, and so does one that could still begin while less urgent ones
+// wait: these are refused first.
 func (s *Scheduler) judge(now time.Time, w *waiter, p dispatchPass) (reply, bool) {
 	lane, work := w.lane(now), w.work()
 	ahead := p.ahead[lane]
@@ -138,7 +143,7 @@
 	projection := s.projector.Project(now, lane, demand)
 	settle := !now.Before(w.settleAt(limit))
 	verdict := projector.Decide(now, projection, settle, limit)
-	if verdict == projector.Refuse && ahead == 0 {
+	if verdict == projector.Refuse && (ahead == 0 || (w.outranks && !now.Add(projection.Earliest).After(limit))) {
 		verdict = projector.Wait
 		if settle {
 			verdict = projector.Accept
@@ -181,8 +186,8 @@
 		return r
 	}
 	s.returnClaim(w)
-	promised := false
-	r.RetryAfter, promised = s.retryAfter(now, w, p)
+	after, promised := s.retryAfter(now, w, p)
+	r.RetryAfter = after
 	if claims && (promised || s.hasClaim(now, w)) {
 		c, ok := s.deferrer.Add(now, deferrer.Claim{
 			Fingerprint: w.request.Fingerprint, Team: w.request.Team, Priority: w.request.Priority,
@@ -242,6 +247,17 @@
 	s.deps.OnDecision(d)
 }
 
+// rankQueue records which queued requests are more urgent than others of their service.
+func (s *Scheduler) rankQueue() {
+	least := make(map[string]int, 1)
+	for _, w := range s.queue {
+		least[w.request.Service.Name] = max(least[w.request.Service.Name], w.request.Priority)
+	}
+	for _, w := range s.queue {
+		w.outranks = w.request.Priority < least[w.request.Service.Name]
+	}
+}
+
 // observeLanes records in which lanes requests wait after a pass.
 func (s *Scheduler) observeLanes(now time.Time) {
 	waiting := make(map[projector.Lane]bool, 4) //nolint:mnd // a few lanes
--- a/entry/process/scheduler/admission_test.go
+++ b/entry/process/scheduler/admission_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
@@ -99,8 +100,8 @@
 	held := func(c *caller) bool { return c.waited > objective }
 	served := func(c *caller) bool { return c.served }
 	var heldBefore, heldNow, servedBefore, servedNow, total int
-	for seed := uint64(1); seed <= 4; seed++ {
-		before, now := crowd(seed, 10, []int{0}), crowd(seed, 10, []int{0, 1})
+	for seed, rate := range []float64{8, 10, 12} {
+		before, now := crowd(uint64(seed), rate, []int{0}), crowd(uint64(seed), rate, []int{0, 1})
 		total += len(now)
 		heldBefore, heldNow = heldBefore+count(before, held), heldNow+count(now, held)
 		servedBefore, servedNow = servedBefore+count(before, served), servedNow+count(now, served)
@@ -117,3 +118,74 @@
 	refused := slices.IndexFunc(all, func(c *caller) bool { return c.tries > 1 || !c.served })
 	assert.Equal(t, refused, -1)
 }
+
+// Requests of two priorities take one slot each, and their number exceeds the slots. The more
+// urgent ones alone do not: none of them may be refused while less urgent ones are served.
+func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
+	const (
+		step     = 5 * time.Millisecond
+		duration = time.Second
+	)
+	s := &simulation{fleet: newFleet(8)} // 16 slots: 16 requests a second
+	service := &matcher.Service{Name: "s", Engine: engine, Priorities: []int{0, 1}}
+	random := rand.New(rand.NewPCG(1, 1))
+	var all [2][]*arrival
+	for elapsed := time.Duration(0); elapsed < 15*time.Second; elapsed += step {
+		s.advance(step, duration)
+		for priority, rate := range []float64{7, 20} {
+			if random.Float64() > rate*step.Seconds() {
+				continue
+			}
+			a := &arrival{arrivedAt: s.now}
+			a.out = s.submit(scheduler.Request{Service: service, Priority: priority, Requirements: placer.Request{
+				Prompt: 5000, Output: 3400, MaxPause: 250, Arrived: s.now, Objective: s.now.Add(300 * time.Millisecond),
+				CallerTimeout: s.now.Add(2 * time.Second), Deadline: s.now.Add(10 * time.Second),
+			}})
+			all[priority] = append(all[priority], a)
+			s.pending = append(s.pending, a)
+		}
+	}
+	var refused, held [2]int
+	for priority := range all {
+		for _, a := range all[priority] {
+			if r := a.outcome.refusal; r != nil {
+				refused[priority]++
+				if _, longest := r.WaitTimes.Longest(); longest > 300*time.Millisecond {
+					held[priority]++
+				}
+			}
+		}
+	}
+	t.Logf("refused %v, held past the objective %v, of %d and %d", refused, held, len(all[0]), len(all[1]))
+	assert.Assert(t, refused[1]*5 > len(all[1]), "no overload")
+	assert.Assert(t, refused[0]*50 <= len(all[0]), "%d of %d urgent requests were refused", refused[0], len(all[0]))
+	assert.Assert(t, held[1]*50 <= len(all[1]), "%d of %d were held and refused", held[1], len(all[1]))
+}
+
+// With admission and claims off, requests of different priorities wait as before.
+func TestPolicySwitchesAdmissionAndClaims(t *testing.T) {
+	for _, mode := range []switcher.Mode{switcher.Off, switcher.On} {
+		f := newFullFleet(t)
+		f.Scheduler = scheduler.New("", scheduler.Deps{
+			Tracker: f.tracker, Now: func() time.Time { return f.now },
+			ColdQuota: func(_ string, rate float64) int { return int(rate) }, RateQuota: func(limit float64) float64 { return limit },
+			Policy: func() switcher.Policy { return switcher.Policy{Admission: mode, Claims: mode} },
+		})
+		f.adoptStreams("u0", 2)
+		var outs []chan outcome
+		for i := range 40 {
+			r := f.request(1000, 10*time.Second)
+			r.Service.ColdStartRate = 0
+			r.Requirements.CallerTimeout, r.Fingerprint = f.now.Add(3*time.Second), uint64(1+i)
+			outs = append(outs, f.submit(r))
+		}
+		f.now = f.now.Add(time.Second)
+		f.Dispatch()
+		refused, claims := 0, len(f.Claims())
+		for _, out := range outs {
+			refused += len(out)
+		}
+		assert.Equal(t, refused > 0, mode == switcher.On, "%d refused", refused)
+		assert.Equal(t, claims > 0, mode == switcher.On, "%d claims", claims)
+	}
+}
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -73,6 +73,7 @@
 	}
 	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity), ahead: make(map[projector.Lane]float64)}
 	s.sortQueue(now)
+	s.rankQueue()
 	remaining := s.queue[:0:0]
 	for _, w := range s.queue {
 		r, done := s.tryPlace(now, w, p)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -143,6 +143,8 @@
 	// is set if it stays queued although it will be late.
 	claimed  int
 	accepted bool
+	// outranks is set if a less urgent request of the same service is queued.
+	outranks bool
 }
 
 // A reply is a grant or a refusal that has not been delivered yet.
