--- a/entry/process/allocator/claims.go
+++ b/entry/process/allocator/claims.go
@@ -25,7 +25,7 @@
 	Team        string
 	Priority    int
 	Work        float32
-	Long        bool
+	Size        int
 	Due         int64
 }
 
@@ -38,14 +38,14 @@
 
 func newWireClaim(now time.Time, g Group, c *deferrer.Claim) wireClaim {
 	return wireClaim{
-		Group: g.wire(), Fingerprint: c.Fingerprint, Team: c.Team, Priority: c.Priority, Work: float32(c.Work), Long: c.Long,
+		Group: g.wire(), Fingerprint: c.Fingerprint, Team: c.Team, Priority: c.Priority, Work: float32(c.Work), Size: c.Size,
 		Due: c.Due.Sub(now).Milliseconds(),
 	}
 }
 
 func (w *wireClaim) claim(now time.Time) deferrer.Claim {
 	return deferrer.Claim{
-		Fingerprint: w.Fingerprint, Team: w.Team, Priority: w.Priority, Work: float64(w.Work), Long: w.Long,
+		Fingerprint: w.Fingerprint, Team: w.Team, Priority: w.Priority, Work: float64(w.Work), Size: w.Size,
 		Due: now.Add(time.Duration(w.Due) * time.Millisecond),
 	}
 }
--- a/entry/process/deferrer/deferrer.go
+++ b/entry/process/deferrer/deferrer.go
@@ -30,10 +30,9 @@
 	Fingerprint uint64
 	Team        string
 	Priority    int
-	// Work is the work of the request, and Long says whether it is a prompt that several
-	// upstreams read.
+	// Work is the work of the request, and Size its size as in projector.Lane.
 	Work float64
-	Long bool
+	Size int
 	Due  time.Time
 }
 
@@ -164,13 +163,13 @@
 	}
 }
 
-// Work returns the work of the claims of a priority and kind that are due before a time
+// Work returns the work of the claims of a priority and size that are due before a time
 // and whose requests have not come back.
-func (d *Deferrer) Work(now time.Time, priority int, long bool, before time.Time) float64 {
+func (d *Deferrer) Work(now time.Time, priority, size int, before time.Time) float64 {
 	d.clean(now)
 	sum := 0.0
 	for _, e := range d.claims {
-		if e.state == open && e.Priority == priority && e.Long == long && e.Due.Before(before) {
+		if e.state == open && e.Priority == priority && e.Size == size && e.Due.Before(before) {
 			sum += e.Work
 		}
 	}
--- a/entry/process/deferrer/deferrer_test.go
+++ b/entry/process/deferrer/deferrer_test.go
@@ -128,16 +128,16 @@
 	}
 }
 
-func TestWorkCountsTheClaimsOfAKindThatAreDue(t *testing.T) {
+func TestWorkCountsTheClaimsOfASizeThatAreDue(t *testing.T) {
 	d, now := deferrer.New(), time.Unix(1_000_000, 0)
-	for i, c := range []deferrer.Claim{{Work: 1}, {Work: 2, Long: true}, {Work: 4, Priority: 1}, {Work: 8, Due: now.Add(2 * time.Second)}} {
+	for i, c := range []deferrer.Claim{{Work: 1}, {Work: 2, Size: 1}, {Work: 4, Priority: 1}, {Work: 8, Due: now.Add(2 * time.Second)}} {
 		c.Fingerprint = uint64(i + 1)
 		if c.Due.IsZero() {
 			c.Due = now
 		}
 		d.Add(now, c)
 	}
-	assert.Equal(t, d.Work(now, 0, false, now.Add(time.Second)), 1.0)
-	assert.Equal(t, d.Work(now, 0, false, now.Add(3*time.Second)), 9.0)
-	assert.Equal(t, d.Work(now, 1, false, now.Add(time.Second)), 4.0)
+	assert.Equal(t, d.Work(now, 0, 0, now.Add(time.Second)), 1.0)
+	assert.Equal(t, d.Work(now, 0, 0, now.Add(3*time.Second)), 9.0)
+	assert.Equal(t, d.Work(now, 1, 0, now.Add(time.Second)), 4.0)
 }
--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -33,10 +33,13 @@
 type Lane struct {
 	Service  string
 	Priority int
-	// Long is set for prompts that several upstreams read in parts. Late is set for
-	// other requests whose objective can no longer be met; they begin only when more
-	// capacity is free.
-	Long, Late bool
+	// Size is the class of the length of prompts that several upstreams read in parts; 0
+	// for other requests. A prompt that waits for a large part of the upstreams does not
+	// hold back a much shorter one.
+	Size int
+	// Late is set for requests of size 0 whose objective can no longer be met; they begin
+	// only when more capacity is free.
+	Late bool
 }
 
 // A Demand describes a request, and what is ahead of it. Work is in any unit, the same
--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -68,11 +68,18 @@
 // lane returns the lane in which the request competes now.
 func (w *waiter) lane(now time.Time) projector.Lane {
 	return projector.Lane{
-		Service: w.request.Service.Name, Priority: w.request.Priority, Long: w.timing.long,
+		Service: w.request.Service.Name, Priority: w.request.Priority, Size: w.size(),
 		Late: !w.timing.long && w.timing.late(now),
 	}
 }
 
+func (w *waiter) size() int {
+	if w.timing.long {
+		return w.timing.sizeClass
+	}
+	return 0
+}
+
 func (w *waiter) work() float64 {
 	if w.timing.long {
 		return placer.PrefillTime(w.request.Service.Engine, w.request.Requirements.Prompt, 1)
@@ -135,7 +142,7 @@
 	limit := w.timing.limit(w.request.StopsAt)
 	demand := projector.Demand{
 		Ahead: ahead, Own: work, Capacity: s.capacity(now, w, p),
-		Expected: s.deferrer.Work(now, lane.Priority, lane.Long, limit),
+		Expected: s.deferrer.Work(now, lane.Priority, lane.Size, limit),
 	}
 	if demand.Capacity <= 0 {
 		return reply{}, false
@@ -191,7 +198,7 @@
 	if claims && (promised || s.hasClaim(now, w)) {
 		c, ok := s.deferrer.Add(now, deferrer.Claim{
 			Fingerprint: w.request.Fingerprint, Team: w.request.Team, Priority: w.request.Priority,
-			Work: w.work(), Long: w.timing.long, Due: now.Add(r.RetryAfter),
+			Work: w.work(), Size: w.size(), Due: now.Add(r.RetryAfter),
 		})
 		if ok {
 			r.Claim, d.Claimed = &c, true
@@ -210,27 +217,26 @@
 // retryAfter returns when the request is likely to get a place that is not needed by
 // those that wait or have claims. It reports false if callers do not wait that long: to
 // keep a claim would promise a place that is not there. Such a caller is told to try as
-// late as it can.
+// late as it can. So is one whose request was late already: coming back sooner, it would
+// make others late that still can be in time.
 func (s *Scheduler) retryAfter(now time.Time, w *waiter, p dispatchPass) (wait time.Duration, promised bool) {
 	lane := w.lane(now)
-	ahead := p.ahead[lane]
+	deadline := w.request.Requirements.Deadline
+	demand := projector.Demand{
+		Ahead: p.ahead[lane], Own: w.work(), Capacity: s.capacity(now, w, p),
+		Expected: s.deferrer.Work(now, lane.Priority, lane.Size, deadline),
+	}
+	behindLate := time.Duration(0)
 	if lane.Late {
+		behindLate = s.projector.Project(now, lane, demand).Expected
 		lane.Late = false
-		ahead += p.ahead[lane]
-	}
-	deadline := w.request.Requirements.Deadline
-	left := time.Duration(honouredShare * float64(deadline.Sub(now)))
-	projection := s.projector.Project(now, lane, projector.Demand{
-		Ahead: ahead, Own: w.work(), Capacity: s.capacity(now, w, p),
-		Expected: s.deferrer.Work(now, lane.Priority, lane.Long, deadline),
-	})
-	wait = max(defaultRetryAfter, projection.Expected)
-	spread := retrySpread * float64(w.request.Fingerprint%spreadSteps) / spreadSteps
-	wait = time.Duration(float64(wait) * (1 + spread))
-	if wait <= left {
-		return wait, true
+		demand.Ahead += p.ahead[lane]
 	}
-	return max(defaultRetryAfter, time.Duration(float64(left)*(1-spread))), false
+	expected := max(defaultRetryAfter, s.projector.Project(now, lane, demand).Expected)
+	spread := 1 + retrySpread*float64(w.request.Fingerprint%spreadSteps)/spreadSteps
+	latest := max(defaultRetryAfter, time.Duration(honouredShare*float64(deadline.Sub(now))/spread))
+	wait = time.Duration(float64(max(expected, behindLate)) * spread)
+	return min(wait, latest), time.Duration(float64(expected)*spread) <= latest
 }
 
 func (s *Scheduler) hasClaim(now time.Time, w *waiter) bool {
