--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -149,7 +149,7 @@
 	}
 	projection := s.projector.Project(now, lane, demand)
 	settle := !now.Before(w.settleAt(limit))
-	verdict := projector.Decide(now, projection, settle, limit)
+	verdict := projector.Decide(now, projection, settle, lane.Size == 0, limit)
 	if verdict == projector.Refuse && (ahead == 0 || (w.outranks && !now.Add(projection.Earliest).After(limit))) {
 		verdict = projector.Wait
 		if settle {
