--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -20,7 +20,7 @@
 	memory = 3 * time.Second
 	// priorStarts is how many observed starts the capacity of the upstreams counts
 	// for.
-	priorStarts = 5.0
+	priorStarts = 10.0
 	// earlyDeviations and lateDeviations are how far the interval extends in standard
 	// deviations. It is wider where a place is promised than where one is ruled out.
 	earlyDeviations, lateDeviations = 2.0, 3.0
@@ -162,16 +162,13 @@
 // Decide judges a request that could not begin now. It is useful to begin it until
 // limit. It is refused if it could not even begin by limit at the earliest. With settle
 // set, as when its objective can no longer be met, it is refused or accepted for good: it
-// would otherwise wait for a place that it may never get. If it can be forced, because it
-// needs no more than a slot, the expected time decides, otherwise the latest.
-func Decide(now time.Time, p Projection, settle, forced bool, limit time.Time) Verdict {
+// would otherwise wait for a place that it may never get.
+func Decide(now time.Time, p Projection, settle bool, limit time.Time) Verdict {
 	switch {
 	case now.Add(p.Earliest).After(limit):
 		return Refuse
 	case !settle:
 		return Wait
-	case forced && !now.Add(p.Expected).After(limit):
-		return Accept
 	case now.Add(p.Latest).After(limit):
 		return Refuse
 	}
--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -73,9 +73,11 @@
 	}
 }
 
+// size is the request's size in a Lane: prompts whose prefill differs by up to a factor of
+// four share one, so that enough is observed of each.
 func (w *waiter) size() int {
 	if w.timing.long {
-		return w.timing.sizeClass
+		return (w.timing.sizeClass + 1) / 2 //nolint:mnd // two classes, each a factor of two
 	}
 	return 0
 }
@@ -149,7 +151,7 @@
 	}
 	projection := s.projector.Project(now, lane, demand)
 	settle := !now.Before(w.settleAt(limit))
-	verdict := projector.Decide(now, projection, settle, lane.Size == 0, limit)
+	verdict := projector.Decide(now, projection, settle, limit)
 	if verdict == projector.Refuse && (ahead == 0 || (w.outranks && !now.Add(projection.Earliest).After(limit))) {
 		verdict = projector.Wait
 		if settle {
