--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -20,7 +20,7 @@
 	memory = 3 * time.Second
 	// priorStarts is how many observed starts the capacity of the upstreams counts
 	// for.
-	priorStarts = 10.0
+	priorStarts = 5.0
 	// earlyDeviations and lateDeviations are how far the interval extends in standard
 	// deviations. It is wider where a place is promised than where one is ruled out.
 	earlyDeviations, lateDeviations = 2.0, 3.0
--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -120,9 +120,13 @@
 }
 
 // settleAt returns when a request is refused or accepted for good: when it can no longer be
-// in time, or halfway to its limit if that is sooner.
+// in time, or halfway to its limit if that is sooner. One whose caller has little time left,
+// as when it comes back, is settled at once: if it were held, there would be none left.
 func (w *waiter) settleAt(limit time.Time) time.Time {
 	arrived := w.request.Requirements.Arrived
+	if limit.Before(w.timing.latestStart) {
+		return arrived
+	}
 	if half := arrived.Add(limit.Sub(arrived) / 2); half.Before(w.timing.latestStart) { //nolint:mnd // a half
 		return half
 	}
