--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -107,6 +107,12 @@
 	return w.timing.urgency(now)
 }
 
+// mustBegin reports whether the request was promised a place and has to begin now, whatever
+// waits before it.
+func (w *waiter) mustBegin(now time.Time) bool {
+	return (w.accepted || w.claimed != 0) && w.urgency(now) == placer.LastChance
+}
+
 // limit returns until when it is useful to begin the request.
 func (t timing) limit(stopsAt time.Time) time.Time {
 	limit := t.giveUpAt
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -138,7 +138,7 @@
 	if retryAfter, exceeds := p.exceedsLimits(s, now, w); exceeds {
 		return reply{refusal: &Refusal{Code: CodeLimited, RetryAfter: retryAfter, WaitTimes: w.wait.stop(now)}}, true
 	}
-	if p.blocked[c] {
+	if p.blocked[c] && !w.mustBegin(now) {
 		w.wait.switchTo(now, waitBlocked)
 		return reply{}, false
 	}
