--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -15,7 +15,9 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/deferrer"
 	"github.com/heathervane/heathervane/entry/process/inspector"
+	"github.com/heathervane/heathervane/entry/process/projector"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -45,7 +47,10 @@
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
-	Now    func() time.Time
+	// OnDecision is told of decisions under load, with the Scheduler locked. It may be
+	// nil.
+	OnDecision func(Decision)
+	Now        func() time.Time
 }
 
 // A Request asks for a slot at an upstream.
@@ -54,8 +59,10 @@
 	Requirements placer.Request
 	// Priority orders the queue; 0 is the most urgent.
 	Priority int
-	// Team is the team that sent the request.
-	Team string
+	// Team is the team that sent the request, and Fingerprint identifies the request when
+	// it comes again; 0 if it cannot be recognised.
+	Team        string
+	Fingerprint uint64
 	// Zone is the zone of the requesting VM, and Unreachable are the upstreams
 	// that this VM cannot connect to.
 	Zone        string
@@ -75,6 +82,8 @@
 	RetryAfter time.Duration
 	// WaitTimes is how long the request was queued, by reason.
 	WaitTimes WaitTimes
+	// Claim is the claim that was kept for the request; nil if there is none.
+	Claim *deferrer.Claim
 }
 
 // Error returns the refusal in one line.
@@ -104,6 +113,10 @@
 	running map[*Grant]struct{}
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
+	// projector estimates when requests could begin, and deferrer holds the claims of
+	// those that were told to come back.
+	projector *projector.Projector
+	deferrer  *deferrer.Deferrer
 	// pausedUntil is the time before which nothing is placed.
 	pausedUntil time.Time
 	// capacityFreed is set if a slot may have become free since the last dispatch.
@@ -131,6 +144,12 @@
 	// late is 1 if the request could no longer be in time, and overShare is 1 if
 	// its team used more than its share, when the queue was last sorted.
 	late, overShare int
+	// claimed is 1 if the request was told to come back at about this time, and accepted
+	// is set if it stays queued although it will be late.
+	claimed  int
+	accepted bool
+	// outranks is set if a less urgent request of the same service is queued.
+	outranks bool
 }
 
 // A reply is a grant or a refusal that has not been delivered yet.
@@ -144,7 +163,7 @@
 // empty.
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
-		zone: zone, deps: d, running: make(map[*Grant]struct{}),
+		zone: zone, deps: d, running: make(map[*Grant]struct{}), projector: projector.New(), deferrer: deferrer.New(),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 		unreported: make(map[string]inspector.Work),
 	}
@@ -169,6 +188,7 @@
 	w := &waiter{request: r, timing: newTiming(r), notify: notify}
 	w.wait.since = s.deps.Now()
 	s.withLock(func() {
+		s.takeClaim(w)
 		s.queue = append(s.queue, w)
 		s.dispatch()
 	})
@@ -196,6 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w == p.waiter })
+	s.returnClaim(p.waiter)
 	return p.waiter.wait.stop(s.deps.Now())
 }
 
