--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -318,7 +319,7 @@
 // restarted.
 func (v *Process) Reload(s Settings) {
 	old := *v.settings.Swap(&s)
-	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Bool("policy", old.Policy != s.Policy).Msg("settings reloaded")
+	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Bool("policy", !reflect.DeepEqual(old.Policy, s.Policy)).Msg("settings reloaded")
 }
 
 // Run serves requests until ctx is done, then shuts down without interrupting requests.
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -364,7 +364,10 @@
 func (r *Relayer) newUpstreamRequest(j *job, a *attempt, now time.Time) carrier.Request {
 	o := ForwardInfo{
 		TimeLeft: j.deadline.Sub(now), Upstream: a.grant.Upstream.ID, Team: j.teamName(), LastEventID: j.lastEventID,
-		HighPriority: j.service.Engine != nil && placer.IsShort(j.service.Engine, j.info.PromptTokens),
+	}
+	if e := j.service.Engine; e != nil {
+		o.Rank, o.Ranks = j.service.Rank(j.priority())
+		o.Short = placer.IsShort(e, j.info.PromptTokens)
 	}
 	reserved := 0
 	for _, h := range a.grant.Helpers {
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -87,8 +87,12 @@
 	Team        string
 	LastEventID string
 	Helpers     []Helper
-	// HighPriority requests are scheduled before others at the engine.
-	HighPriority bool
+	// Rank is the place of the request's priority among the Ranks different ones that
+	// requests of the service may have, from 0 for the most urgent. Ranks is 0 for
+	// services without engines.
+	Rank, Ranks int
+	// Short requests have prompts that one engine reads in one pass.
+	Short bool
 }
 
 // A ResponseInfo is what the status and headers of an upstream's response say.
--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -87,6 +87,15 @@
 // others.
 func (s *Service) HasPriorities() bool { return len(s.Priorities) > 1 }
 
+// Rank returns the place of a priority among those of the service, from 0 for the most
+// urgent, and the number of these places. A priority that the configuration does not name
+// takes the place of the next less urgent one.
+func (s *Service) Rank(priority int) (rank, ranks int) {
+	ranks = max(1, len(s.Priorities))
+	rank, _ = slices.BinarySearch(s.Priorities, priority)
+	return min(rank, ranks-1), ranks
+}
+
 // An Engine holds the performance figures of one kind of model engine. Times are in
 // milliseconds, because an engine's operations take far less than a second.
 type Engine struct {
--- a/entry/version/matcher/matcher_test.go
+++ b/entry/version/matcher/matcher_test.go
@@ -104,6 +104,11 @@
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, s.Priorities, want)
 		assert.Equal(t, s.HasPriorities(), len(want) > 1)
+		for i, priority := range want {
+			rank, ranks := s.Rank(priority)
+			assert.Equal(t, rank, i)
+			assert.Equal(t, ranks, len(want))
+		}
 	}
 	table = matcher.New(matcher.Config{
 		Routes:   []matcher.Route{{Prefix: "/a/", Priority: 2, Split: []matcher.WeightedService{{Service: "s", Weight: 1}}}},
