Order the queue by shares, and keep upstreams free for more urgent requests

Strict order by priority passed the least urgent over, and what was sent to an engine stayed there: less urgent prompts filled the engines that urgent ones needed a moment later. Classes of priority and prompt length have accounts now; one whose credit covers its next request goes first. Less urgent requests do not see as many upstreams as the more urgent ones fill, by their observed arrivals and time in service. Both are for services with different priorities only.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -439,7 +439,7 @@
 	if !ok {
 		l = &ledGroup{group: g}
 		l.scheduler = scheduler.New(g.Zone, scheduler.Deps{
-			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy,
+			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy, Meter: a.deps.Meter, Log: a.deps.Log,
 			ColdQuota: func(upstream string, rate float64) int {
 				if a.deps.Now().Before(l.coldAllowedAt) {
 					return 0
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -29,9 +29,14 @@
 	Workload Workload
 
 	scheduler *Scheduler
-	loads     []upstreamLoad
-	started   bool
-	ended     bool
+	// service, priority and since are those of the request and when it got its slot; empty
+	// if another Scheduler has placed it.
+	service  string
+	priority int
+	since    time.Time
+	loads    []upstreamLoad
+	started  bool
+	ended    bool
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -103,7 +108,8 @@
 	g.reserve()
 	s.coldLimiter(main.ID).Sent(now)
 	s.countSent(&main)
-	s.ranker(w.request.Service.Name).Record(now, w.request.Team, teamShare, max(1, w.request.Requirements.Prompt+w.request.Requirements.Output))
+	s.recordServed(now, w)
+	s.recordBegun(now, w, g)
 	return g
 }
 
@@ -154,6 +160,7 @@
 			return
 		}
 		g.ended, g.scheduler.capacityFreed = true, true
+		g.scheduler.recordEnded(g)
 		g.markStarted()
 		for _, h := range g.loads {
 			g.scheduler.addLoad(h.id, h.untilEnd, -1)
--- /dev/null
+++ b/entry/process/scheduler/headroom.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/provisioner"
+	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+// A keptKey identifies the requests from which the same upstreams are kept free.
+type keptKey struct {
+	service  string
+	priority int
+}
+
+// withoutKept returns the upstreams that a request may use: those that are not kept free
+// for more urgent ones. A request that is due by its share may use all.
+func (s *Scheduler) withoutKept(now time.Time, w *waiter, p dispatchPass, states []tracker.State) []tracker.State {
+	service := w.request.Service
+	if w.due || !s.policy().Headroom.Enabled(service.HasPriorities()) || w.request.Priority <= service.Priorities[0] {
+		return states
+	}
+	key := keptKey{service.Name, w.request.Priority}
+	kept, ok := p.kept[key]
+	if !ok {
+		kept = s.keep(now, service, w.request.Priority, p.usableUpstreams(s, now, service.Name))
+		p.kept[key] = kept
+	}
+	if len(kept) == 0 {
+		return states
+	}
+	visible := make([]tracker.State, 0, len(states))
+	for i := range states {
+		if !kept[states[i].ID] {
+			visible = append(visible, states[i])
+		}
+	}
+	return visible
+}
+
+// keep chooses the upstreams that are kept free from requests of a priority: as many as
+// the more urgent ones fill, but not more than their share. It takes those with the most
+// streams and no part of a long prompt, as the placer prefers them for short prompts.
+func (s *Scheduler) keep(now time.Time, service *matcher.Service, priority int, states []tracker.State) map[string]bool {
+	urgent := 0
+	for _, w := range s.queue {
+		if w.request.Service.Name == service.Name && w.request.Priority < priority {
+			urgent++
+		}
+	}
+	needed := s.provisioner(service.Name).Streams(now, priority, urgent, usualHeldTime(service.Engine))
+	left, most := needed, int(float64(len(states))*s.shareAbove(service, priority))
+	loads := make([]placer.Load, len(states))
+	order := make([]int, len(states))
+	for i := range states {
+		order[i] = i
+		if l, ok := s.loads[states[i].ID]; ok {
+			loads[i] = *l
+		}
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		return cmp.Or(cmp.Compare(loads[i].Parts, loads[j].Parts), cmp.Compare(loads[j].Streams, loads[i].Streams), cmp.Compare(states[i].ID, states[j].ID))
+	})
+	kept := make(map[string]bool)
+	for _, i := range order {
+		if left <= 0 || len(kept) >= most {
+			break
+		}
+		kept[states[i].ID] = true
+		left -= max(1, placer.PackingLimit(states[i].Slots))
+	}
+	s.logKept(now, keptKey{service.Name, priority}, keptRecord{len(kept), now}, needed, urgent, len(states))
+	return kept
+}
+
+// keptLogInterval is the minimum time between two log lines on what is kept free from the
+// same requests, which may change with each of them.
+const keptLogInterval = time.Second
+
+// A keptRecord is how many upstreams were kept free, as last logged.
+type keptRecord struct {
+	upstreams int
+	at        time.Time
+}
+
+func (s *Scheduler) logKept(now time.Time, key keptKey, r keptRecord, needed, waiting, usable int) {
+	last := s.keptLogged[key]
+	if last.upstreams == r.upstreams || now.Sub(last.at) < keptLogInterval {
+		return
+	}
+	s.keptLogged[key] = r
+	s.count("headroom.changes")
+	s.deps.Log.Info().Str("service", key.service).Int("priority", key.priority).Int("kept", r.upstreams).Int("before", last.upstreams).
+		Int("upstreams", usable).Int("needed", needed).Int("waiting", waiting).Msg("upstreams kept free for more urgent requests")
+}
+
+// shareAbove returns the share of a service's capacity of the priorities more urgent than
+// the given one.
+func (s *Scheduler) shareAbove(service *matcher.Service, priority int) float64 {
+	weight := s.weightOf(service)
+	above, total := 0.0, 0.0
+	for _, q := range service.Priorities {
+		total += weight(q)
+		if q < priority {
+			above += weight(q)
+		}
+	}
+	return above / total
+}
+
+// usualHeldTime is the time for which a request is expected to hold its slot.
+func usualHeldTime(e *matcher.Engine) time.Duration {
+	if e == nil {
+		return plainServiceTime
+	}
+	return milliseconds(typicalPasses * placer.DecodePassTime(e, typicalStreams, typicalContext))
+}
+
+// typicalPasses is the number of passes of an engine that generate a typical answer.
+const typicalPasses = 30
+
+// recordBegun and recordEnded tell the provisioner of a request.
+func (s *Scheduler) recordBegun(now time.Time, w *waiter, g *Grant) {
+	g.service, g.priority, g.since = w.request.Service.Name, w.request.Priority, now
+	if w.request.Service.HasPriorities() {
+		s.provisioner(g.service).Began(now, g.priority)
+	}
+}
+
+func (s *Scheduler) recordEnded(g *Grant) {
+	// A request that was never answered says nothing about how long answers take.
+	if p, ok := s.provisioners[g.service]; ok && g.started {
+		p.Ended(s.deps.Now(), g.priority, s.deps.Now().Sub(g.since))
+	}
+}
+
+func (s *Scheduler) provisioner(service string) *provisioner.Provisioner {
+	p, ok := s.provisioners[service]
+	if !ok {
+		p = provisioner.New()
+		s.provisioners[service] = p
+	}
+	return p
+}
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -1,58 +1,16 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
-	"github.com/heathervane/heathervane/entry/request/ranker"
 )
 
 // unlimitedQuota is the quota of an upstream that is neither cold nor rate limited.
 const unlimitedQuota = 1 << 20
 
-// compareWaiters orders by priority, then requests that can still be in time before
-// late ones, then teams within their share before teams over it, then by latest
-// start. Without the second criterion a backlog of late prompts would go before
-// every request that can still be in time, and make it late as well. Without the
-// third, one team's burst would go before the other teams' short prompts.
-func compareWaiters(a, b *waiter) int {
-	return cmp.Or(
-		cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.late, b.late), cmp.Compare(a.overShare, b.overShare),
-		a.timing.latestStart.Compare(b.timing.latestStart),
-	)
-}
-
-// sortQueue updates the sort keys of the queued requests and sorts the queue.
-func (s *Scheduler) sortQueue(now time.Time) {
-	shares := s.policy().Shares != switcher.Off
-	for _, w := range s.queue {
-		w.late, w.overShare = 0, 0
-		if w.timing.late(now) {
-			w.late = 1
-		}
-		if shares && s.ranker(w.request.Service.Name).OverShare(now, w.request.Team) {
-			w.overShare = 1
-		}
-	}
-	slices.SortStableFunc(s.queue, compareWaiters)
-}
-
-// teamShare is the share of every team: the configuration does not set shares.
-const teamShare = 1
-
-func (s *Scheduler) ranker(service string) *ranker.Ranker {
-	r, ok := s.rankers[service]
-	if !ok {
-		r = ranker.New()
-		s.rankers[service] = r
-	}
-	return r
-}
-
 // Dispatch places every queued request that can be placed and refuses those that
 // can no longer be completed in time. Call it when something has changed, and
 // periodically.
@@ -69,7 +27,7 @@
 		return
 	}
 	now := s.deps.Now()
-	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity)}
+	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity), kept: make(map[keptKey]map[string]bool)}
 	s.sortQueue(now)
 	remaining := s.queue[:0:0]
 	for _, w := range s.queue {
@@ -93,6 +51,9 @@
 	service   string
 	sizeClass int
 	late      bool
+	// due requests form a class of their own: one that cannot be placed must not hold
+	// back more urgent ones.
+	due bool
 }
 
 // A dispatchPass holds the state of one pass over the queue: the blocked classes,
@@ -103,6 +64,8 @@
 	// capacities is what the rate limits leave of each service, nil if one of its
 	// upstreams has announced none.
 	capacities map[string]*rateCapacity
+	// kept holds the upstreams that are kept free from the requests of each priority.
+	kept map[keptKey]map[string]bool
 }
 
 func (p dispatchPass) usableUpstreams(s *Scheduler, now time.Time, service string) []tracker.State {
@@ -117,7 +80,7 @@
 // tryPlace places or refuses one queued request if possible, and reports whether it
 // did. Otherwise the request stays queued.
 func (s *Scheduler) tryPlace(now time.Time, w *waiter, p dispatchPass) (reply, bool) {
-	c := class{w.request.Service.Name, w.timing.sizeClass, !w.timing.long && w.timing.late(now)}
+	c := class{w.request.Service.Name, w.timing.sizeClass, !w.timing.long && w.timing.late(now), w.due}
 	if w.timing.cannotFinish(now, w.request.StopsAt) {
 		return reply{refusal: &Refusal{Code: CodeLate, RetryAfter: defaultRetryAfter, WaitTimes: w.wait.stop(now)}}, true
 	}
@@ -144,6 +107,7 @@
 	if len(states) == 0 && !backoffUntil.IsZero() && w.timing.cannotFinish(backoffUntil, w.request.StopsAt) {
 		return reply{refusal: &Refusal{Code: CodeBackoff, RetryAfter: backoffUntil.Sub(now), WaitTimes: w.wait.stop(now)}}, true
 	}
+	states = s.withoutKept(now, w, p, states)
 	placement, ok := s.choose(now, w, s.candidates(now, w.request, states))
 	if !ok {
 		// A request that no engine can start in time must not hold back later ones
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -14,7 +14,11 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/provisioner"
+	"github.com/heathervane/heathervane/entry/process/sharer"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -44,7 +48,15 @@
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
-	Now    func() time.Time
+	// Meter counts decisions; nil for none.
+	Meter Meter
+	Now   func() time.Time
+	Log   zerolog.Logger
+}
+
+// A Meter counts events by metric name.
+type Meter interface {
+	Count(name string, n int64)
 }
 
 // A Request asks for a slot at an upstream.
@@ -101,6 +113,12 @@
 	queue        []*waiter
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
+	// sharers hold the shares of each service's priorities and prompt lengths, and
+	// provisioners what its more urgent requests will use.
+	sharers      map[string]*sharer.Sharer
+	provisioners map[string]*provisioner.Provisioner
+	// keptLogged is what was last logged as kept free.
+	keptLogged map[keptKey]keptRecord
 	// pausedUntil is the time before which nothing is placed.
 	pausedUntil time.Time
 	// capacityFreed is set if a slot may have become free since the last dispatch.
@@ -126,6 +144,9 @@
 	// late is 1 if the request could no longer be in time, and overShare is 1 if
 	// its team used more than its share, when the queue was last sorted.
 	late, overShare int
+	// due is set if the share of the request's class covers it, when the queue was last
+	// sorted.
+	due bool
 }
 
 // A reply is a grant or a refusal that has not been delivered yet.
@@ -141,6 +162,7 @@
 	return &Scheduler{
 		zone: zone, deps: d,
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
+		sharers: make(map[string]*sharer.Sharer), provisioners: make(map[string]*provisioner.Provisioner), keptLogged: make(map[keptKey]keptRecord),
 	}
 }
 
@@ -151,6 +173,12 @@
 	return s.deps.Policy()
 }
 
+func (s *Scheduler) count(name string) {
+	if s.deps.Meter != nil {
+		s.deps.Meter.Count(name, 1)
+	}
+}
+
 // A Pending is a submitted request that may still be queued.
 type Pending struct {
 	scheduler *Scheduler
--- a/entry/process/scheduler/scheduler_test.go
+++ b/entry/process/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
@@ -24,12 +25,13 @@
 	*scheduler.Scheduler
 	tracker *tracker.Tracker
 	now     time.Time
+	policy  switcher.Policy
 }
 
 func newFleet(engines int) *fleet {
 	f := &fleet{tracker: tracker.New(), now: time.Unix(1_000_000, 0)}
 	f.Scheduler = scheduler.New("", scheduler.Deps{
-		Tracker: f.tracker, Now: func() time.Time { return f.now },
+		Tracker: f.tracker, Now: func() time.Time { return f.now }, Policy: func() switcher.Policy { return f.policy },
 		ColdQuota: func(_ string, rate float64) int { return int(rate) }, RateQuota: func(limit float64) float64 { return limit },
 	})
 	for i := range engines {
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -71,8 +71,10 @@
 	return Placement{Main: best, PrefillTime: prefill, TimeToFirstEvent: least}, true
 }
 
-// packingLimit is the number of streams up to which an engine is filled.
-func (c *Candidate) packingLimit() int { return c.Slots - max(1, c.Slots/freeSlotsDivisor) }
+// PackingLimit is the number of streams up to which an engine with so many slots is filled.
+func PackingLimit(slots int) int { return slots - max(1, slots/freeSlotsDivisor) }
+
+func (c *Candidate) packingLimit() int { return PackingLimit(c.Slots) }
 
 // hasHeadroom reports whether a fifth of the engines' slots is free. Late prompts
 // must leave that many. Otherwise, in a burst that exceeds the capacity, each slot
