--- a/bench/emulator/batch.go
+++ b/bench/emulator/batch.go
@@ -58,6 +58,8 @@
 			k.Refused += o.Refused
 			k.Lost += o.Lost
 			k.Bound += o.Bound
+			k.Earned += o.Earned
+			k.Owed += o.Owed
 		}
 	}
 	return out
--- a/bench/emulator/emulator.go
+++ b/bench/emulator/emulator.go
@@ -20,6 +20,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
@@ -59,6 +60,8 @@
 	Asked, InTime, Late, Refused, Lost int
 	// Bound is how many a perfect engine would begin in time.
 	Bound int
+	// Earned is what was earned of Owed.
+	Earned, Owed float64
 }
 
 type play struct {
@@ -68,6 +71,7 @@
 	vms     []*vm
 	tracker *tracker.Tracker
 	service *matcher.Service
+	policy  switcher.Policy
 	mail    []letter
 	open    []*request
 	faults  []Fault
@@ -148,7 +152,12 @@
 // Run plays a deployment's load with a seed.
 func Run(d Deployment, seed uint64) Result {
 	draw := rand.New(rand.NewPCG(seed, 2))
-	p := &play{tracker: tracker.New(), byName: make(map[string]*engine), service: &matcher.Service{Name: "s", Engine: &d.Figures}, faults: slices.Clone(d.Faults)}
+	p := &play{tracker: tracker.New(), byName: make(map[string]*engine), service: &matcher.Service{Name: "s", Engine: &d.Figures}, faults: slices.Clone(d.Faults), policy: d.Policy}
+	for i := range d.Kinds {
+		p.service.Priorities = append(p.service.Priorities, d.Kinds[i].Priority)
+	}
+	slices.Sort(p.service.Priorities)
+	p.service.Priorities = slices.Compact(p.service.Priorities)
 	for i := range d.Engines {
 		e := &engine{figures: &d.Figures, name: "e" + strconv.Itoa(i)}
 		p.engines = append(p.engines, e)
@@ -174,7 +183,7 @@
 	v.allocator = allocator.New(allocator.Member{VM: v.name, Zone: "z", Cores: 1}, p.clock().UnixNano(), allocator.Deps{
 		Tracker: p.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
 		Service:        func(string) (*matcher.Service, bool) { return p.service, true },
-		ColdStartQuota: func(string, float64, bool) int { return 0 }, Now: p.clock, Log: zerolog.Nop(),
+		ColdStartQuota: func(string, float64, bool) int { return 0 }, Policy: func() switcher.Policy { return p.policy }, Now: p.clock, Log: zerolog.Nop(),
 	})
 }
 
@@ -272,7 +281,7 @@
 		r.gone = true
 		return
 	}
-	r.asked = p.vms[r.vm].allocator.Submit(scheduler.Request{Service: p.service, Requirements: placer.Request{
+	r.asked = p.vms[r.vm].allocator.Submit(scheduler.Request{Service: p.service, Priority: k.Priority, Requirements: placer.Request{
 		Prompt: r.prompt, Output: k.Bound, MaxPause: float64(k.Pause.Milliseconds()), Arrived: at(r.at),
 		Objective: at(r.at).Add(k.Objective), Deadline: at(r.at).Add(k.Limit), CallerTimeout: at(r.leaves()),
 	}})
--- a/bench/emulator/load.go
+++ b/bench/emulator/load.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
@@ -25,6 +26,8 @@
 	Objective, Pause, Limit time.Duration
 	// Worth is an answer in time, Late a late one.
 	Worth, Late float64
+	// Priority is that of the kind's requests.
+	Priority int
 }
 
 // A Deployment is a fleet and its load.
@@ -41,6 +44,8 @@
 	LostAt time.Duration
 	// Faults are troubles of VMs.
 	Faults []Fault
+	// Policy selects features of the decisions.
+	Policy switcher.Policy
 	// Lasts is how long requests come.
 	Lasts time.Duration
 }
@@ -68,9 +73,9 @@
 func Known() []Deployment {
 	kinds := func(short, middle, long, prompt float64, bears [3]time.Duration) []Kind {
 		return []Kind{
-			{"question", 4960, 0.9, 23_800, 1500, 3750, short, 2.2, 300 * millisecond, bears[0], 10 * second, 1.3, 0.33},
-			{"brief", 45_000, 0.5, 110_000, 850, 2100, middle, 2.2, 1500 * millisecond, bears[1], 10 * second, 3.5, 0.9},
-			{"file", prompt, 0.55, 4.7 * prompt, 700, 1800, long, 2.2, 2800 * millisecond, bears[2], 15 * second, 17, 4.2},
+			{"question", 4960, 0.9, 23_800, 1500, 3750, short, 2.2, 300 * millisecond, bears[0], 10 * second, 1.3, 0.33, 0},
+			{"brief", 45_000, 0.5, 110_000, 850, 2100, middle, 2.2, 1500 * millisecond, bears[1], 10 * second, 3.5, 0.9, 0},
+			{"file", prompt, 0.55, 4.7 * prompt, 700, 1800, long, 2.2, 2800 * millisecond, bears[2], 15 * second, 17, 4.2, 0},
 		}
 	}
 	all := []Deployment{
@@ -96,9 +101,9 @@
 		Name: fmt.Sprintf("zone-%d", vms), VMs: vms, Engines: 39, Lasts: 12 * second,
 		Figures: figures(10, 232_000, 68, 206, 0.138),
 		Kinds: []Kind{
-			{"question", 4960, 0.9, 23_800, 1500, 3750, 276.0 / zones, 2.2, 400 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.33},
-			{"brief", 45_000, 0.5, 110_000, 900, 2300, 21.8 / zones, 2.2, 1500 * millisecond, 600 * millisecond, 10 * second, 2.9, 0.73},
-			{"file", 190_000, 0.55, 600_000, 750, 1900, 10.4 / zones, 2.2, 3 * second, second, 15 * second, 18, 4.5},
+			{"question", 4960, 0.9, 23_800, 1500, 3750, 276.0 / zones, 2.2, 400 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.33, 0},
+			{"brief", 45_000, 0.5, 110_000, 900, 2300, 21.8 / zones, 2.2, 1500 * millisecond, 600 * millisecond, 10 * second, 2.9, 0.73, 0},
+			{"file", 190_000, 0.55, 600_000, 750, 1900, 10.4 / zones, 2.2, 3 * second, second, 15 * second, 18, 4.5, 0},
 		},
 	}
 	for k := range d.Kinds {
@@ -135,9 +140,9 @@
 	d := Deployment{
 		Name: "mixed", VMs: 67, Engines: 45, Lasts: 15 * second, Figures: figures(12, 405_000, 38, 154, 0.162),
 		Kinds: []Kind{
-			{"question", 4960, 0.9, 23_800, 1370, 3400, 48, 3.5, 300 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.34},
-			{"brief", 45_000, 0.5, 110_000, 800, 2000, 3.8, 2.3, 1500 * millisecond, 600 * millisecond, 10 * second, 3.3, 0.82},
-			{"file", 260_000, 0.55, 900_000, 680, 1700, 0.35, 3.9, 4 * second, second, 15 * second, 34, 8.6},
+			{"question", 4960, 0.9, 23_800, 1370, 3400, 48, 3.5, 300 * millisecond, 250 * millisecond, 10 * second, 1.3, 0.34, 0},
+			{"brief", 45_000, 0.5, 110_000, 800, 2000, 3.8, 2.3, 1500 * millisecond, 600 * millisecond, 10 * second, 3.3, 0.82, 0},
+			{"file", 260_000, 0.55, 900_000, 680, 1700, 0.35, 3.9, 4 * second, second, 15 * second, 34, 8.6, 0},
 		},
 	}
 	for i, kinds := range [][]int{{1, 2}, {0}, {1, 2}} {
@@ -162,6 +167,22 @@
 	return all
 }
 
+// Crowded is a fleet whose callers have three priorities and ask for more than can be
+// served: a burst of the least urgent, of the most urgent beside it, and of the others
+// after both.
+func Crowded() Deployment {
+	d := Deployment{
+		Name: "crowded", VMs: 12, Engines: 30, Figures: figures(12, 197_200, 48, 206, 0.138), Lasts: 20 * second,
+		Kinds: []Kind{
+			{"alert", 4960, 0.9, 23_800, 1470, 3680, 38, 3, 250 * millisecond, 250 * millisecond, 10 * second, 1.8, 0.18, 0},
+			{"summary", 45_000, 0.5, 110_000, 880, 2200, 4.5, 3, 1500 * millisecond, 600 * millisecond, 10 * second, 2.4, 0.61, 1},
+			{"digest", 190_000, 0.55, 600_000, 730, 1800, 1.6, 6, 6 * second, second, 15 * second, 7.3, 2.8, 2},
+		},
+	}
+	d.Bursts = []Burst{{2, 2 * second, 14 * second}, {0, 8 * second, 15 * second}, {1, 15 * second, 20 * second}}
+	return d
+}
+
 // between draws evenly on a logarithmic scale.
 func between(draw *rand.Rand, least, most float64) float64 {
 	return least * math.Exp(draw.Float64()*math.Log(most/least))
--- a/bench/emulator/result.go
+++ b/bench/emulator/result.go
@@ -29,6 +29,8 @@
 		o.Asked++
 		owed += r.weight()
 		earned += r.earned()
+		o.Owed += r.weight()
+		o.Earned += r.earned()
 		switch {
 		case r.inTime():
 			o.InTime++
--- a/entry/process/provisioner/provisioner.go
+++ b/entry/process/provisioner/provisioner.go
@@ -15,13 +15,13 @@
 	// rateWindow is the time constant of the arrival rates. With a shorter one a few
 	// arrivals close together would count as a burst; with a longer one, what is kept
 	// would follow a burst too late, and be given back too late.
-	rateWindow = 2 * time.Second
+	rateWindow = time.Second
 	// heldWeight is the weight of the latest request in the mean time in service.
 	heldWeight = 0.05
 	// deviations is by how many standard deviations the number of streams may exceed its
-	// mean before capacity kept for it runs out. Arrivals are independent, so that one
-	// moment in forty exceeds it.
-	deviations = 2.0
+	// mean before capacity kept for it runs out: independent arrivals exceed it in one
+	// moment of several hundred, and their rate is known from one rateWindow only.
+	deviations = 3.0
 )
 
 // A Provisioner observes the requests of one service. It is not safe for concurrent use.
--- a/entry/process/scheduler/headroom.go
+++ b/entry/process/scheduler/headroom.go
@@ -18,10 +18,11 @@
 }
 
 // withoutKept returns the upstreams that a request may use: those that are not kept free
-// for more urgent ones. A request that is due by its share may use all.
+// for more urgent ones. That holds also for a request that is due by its share: the share
+// bounds what is kept, so that its part of the upstreams is left to it.
 func (s *Scheduler) withoutKept(now time.Time, w *waiter, p dispatchPass, states []tracker.State) []tracker.State {
 	service := w.request.Service
-	if w.due || !s.policy().Headroom.Enabled(service.HasPriorities()) || w.request.Priority <= service.Priorities[0] {
+	if !s.policy().Headroom.Enabled(service.HasPriorities()) || w.request.Priority <= service.Priorities[0] {
 		return states
 	}
 	key := keptKey{service.Name, w.request.Priority}
