--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -30,10 +30,12 @@
 
 	scheduler *Scheduler
 	// service, priority and since are those of the request and when it got its slot; empty
-	// if another Scheduler has placed it.
+	// if another Scheduler has placed it. counted is set if it counts as a stream of its
+	// priority.
 	service  string
 	priority int
 	since    time.Time
+	counted  bool
 	loads    []upstreamLoad
 	started  bool
 	ended    bool
--- a/entry/process/scheduler/headroom.go
+++ b/entry/process/scheduler/headroom.go
@@ -43,9 +43,10 @@
 	return visible
 }
 
-// keep chooses the upstreams that are kept free from requests of a priority: as many as
-// the more urgent ones fill, but not more than their share. It takes those with the most
-// streams and no part of a long prompt, as the placer prefers them for short prompts.
+// keep chooses the upstreams that are kept free from requests of a priority: those that
+// have streams of more urgent ones, which a part of a long prompt would pause, and as many
+// as these will fill, but not more than their share. After those with streams it takes
+// the ones that the placer prefers for short prompts.
 func (s *Scheduler) keep(now time.Time, service *matcher.Service, priority int, states []tracker.State) map[string]bool {
 	urgent := 0
 	for _, w := range s.queue {
@@ -53,26 +54,37 @@
 			urgent++
 		}
 	}
-	needed := s.provisioner(service.Name).Streams(now, priority, urgent, usualHeldTime(service.Engine))
-	left, most := needed, int(float64(len(states))*s.shareAbove(service, priority))
-	loads := make([]placer.Load, len(states))
+	loads, streams := make([]placer.Load, len(states)), make([]int, len(states))
 	order := make([]int, len(states))
 	for i := range states {
 		order[i] = i
 		if l, ok := s.loads[states[i].ID]; ok {
 			loads[i] = *l
 		}
+		for q, n := range s.streams[states[i].ID] {
+			if q < priority {
+				streams[i] += n
+			}
+		}
 	}
+	needed := s.provisioner(service.Name).Streams(now, priority, urgent, usualHeldTime(service.Engine))
+	left, most := needed, int(float64(len(states))*s.shareAbove(service, priority))
 	slices.SortStableFunc(order, func(i, j int) int {
-		return cmp.Or(cmp.Compare(loads[i].Parts, loads[j].Parts), cmp.Compare(loads[j].Streams, loads[i].Streams), cmp.Compare(states[i].ID, states[j].ID))
+		return cmp.Or(cmp.Compare(streams[j], streams[i]), cmp.Compare(loads[i].Parts, loads[j].Parts), cmp.Compare(loads[j].Streams, loads[i].Streams), cmp.Compare(states[i].ID, states[j].ID))
 	})
 	kept := make(map[string]bool)
 	for _, i := range order {
-		if left <= 0 || len(kept) >= most {
+		if (left <= 0 && streams[i] == 0) || len(kept) >= most {
 			break
 		}
-		kept[states[i].ID] = true
-		left -= max(1, placer.PackingLimit(states[i].Slots))
+		places := streams[i]
+		if loads[i].Parts == 0 {
+			places += max(0, placer.PackingLimit(states[i].Slots)-loads[i].Streams)
+		}
+		if places > 0 {
+			kept[states[i].ID] = true
+			left -= places
+		}
 	}
 	s.logKept(now, keptKey{service.Name, priority}, keptRecord{len(kept), now}, needed, urgent, len(states))
 	return kept
@@ -129,13 +141,34 @@
 	g.service, g.priority, g.since = w.request.Service.Name, w.request.Priority, now
 	if w.request.Service.HasPriorities() {
 		s.provisioner(g.service).Began(now, g.priority)
+		g.counted = true
+		g.countStream(1)
+	}
+}
+
+// countStream adds n to the streams of the grant's priority at its upstream.
+func (g *Grant) countStream(n int) {
+	s, id := g.scheduler, g.Workload.Main
+	if s.streams[id] == nil {
+		s.streams[id] = make(map[int]int)
+	}
+	s.streams[id][g.priority] += n
+	if s.streams[id][g.priority] == 0 {
+		delete(s.streams[id], g.priority)
+	}
+	if len(s.streams[id]) == 0 {
+		delete(s.streams, id)
 	}
 }
 
 func (s *Scheduler) recordEnded(g *Grant) {
+	if !g.counted {
+		return
+	}
+	g.countStream(-1)
 	// A request that was never answered says nothing about how long answers take.
-	if p, ok := s.provisioners[g.service]; ok && g.started {
-		p.Ended(s.deps.Now(), g.priority, s.deps.Now().Sub(g.since))
+	if g.started {
+		s.provisioner(g.service).Ended(s.deps.Now(), g.priority, s.deps.Now().Sub(g.since))
 	}
 }
 
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -117,6 +117,9 @@
 	// provisioners what its more urgent requests will use.
 	sharers      map[string]*sharer.Sharer
 	provisioners map[string]*provisioner.Provisioner
+	// streams is the number of streams at each upstream by priority, where a service has
+	// several.
+	streams map[string]map[int]int
 	// keptLogged is what was last logged as kept free.
 	keptLogged map[keptKey]keptRecord
 	// pausedUntil is the time before which nothing is placed.
@@ -162,7 +165,7 @@
 	return &Scheduler{
 		zone: zone, deps: d,
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
-		sharers: make(map[string]*sharer.Sharer), provisioners: make(map[string]*provisioner.Provisioner), keptLogged: make(map[keptKey]keptRecord),
+		sharers: make(map[string]*sharer.Sharer), provisioners: make(map[string]*provisioner.Provisioner), streams: make(map[string]map[int]int), keptLogged: make(map[keptKey]keptRecord),
 	}
 }
 
