--- a/entry/process/scheduler/describe.go
+++ b/entry/process/scheduler/describe.go
@@ -10,7 +10,7 @@
 	defer s.mu.Unlock()
 	now, all := s.deps.Now(), describer.Classes{}
 	for _, w := range s.queue {
-		all.Add(w.class(), now.Sub(w.request.Requirements.Arrived).Milliseconds())
+		all.Add(w.kind(), now.Sub(w.request.Requirements.Arrived).Milliseconds())
 	}
 	return all.List()
 }
@@ -22,13 +22,13 @@
 	defer s.mu.Unlock()
 	now, all := s.deps.Now(), describer.Classes{}
 	for g := range s.running {
-		all.Add(g.class, now.Sub(g.grantedAt).Milliseconds())
+		all.Add(g.kind, now.Sub(g.since).Milliseconds())
 	}
 	return all.List()
 }
 
-// class returns the class of a request in reports to operators.
-func (w *waiter) class() describer.Class {
+// kind returns the class of a request in reports to operators.
+func (w *waiter) kind() describer.Class {
 	kind := describer.Plain
 	switch {
 	case w.request.Service.Engine == nil:
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -32,12 +32,17 @@
 	Workload Workload
 
 	scheduler *Scheduler
-	loads     []upstreamLoad
-	started   bool
-	ended     bool
-	// class and grantedAt describe the request to operators.
-	class     describer.Class
-	grantedAt time.Time
+	// service, priority and since are those of the request and when it got its slot; empty
+	// if another Scheduler has placed it. counted is set if it counts as a stream of its
+	// priority, and kind describes the request to operators.
+	service  string
+	priority int
+	since    time.Time
+	counted  bool
+	kind     describer.Class
+	loads    []upstreamLoad
+	started  bool
+	ended    bool
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -89,7 +94,7 @@
 // grant takes the chosen slots. The caller holds the lock.
 func (s *Scheduler) grant(now time.Time, w *waiter, c placer.Placement, states []tracker.State) *Grant {
 	main := states[c.Main]
-	g := &Grant{Upstream: main, Estimate: c.TimeToFirstEvent, scheduler: s, class: w.class(), grantedAt: now}
+	g := &Grant{Upstream: main, Estimate: c.TimeToFirstEvent, scheduler: s, kind: w.kind()}
 	s.running[g] = struct{}{}
 	if l, ok := s.loads[main.ID]; ok {
 		g.Load = *l
@@ -110,7 +115,8 @@
 	g.reserve()
 	s.coldLimiter(main.ID).Sent(now)
 	s.countSent(&main)
-	s.ranker(w.request.Service.Name).Record(now, w.request.Team, teamShare, max(1, w.request.Requirements.Prompt+w.request.Requirements.Output))
+	s.recordServed(now, w)
+	s.recordBegun(now, w, g)
 	return g
 }
 
@@ -162,6 +168,7 @@
 		}
 		g.ended, g.scheduler.capacityFreed = true, true
 		delete(g.scheduler.running, g)
+		g.scheduler.recordEnded(g)
 		g.markStarted()
 		for _, h := range g.loads {
 			g.scheduler.addLoad(h.id, h.untilEnd, -1)
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -14,10 +14,14 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/heathervane/heathervane/entry/process/budgeter"
 	"github.com/heathervane/heathervane/entry/process/deferrer"
 	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/projector"
+	"github.com/heathervane/heathervane/entry/process/provisioner"
+	"github.com/heathervane/heathervane/entry/process/sharer"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -50,7 +54,15 @@
 	// OnDecision is told of decisions under load, with the Scheduler locked. It may be
 	// nil.
 	OnDecision func(Decision)
-	Now        func() time.Time
+	// Meter counts decisions; nil for none.
+	Meter Meter
+	Now   func() time.Time
+	Log   zerolog.Logger
+}
+
+// A Meter counts events by metric name.
+type Meter interface {
+	Count(name string, n int64)
 }
 
 // A Request asks for a slot at an upstream.
@@ -117,6 +129,15 @@
 	// those that were told to come back.
 	projector *projector.Projector
 	deferrer  *deferrer.Deferrer
+	// sharers hold the shares of each service's priorities and prompt lengths, and
+	// provisioners what its more urgent requests will use.
+	sharers      map[string]*sharer.Sharer
+	provisioners map[string]*provisioner.Provisioner
+	// streams is the number of streams at each upstream by priority, where a service has
+	// several.
+	streams map[string]map[int]int
+	// keptLogged is what was last logged as kept free.
+	keptLogged map[keptKey]keptRecord
 	// pausedUntil is the time before which nothing is placed.
 	pausedUntil time.Time
 	// capacityFreed is set if a slot may have become free since the last dispatch.
@@ -150,6 +171,9 @@
 	accepted bool
 	// outranks is set if a less urgent request of the same service is queued.
 	outranks bool
+	// due is set if the share of the request's class covers it, when the queue was last
+	// sorted.
+	due bool
 }
 
 // A reply is a grant or a refusal that has not been delivered yet.
@@ -166,6 +190,7 @@
 		zone: zone, deps: d, running: make(map[*Grant]struct{}), projector: projector.New(), deferrer: deferrer.New(),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 		unreported: make(map[string]inspector.Work),
+		sharers:    make(map[string]*sharer.Sharer), provisioners: make(map[string]*provisioner.Provisioner), streams: make(map[string]map[int]int), keptLogged: make(map[keptKey]keptRecord),
 	}
 }
 
@@ -176,6 +201,12 @@
 	return s.deps.Policy()
 }
 
+func (s *Scheduler) count(name string) {
+	if s.deps.Meter != nil {
+		s.deps.Meter.Count(name, 1)
+	}
+}
+
 // A Pending is a submitted request that may still be queued.
 type Pending struct {
 	scheduler *Scheduler
