Read streams ahead of slow callers, within one memory budget

Cause: an event was read from the upstream only after the one before was written to its caller. While the caller read nothing, the upstream's stream stayed unread, the attempt's watchdog took that for the upstream's silence and took a retry, and the placement stayed taken. Buffered responses, events and sockets counted in no budget; request bodies alone did.

Change: one goroutine reads events into a queue, another writes them. The watchdog pauses while the VM holds the upstream back or still writes a long body to it. The placement and the body are released once the whole response is read. accountant divides a part of the VM's memory (Policy.MemoryPercent) among requests by kind and team, refuses new ones early, and names the responses that are furthest behind to be ended. The watchdog's timer is left running from event to event.

The harness of the relayer's tests takes a testing.TB, for the benchmark, and also checks now that all memory was returned.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -93,6 +93,9 @@
 	// and Send returns ErrWithheld. A new connection to a busy upstream may take so long
 	// that the request must not be sent any more. It may be nil.
 	MaySend func() bool
+	// Written, if not nil, is called once the whole request is written, from another
+	// goroutine. An upstream that reads slowly delays it.
+	Written func()
 }
 
 // ErrWithheld reports that a request was not sent because MaySend returned false.
@@ -164,7 +167,13 @@
 	x.stop = context.AfterFunc(inner, func() { n.Close() })
 	// The upstream may respond before it has read the body, and then stop reading.
 	// Writing the whole request before reading the response would block forever.
-	go func() { x.writeDone <- writeRequest(n, req) }()
+	go func() {
+		err := writeRequest(n, req)
+		if err == nil && req.Written != nil {
+			req.Written()
+		}
+		x.writeDone <- err
+	}()
 	if err := x.readHeader(req.Method); err != nil {
 		x.Close()
 		if cause := ctx.Err(); cause != nil {
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -18,8 +18,8 @@
 
 	"github.com/heathervane/heathervane/entry/connection/acceptor"
 	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/process/allocator"
-	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/gossiper"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/picker"
@@ -56,7 +56,8 @@
 	staleCheckInterval = gossiper.HeartbeatInterval / 2
 	// idleSweepInterval is how often idle connections are swept.
 	idleSweepInterval = time.Second
-	// bodyMemoryDivisor limits request bodies to this fraction (1/n) of the VM's memory.
+	// bodyMemoryDivisor limits request bodies to this fraction (1/n) of the VM's memory if
+	// nothing else is limited.
 	bodyMemoryDivisor = 4
 	// callerConnsDivisor limits callers' connections to this fraction (1/n) of the file
 	// descriptors, because each request may need another one for its upstream.
@@ -174,6 +175,7 @@
 	// peerCarrier sends requests to other VMs.
 	peerCarrier *carrier.Carrier
 	relayer     *relayer.Relayer
+	memory      *accountant.Accountant
 	retryBudget *retryBudget
 	// reachability tells which services' upstreams this VM can reach.
 	reachability *reachability
@@ -224,6 +226,7 @@
 		relevantEnds: map[string]*relevantEnd{Configuration: {}, Upstreams: {}, VMs: {}},
 	}
 	v.settings.Store(&settings)
+	v.memory = accountant.New(memoryLimits(settings))
 	// Until a list of upstreams has been read, it counts as outdated.
 	v.tracker.SetOutdated(true)
 	if err := v.openListeners(settings); err != nil {
@@ -264,7 +267,7 @@
 		Table: v.table.Load, Configured: v.configured, Protocol: platform, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver:     reserver.New(settings.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", platform, v.leaseDuration, log),
 		MaxIdleConns: v.maxIdleConns,
-		Prober:       probes, RetryBudget: v.retryBudget, Quarantine: v.quarantine, BodyMemory: bounder.New(settings.Memory / bodyMemoryDivisor), Meter: v.meter, Now: time.Now, Log: log,
+		Prober:       probes, RetryBudget: v.retryBudget, Quarantine: v.quarantine, Memory: v.memory, Meter: v.meter, Now: time.Now, Log: log,
 		ShuttingDown: v.leaving, Reachability: v.reachability,
 	})
 	v.acceptor = acceptor.New(v.callers, v, settings.Descriptors/callerConnsDivisor, time.Now, log)
@@ -304,7 +307,24 @@
 			return err
 		}
 	}
-	return nil
+	for k := range accountant.NumKinds {
+		if err := v.meter.Gauge("memory."+k.String(), func() int64 { return v.memory.Usage("").ByKind[k] }); err != nil {
+			return err
+		}
+	}
+	return v.meter.Gauge("memory.limit", func() int64 { return v.memory.Usage("").Total })
+}
+
+// memoryLimits returns the limits of what requests may use of the VM's memory.
+func memoryLimits(s Settings) accountant.Limits {
+	if !s.Policy.Memory.Enabled(true) {
+		return accountant.Limits{Total: s.Memory / bodyMemoryDivisor, BodiesOnly: true}
+	}
+	percent := s.Policy.MemoryPercent
+	if percent == 0 {
+		percent = switcher.DefaultMemoryPercent
+	}
+	return accountant.Limits{Total: s.Memory * percent / 100}
 }
 
 func (v *Process) version() int64 {
@@ -318,6 +338,7 @@
 // restarted.
 func (v *Process) Reload(s Settings) {
 	old := *v.settings.Swap(&s)
+	v.memory.SetLimits(memoryLimits(s))
 	v.log.Info().Bool("bounds", old.Bounds != s.Bounds).Bool("policy", old.Policy != s.Policy).Msg("settings reloaded")
 }
 
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/pager"
@@ -31,7 +32,11 @@
 	}{
 		{&v.callers, s.CallersAddress}, {&v.readiness, s.ReadyAddress}, {&v.records, s.PeersAddress}, {&v.metrics, s.MetricsAddress},
 	} {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", endpoint.address)
+		config := net.ListenConfig{}
+		if endpoint.listener == &v.callers && s.Policy.Memory.Enabled(true) {
+			config.Control = setSendBuffer
+		}
+		l, err := config.Listen(context.Background(), "tcp", endpoint.address)
 		if err != nil {
 			return err
 		}
@@ -46,6 +51,16 @@
 	return err
 }
 
+// setSendBuffer sets the size of the send buffers of a listener's connections, which take
+// over the listener's. The kernel would let each grow to some megabytes.
+func setSendBuffer(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, relayer.CallerSendBuffer)
+	})
+	return errors.Join(err, optErr)
+}
+
 func (v *Process) closeListeners() {
 	v.gossiper.AnnounceExit()
 	for _, c := range []interface{ Close() error }{v.readiness, v.records, v.metrics, v.datagrams} {
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -36,6 +36,10 @@
 // calls for it.
 func (m Mode) Enabled(called bool) bool { return m == On || (m == Auto && called) }
 
+// DefaultMemoryPercent leaves most of the VM's memory to the runtime, the copies of the
+// platform's records and garbage.
+const DefaultMemoryPercent = 30
+
 // A Policy selects features that decide under load. Its zero value leaves each to the
 // configuration.
 type Policy struct {
@@ -50,6 +54,9 @@
 	// Memory accounts for what the VM and the upstreams hold for slow readers. It is
 	// always called for.
 	Memory Mode
+	// MemoryPercent is the part of the VM's memory that requests may use; 0 means
+	// DefaultMemoryPercent.
+	MemoryPercent int64
 	// Lending moves engines between the groups of a service, and Forecasts prepares for
 	// expected arrivals. A service with several groups calls for them.
 	Lending, Forecasts Mode
--- a/entry/request/reader/reader.go
+++ b/entry/request/reader/reader.go
@@ -24,8 +24,11 @@
 // starts with. The buffer doubles whenever it is full.
 const initialReservation = 64 << 10
 
-// retryAfter is when a caller may retry after a rejection for lack of memory.
-// Bodies stay in memory only until they are forwarded, which takes less time.
+// CodeMemory is the code of refusals for lack of memory.
+const CodeMemory = "memory"
+
+// retryAfter is when a caller may retry after a rejection for lack of memory, unless the
+// Reader knows better. Bodies stay in memory only until they are forwarded, which takes less time.
 const retryAfter = time.Second
 
 // A MemoryBudget limits the bytes reserved by all requests together.
@@ -40,6 +43,9 @@
 	MaxBytes int64
 	// Budget limits the memory of all bodies.
 	Budget MemoryBudget
+	// RetryAfter returns when a caller may retry for which no memory was free, given the
+	// missing bytes. It may be nil.
+	RetryAfter func(n int64) time.Duration
 	// Timeout limits the time for reading a body, so that a caller that stops
 	// in the middle of one does not keep its memory reserved.
 	Timeout time.Duration
@@ -89,13 +95,13 @@
 		size = initialReservation
 	}
 	if !b.reserve(size) {
-		return outOfMemory()
+		return r.outOfMemory(size)
 	}
 	b.Data = make([]byte, 0, size+1)
 	for {
 		if len(b.Data) == cap(b.Data) {
 			if !b.reserve(int64(cap(b.Data))) {
-				return outOfMemory()
+				return r.outOfMemory(int64(cap(b.Data)))
 			}
 			b.Data = append(make([]byte, 0, 2*cap(b.Data)), b.Data...)
 		}
@@ -125,8 +131,12 @@
 	return refuser.New(http.StatusRequestEntityTooLarge, "body_too_large", "the body is longer than %d bytes", r.MaxBytes)
 }
 
-func outOfMemory() *refuser.Refusal {
-	return refuser.New(http.StatusServiceUnavailable, "memory", "no memory is free for a body of this length").WithRetryAfter(retryAfter)
+func (r *Reader) outOfMemory(size int64) *refuser.Refusal {
+	after := retryAfter
+	if r.RetryAfter != nil {
+		after = r.RetryAfter(size * CopiesPerBody)
+	}
+	return refuser.New(http.StatusServiceUnavailable, CodeMemory, "no memory is free for a body of this length").WithRetryAfter(after)
 }
 
 func readFailure(err error) *refuser.Refusal {
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -25,6 +25,10 @@
 	// retryDelay is the wait after memory could not be reserved, or after a
 	// placement became unusable before the request was sent.
 	retryDelay = 30 * time.Millisecond
+	// maxUnpacedBody is the size up to which a body fits into the buffers of a
+	// connection. A longer one is written as fast as the upstream reads it, and an
+	// upstream that reads slowly is not silent.
+	maxUnpacedBody = 64 << 10
 	// minTimeLeft is the least time until the deadline with which a request is
 	// sent. With less, the response would come too late for the caller.
 	minTimeLeft = 20 * time.Millisecond
@@ -45,6 +49,7 @@
 	sentAt      time.Time
 	// firstEventSeen is true once the first event of a stream was received.
 	firstEventSeen bool
+	closed         bool
 }
 
 // upstreams returns the IDs of all upstreams that work on the attempt.
@@ -56,8 +61,13 @@
 	return ids
 }
 
-// close ends the attempt and releases its reserved memory and its placement.
+// close ends the attempt and releases its reserved memory and its placement. It may be
+// called more than once.
 func (a *attempt) close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	if a.watchdog != nil {
 		a.watchdog.stop()
 	}
@@ -275,7 +285,12 @@
 	a.cancel, a.sentAt = cancel, r.deps.Now()
 	estimate := max(j.route.Objective, time.Duration(a.grant.Estimate*float64(time.Millisecond)))
 	a.watchdog = r.startWatchdog(j, estimate+firstEventGrace, cancel)
-	x, failure := r.deps.Carrier.Send(attemptCtx, a.grant.Upstream.Address, r.newUpstreamRequest(j, a, r.deps.Now()))
+	q := r.newUpstreamRequest(j, a, r.deps.Now())
+	if len(q.Body) > maxUnpacedBody {
+		a.watchdog.pause()
+		q.Written = func() { a.watchdog.reset(estimate + firstEventGrace) }
+	}
+	x, failure := r.deps.Carrier.Send(attemptCtx, a.grant.Upstream.Address, q)
 	if failure != nil {
 		return r.handleSendFailure(ctx, j, a, failure)
 	}
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -20,8 +20,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/process/allocator"
-	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/meter"
 	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
@@ -156,13 +156,14 @@
 
 // A harness runs a relayer with upstreams that respond as a test defines.
 type harness struct {
-	t          *testing.T
+	t          testing.TB
 	server     *httptest.Server
 	relayer    *relayer.Relayer
 	tracker    *tracker.Tracker
 	carrier    *carrier.Carrier
 	budget     *retryBudget
 	memory     *engineMemory
+	accounts   *accountant.Accountant
 	meter      *meter.Meter
 	table      *matcher.Table
 	shutdownIn atomic.Int64
@@ -263,7 +264,7 @@
 	}
 }
 
-func newHarness(t *testing.T, c matcher.Config) *harness {
+func newHarness(t testing.TB, c matcher.Config) *harness {
 	t.Helper()
 	b := newUnconfiguredHarness(t, c)
 	close(b.configured)
@@ -272,11 +273,12 @@
 
 // newUnconfiguredHarness returns a harness without a configuration until the test
 // closes configured.
-func newUnconfiguredHarness(t *testing.T, c matcher.Config) *harness {
+func newUnconfiguredHarness(t testing.TB, c matcher.Config) *harness {
 	t.Helper()
 	b := &harness{
 		t: t, tracker: tracker.New(), carrier: carrier.New(time.Now), budget: &retryBudget{remaining: 10}, meter: meter.New(),
 		memory: &engineMemory{held: map[string]int{}, full: map[string]bool{}}, table: matcher.New(c),
+		accounts:   accountant.New(accountant.Limits{Total: 8 << 20}),
 		configured: make(chan struct{}), avoided: map[string]bool{},
 	}
 	clock := ticker.New(time.Now, time.Millisecond)
@@ -296,7 +298,7 @@
 		}),
 		MaxIdleConns: func(int, string) int { return 0 },
 		Quarantine:   lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
-		RetryBudget:  b.budget, BodyMemory: bounder.New(8 << 20), Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+		RetryBudget:  b.budget, Memory: b.accounts, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		VM: "me", Reachability: b, Peers: b, PeerCarrier: carrier.New(time.Now), MaxForwarded: 2,
 		ShuttingDown: func() (bool, time.Duration) { return b.shutdownIn.Load() > 0, time.Duration(b.shutdownIn.Load()) },
 	})
@@ -305,6 +307,9 @@
 	// Cleanups run in reverse order: the server's Close waits for all requests to
 	// end, then the placements still in use are counted.
 	t.Cleanup(func() { assert.Check(t, len(places.Loads()) == 0, "placements were not released: %v", places.Loads()) })
+	t.Cleanup(func() {
+		assert.Check(t, b.accounts.Usage("").Used == 0, "memory was not returned: %v", b.accounts.Usage(""))
+	})
 	t.Cleanup(b.server.Close)
 	return b
 }
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/reserver"
@@ -183,8 +184,9 @@
 	Prober      *prober.Prober
 	RetryBudget RetryBudget
 	// Quarantine holds the requests that crash upstreams.
-	Quarantine   Quarantine
-	BodyMemory   reader.MemoryBudget
+	Quarantine Quarantine
+	// Memory accounts for what requests hold on this VM.
+	Memory       *accountant.Accountant
 	Meter        Meter
 	Now          func() time.Time
 	Log          zerolog.Logger
@@ -248,7 +250,11 @@
 	// the status and headers were sent.
 	lastEventID string
 	headerSent  bool
-	log         requestLog
+	// memory is what the request holds on this VM, and ended is set once its response was
+	// ended because memory was short.
+	memory *accountant.Holder
+	ended  atomic.Bool
+	log    requestLog
 }
 
 // A requestLog collects fields of the request's log line.
@@ -285,14 +291,20 @@
 	if leaving, _ := r.deps.ShuttingDown(); leaving {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() {
+		j.body.Release()
+		j.memory.Close(r.deps.Now())
+	}()
 	if refusal := r.accept(w, j); refusal != nil {
+		if refusal.Code == reader.CodeMemory {
+			r.logMemory(j, refusal)
+		}
 		if j.forwarded && refusal.Code != codeQuarantined {
 			w.Header().Set(declinedHeader, refusal.Code)
 		}
 		r.refuse(w, j, refusal)
 		return
 	}
-	defer j.body.Release()
 	control := http.NewResponseController(w)
 	if err := control.SetWriteDeadline(j.deadline.Add(writeGrace)); err != nil {
 		r.deps.Log.Warn().Str("id", j.info.ID).Err(err).Msg("could not set the write deadline of the caller's connection")
@@ -334,7 +346,13 @@
 	if leaving, left := r.deps.ShuttingDown(); leaving && (j.forwarded || left < r.expectedDuration(j)) {
 		return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(retryAfter)
 	}
-	bodies := reader.Reader{MaxBytes: table.Limits.MaxBodyBytes, Budget: r.deps.BodyMemory, Timeout: min(timeout, maxBodyReadTime)}
+	if refusal := r.openMemory(w, j); refusal != nil {
+		return refusal
+	}
+	bodies := reader.Reader{
+		MaxBytes: table.Limits.MaxBodyBytes, Budget: bodyBudget{j.memory, r.deps.Now}, Timeout: min(timeout, maxBodyReadTime),
+		RetryAfter: func(n int64) time.Duration { return r.deps.Memory.RetryAfter(r.deps.Now(), j.teamName(), n) },
+	}
 	if bodies.MaxBytes <= 0 {
 		bodies.MaxBytes = maxBufferedBytes
 	}
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/heathervane/heathervane/entry/process/accountant"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -16,6 +18,7 @@
 var (
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
 	errEventTooLong   = errors.New("event exceeds the size limit")
+	errNoMemory       = errors.New("no memory is free for the response")
 )
 
 // A callerWriteError is a failure to write to the caller. Another upstream would not
@@ -51,7 +54,7 @@
 			return
 		}
 		var writeErr *callerWriteError
-		if errors.As(err, &writeErr) {
+		if errors.As(err, &writeErr) || errors.Is(err, errNoMemory) {
 			r.abort(ctx, j, err)
 		}
 		if ctx.Err() == nil && a.watchdog.retryGranted.Load() {
@@ -76,7 +79,7 @@
 // caller that already has a part of the stream cannot get it; its connection is
 // closed instead.
 func (r *Relayer) serveErrorResponse(ctx context.Context, w http.ResponseWriter, j *job, a *attempt) {
-	res, err := readResponse(a)
+	res, err := readResponse(a, j.memory, r.deps.Now)
 	if err != nil || j.headerSent {
 		a.close()
 		if j.headerSent {
@@ -88,45 +91,89 @@
 	r.deliver(ctx, w, j, res)
 }
 
-// relayEvents forwards the events of one upstream until its stream ends.
+// relayEvents forwards the events of one upstream until its stream ends. They are read by
+// another goroutine than this one, which writes them: while the caller reads nothing, the
+// upstream is still read, and its silence can be told from the caller's.
 func (r *Relayer) relayEvents(w http.ResponseWriter, j *job, a *attempt) error {
-	x := a.exchange
-	if !a.response.Sealed || x.Header.Get("Content-Encoding") != "" {
+	if !a.response.Sealed || a.exchange.Header.Get("Content-Encoding") != "" {
 		return errUnsealed
 	}
-	events := bufio.NewReaderSize(x.Body, 1<<10)
-	control := http.NewResponseController(w)
+	q := newEventQueue(j.memory, r.deps.Now)
+	go r.readEvents(j, a, q)
+	err := r.writeEvents(w, j, a, q)
+	if err != nil {
+		q.abandon()
+		a.cancel()
+	}
+	<-q.readerDone
+	j.log.maxPause = max(j.log.maxPause, q.maxPause)
+	return err
+}
+
+// readEvents reads the events of one upstream into a queue until its stream ends. Then it
+// closes the attempt, so that the upstream does not stay taken while the caller reads the
+// rest.
+func (r *Relayer) readEvents(j *job, a *attempt, q *eventQueue) {
+	defer close(q.readerDone)
+	defer a.close()
+	events := bufio.NewReaderSize(a.exchange.Body, 1<<10)
+	silence := max(maxSilence, 2*j.route.GapTarget)
 	var last time.Time
 	for {
-		event, err := readEvent(events)
+		event, reserved, err := readEvent(events, q.growEvent)
 		now := r.deps.Now()
 		if !last.IsZero() {
-			j.log.maxPause = max(j.log.maxPause, now.Sub(last))
+			q.maxPause = max(q.maxPause, now.Sub(last))
 		}
 		last = now
-		a.watchdog.reset(max(maxSilence, 2*j.route.GapTarget))
-		if errors.Is(err, io.EOF) {
+		a.watchdog.pause()
+		if err != nil {
+			q.memory.Release(now, accountant.Events, reserved)
+			if errors.Is(err, io.EOF) {
+				// The request is not sent again.
+				j.body.Release()
+			}
+			q.finish(err)
+			return
+		}
+		r.recordEvent(now, a)
+		held, ok := q.put(queuedEvent{event, now, reserved})
+		if !ok {
+			return
+		}
+		last = last.Add(held)
+		a.watchdog.reset(silence)
+	}
+}
+
+// writeEvents writes the events in a queue to the caller, each as soon as it can.
+func (r *Relayer) writeEvents(w http.ResponseWriter, j *job, a *attempt, q *eventQueue) error {
+	control := http.NewResponseController(w)
+	for {
+		event, err := q.first()
+		if err == nil || errors.Is(err, io.EOF) {
 			if !j.headerSent {
 				r.sendHeader(w, j, a)
 			}
+		}
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		r.recordEvent(now, a)
-		if !j.headerSent {
-			r.sendHeader(w, j, a)
-		}
-		if _, err := w.Write(event); err != nil {
+		j.memory.Behind(event.arrived)
+		if _, err := w.Write(event.data); err != nil {
 			return &callerWriteError{err}
 		}
 		if err := control.Flush(); err != nil {
 			return &callerWriteError{err}
 		}
-		if id := r.deps.Protocol.EventID(event); id != "" {
+		j.memory.CaughtUp()
+		if id := r.deps.Protocol.EventID(event.data); id != "" {
 			j.lastEventID = id
 		}
+		q.removeFirst()
 	}
 }
 
@@ -154,29 +201,35 @@
 	r.deps.Meter.Time("first", j.log.timeToFirst)
 }
 
-// readEvent reads one event, including the blank line that ends it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// readEvent reads one event, including the blank line that ends it. It calls grow for the
+// memory of what exceeds eventReserve, and returns how much of it that has taken.
+func readEvent(r *bufio.Reader, grow func(n int64) bool) (event []byte, reserved int64, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		if int64(len(event)+len(line)) > reserved+eventReserve {
+			if !grow(eventReserve) {
+				return nil, reserved, errNoMemory
+			}
+			reserved += eventReserve
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(event) > maxEventBytes {
-				return nil, errEventTooLong
+				return nil, reserved, errEventTooLong
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(event) == 0:
-			return nil, io.EOF
+			return nil, reserved, io.EOF
 		case errors.Is(err, io.EOF):
-			return nil, errTruncatedEvent
+			return nil, reserved, errTruncatedEvent
 		case err != nil:
-			return nil, err
+			return nil, reserved, err
 		case len(event) > maxEventBytes:
-			return nil, errEventTooLong
+			return nil, reserved, errEventTooLong
 		}
 		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) {
-			return event, nil
+			return event, reserved, nil
 		}
 	}
 }
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -20,9 +20,12 @@
 	retryGranted atomic.Bool
 
 	mu sync.Mutex
-	// timer is nil if the attempt is not watched, or no longer.
-	timer *time.Timer
-	// dueAt is when the upstream will have been silent for too long.
+	// timer is nil if the attempt is not watched, or no longer. It runs until firesAt,
+	// which is zero if it does not run.
+	timer   *time.Timer
+	firesAt time.Time
+	// dueAt is when the upstream will have been silent for too long. It is zero while
+	// nothing is expected of the upstream.
 	dueAt time.Time
 	now   func() time.Time
 	// mayRetry reports whether the request may be sent to another upstream, and takes the
@@ -62,6 +65,7 @@
 	defer w.mu.Unlock()
 	w.mayRetry = mayRetry
 	w.dueAt = w.now().Add(firstTimeout)
+	w.firesAt = w.dueAt
 	w.timer = time.AfterFunc(firstTimeout, w.check)
 }
 
@@ -73,12 +77,17 @@
 	if w.timer == nil {
 		return
 	}
-	if left := w.dueAt.Sub(w.now()); left > 0 {
-		w.timer.Reset(left)
+	now := w.now()
+	w.firesAt = time.Time{}
+	if w.dueAt.IsZero() {
+		return
+	}
+	if left := w.dueAt.Sub(now); left > 0 {
+		w.wake(w.dueAt, left)
 		return
 	}
 	if !w.mayRetry() {
-		w.timer.Reset(deniedRetryInterval)
+		w.wake(now.Add(deniedRetryInterval), deniedRetryInterval)
 		return
 	}
 	w.timer = nil
@@ -86,16 +95,34 @@
 	w.cancel()
 }
 
-// reset restarts the timer, to wait for the next event.
+// wake runs the timer until a point in time.
+func (w *watchdog) wake(at time.Time, wait time.Duration) {
+	w.firesAt = at
+	w.timer.Reset(wait)
+}
+
+// reset starts to wait for the upstream's next event. A timer that fires sooner is left
+// running, as most events come long before.
 func (w *watchdog) reset(wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.dueAt = w.now().Add(wait)
-		w.timer.Reset(wait)
+	if w.timer == nil {
+		return
+	}
+	w.dueAt = w.now().Add(wait)
+	if w.firesAt.IsZero() || w.dueAt.Before(w.firesAt) {
+		w.wake(w.dueAt, wait)
 	}
 }
 
+// pause stops the time until reset is called, because the upstream is not waited for: the
+// VM does not read what it sends, or has not yet sent it the whole request.
+func (w *watchdog) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dueAt = time.Time{}
+}
+
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/trimmer"
 )
@@ -31,7 +32,7 @@
 		}
 		// The upstream has responded. A slow body does not count as silence.
 		a.watchdog.stop()
-		res, err := readResponse(a)
+		res, err := readResponse(a, j.memory, r.deps.Now)
 		if err == nil {
 			r.deliver(ctx, w, j, res)
 			return
@@ -50,17 +51,31 @@
 // errUnsealed is a successful response that has no seal or a content encoding.
 var errUnsealed = errors.New("response is unsealed or content-encoded")
 
-// readResponse reads the body up to maxBufferedBytes and one byte more.
-func readResponse(a *attempt) (response, error) {
+// readResponse reads the body until it exceeds maxBufferedBytes or no memory is free for
+// more of it.
+func readResponse(a *attempt, memory *accountant.Holder, now func() time.Time) (response, error) {
 	x := a.exchange
 	if x.Status < http.StatusMultipleChoices && (!a.response.Sealed || x.Header.Get("Content-Encoding") != "") {
 		return response{}, errUnsealed
 	}
-	data, err := io.ReadAll(io.LimitReader(x.Body, maxBufferedBytes+1))
-	if err != nil {
-		return response{}, err
+	data := make([]byte, 0, initialResponse)
+	for len(data) <= maxBufferedBytes {
+		if len(data) == cap(data) {
+			if cap(data) >= responseReserve && !memory.Grow(now(), accountant.Responses, int64(cap(data))) {
+				return response{attempt: a, data: data, partial: true}, nil
+			}
+			data = append(make([]byte, 0, 2*cap(data)), data...)
+		}
+		n, err := x.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return response{attempt: a, data: data}, nil
+		}
+		if err != nil {
+			return response{}, err
+		}
 	}
-	return response{attempt: a, data: data, partial: len(data) > maxBufferedBytes}, nil
+	return response{attempt: a, data: data, partial: true}, nil
 }
 
 // deliver sends a response to the caller.
@@ -81,9 +96,15 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.data)))
 	}
 	w.WriteHeader(x.Status)
-	_, err := w.Write(res.data)
+	if !res.partial {
+		// A caller that reads slowly must not keep the upstream and the body.
+		res.attempt.close()
+		j.body.Release()
+	}
+	caller := callerWriter{w, j.memory, r.deps.Now}
+	_, err := caller.Write(res.data)
 	if err == nil && res.partial {
-		_, err = io.Copy(w, x.Body)
+		_, err = io.Copy(caller, x.Body)
 	}
 	if err != nil {
 		r.abort(ctx, j, err)
@@ -138,7 +159,11 @@
 // abort closes the caller's connection if the response cannot be completed. If it
 // were ended properly, a truncated response would look complete.
 func (r *Relayer) abort(ctx context.Context, j *job, err error) {
-	if ctx.Err() != nil {
+	switch {
+	case j.ended.Load():
+		err = errEnded
+		r.deps.Meter.Count("memory.ended", 1)
+	case ctx.Err() != nil:
 		err = context.Cause(ctx)
 	}
 	j.log.cause = "response aborted: " + err.Error()
