Limit what the kernel holds unsent for slow readers

Send buffers grow to some megabytes, so a caller that stops reading kept more in the kernel than was counted, and a long body counted as written before the upstream had read it. TCP_NOTSENT_LOWAT limits unsent data to 32 KiB and leaves data in flight alone; SO_SNDBUF was ruled out, since it also limits throughput to distant callers.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -36,6 +36,10 @@
 	userTimeoutMillis = 3000
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
 	tcpUserTimeout = 18
+	// MaxUnsent is how many bytes written to a connection may wait to be sent, and
+	// tcpNotSentLowat the Linux socket option TCP_NOTSENT_LOWAT that limits them.
+	MaxUnsent       = 32 << 10
+	tcpNotSentLowat = 25
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream does
 	// not announce its own timeout. If it does, the connection is kept for that
 	// timeout less idleMargin.
--- a/entry/connection/carrier/pool.go
+++ b/entry/connection/carrier/pool.go
@@ -54,7 +54,7 @@
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
+		Control:         setOptions,
 	}
 	c.dials.Add(1)
 	raw, err := d.DialContext(ctx, "tcp", address)
@@ -65,6 +65,28 @@
 	return &conn{Conn: raw, headerLimit: l, reader: bufio.NewReaderSize(l, readBufferSize)}, nil
 }
 
+// LimitUnsent sets TCP_NOTSENT_LOWAT on a socket, so that a peer that reads slowly keeps
+// little in the kernel, whose send buffers grow to some megabytes, and a write ends when
+// the peer has taken nearly all of it. Data in flight is not limited.
+func LimitUnsent(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpNotSentLowat, MaxUnsent)
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
+
+// setOptions sets the options of a connection to an upstream.
+func setOptions(network, address string, raw syscall.RawConn) error {
+	if err := LimitUnsent(network, address, raw); err != nil {
+		return err
+	}
+	return setUserTimeout(network, address, raw)
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket. Without it, a connection to an
 // upstream that has lost power hangs for minutes.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -5,9 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/pager"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 )
@@ -33,8 +33,9 @@
 		{&v.callers, s.CallersAddress}, {&v.readiness, s.ReadyAddress}, {&v.records, s.PeersAddress}, {&v.metrics, s.MetricsAddress},
 	} {
 		config := net.ListenConfig{}
+		// Accepted connections take the option over from the listener.
 		if endpoint.listener == &v.callers && s.Policy.Memory.Enabled(true) {
-			config.Control = setSendBuffer
+			config.Control = carrier.LimitUnsent
 		}
 		l, err := config.Listen(context.Background(), "tcp", endpoint.address)
 		if err != nil {
@@ -51,16 +52,6 @@
 	return err
 }
 
-// setSendBuffer sets the size of the send buffers of a listener's connections, which take
-// over the listener's. The kernel would let each grow to some megabytes.
-func setSendBuffer(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, relayer.CallerSendBuffer)
-	})
-	return errors.Join(err, optErr)
-}
-
 func (v *Process) closeListeners() {
 	v.gossiper.AnnounceExit()
 	for _, c := range []interface{ Close() error }{v.readiness, v.records, v.metrics, v.datagrams} {
--- a/entry/request/relayer/memory.go
+++ b/entry/request/relayer/memory.go
@@ -5,17 +5,18 @@
 	"net/http"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/request/reader"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 )
 
 const (
-	// callerSendBuffer is the size that the send buffer of a caller's connection has in the
-	// kernel, see CallerSendBuffer. upstreamReceiveBuffer is what an upstream may have sent
+	// callerSendBuffer is what the kernel holds for a caller that does not read: unsent
+	// data with its bookkeeping. upstreamReceiveBuffer is what an upstream may have sent
 	// and this VM not read, requestOverhead what else a request takes: two goroutines and
 	// the buffers of their connections, and the first event or part of its response.
-	callerSendBuffer      = 64 << 10
+	callerSendBuffer      = 2 * carrier.MaxUnsent
 	upstreamReceiveBuffer = 32 << 10
 	requestOverhead       = 16 << 10
 	// requestMemory is the memory that each request takes besides its body.
@@ -28,10 +29,6 @@
 	initialResponse = 1 << 10
 )
 
-// CallerSendBuffer is the size of the send buffer to set for callers' connections. The
-// kernel doubles it, for its own bookkeeping.
-const CallerSendBuffer = callerSendBuffer / 2
-
 // errEnded reports a response that was ended because memory was short.
 var errEnded = errors.New("caller reads too slowly, and memory is short")
 
