--- a/entry/connection/carrier/pool.go
+++ b/entry/connection/carrier/pool.go
@@ -65,10 +65,19 @@
 	return &conn{Conn: raw, headerLimit: l, reader: bufio.NewReaderSize(l, readBufferSize)}, nil
 }
 
-// LimitUnsent sets TCP_NOTSENT_LOWAT on a socket, so that a peer that reads slowly keeps
+// CallerListenConfig returns the configuration of a listener whose connections keep little
+// for peers that read slowly. They take the listener's options over, unless it offers
+// Multipath TCP.
+func CallerListenConfig() *net.ListenConfig {
+	c := &net.ListenConfig{Control: limitUnsent}
+	c.SetMultipathTCP(false)
+	return c
+}
+
+// limitUnsent sets TCP_NOTSENT_LOWAT on a socket, so that a peer that reads slowly keeps
 // little in the kernel, whose send buffers grow to some megabytes, and a write ends when
 // the peer has taken nearly all of it. Data in flight is not limited.
-func LimitUnsent(_, _ string, raw syscall.RawConn) error {
+func limitUnsent(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
 		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpNotSentLowat, MaxUnsent)
@@ -81,7 +90,7 @@
 
 // setOptions sets the options of a connection to an upstream.
 func setOptions(network, address string, raw syscall.RawConn) error {
-	if err := LimitUnsent(network, address, raw); err != nil {
+	if err := limitUnsent(network, address, raw); err != nil {
 		return err
 	}
 	return setUserTimeout(network, address, raw)
--- a/entry/process/accountant/accountant.go
+++ b/entry/process/accountant/accountant.go
@@ -45,16 +45,14 @@
 	// requests that are already running upstream.
 	newFactor  = 4
 	growFactor = 16
-	// newPatience and growPatience are how far behind a response must be to be ended for
-	// a new request, or for one in progress.
-	newPatience  = 3 * time.Second
-	growPatience = time.Second
+	// patience is how far behind a response must be to be ended for another request.
+	patience = 3 * time.Second
 	// releaseWindow is the time constant of the average rate at which memory is returned.
 	releaseWindow = 2 * time.Second
-	// minRetryAfter and maxRetryAfter limit RetryAfter. After newPatience responses that
-	// hold up new requests are ended.
+	// minRetryAfter and maxRetryAfter limit RetryAfter. After patience responses that hold
+	// up new requests are ended.
 	minRetryAfter = 500 * time.Millisecond
-	maxRetryAfter = newPatience
+	maxRetryAfter = patience
 )
 
 // Limits are the limits of an Accountant.
@@ -120,15 +118,16 @@
 // Admit takes memory for a new request. It takes nothing and returns false if too little
 // is free; responses that are far behind may be ended then.
 func (h *Holder) Admit(now time.Time, k Kind, n int64) bool {
-	return h.take(now, k, n, newFactor, newPatience)
+	return h.take(now, k, n, newFactor)
 }
 
-// Grow is like Admit for a request in progress, for which more is left.
+// Grow is like Admit for a request in progress, for which more is left. Only responses
+// that are further behind than its own may be ended.
 func (h *Holder) Grow(now time.Time, k Kind, n int64) bool {
-	return h.take(now, k, n, growFactor, growPatience)
+	return h.take(now, k, n, growFactor)
 }
 
-func (h *Holder) take(now time.Time, k Kind, n, factor int64, patience time.Duration) bool {
+func (h *Holder) take(now time.Time, k Kind, n, factor int64) bool {
 	a := h.accountant
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -143,7 +142,7 @@
 			return false
 		}
 	} else if lacking := a.lacking(h.team, n, factor); lacking > 0 {
-		a.endSlowest(now, lacking, patience, a.byTeam[h.team])
+		a.endSlowest(now, lacking, h)
 		return false
 	}
 	h.held[k] += n
@@ -160,20 +159,24 @@
 }
 
 // endSlowest ends the responses that are furthest behind, until lacking is covered by what
-// they hold. It spares teams that hold less than floor.
-func (a *Accountant) endSlowest(now time.Time, lacking int64, patience time.Duration, floor int64) {
+// they hold, for a request that needs memory. It spares teams that hold less than that of
+// the request.
+func (a *Accountant) endSlowest(now time.Time, lacking int64, needy *Holder) {
 	for h := range a.holders {
 		if h.ending {
 			lacking -= h.total()
 		}
 	}
 	latest := now.Add(-patience).UnixNano()
+	if own := needy.behindSince.Load(); own != 0 {
+		latest = min(latest, own-1)
+	}
 	for lacking > 0 {
 		var slowest *Holder
 		least := latest
 		for h := range a.holders {
 			since := h.behindSince.Load()
-			if since != 0 && since <= least && !h.ending && a.byTeam[h.team] >= floor {
+			if since != 0 && since <= least && !h.ending && a.byTeam[h.team] >= a.byTeam[needy.team] {
 				slowest, least = h, since
 			}
 		}
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -32,10 +32,9 @@
 	}{
 		{&v.callers, s.CallersAddress}, {&v.readiness, s.ReadyAddress}, {&v.records, s.PeersAddress}, {&v.metrics, s.MetricsAddress},
 	} {
-		config := net.ListenConfig{}
-		// Accepted connections take the option over from the listener.
+		config := &net.ListenConfig{}
 		if endpoint.listener == &v.callers && s.Policy.Memory.Enabled(true) {
-			config.Control = carrier.LimitUnsent
+			config = carrier.CallerListenConfig()
 		}
 		l, err := config.Listen(context.Background(), "tcp", endpoint.address)
 		if err != nil {
