Leave memory of engines to others when a VM decides alone

Cause: a VM that no leader answers placed up to the whole memory of an engine, as it assumed for the other VMs what it had seen when it last had a placement: nothing right after a start.

Ruled out: a part for each reachable VM, which with 78 VMs is less than one short prompt takes.

Change: it leaves half of the usable memory to others. Nothing changes for leaders.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -447,6 +447,7 @@
 				return a.deps.ColdStartQuota(upstream, rate, !l.localOnly)
 			},
 			RateQuota: func(rate float64) float64 { return a.limitShare(l, rate) },
+			Alone:     func() bool { return l.localOnly && len(a.deps.Members()) > 0 },
 		})
 		a.ledGroups[g] = l
 	}
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -203,12 +203,16 @@
 
 func (s *Scheduler) candidates(now time.Time, r Request, states []tracker.State) []placer.Candidate {
 	cs := make([]placer.Candidate, 0, len(states))
+	unreported := 0
+	if e := r.Service.Engine; e != nil && s.policy().Memory.Enabled(true) && s.deps.Alone != nil && s.deps.Alone() {
+		unreported = max(0, placer.MemoryOfOthers(e)-s.assumedLoad.ContextTokens)
+	}
 	for i := range states {
 		u := &states[i]
 		c := placer.Candidate{
 			ID: u.ID, Zone: u.Zone, Slots: u.Slots, SameZone: u.Zone == r.Zone, Quota: unlimitedQuota,
 			Cold: now.Before(u.ColdUntil), Unreachable: now.Before(u.UnreachableUntil) || slices.Contains(r.Unreachable, u.ID),
-			Leaving: now.Before(u.LeavingUntil), Failed: u.Outcomes.Failed, Answered: u.Outcomes.Answered,
+			Leaving: now.Before(u.LeavingUntil), Failed: u.Outcomes.Failed, Answered: u.Outcomes.Answered, UnreportedTokens: unreported,
 		}
 		if l, ok := s.loads[u.ID]; ok {
 			c.Load = *l
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -41,6 +41,9 @@
 	// RateQuota returns how many requests per second this Scheduler may place at
 	// an upstream that has announced a rate limit for all VMs together.
 	RateQuota func(limit float64) float64
+	// Alone reports whether other VMs place requests at the same upstreams without a
+	// report to this Scheduler. It may be nil.
+	Alone func() bool
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -52,7 +52,10 @@
 type Candidate struct {
 	ID, Zone string
 	Load     Load
-	Slots    int
+	// UnreportedTokens is the memory that requests may hold there of which Load has none,
+	// because other VMs place them without a report.
+	UnreportedTokens int
+	Slots            int
 	// Quota is how many requests may be sent there now; it is small during a
 	// cold start. Unreachable says that connections to it have just failed or
 	// that the requesting VM cannot connect to it.
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -108,5 +108,12 @@
 }
 
 func (c *Candidate) freeMemory(e *matcher.Engine) int {
-	return int(usableMemoryShare*float64(e.KVCapacity)) - c.Load.ContextTokens
+	return usableMemory(e) - c.Load.ContextTokens - c.UnreportedTokens
 }
+
+func usableMemory(e *matcher.Engine) int { return int(usableMemoryShare * float64(e.KVCapacity)) }
+
+// MemoryOfOthers is how many tokens a VM that decides alone leaves to the other VMs at an
+// engine: half of what requests may fill. An engine whose requests exceed its memory fails
+// all of them.
+func MemoryOfOthers(e *matcher.Engine) int { return usableMemory(e) / 2 }
