--- a/entry/connection/carrier/carrier_test.go
+++ b/entry/connection/carrier/carrier_test.go
@@ -395,3 +395,27 @@
 	})
 	assert.Equal(t, received.Load(), int64(0))
 }
+
+// An upstream reads a long request slowly. Whoever waits for its response must be able to
+// tell that it has not received the whole request yet.
+func TestWrittenFollowsTheUpstreamsReading(t *testing.T) {
+	var written atomic.Bool
+	early := make(chan bool, 1)
+	address, _ := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+		early <- written.Load()
+		if _, err := io.Copy(io.Discard, q.Body); err == nil {
+			io.WriteString(c, ok) //nolint:errcheck // the test reads it
+		}
+	})
+	q := carrier.Request{Method: http.MethodPost, Target: "/", Host: "a", Body: make([]byte, 16<<20), Written: func() { written.Store(true) }}
+	response, err := roundTrip(t, carrier.New(time.Now), address, q)
+	assert.NilError(t, err)
+	assert.Equal(t, response, "hi")
+	assert.Assert(t, !<-early, "most of the request was not read")
+	assert.Assert(t, written.Load())
+}
--- a/entry/process/accountant/accountant.go
+++ b/entry/process/accountant/accountant.go
@@ -95,7 +95,7 @@
 	accountant *Accountant
 	team       string
 	// end ends the response to the request.
-	end  func()
+	end  func(Ending)
 	held [NumKinds]int64
 	// ending is set once end was called, and closed by Close.
 	ending, closed bool
@@ -104,10 +104,21 @@
 	behindSince atomic.Int64
 }
 
+// An Ending is why a response is ended.
+type Ending struct {
+	// Behind is for how long its caller has not taken what was ready, and Held the memory
+	// of the request in bytes.
+	Behind time.Duration
+	Held   int64
+	// Team is the team of the request that needs memory, and Lacking how much it lacked.
+	Team    string
+	Lacking int64
+}
+
 // Open returns a Holder without memory for a request. Its end is called at most once and
 // never after Close, with the Accountant's lock held: it must not block or use the
 // Accountant.
-func (a *Accountant) Open(team string, end func()) *Holder {
+func (a *Accountant) Open(team string, end func(Ending)) *Holder {
 	h := &Holder{accountant: a, team: team, end: end}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -184,8 +195,8 @@
 			return
 		}
 		slowest.ending = true
+		slowest.end(Ending{Behind: time.Duration(now.UnixNano() - least), Held: slowest.total(), Team: needy.team, Lacking: lacking})
 		lacking -= slowest.total()
-		slowest.end()
 	}
 }
 
--- a/entry/process/accountant/accountant_test.go
+++ b/entry/process/accountant/accountant_test.go
@@ -17,10 +17,10 @@
 
 var start = time.Unix(1000, 0)
 
-func fail() { panic("a response was ended") }
+func fail(accountant.Ending) { panic("a response was ended") }
 
 // fill opens requests of a team until no more is admitted.
-func fill(a *accountant.Accountant, team string, end func()) (all []*accountant.Holder) {
+func fill(a *accountant.Accountant, team string, end func(accountant.Ending)) (all []*accountant.Holder) {
 	for {
 		h := a.Open(team, end)
 		if !h.Admit(start, accountant.Sockets, unit) {
@@ -49,7 +49,12 @@
 func TestSlowestReadersAreEnded(t *testing.T) {
 	a := accountant.New(accountant.Limits{Total: total})
 	var ended []string
-	note := func(name string) func() { return func() { ended = append(ended, name) } }
+	note := func(name string) func(accountant.Ending) {
+		return func(e accountant.Ending) {
+			assert.Assert(t, e.Team == "large" && e.Held == unit && e.Lacking > 0 && e.Behind == 5*time.Second, "%+v", e)
+			ended = append(ended, name)
+		}
+	}
 	small := a.Open("small", note("small"))
 	assert.Assert(t, small.Admit(start, accountant.Sockets, unit))
 	slow, slower := a.Open("large", note("slow")), a.Open("large", note("slower"))
@@ -125,7 +130,7 @@
 		var open []*request
 		openOne := func(t *rapid.T) {
 			r := &request{team: rapid.SampledFrom(teams).Draw(t, "team")}
-			r.holder = a.Open(r.team, func() {
+			r.holder = a.Open(r.team, func(accountant.Ending) {
 				assert.Assert(t, !r.ended && !r.behind.IsZero() && now.Sub(r.behind) >= 3*time.Second)
 				r.ended = true
 			})
--- a/entry/request/relayer/memory.go
+++ b/entry/request/relayer/memory.go
@@ -36,8 +36,8 @@
 // if it is not free.
 func (r *Relayer) openMemory(w http.ResponseWriter, j *job) *refuser.Refusal {
 	control := http.NewResponseController(w)
-	j.memory = r.deps.Memory.Open(j.teamName(), func() {
-		j.ended.Store(true)
+	j.memory = r.deps.Memory.Open(j.teamName(), func(e accountant.Ending) {
+		j.ended.Store(&e)
 		control.SetWriteDeadline(time.Unix(0, 1)) //nolint:errcheck // a closed connection needs no deadline
 	})
 	now := r.deps.Now()
@@ -59,6 +59,14 @@
 	line.Msg("request refused for lack of memory")
 }
 
+// logEnding logs that a response was ended for lack of memory, with the inputs of the
+// decision.
+func (r *Relayer) logEnding(j *job, e *accountant.Ending) {
+	r.deps.Meter.Count("memory.ended", 1)
+	r.deps.Log.Info().Str("id", j.info.ID).Str("team", j.teamName()).Dur("behind", e.Behind).Int64("held", e.Held).
+		Str("for_team", e.Team).Int64("lacking", e.Lacking).Msg("response of a slow caller ended for lack of memory")
+}
+
 // A bodyBudget is the memory for the body of one request.
 type bodyBudget struct {
 	holder *accountant.Holder
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -250,10 +250,10 @@
 	// the status and headers were sent.
 	lastEventID string
 	headerSent  bool
-	// memory is what the request holds on this VM, and ended is set once its response was
-	// ended because memory was short.
+	// memory is what the request holds on this VM, and ended is not nil once its response
+	// was ended because memory was short.
 	memory *accountant.Holder
-	ended  atomic.Bool
+	ended  atomic.Pointer[accountant.Ending]
 	log    requestLog
 }
 
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -159,11 +159,10 @@
 // abort closes the caller's connection if the response cannot be completed. If it
 // were ended properly, a truncated response would look complete.
 func (r *Relayer) abort(ctx context.Context, j *job, err error) {
-	switch {
-	case j.ended.Load():
+	if e := j.ended.Load(); e != nil {
 		err = errEnded
-		r.deps.Meter.Count("memory.ended", 1)
-	case ctx.Err() != nil:
+		r.logEnding(j, e)
+	} else if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
 	j.log.cause = "response aborted: " + err.Error()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -439,6 +438,22 @@
 	k.running--
 }
 
+// LongEvents is the end of the paths whose streams have events of LongEventBytes and more:
+// a caller that reads them slowly soon fills the buffers on the way.
+const (
+	LongEvents     = "/long"
+	LongEventBytes = 64 << 10
+)
+
+// event returns an event of a stream.
+func event(path string, i int) string {
+	text := strconv.Itoa(i)
+	if strings.HasSuffix(path, LongEvents) {
+		text += strings.Repeat(".", LongEventBytes)
+	}
+	return "id: " + strconv.Itoa(i) + "\ndata: " + text + "\n\n"
+}
+
 func (k *Worker) stream(w http.ResponseWriter, q *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(strings.TrimSpace(q.Header.Get("Last-Event-Id")))
@@ -456,7 +471,7 @@
 			flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		io.WriteString(w, event(q.URL.Path, i))
 		flusher.Flush()
 	}
 }
