--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/pager"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 	"github.com/heathervane/heathervane/library/describer"
@@ -33,7 +34,11 @@
 	}{
 		{&v.callers, s.CallersAddress}, {&v.readiness, s.ReadyAddress}, {&v.records, s.PeersAddress}, {&v.metrics, s.MetricsAddress},
 	} {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", endpoint.address)
+		config := &net.ListenConfig{}
+		if endpoint.listener == &v.callers && s.Policy.Memory.Enabled(true) {
+			config = carrier.CallerListenConfig()
+		}
+		l, err := config.Listen(context.Background(), "tcp", endpoint.address)
 		if err != nil {
 			return err
 		}
