Repeat no first read while its answer arrives

Found at the reading of the change: a large page over a narrow link (20 Mbit/s) takes longer than the 250 ms after which a call is repeated; up to six answers would share the link. Whatever arrives of an answer now counts as progress. The tests fail without it (calls repeated while a part arrives).

--- a/entry/process/hedger/hedger.go
+++ b/entry/process/hedger/hedger.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,8 +25,8 @@
 
 // A Policy says when calls are repeated. Its zero value repeats none.
 type Policy struct {
-	// Wait returns how long the latest of a number of calls may stay unanswered before
-	// another is made. If it is nil, the answer is Never.
+	// Wait returns how long the latest of a number of calls may stay unanswered, and no
+	// part of any answer may arrive, before another is made. If it is nil, the answer is Never.
 	Wait func(calls int) time.Duration
 	// Timeout bounds all calls for one answer; 0 leaves that to the context.
 	Timeout time.Duration
@@ -36,6 +37,17 @@
 
 type policyKey struct{}
 
+type progressKey struct{}
+
+// ReportProgress records that a part of an answer has arrived in a call that Do makes with
+// the context. While an answer arrives, the call is not repeated: a second answer would
+// share a narrow link with the first.
+func ReportProgress(ctx context.Context) {
+	if at, ok := ctx.Value(progressKey{}).(*atomic.Int64); ok {
+		at.Store(time.Now().UnixNano())
+	}
+}
+
 // NewContext returns a context that carries a policy for the calls made with it.
 func NewContext(ctx context.Context, p Policy) context.Context {
 	return context.WithValue(ctx, policyKey{}, p)
@@ -63,7 +75,8 @@
 	if p.Wait == nil {
 		return call(ctx)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	var progressAt atomic.Int64
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, progressKey{}, &progressAt))
 	defer cancel()
 	results := make(chan result[T])
 	var open []context.CancelFunc
@@ -101,7 +114,8 @@
 			var none T
 			return none, context.Cause(ctx)
 		case now := <-review.C:
-			if now.Sub(latest) < p.Wait(calls) {
+			wait := p.Wait(calls)
+			if now.Sub(latest) < wait || now.Sub(time.Unix(0, progressAt.Load())) < wait {
 				continue
 			}
 			if p.Repeated != nil {
--- a/entry/process/hedger/hedger_test.go
+++ b/entry/process/hedger/hedger_test.go
@@ -111,6 +111,43 @@
 	}
 }
 
+// A large answer arrives over a narrow link for longer than the wait. Repeated calls would
+// share the link, and none of them would end in time.
+func TestCallIsNotRepeatedWhileItsAnswerArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int32
+		_, err := hedger.Do(hedger.NewContext(t.Context(), every(wait)), func(ctx context.Context) (int, error) {
+			calls.Add(1)
+			for range 15 {
+				time.Sleep(wait * 2 / 5)
+				hedger.ReportProgress(ctx)
+			}
+			return 0, nil
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, calls.Load(), int32(1))
+	})
+}
+
+// An answer that stops in the middle is lost too.
+func TestCallIsRepeatedOnceItsAnswerStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int32
+		startedAt := time.Now()
+		_, err := hedger.Do(hedger.NewContext(t.Context(), every(wait)), func(ctx context.Context) (int, error) {
+			if calls.Add(1) > 1 {
+				return 0, nil
+			}
+			time.Sleep(100 * time.Millisecond)
+			hedger.ReportProgress(ctx)
+			<-ctx.Done()
+			return 0, ctx.Err()
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(startedAt) <= wait+150*time.Millisecond)
+	})
+}
+
 // A refused call is left to the caller's backoff, unless an earlier one may be answered.
 func TestFailureEndsOnlyTheLastOpenCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
