--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -26,6 +26,9 @@
 	earlyDeviations, lateDeviations = 2.0, 3.0
 	// minRateShare is the smallest fraction of the estimated rate that is assumed.
 	minRateShare = 0.2
+	// promiseMargin is the multiple of the latest time that must be left when a place is
+	// promised: what arrives meanwhile may go first.
+	promiseMargin = 2
 	// longest caps projected waits.
 	longest = time.Hour
 )
@@ -169,7 +172,7 @@
 		return Refuse
 	case !settle:
 		return Wait
-	case now.Add(p.Latest).After(limit):
+	case now.Add(promiseMargin * p.Latest).After(limit):
 		return Refuse
 	}
 	return Accept
--- a/entry/process/projector/projector_test.go
+++ b/entry/process/projector/projector_test.go
@@ -105,6 +105,7 @@
 		{p(time.Second, 3*time.Second), false, projector.Wait},
 		{p(3*time.Second, 4*time.Second), false, projector.Refuse},
 		{p(time.Second, 3*time.Second), true, projector.Refuse},
+		{p(0, 1100*time.Millisecond), true, projector.Refuse},
 		{p(0, time.Second), true, projector.Accept},
 	} {
 		assert.Equal(t, projector.Decide(now, c.projection, c.settle, limit), c.want, "%v, settle %v", c.projection, c.settle)
