--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -145,8 +145,12 @@
 	}
 }
 
+// seconds converts s, which is infinite or not a number if there is no capacity.
 func seconds(s float64) time.Duration {
-	return time.Duration(min(s, longest.Seconds()) * float64(time.Second))
+	if s < longest.Seconds() {
+		return time.Duration(s * float64(time.Second))
+	}
+	return longest
 }
 
 // A Verdict is what becomes of a queued request.
--- a/entry/process/projector/projector_test.go
+++ b/entry/process/projector/projector_test.go
@@ -66,6 +66,16 @@
 	assert.Equal(t, p.Project(now, lane, d), before)
 }
 
+// Without capacity nothing can begin, whatever is ahead.
+func TestNoCapacityIsProjectedAsTheLongestWait(t *testing.T) {
+	for _, capacity := range []float64{0, -1, 1e-308} {
+		for _, ahead := range []float64{0, 1} {
+			got := projector.New().Project(time.Unix(1_000_000, 0), lane, projector.Demand{Ahead: ahead, Own: 1, Capacity: capacity})
+			assert.Equal(t, got, projector.Projection{Earliest: time.Hour, Expected: time.Hour, Latest: time.Hour}, "capacity %v, ahead %v", capacity, ahead)
+		}
+	}
+}
+
 func TestProjectionsAreOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p, now := projector.New(), time.Unix(1_000_000, 0)
