--- a/entry/process/projector/projector.go
+++ b/entry/process/projector/projector.go
@@ -26,6 +26,9 @@
 	earlyDeviations, lateDeviations = 2.0, 3.0
 	// minRateShare is the smallest fraction of the estimated rate that is assumed.
 	minRateShare = 0.2
+	// promiseMargin is the multiple of the latest time that must be left when a place is
+	// promised: what arrives meanwhile may go first.
+	promiseMargin = 2
 	// longest caps projected waits.
 	longest = time.Hour
 )
@@ -142,8 +145,12 @@
 	}
 }
 
+// seconds converts s, which is infinite or not a number if there is no capacity.
 func seconds(s float64) time.Duration {
-	return time.Duration(min(s, longest.Seconds()) * float64(time.Second))
+	if s < longest.Seconds() {
+		return time.Duration(s * float64(time.Second))
+	}
+	return longest
 }
 
 // A Verdict is what becomes of a queued request.
@@ -169,7 +176,7 @@
 		return Refuse
 	case !settle:
 		return Wait
-	case now.Add(p.Latest).After(limit):
+	case now.Add(promiseMargin * p.Latest).After(limit):
 		return Refuse
 	}
 	return Accept
