--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -33,6 +33,12 @@
 			a.moveToZone(now, o, w.Zone)
 		}
 	}
+	for _, w := range m.Withdrawals {
+		// IDs begin anew with each run of the process.
+		if w.Boot == a.boot {
+			a.withdrawPlacement(w.ID)
+		}
+	}
 	if m.Stopping {
 		a.suspect(now, from, "leader is stopping")
 	}
--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -170,6 +170,9 @@
 	o.lastSent = now
 	out := a.outgoingTo(m.Address)
 	out.Requests = append(out.Requests, o.wire(now))
+	if o.spec.Preemptible {
+		out.Preemptible = append(out.Preemptible, o.id)
+	}
 }
 
 func (o *request) maxSilent() int {
@@ -184,7 +187,11 @@
 	l := a.lead(now, o.group, false)
 	l.localOnly = !a.isLeaderOrBackup(o.group)
 	o.leader, o.firstSent = netip.AddrPort{}, now
-	queued := l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
+	spec := o.spec
+	if spec.Preemptible {
+		spec.Withdraw = func() { a.withdrawPlacement(o.id) }
+	}
+	queued := l.scheduler.Submit(spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		if _, ok := a.requests[o.id]; !ok {
 			if g != nil {
 				g.Release()
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/scheduler"
@@ -294,7 +295,8 @@
 		}
 	}
 	for i := range m.Requests {
-		a.handleRequest(now, from, h, &m.Requests[i])
+		w := &m.Requests[i]
+		a.handleRequest(now, from, h, w, slices.Contains(m.Preemptible, w.ID))
 	}
 }
 
@@ -319,7 +321,7 @@
 }
 
 // handleRequest handles another VM's request for a placement.
-func (a *Allocator) handleRequest(now time.Time, from netip.AddrPort, h *client, w *wireRequest) {
+func (a *Allocator) handleRequest(now time.Time, from netip.AddrPort, h *client, w *wireRequest, preemptible bool) {
 	if o, ok := h.requests[w.ID]; ok {
 		// The request was resent.
 		o.lastConfirmed = now
@@ -363,6 +365,13 @@
 	o := &remoteRequest{group: l, spec: w.spec(now), hops: w.Hops, lastConfirmed: now}
 	o.spec.Service = service
 	o.spec.Backoffs = func() map[string]time.Time { return h.backoffs }
+	if preemptible {
+		id, boot := w.ID, h.boot
+		o.spec.Withdraw = func() {
+			out := a.outgoingTo(from)
+			out.Withdrawals = append(out.Withdrawals, wireWithdrawal{ID: id, Boot: boot})
+		}
+	}
 	h.requests[w.ID] = o
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -46,6 +46,11 @@
 	Departures []wireDeparture `cbor:"28,keyasint,omitempty"`
 	Backoffs   []wireBackoff   `cbor:"29,keyasint,omitempty"`
 
+	// Preemptible lists those of Requests whose placements may be taken back.
+	Preemptible []uint64 `cbor:"36,keyasint,omitempty"`
+
+	// Withdrawals ask for placements of the receiver back.
+	Withdrawals []wireWithdrawal `cbor:"35,keyasint,omitempty"`
 	// Grants and Refusals answer requests. Queued lists requests that wait,
 	// NotLeading those for which the receiver must use another leader, and
 	// OtherZones those that should move to the group of another zone.
--- a/entry/process/allocator/place.go
+++ b/entry/process/allocator/place.go
@@ -30,6 +30,10 @@
 	workload      scheduler.Workload
 	started       bool
 	released      bool
+	// withdrawn is set once a leader has asked for the placement back, and onWithdrawal is
+	// called then; nil until the holder has set it.
+	withdrawn    bool
+	onWithdrawal func()
 	// grant is the local scheduler's record of the placement; nil if only
 	// another VM counts it.
 	grant *scheduler.Grant
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/tracker"
@@ -36,9 +37,13 @@
 	priority int
 	since    time.Time
 	counted  bool
-	loads    []upstreamLoad
-	started  bool
-	ended    bool
+	// withdraw asks for the slot back, and withdrawnAt is when it was called; nil and zero
+	// if it was not, or if the request must keep its slot.
+	withdraw    func()
+	withdrawnAt time.Time
+	loads       []upstreamLoad
+	started     bool
+	ended       bool
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -112,6 +117,9 @@
 	s.countSent(&main)
 	s.recordServed(now, w)
 	s.recordBegun(now, w, g)
+	if g.withdraw = w.request.Withdraw; g.withdraw != nil {
+		s.reading = append(s.reading, g)
+	}
 	return g
 }
 
@@ -150,6 +158,10 @@
 		return
 	}
 	g.started = true
+	if g.withdraw != nil {
+		s := g.scheduler
+		s.reading = slices.DeleteFunc(s.reading, func(o *Grant) bool { return o == g })
+	}
 	for _, h := range g.loads {
 		g.scheduler.addLoad(h.id, h.untilStart, -1)
 	}
@@ -163,6 +175,7 @@
 		}
 		g.ended, g.scheduler.capacityFreed = true, true
 		g.scheduler.recordEnded(g)
+		g.scheduler.retryAfterWithdrawal(g)
 		g.markStarted()
 		for _, h := range g.loads {
 			g.scheduler.addLoad(h.id, h.untilEnd, -1)
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -39,6 +39,7 @@
 		remaining = append(remaining, w)
 	}
 	s.queue, s.capacityFreed = remaining, false
+	s.preempt(now, p)
 }
 
 // A class identifies requests that compete for the same slots, so that none of them
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -74,6 +74,12 @@
 	// Backoffs returns until when that VM may not send anything to some upstreams. It may
 	// be nil, and so may its result.
 	Backoffs func() map[string]time.Time
+	// Preemptible reports that the request may be taken back from its upstreams and placed
+	// again as long as no event of its response has come.
+	Preemptible bool
+	// Withdraw asks the VM that holds the placement to give it back for a more urgent
+	// request. It is called once at most; nil if the request is not Preemptible.
+	Withdraw func()
 	// StopsAt is when that VM shuts down; zero if no shutdown is planned.
 	StopsAt time.Time
 }
@@ -129,8 +135,11 @@
 	// assumedLoad is the load at each upstream that other VMs may have added
 	// without reporting it.
 	assumedLoad placer.Load
-	// replies are delivered once the lock is released.
-	replies []reply
+	// reading are the grants that may be taken back: no event has come from them yet.
+	reading []*Grant
+	// replies and withdrawals are delivered once the lock is released.
+	replies     []reply
+	withdrawals []func()
 }
 
 // A waiter is a queued request.
@@ -206,11 +215,15 @@
 	s.mu.Lock()
 	f()
 	replies := s.replies
-	s.replies = nil
+	withdrawals := s.withdrawals
+	s.replies, s.withdrawals = nil, nil
 	s.mu.Unlock()
 	for _, r := range replies {
 		r.waiter.notify(r.grant, r.refusal)
 	}
+	for _, withdraw := range withdrawals {
+		withdraw()
+	}
 }
 
 // Cancel removes the request from the queue, because its caller has disconnected or
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -150,7 +150,7 @@
 		giveUpAt = j.arrivedAt.Add(j.route.CallerTimeout)
 	}
 	grant, refused := r.deps.Allocator.Acquire(ctx, scheduler.Request{
-		Service: j.service, Priority: j.priority(), Team: j.teamName(),
+		Service: j.service, Priority: j.priority(), Team: j.teamName(), Preemptible: j.mayGiveWay(),
 		Requirements: placer.Request{
 			Prompt: j.info.PromptTokens, Output: j.info.MaxOutputTokens, Tried: j.tried, MaxPause: float64(j.route.GapTarget.Milliseconds()),
 			Arrived: j.arrivedAt, Objective: j.arrivedAt.Add(j.route.Objective), Deadline: j.deadline, CallerTimeout: giveUpAt,
@@ -275,6 +275,7 @@
 	a.cancel, a.sentAt = cancel, r.deps.Now()
 	estimate := max(j.route.Objective, time.Duration(a.grant.Estimate*float64(time.Millisecond)))
 	a.watchdog = r.startWatchdog(j, estimate+firstEventGrace, cancel)
+	r.watchWithdrawal(j, a)
 	x, failure := r.deps.Carrier.Send(attemptCtx, a.grant.Upstream.Address, r.newUpstreamRequest(j, a, r.deps.Now()))
 	if failure != nil {
 		return r.handleSendFailure(ctx, j, a, failure)
--- a/entry/request/relayer/failure.go
+++ b/entry/request/relayer/failure.go
@@ -30,6 +30,10 @@
 	if ctx.Err() != nil {
 		return final
 	}
+	if a.watchdog.gaveWay.Load() {
+		r.handleWithdrawal(j, a)
+		return retryGranted
+	}
 	if a.watchdog.retryGranted.Load() {
 		r.handleStall(j, a)
 		return retryGranted
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -245,7 +245,9 @@
 	// tried lists the upstreams that failed. possibleRuns counts the attempts that
 	// may have run the request. declines counts those that did not: nothing was
 	// sent, or the upstream said so.
-	tried        []string
+	tried []string
+	// gaveWay is set once the request has given way to a more urgent one.
+	gaveWay      bool
 	possibleRuns int
 	declines     int
 	// lastEventID is the last event sent to the caller. headerSent is true once
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -54,6 +54,10 @@
 		if errors.As(err, &writeErr) {
 			r.abort(ctx, j, err)
 		}
+		if ctx.Err() == nil && a.watchdog.gaveWay.Load() {
+			r.handleWithdrawal(j, a)
+			continue
+		}
 		if ctx.Err() == nil && a.watchdog.retryGranted.Load() {
 			r.handleStall(j, a)
 			continue
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -18,13 +18,18 @@
 	// retryGranted is true once the watchdog has ended the attempt. Its retry was
 	// taken from the budget.
 	retryGranted atomic.Bool
+	// gaveWay is true if it did so because more urgent requests wait, not because the
+	// upstream was silent.
+	gaveWay atomic.Bool
 
 	mu sync.Mutex
 	// timer is nil if the attempt is not watched, or no longer.
 	timer *time.Timer
 	// dueAt is when the upstream will have been silent for too long.
 	dueAt time.Time
-	now   func() time.Time
+	// eventSeen is true once the upstream has sent an event, or has ended its response.
+	eventSeen bool
+	now       func() time.Time
 	// mayRetry reports whether the request may be sent to another upstream, and takes the
 	// retry from the budget.
 	mayRetry func() bool
@@ -90,6 +95,7 @@
 func (w *watchdog) reset(wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.eventSeen = true
 	if w.timer != nil {
 		w.dueAt = w.now().Add(wait)
 		w.timer.Reset(wait)
