--- a/entry/process/allocator/preemption_test.go
+++ b/entry/process/allocator/preemption_test.go
@@ -92,7 +92,7 @@
 	delayed = true
 	urgent := n.submitRanked(0, 0, 1000)
 	n.run(10 * time.Millisecond)
-	urgent.Cancel()
+	_ = urgent.Cancel()
 	assert.Assert(t, len(late) > 0)
 	long.MarkStarted()
 	n.start(n.vms[1], 2)
