--- a/entry/process/scheduler/headroom_test.go
+++ b/entry/process/scheduler/headroom_test.go
@@ -89,7 +89,7 @@
 
 // A deployment whose requests all have the same priority must be served as without the
 // features for priorities.
-func TestOnePriorityIsDecidedAsWithoutHeadroomAndShares(t *testing.T) {
+func TestOnePriorityIsDecidedAsWithoutPriorities(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		// With several engines chance decides between equal ones.
 		fleets := []*fleet{newFleet(1), newFleet(1)}
@@ -114,6 +114,7 @@
 				if len(priorities) > 0 {
 					c.Priority = priorities[0]
 				}
+				c.Preemptible, c.Withdraw = true, func() { t.Fatalf("step %d: a request was to give way to an equal one", step) }
 				result := ""
 				f.Submit(c, func(g *scheduler.Grant, r *scheduler.Refusal) {
 					if r != nil {
