Order requests by their team's priority and then by their route's

A team's priority still takes precedence; among teams with the same one the route's decides. Where a service's routes have one priority the numbers stay as they are. The priorities of a service now are those that its requests can have: a route's own does not count where all its callers have a team with another.

--- a/entry/process/sharer/sharer.go
+++ b/entry/process/sharer/sharer.go
@@ -67,16 +67,17 @@
 	return len(s.waiting) > 1 && s.credits[class] >= cost
 }
 
-// Weight returns the weight of a priority, given those that the settings name and the
-// priorities of the service in ascending order. A priority that the settings leave out has
-// half of the weight of the next more urgent one, or 1 if it is the most urgent.
+// Weight returns the weight of a priority, given those that the settings name by rank, from
+// 0 for the most urgent priority of a service, and the priorities of the service in
+// ascending order. A rank that the settings leave out has half of the weight of the one
+// before, and the first has the weight 1.
 func Weight(settings map[int]float64, priorities []int, priority int) float64 {
 	weight := 1.0
 	for i, p := range priorities {
 		if p > priority {
 			break
 		}
-		if set, ok := settings[p]; ok {
+		if set, ok := settings[i]; ok {
 			weight = set
 		} else if i > 0 {
 			weight /= 2
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -47,9 +47,9 @@
 	// requests that have not begun for them, and Shares divides capacity by weight among
 	// priorities, prompt lengths and teams. Different priorities call for these too.
 	Headroom, Preemption, Shares Mode
-	// PriorityWeights are the weights of priorities, and TeamWeights those of teams, for
-	// Shares. A priority that is missing has half of the weight of the next more urgent
-	// one, and a team that is missing has the weight 1.
+	// PriorityWeights are the weights of a service's priorities by rank, from 0 for the
+	// most urgent, and TeamWeights those of teams, for Shares. A rank that is missing has
+	// half of the weight of the one before, and a team that is missing has the weight 1.
 	PriorityWeights map[int]float64
 	TeamWeights     map[string]float64
 	// Memory accounts for what the VM and the upstreams hold for slow readers. It is
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -430,14 +430,7 @@
 // engines take.
 const typicalCallDuration = 1500 * time.Millisecond
 
-// priority returns the priority of the request's team if it has one, else that of
-// the route.
-func (j *job) priority() int {
-	if j.team != nil && j.team.HasPriority {
-		return j.team.Priority
-	}
-	return j.route.Priority
-}
+func (j *job) priority() int { return j.service.Priority(j.route, j.team) }
 
 func (j *job) teamName() string {
 	if j.team == nil {
--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -81,12 +81,31 @@
 	// Priorities are the different priorities that requests of the service may have, in
 	// ascending order. New sets them from the routes and teams.
 	Priorities []int
+	// routePriorities are the different priorities of the service's routes in ascending
+	// order, if requests are ordered by that of their team first and that of their route
+	// second; nil otherwise.
+	routePriorities []int
 }
 
 // HasPriorities reports whether some requests of the service are more urgent than
 // others.
 func (s *Service) HasPriorities() bool { return len(s.Priorities) > 1 }
 
+// Priority returns the priority of a team's request on a route; team may be nil. A team's
+// priority takes precedence over the route's, which orders the requests of teams with the
+// same one.
+func (s *Service) Priority(route *Route, team *Team) int {
+	first := route.Priority
+	if team != nil && team.HasPriority {
+		first = team.Priority
+	}
+	if s.routePriorities == nil {
+		return first
+	}
+	second, _ := slices.BinarySearch(s.routePriorities, route.Priority)
+	return first*len(s.routePriorities) + min(second, len(s.routePriorities)-1)
+}
+
 // Rank returns the place of a priority among those of the service, from 0 for the most
 // urgent, and the number of these places. A priority that the configuration does not name
 // takes the place of the next less urgent one.
@@ -162,28 +181,39 @@
 		}
 	}
 	for name, s := range t.services {
-		s.Priorities = c.priorities(name)
+		c.setPriorities(s, name)
 	}
 	return t
 }
 
-// priorities returns the different priorities of a service's requests in ascending
-// order.
-func (c *Config) priorities(service string) []int {
-	var all []int
+// setPriorities sets the different priorities of a service's requests in ascending order.
+func (c *Config) setPriorities(s *Service, name string) {
+	var routes []*Route
+	var byRoute []int
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if slices.ContainsFunc(r.Split, func(w WeightedService) bool { return w.Service == service }) {
-			all = append(all, r.Priority)
+		if slices.ContainsFunc(r.Split, func(w WeightedService) bool { return w.Service == name }) {
+			routes, byRoute = append(routes, r), append(byRoute, r.Priority)
 		}
 	}
-	for i := range c.Teams {
-		if len(all) > 0 && c.Teams[i].HasPriority {
-			all = append(all, c.Teams[i].Priority)
+	slices.Sort(byRoute)
+	byRoute = slices.Compact(byRoute)
+	ranked := func(t Team) bool { return t.HasPriority }
+	if len(byRoute) > 1 && slices.ContainsFunc(c.Teams, ranked) {
+		s.routePriorities = byRoute
+	}
+	for _, r := range routes {
+		// Requests on other routes need a key if there is any team.
+		if r.Anonymous || len(c.Teams) == 0 {
+			s.Priorities = append(s.Priorities, s.Priority(r, nil))
+			continue
+		}
+		for i := range c.Teams {
+			s.Priorities = append(s.Priorities, s.Priority(r, &c.Teams[i]))
 		}
 	}
-	slices.Sort(all)
-	return slices.Compact(all)
+	slices.Sort(s.Priorities)
+	s.Priorities = slices.Compact(s.Priorities)
 }
 
 // Route returns the route of a request. The path must be as sent, with its escapes:
