--- a/entry/version/matcher/matcher.go
+++ b/entry/version/matcher/matcher.go
@@ -188,6 +188,7 @@
 
 // setPriorities sets the different priorities of a service's requests in ascending order.
 func (c *Config) setPriorities(s *Service, name string) {
+	s.Priorities, s.routePriorities = nil, nil
 	var routes []*Route
 	var byRoute []int
 	for i := range c.Routes {
--- a/entry/version/matcher/matcher_test.go
+++ b/entry/version/matcher/matcher_test.go
@@ -139,7 +139,6 @@
 	assert.DeepEqual(t, u.Priorities, []int{1})
 	assert.Equal(t, u.Priority(&config.Routes[2], x), 1, "one route's priority: the team's number as it is")
 	config.Teams[1].Priority = 0
-	config.Services[0].Priorities = nil
 	s, _ = matcher.New(config).Service("s")
 	assert.Equal(t, len(s.Priorities), 4)
 	assert.Assert(t, s.Priority(b, &config.Teams[1]) < s.Priority(a, x), "the team takes precedence")
