Merge take-back of requests that give way, and priorities of teams and routes together

TestServiceKnowsThePrioritiesOfItsRequests: its case of a team's priority has a team without one too, as a route's own priority no longer counts where every team has another.

--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -51,6 +51,11 @@
 	Fingerprints []wireFingerprint `cbor:"30,keyasint,omitempty"`
 	Claims       []wireClaim       `cbor:"31,keyasint,omitempty"`
 	UsedClaims   []wireUsedClaim   `cbor:"32,keyasint,omitempty"`
+	// Preemptible lists those of Requests whose placements may be taken back.
+	Preemptible []uint64 `cbor:"36,keyasint,omitempty"`
+
+	// Withdrawals ask for placements of the receiver back.
+	Withdrawals []wireWithdrawal `cbor:"35,keyasint,omitempty"`
 
 	// Grants and Refusals answer requests. Queued lists requests that wait,
 	// NotLeading those for which the receiver must use another leader, and
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -50,6 +50,7 @@
 	}
 	s.queue, s.capacityFreed = remaining, false
 	s.observeLanes(now)
+	s.preempt(now, p)
 }
 
 // A class identifies requests that compete for the same slots, so that none of them
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -44,16 +44,16 @@
 // configuration.
 type Policy struct {
 	// Admission refuses requests at once that cannot be served in time, and Claims keeps
-	// a place for those that come back when told to. A service whose requests have
+	// a place for those that come back when told to. A service whose routes have
 	// different priorities calls for both.
 	Admission, Claims Mode
 	// Headroom keeps capacity free for more urgent requests, Preemption takes back
 	// requests that have not begun for them, and Shares divides capacity by weight among
 	// priorities, prompt lengths and teams. Different priorities call for these too.
 	Headroom, Preemption, Shares Mode
-	// PriorityWeights are the weights of priorities, and TeamWeights those of teams, for
-	// Shares. A priority that is missing has half of the weight of the next more urgent
-	// one, and a team that is missing has the weight 1.
+	// PriorityWeights are the weights of a service's priorities by rank, from 0 for the
+	// most urgent, and TeamWeights those of teams, for Shares. A rank that is missing has
+	// half of the weight of the one before, and a team that is missing has the weight 1.
 	PriorityWeights map[int]float64
 	TeamWeights     map[string]float64
 	// Memory accounts for what the VM and the upstreams hold for slow readers. It is
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -165,6 +165,7 @@
 	}
 	grant, refused := r.deps.Allocator.Acquire(ctx, scheduler.Request{
 		Service: j.service, Priority: j.priority(), Team: j.teamName(), Fingerprint: binary.BigEndian.Uint64(j.fingerprint[:]),
+		Preemptible: j.mayGiveWay(),
 		Requirements: placer.Request{
 			Prompt: j.info.PromptTokens, Output: j.info.MaxOutputTokens, Tried: j.tried, MaxPause: float64(j.route.GapTarget.Milliseconds()),
 			Arrived: j.arrivedAt, Objective: j.arrivedAt.Add(j.route.Objective), Deadline: j.deadline, CallerTimeout: giveUpAt,
@@ -290,6 +291,7 @@
 	a.cancel, a.sentAt = cancel, r.deps.Now()
 	estimate := max(j.route.Objective, time.Duration(a.grant.Estimate*float64(time.Millisecond)))
 	a.watchdog = r.startWatchdog(j, estimate+firstEventGrace, cancel)
+	r.watchWithdrawal(j, a)
 	q := r.newUpstreamRequest(j, a, r.deps.Now())
 	if len(q.Body) > maxUnpacedBody {
 		a.watchdog.pause()
@@ -386,7 +388,9 @@
 		TimeLeft: j.deadline.Sub(now), Upstream: a.grant.Upstream.ID, Team: j.teamName(), LastEventID: j.lastEventID,
 	}
 	if e := j.service.Engine; e != nil {
-		o.Rank, o.Ranks = j.service.Rank(j.priority())
+		if j.service.HasPriorities() {
+			o.Rank, o.Ranks = j.service.Rank(j.priority())
+		}
 		o.Short = placer.IsShort(e, j.info.PromptTokens)
 	}
 	reserved := 0
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -249,7 +249,9 @@
 	// tried lists the upstreams that failed. possibleRuns counts the attempts that
 	// may have run the request. declines counts those that did not: nothing was
 	// sent, or the upstream said so.
-	tried        []string
+	tried []string
+	// gaveWay is set once the request has given way to a more urgent one.
+	gaveWay      bool
 	possibleRuns int
 	declines     int
 	// lastEventID is the last event sent to the caller. headerSent is true once
@@ -448,14 +450,7 @@
 // engines take.
 const typicalCallDuration = 1500 * time.Millisecond
 
-// priority returns the priority of the request's team if it has one, else that of
-// the route.
-func (j *job) priority() int {
-	if j.team != nil && j.team.HasPriority {
-		return j.team.Priority
-	}
-	return j.route.Priority
-}
+func (j *job) priority() int { return j.service.Priority(j.route, j.team) }
 
 func (j *job) teamName() string {
 	if j.team == nil {
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -57,6 +57,10 @@
 		if errors.As(err, &writeErr) || errors.Is(err, errNoMemory) {
 			r.abort(ctx, j, err)
 		}
+		if ctx.Err() == nil && a.watchdog.gaveWay.Load() {
+			r.handleWithdrawal(j, a)
+			continue
+		}
 		if ctx.Err() == nil && a.watchdog.retryGranted.Load() {
 			r.handleStall(j, a)
 			continue
@@ -126,7 +130,7 @@
 			q.maxPause = max(q.maxPause, now.Sub(last))
 		}
 		last = now
-		a.watchdog.pause()
+		a.watchdog.received()
 		if err != nil {
 			q.memory.Release(now, accountant.Events, reserved)
 			if errors.Is(err, io.EOF) {
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -18,6 +18,9 @@
 	// retryGranted is true once the watchdog has ended the attempt. Its retry was
 	// taken from the budget.
 	retryGranted atomic.Bool
+	// gaveWay is true if it did so because more urgent requests wait, not because the
+	// upstream was silent.
+	gaveWay atomic.Bool
 
 	mu sync.Mutex
 	// timer is nil if the attempt is not watched, or no longer. It runs until firesAt,
@@ -27,7 +30,9 @@
 	// dueAt is when the upstream will have been silent for too long. It is zero while
 	// nothing is expected of the upstream.
 	dueAt time.Time
-	now   func() time.Time
+	// eventSeen is true once the upstream has sent an event, or has ended its response.
+	eventSeen bool
+	now       func() time.Time
 	// mayRetry reports whether the request may be sent to another upstream, and takes the
 	// retry from the budget.
 	mayRetry func() bool
@@ -115,6 +120,14 @@
 	}
 }
 
+// received records that the upstream has sent an event or ended its response, and pauses.
+func (w *watchdog) received() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.eventSeen = true
+	w.dueAt = time.Time{}
+}
+
 // pause stops the time until reset is called, because the upstream is not waited for: the
 // VM does not read what it sends, or has not yet sent it the whole request.
 func (w *watchdog) pause() {
