--- a/entry/process/scheduler/headroom.go
+++ b/entry/process/scheduler/headroom.go
@@ -44,13 +44,13 @@
 }
 
 // keep chooses the upstreams that are kept free from requests of a priority: those that
-// have streams of more urgent ones, which a part of a long prompt would pause, and as many
+// have streams of more urgent short ones, which a part of a long prompt would pause, and as many
 // as these will fill, but not more than their share. After those with streams it takes
 // the ones that the placer prefers for short prompts.
 func (s *Scheduler) keep(now time.Time, service *matcher.Service, priority int, states []tracker.State) map[string]bool {
 	urgent := 0
 	for _, w := range s.queue {
-		if w.request.Service.Name == service.Name && w.request.Priority < priority {
+		if w.request.Service.Name == service.Name && w.request.Priority < priority && !w.timing.long {
 			urgent++
 		}
 	}
@@ -139,7 +139,8 @@
 // recordBegun and recordEnded tell the provisioner of a request.
 func (s *Scheduler) recordBegun(now time.Time, w *waiter, g *Grant) {
 	g.service, g.priority, g.since = w.request.Service.Name, w.request.Priority, now
-	if w.request.Service.HasPriorities() {
+	// Long prompts have the time to wait for an engine.
+	if w.request.Service.HasPriorities() && !w.timing.long {
 		s.provisioner(g.service).Began(now, g.priority)
 		g.counted = true
 		g.countStream(1)
