--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -96,6 +96,10 @@
 	if !w.accepted && w.claimed == 0 {
 		return w.timing.urgency(now)
 	}
+	if !w.timing.long && w.claimed == 0 {
+		// Many late requests that each take a slot at once make those late that come next.
+		return w.timing.urgency(now)
+	}
 	if w.accepted && w.outranks {
 		return placer.LastChance
 	}
