Hold late prompts only where a place is likely

Cause: since priorities of routes count within teams, nearly every late prompt outranks some other, and was accepted late.

Change: late short prompts wait for headroom as before admission; long ones are accepted only where the projection promises a place.

--- a/entry/process/scheduler/admission.go
+++ b/entry/process/scheduler/admission.go
@@ -146,8 +146,9 @@
 // judge refuses a request that was not placed in this pass if too much is ahead of it. It
 // does not judge requests that an upstream may have seen, nor those that were promised a
 // place. The first request of a lane waits whatever the projection, because a lane in which
-// nothing waits has no backlog, and so does one that could still begin while less urgent ones
-// wait: these are refused first.
+// nothing waits has no backlog, and so does a short one that could still begin while less
+// urgent ones wait: these are refused first. A long one needs engines that more urgent
+// requests use, whatever waits behind it.
 func (s *Scheduler) judge(now time.Time, w *waiter, p dispatchPass) (reply, bool) {
 	lane, work := w.lane(now), w.work()
 	ahead := p.ahead[lane]
@@ -166,7 +167,7 @@
 	projection := s.projector.Project(now, lane, demand)
 	settle := !now.Before(w.settleAt(limit))
 	verdict := projector.Decide(now, projection, settle, limit)
-	if verdict == projector.Refuse && (ahead == 0 || (w.outranks && !now.Add(projection.Earliest).After(limit))) {
+	if verdict == projector.Refuse && (ahead == 0 || (w.outranks && !w.timing.long && !now.Add(projection.Earliest).After(limit))) {
 		verdict = projector.Wait
 		if settle {
 			verdict = projector.Accept
