Lend idle engines between the groups of a service

Cause: a service above 60 upstreams has one group for each zone. Groups moved single requests only, long prompts by mean unread work: a zone whose engines all generate had no idle engine for a long prompt, and idle ones of other zones were not seen.

TestLongPromptUsesIdleEnginesOfOtherZones fails without lending (it plays both); TestEngineHasOneLeader fails if the borrower counts a loan from the answer rather than from its request (tried).

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -130,6 +130,8 @@
 	// summaries holds the latest known load of each group.
 	summaries       map[Group]*summary
 	summariesSentAt time.Time
+	// offers holds how many engines each group has last offered to lend.
+	offers map[Group]offer
 	// actingLeaders holds, for each group, the VMs that lead it in place of the
 	// first-ranked one, and until when each counts as such.
 	actingLeaders map[Group]map[netip.AddrPort]time.Time
@@ -145,7 +147,7 @@
 		me: me, boot: boot, deps: d, startedAt: d.Now(), lastTick: d.Now(),
 		suspects: make(map[netip.AddrPort]suspicion), leaderCache: make(map[Group]cachedLeader), splitByZone: make(map[string]bool),
 		requests: make(map[uint64]*request), placements: make(map[uint64]*Placement), reportsLeft: make(map[netip.AddrPort]int),
-		ledGroups: make(map[Group]*ledGroup), clients: make(map[netip.AddrPort]*client), summaries: make(map[Group]*summary),
+		ledGroups: make(map[Group]*ledGroup), clients: make(map[netip.AddrPort]*client), summaries: make(map[Group]*summary), offers: make(map[Group]offer),
 		outgoing: make(map[netip.AddrPort]*message), actingLeaders: make(map[Group]map[netip.AddrPort]time.Time),
 	}
 	d.Tracker.SetListener(a.reportEvent)
@@ -213,6 +215,10 @@
 			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, Backoffs: m.Backoffs[:maxEntries]})
 			m.Backoffs = m.Backoffs[maxEntries:]
 		}
+		for len(m.ForeignLoads) > maxEntries {
+			a.transmit(at, &message{VM: m.VM, Boot: m.Boot, ForeignLoads: m.ForeignLoads[:maxEntries]})
+			m.ForeignLoads = m.ForeignLoads[maxEntries:]
+		}
 		a.transmit(at, m)
 	}
 	clear(a.outgoing)
@@ -251,6 +257,7 @@
 	a.deps.Meter.Count("exchange.received", 1)
 	a.locked(func(now time.Time) {
 		a.clearSuspicion(now, from)
+		a.handleLending(now, from, &m)
 		a.handleRequests(now, from, &m)
 		a.handleReplies(now, from, &m)
 	})
@@ -283,6 +290,7 @@
 		a.reportPlacements(now)
 		a.expireClients(now)
 		a.sendSummaries(now)
+		a.lend(now)
 	})
 }
 
@@ -309,7 +317,10 @@
 		return
 	}
 	a.locked(func(now time.Time) {
-		if m, self := a.leader(now, a.groupOf(u.Service, u.Zone)); !self {
+		m, self := a.leader(now, a.groupOf(u.Service, u.Zone))
+		if self {
+			a.forwardOwnEvent(now, &u, e)
+		} else {
 			out := a.outgoingTo(m.Address)
 			switch e.Finding {
 			case tracker.FoundLimit:
@@ -437,7 +448,7 @@
 func (a *Allocator) ledGroupOf(g Group) *ledGroup {
 	l, ok := a.ledGroups[g]
 	if !ok {
-		l = &ledGroup{group: g}
+		l = &ledGroup{group: g, lending: newLending()}
 		l.scheduler = scheduler.New(g.Zone, scheduler.Deps{
 			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy,
 			ColdQuota: func(upstream string, rate float64) int {
--- a/entry/process/allocator/answer.go
+++ b/entry/process/allocator/answer.go
@@ -60,6 +60,7 @@
 		g := w.group()
 		a.reportGroup(from, g)
 		a.addActingLeader(now, g, from)
+		a.renewLoansAt(now, from, g)
 	}
 	for _, w := range m.Summaries {
 		a.summaries[w.Group.group()] = &summary{engines: w.Engines, freeSlots: w.FreeSlots, prefillTime: float64(w.PrefillTime), at: now}
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -49,6 +49,7 @@
 	coldAllowedAt time.Time
 	// awaited are the VMs whose reports on their placements are still missing.
 	awaited map[netip.AddrPort]bool
+	lending lending
 }
 
 // awaitReports suspends placement until all members have reported their
@@ -239,6 +240,7 @@
 	for i := range m.Events {
 		a.deps.Tracker.MergeEvent(now, m.Events[i].event())
 	}
+	a.forwardEvents(now, m)
 	a.applyLimits(now, m.Limits)
 	a.applyDepartures(now, m.VM, m.Departures)
 	h.applyBackoffs(now, m.Backoffs)
--- a/entry/process/allocator/message.go
+++ b/entry/process/allocator/message.go
@@ -66,6 +66,15 @@
 	Stopping bool `cbor:"23,keyasint,omitempty"`
 	// Summaries describe the load of groups that the sender leads.
 	Summaries []wireSummary `cbor:"24,keyasint,omitempty"`
+
+	// Offers, LoanRequests, LoanAnswers and Recalls move engines between groups, and
+	// ForeignLoads is what one group has in progress at engines that another one uses.
+	// They pass between leaders.
+	Offers       []wireOffer       `cbor:"40,keyasint,omitempty"`
+	LoanRequests []wireLoanRequest `cbor:"41,keyasint,omitempty"`
+	LoanAnswers  []wireLoanAnswer  `cbor:"42,keyasint,omitempty"`
+	Recalls      []wireRecall      `cbor:"43,keyasint,omitempty"`
+	ForeignLoads []wireForeignLoad `cbor:"44,keyasint,omitempty"`
 }
 
 type wireGroup struct {
--- a/entry/process/allocator/network_test.go
+++ b/entry/process/allocator/network_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
 	"github.com/heathervane/heathervane/entry/version/matcher"
@@ -41,6 +42,8 @@
 	// be dropped, duplicated or delayed.
 	tamper func(datagram) []datagram
 	sent   int
+	// policy is that of all VMs.
+	policy switcher.Policy
 	// leaderSkipped reports whether any VM has skipped a leader; two VMs may
 	// then have led at the same time.
 	leaderSkipped bool
@@ -130,6 +133,7 @@
 	v.Allocator = allocator.New(v.member, boot, allocator.Deps{
 		Tracker: v.tracker, Sender: v, Timer: v, Meter: v, Members: v.members,
 		FleetSize: func() int { return len(n.vms) },
+		Policy:    func() switcher.Policy { return n.policy },
 		Service:   func(string) (*matcher.Service, bool) { return v.service, true },
 		ColdStartQuota: func(_ string, rate float64, leads bool) int {
 			if leads {
--- a/entry/process/allocator/overflow.go
+++ b/entry/process/allocator/overflow.go
@@ -59,12 +59,16 @@
 	sum := a.summaryOf(now, l)
 	g := l.group
 	a.summaries[g] = &sum
+	offer, offers := a.offer(now, l)
 	for zone := range zones {
 		m, self := a.leader(now, Group{g.Service, zone})
 		if zone == g.Zone || self {
 			continue
 		}
 		out := a.outgoingTo(m.Address)
+		if offers {
+			out.Offers = append(out.Offers, offer)
+		}
 		out.Summaries = append(out.Summaries, wireSummary{Group: g.wire(), Engines: sum.engines, FreeSlots: sum.freeSlots, PrefillTime: float32(sum.prefillTime)})
 	}
 }
@@ -72,8 +76,10 @@
 func (a *Allocator) summaryOf(now time.Time, l *ledGroup) summary {
 	sum := summary{at: now}
 	work := l.scheduler.Loads()
-	for _, u := range a.deps.Tracker.Usable(now, l.group.Service) {
-		if u.Zone != l.group.Zone || now.Before(u.UnreachableUntil) {
+	states := a.deps.Tracker.Usable(now, l.group.Service)
+	for i := range states {
+		u := &states[i]
+		if !l.scheduler.Uses(now, u) || now.Before(u.UnreachableUntil) {
 			continue
 		}
 		sum.engines++
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -168,7 +168,7 @@
 	if s.zone == "" {
 		return states
 	}
-	return slices.DeleteFunc(states, func(u tracker.State) bool { return u.Zone != s.zone })
+	return slices.DeleteFunc(states, func(u tracker.State) bool { return !s.uses(now, &u) })
 }
 
 // withoutBackoffs returns those of the upstreams to which the requesting VM may send, and
@@ -213,6 +213,7 @@
 		if l, ok := s.loads[u.ID]; ok {
 			c.Load = *l
 		}
+		c.Load.Add(s.loans.Loads[u.ID])
 		c.Load.Add(s.assumedLoadAt(u.Slots))
 		if rate := r.Service.ColdStartRate; rate > 0 && c.Cold {
 			c.Quota = s.coldLimiter(u.ID).Available(now, s.deps.ColdQuota(u.ID, rate))
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -108,6 +108,7 @@
 	// assumedLoad is the load at each upstream that other VMs may have added
 	// without reporting it.
 	assumedLoad placer.Load
+	loans       Loans
 	// replies are delivered once the lock is released.
 	replies []reply
 }
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -2,7 +2,11 @@
 // settings say or, where these leave it open, as the configuration in force calls for.
 package switcher
 
-import "github.com/zeebo/errs"
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+)
 
 // Error is the class of this package's errors.
 var Error = errs.Class("policy")
@@ -53,6 +57,11 @@
 	// Lending moves engines between the groups of a service, and Forecasts prepares for
 	// expected arrivals. A service with several groups calls for them.
 	Lending, Forecasts Mode
+	// Loan is how long an engine is lent to another group unless the loan is renewed, and
+	// LendingPart the largest part of a group's engines that may be lent; zero for the
+	// defaults.
+	Loan        time.Duration
+	LendingPart float64
 	// Speeds learns how fast each upstream is. It is always called for.
 	Speeds Mode
 }
