Forecast repeated arrivals, and borrow engines before a burst stands in the queue

Cause: engines are borrowed once prompts wait; a burst that comes at regular intervals is met too late.

Change: entry/process/forecaster finds a period in the prefill time that comes to a group, and speaks only while its last forecasts were clearly closer than the mean. The rise that it foresees counts as queued work when engines are borrowed or offered, and never asks for lent engines back.

Ruled out for now: capacity kept for bursts in the scheduler, which is another part's. TestEnginesAreBorrowedBeforeAForecastBurst plays the load with and without forecasts.

--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -184,6 +184,7 @@
 	l := a.lead(now, o.group, false)
 	l.localOnly = !a.isLeaderOrBackup(o.group)
 	o.leader, o.firstSent = netip.AddrPort{}, now
+	a.observeArrival(now, l, o.spec, o.hops)
 	queued := l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		if _, ok := a.requests[o.id]; !ok {
 			if g != nil {
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -366,6 +366,7 @@
 	o.spec.Service = service
 	o.spec.Backoffs = func() map[string]time.Time { return h.backoffs }
 	h.requests[w.ID] = o
+	a.observeArrival(now, l, o.spec, o.hops)
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
 	})
--- a/entry/process/allocator/lending.go
+++ b/entry/process/allocator/lending.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/balancer"
+	"github.com/heathervane/heathervane/entry/process/forecaster"
 	"github.com/heathervane/heathervane/entry/process/scheduler"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -38,6 +39,10 @@
 	// reported are the engines whose load was last reported to another group, and the
 	// group.
 	reported map[string]Group
+	// arrivals are the prefill times of the prompts that come, by whether they are short;
+	// foreseen is set while any forecast is made.
+	arrivals map[bool]*forecaster.Forecaster
+	foreseen bool
 	// applied is set if the scheduler has loans or foreign loads.
 	applied bool
 }
@@ -57,6 +62,7 @@
 	return lending{
 		lender: balancer.NewLender(), borrower: balancer.NewBorrower(),
 		foreign: make(map[string]map[Group]foreignLoad), reported: make(map[string]Group),
+		arrivals: map[bool]*forecaster.Forecaster{false: {}, true: {}},
 	}
 }
 
@@ -126,9 +132,48 @@
 		}
 	}
 	slices.Sort(idle)
+	o.Expected = a.expected(now, l)
 	return o, idle
 }
 
+// observeArrival records a request that came to the group first, rather than being moved
+// there.
+func (a *Allocator) observeArrival(now time.Time, l *ledGroup, c scheduler.Request, hops int) {
+	if e := c.Service.Engine; e != nil && hops == 0 && l.group.Zone != "" {
+		l.lending.arrivals[placer.IsShort(e, c.Requirements.Prompt)].Observe(now, placer.PrefillTime(e, c.Requirements.Prompt, 1))
+	}
+}
+
+// forecastAhead is for how long forecasts are made. In this time engines can be borrowed
+// and finish what they prefill.
+const forecastAhead = time.Second
+
+// expected returns the prefill time of the prompts that are forecast above the usual.
+func (a *Allocator) expected(now time.Time, l *ledGroup) (prefill float64) {
+	if !a.policy().Forecasts.Enabled(true) {
+		return 0
+	}
+	foreseen := false
+	for short, f := range l.lending.arrivals {
+		fc, ok := f.Forecast(now, forecastAhead)
+		if !ok {
+			continue
+		}
+		foreseen = true
+		prefill += fc.Rise()
+		if !l.lending.foreseen {
+			a.count("forecasts.begun")
+			a.deps.Log.Info().Str("service", l.group.Service).Str("zone", l.group.Zone).Bool("short", short).Dur("period", fc.Period).
+				Float64("error_ratio", fc.ErrorRatio).Float64("expected_ms", fc.Amount).Float64("usual_ms", fc.Usual).Msg("arrivals can be forecast")
+		}
+	}
+	if !foreseen && l.lending.foreseen {
+		a.deps.Log.Info().Str("service", l.group.Service).Str("zone", l.group.Zone).Msg("arrivals can no longer be forecast")
+	}
+	l.lending.foreseen = foreseen
+	return prefill
+}
+
 // mayLend reports whether this VM may lend engines of a group. A new leader first waits
 // until the loans of its predecessor that it does not know have ended.
 func (a *Allocator) mayLend(now time.Time, l *ledGroup) bool {
@@ -151,7 +196,7 @@
 func (a *Allocator) borrow(now time.Time, l *ledGroup) {
 	b := l.lending.borrower
 	o, _ := a.outlook(now, l)
-	missing := o.Missing()
+	missing := o.Wanted()
 	switch {
 	case missing > 0:
 		l.lending.missingAt = now
@@ -251,7 +296,7 @@
 		if begun := l.lending.borrower.Accept(now, w.Lender.Zone, answer); len(begun) > 0 {
 			a.count("engines.borrowed")
 			a.deps.Log.Info().Str("service", l.group.Service).Str("zone", l.group.Zone).Str("from", w.Lender.Zone).Strs("engines", begun).
-				Float64("queued_ms", l.scheduler.QueuedPrefill()).Dur("offer_age", now.Sub(a.offers[w.Lender.group()].at)).Msg("borrowed engines")
+				Float64("queued_ms", l.scheduler.QueuedPrefill()).Float64("expected_ms", a.expected(now, l)).Dur("offer_age", now.Sub(a.offers[w.Lender.group()].at)).Msg("borrowed engines")
 		}
 		a.applyLoans(now, l)
 	}
--- a/entry/process/allocator/lending_test.go
+++ b/entry/process/allocator/lending_test.go
@@ -262,3 +262,30 @@
 	assert.NilError(t, err)
 	return append([]byte{data[0]}, out...)
 }
+
+// Long prompts come to one zone in bursts at regular intervals. Its leader must have
+// borrowed engines before a burst stands in the queue.
+func TestEnginesAreBorrowedBeforeAForecastBurst(t *testing.T) {
+	before := func(p switcher.Policy) (foreseen int) {
+		n := unevenNetwork(t, p)
+		const period = 8 * time.Second
+		for burst := range 9 {
+			n.run(period - 200*time.Millisecond)
+			if _, borrowed := n.vms[0].loans(); borrowed > 0 && burst > 4 {
+				foreseen++
+			}
+			n.run(180 * time.Millisecond)
+			var waiting []*allocator.Pending
+			for range 6 {
+				waiting = append(waiting, n.vms[3].Submit(n.long(100_000)))
+			}
+			n.run(20 * time.Millisecond)
+			for _, o := range waiting {
+				assert.Assert(t, o.Cancel() != nil)
+			}
+		}
+		return foreseen
+	}
+	assert.Assert(t, before(switcher.Policy{}) >= 3)
+	assert.Equal(t, before(switcher.Policy{Forecasts: switcher.Off}), 0)
+}
--- a/entry/process/balancer/balancer.go
+++ b/entry/process/balancer/balancer.go
@@ -63,15 +63,23 @@
 	Engines, Lent int
 	// Idle is the number of engines that the group may use and that have no work.
 	Idle int
-	// Queued is the prefill time in milliseconds of the prompts that wait.
-	Queued float64
+	// Queued is the prefill time in milliseconds of the prompts that wait, and Expected
+	// that of the prompts that are forecast to come soon above the usual.
+	Queued, Expected float64
 }
 
-// need is the number of engines that read the queued prompts in time.
-func (o Outlook) need() int { return int(math.Ceil(o.Queued / readWithin)) }
+// enginesFor returns the number of engines that read prompts in time whose prefill takes
+// one engine that many milliseconds.
+func enginesFor(prefill float64) int { return int(math.Ceil(prefill / readWithin)) }
 
-// Missing returns how many engines a group lacks for the prompts that wait.
-func (o Outlook) Missing() int { return max(0, o.need()-o.Idle) }
+// Missing returns how many engines a group lacks for the prompts that wait. It asks for as
+// many that it has lent back.
+func (o Outlook) Missing() int { return max(0, enginesFor(o.Queued)-o.Idle) }
+
+// Wanted returns how many engines a group lacks for the prompts that wait and for those
+// that are forecast. Engines that a forecast borrows in vain are idle ones, which their
+// own group gets back as soon as it misses them.
+func (o Outlook) Wanted() int { return max(0, enginesFor(o.Queued+o.Expected)-o.Idle) }
 
 // Offer returns how many more engines a group can lend. A group whose own prompts wait
 // lends nothing: they are about to take the engines that are still idle.
@@ -79,7 +87,7 @@
 	if o.Queued > 0 {
 		return 0
 	}
-	reserve := (o.Engines + reserveDivisor - 1) / reserveDivisor
+	reserve := max((o.Engines+reserveDivisor-1)/reserveDivisor, enginesFor(o.Expected))
 	return max(0, min(o.Idle-reserve, int(b.Part*float64(o.Engines))-o.Lent))
 }
 
--- a/entry/process/balancer/balancer_test.go
+++ b/entry/process/balancer/balancer_test.go
@@ -24,6 +24,7 @@
 		{"half idle", balancer.Outlook{Engines: 24, Idle: 10}, 6},
 		{"some lent", balancer.Outlook{Engines: 24, Lent: 8, Idle: 16}, 4},
 		{"only the reserve", balancer.Outlook{Engines: 24, Idle: 4}, 0},
+		{"own burst is forecast", balancer.Outlook{Engines: 24, Idle: 10, Expected: 4500}, 2},
 		{"own prompts wait", balancer.Outlook{Engines: 24, Idle: 24, Queued: 1}, 0},
 		{"no engines", balancer.Outlook{}, 0},
 	} {
@@ -38,6 +39,20 @@
 	assert.Equal(t, balancer.Outlook{Queued: 3500, Idle: 9}.Missing(), 0)
 }
 
+// A wrong forecast must not call back engines that others use, nor offer more.
+func TestForecastOnlyBorrowsIdleEngines(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		o := balancer.Outlook{Engines: rapid.IntRange(0, 40).Draw(rt, "engines"), Queued: rapid.Float64Range(0, 9000).Draw(rt, "queued")}
+		o.Idle = rapid.IntRange(0, o.Engines).Draw(rt, "idle")
+		o.Lent = rapid.IntRange(0, o.Engines-o.Idle).Draw(rt, "lent")
+		with := o
+		with.Expected = rapid.Float64Range(0, 9000).Draw(rt, "expected")
+		assert.Equal(rt, with.Missing(), o.Missing())
+		assert.Assert(rt, with.Offer(bounds) <= o.Offer(bounds) && with.Wanted() >= o.Wanted())
+		assert.Equal(rt, o.Wanted(), o.Missing())
+	})
+}
+
 func TestShareTakesFromTheLargestOffers(t *testing.T) {
 	assert.DeepEqual(t, balancer.Share(4, map[string]int{"b": 2, "c": 5}), map[string]int{"b": 1, "c": 3})
 	assert.DeepEqual(t, balancer.Share(6, map[string]int{"b": 2, "c": 5}), map[string]int{"b": 2, "c": 4})
