--- a/entry/process/allocator/lending_test.go
+++ b/entry/process/allocator/lending_test.go
@@ -289,3 +289,45 @@
 	assert.Assert(t, before(switcher.Policy{}) >= 3)
 	assert.Equal(t, before(switcher.Policy{Forecasts: switcher.Off}), 0)
 }
+
+// A request was moved twice in a burst that filled every zone. When the zone where it came
+// from is free again, it must not wait where the burst has left it.
+func TestRequestMovesAgainAfterABurst(t *testing.T) {
+	n := newNetwork(t, []string{"a", "b", "c", "a"}, 3*zoneEngines)
+	n.policy = switcher.Policy{Lending: switcher.Off}
+	for v := range n.vms {
+		n.acquire(v, 100*time.Millisecond).Release()
+	}
+	n.run(500 * time.Millisecond)
+	var inA []*allocator.Placement
+	for v := range 3 {
+		for {
+			p, _ := n.poll(v, n.call(), 300*time.Millisecond)
+			if p == nil {
+				break
+			}
+			p.MarkStarted()
+			if p.Upstream.Zone == "a" {
+				inA = append(inA, p)
+			}
+		}
+	}
+	n.run(300 * time.Millisecond)
+	c := n.call()
+	c.Requirements.Objective = n.now.Add(8 * time.Second)
+	o := n.vms[3].Submit(c)
+	n.run(50 * time.Millisecond)
+	for leader, next := range []string{"b", "c"} {
+		// Key 20 moves requests; this one is the second of its VM.
+		move, err := cbor.Marshal(map[int]any{1: n.vms[leader].member.VM, 2: 1, 20: []any{[]any{2, next}}})
+		assert.NilError(t, err)
+		n.vms[3].Receive(address(leader), append([]byte{allocator.DatagramType}, move...))
+		n.run(50 * time.Millisecond)
+	}
+	for _, p := range inA {
+		p.Release()
+	}
+	n.run(2 * time.Second)
+	p, _ := o.Poll()
+	assert.Assert(t, p != nil && p.Upstream.Zone == "a", "%v", p)
+}
--- a/entry/process/balancer/balancer.go
+++ b/entry/process/balancer/balancer.go
@@ -34,7 +34,7 @@
 	readWithin = 600.0
 	// reserveDivisor is the reciprocal of the part of a group's engines that stays idle
 	// for its own next prompts when others are lent.
-	reserveDivisor = 6
+	reserveDivisor = 12
 )
 
 // Bounds limit lending.
@@ -81,13 +81,10 @@
 // own group gets back as soon as it misses them.
 func (o Outlook) Wanted() int { return max(0, enginesFor(o.Queued+o.Expected)-o.Idle) }
 
-// Offer returns how many more engines a group can lend. A group whose own prompts wait
-// lends nothing: they are about to take the engines that are still idle.
+// Offer returns how many more engines a group can lend, besides those that its own
+// prompts need.
 func (o Outlook) Offer(b Bounds) int {
-	if o.Queued > 0 {
-		return 0
-	}
-	reserve := max((o.Engines+reserveDivisor-1)/reserveDivisor, enginesFor(o.Expected))
+	reserve := (o.Engines+reserveDivisor-1)/reserveDivisor + enginesFor(o.Queued+o.Expected)
 	return max(0, min(o.Idle-reserve, int(b.Part*float64(o.Engines))-o.Lent))
 }
 
