Keep a third of a group's engines when others are lent

Cause: lending made the longest prompts fare worse.

One long prompt takes up to 17 engines of its group at once, so that idle engines are not spare while the group has long prompts of its own: the lender kept 4 of 23.

Change: a third stays idle.

--- a/entry/process/balancer/balancer.go
+++ b/entry/process/balancer/balancer.go
@@ -33,8 +33,9 @@
 	// the longest part of a prompt that does not make an engine unavailable for too long.
 	readWithin = 600.0
 	// reserveDivisor is the reciprocal of the part of a group's engines that stays idle
-	// for its own next prompts when others are lent.
-	reserveDivisor = 12
+	// when others are lent. One long prompt of its own takes as many; with fewer, each
+	// engine gets a longer part, which delays more streams than the borrower gains.
+	reserveDivisor = 3
 )
 
 // Bounds limit lending.
