--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -32,13 +32,8 @@
 	// knowing the other VMs' load slows many responses.
 	maxSilentLeaders     = 2
 	maxSilentLeadersLong = 4
-	// maxHops is how often a request may be moved to another group in quick succession,
-	// and hopExpiry the time after which a request that waits may be moved once more.
-	// Without the limit all waiting requests would follow each change of load; without
-	// the expiry those that were moved in a burst would wait where it ended, while other
-	// groups are idle again.
-	maxHops   = 2
-	hopExpiry = time.Second
+	// maxHops is how often a request may be moved to another group.
+	maxHops = 2
 	// localRetryInterval is how long a request that was scheduled locally for
 	// want of a leader waits before it is sent to a leader again.
 	localRetryInterval = 500 * time.Millisecond
@@ -53,9 +48,8 @@
 	spec  scheduler.Request
 	group Group
 	// hops counts the moves to another group, silentLeaders the leaders that
-	// did not answer this request. hopsAt is when hops last changed.
+	// did not answer this request.
 	hops, silentLeaders int
-	hopsAt              time.Time
 	// leader is the address of the leader to which the request was sent; local
 	// is set if this VM schedules it itself.
 	leader    netip.AddrPort
@@ -228,7 +222,6 @@
 func (a *Allocator) moveToZone(now time.Time, o *request, zone string) {
 	a.withdraw(o)
 	o.hops++
-	o.hopsAt = now
 	if o.group.Zone == "" {
 		// The leader lists more upstreams than this VM and already splits the
 		// service by zone.
@@ -281,13 +274,6 @@
 func (a *Allocator) retryRequests(now time.Time, paused bool) {
 	for _, id := range a.requestIDs() {
 		o, ok := a.requests[id]
-		if ok && o.hops >= maxHops && now.Sub(o.hopsAt) >= hopExpiry {
-			o.hops, o.hopsAt = maxHops-1, now
-			if o.local == nil && o.leader.IsValid() {
-				// The leader learns the number of hops from the request sent again.
-				a.send(now, o)
-			}
-		}
 		switch {
 		case !ok:
 		case o.local != nil:
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -324,7 +324,7 @@
 func (a *Allocator) handleRequest(now time.Time, from netip.AddrPort, h *client, w *wireRequest) {
 	if o, ok := h.requests[w.ID]; ok {
 		// The request was resent.
-		o.lastConfirmed, o.hops = now, min(o.hops, w.Hops)
+		o.lastConfirmed = now
 		if stop := timeFromMillis(now, w.StopsAt); !stop.IsZero() {
 			o.queued.SetStop(stop)
 		}
