--- a/entry/process/allocator/asker.go
+++ b/entry/process/allocator/asker.go
@@ -219,6 +219,7 @@
 	l := a.lead(now, o.group, false)
 	l.localOnly = !a.isLeaderOrBackup(o.group)
 	o.leader, o.firstSent = netip.AddrPort{}, now
+	a.observeArrival(now, l, o.spec, o.hops)
 	spec := o.spec
 	if spec.Preemptible {
 		spec.Withdraw = func() { a.withdrawPlacement(o.id) }
--- a/entry/process/allocator/leader.go
+++ b/entry/process/allocator/leader.go
@@ -53,6 +53,7 @@
 	inspecting, inspected bool
 	// awaited are the VMs whose reports on their placements are still missing.
 	awaited map[netip.AddrPort]bool
+	lending lending
 }
 
 // awaitReports suspends placement until all members have reported their
@@ -251,6 +252,7 @@
 	for i := range m.Events {
 		a.deps.Tracker.MergeEvent(now, m.Events[i].event())
 	}
+	a.forwardEvents(now, m)
 	a.applyLimits(now, m.Limits)
 	a.applyDepartures(now, m.VM, m.Departures)
 	h.applyBackoffs(now, m.Backoffs)
@@ -387,6 +389,7 @@
 		}
 	}
 	h.requests[w.ID] = o
+	a.observeArrival(now, l, o.spec, o.hops)
 	o.queued = l.scheduler.Submit(o.spec, func(g *scheduler.Grant, r *scheduler.Refusal) {
 		a.reply(from, h, w.ID, o, g, r)
 	})
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -154,6 +154,7 @@
 	// assumedLoad is the load at each upstream that other VMs may have added
 	// without reporting it.
 	assumedLoad placer.Load
+	loans       Loans
 	// unreported is what upstreams do for requests of VMs that are gone.
 	unreported map[string]inspector.Work
 	// reading are the grants that may be taken back: no event has come from them yet.
