Learn how slow upstreams are from the requests that they answer

Cause: placement trusts the figures that the configuration states for all engines.

Ruled out: a mean of the ratios (busy engines would count as slow, and their estimates are too short in a tenth of requests), observations of each VM alone (too few), polling of reports (priced, late).

Change: calibrator keeps, at the leader, the ratio of actual to expected time; an upstream is as slow as the fastest request that it lately worked on. placer multiplies its estimates by it. A service with several groups or priorities calls for it; others are placed as before.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -420,6 +420,13 @@
 	return a.deps.Tracker.CountUsableByZone(service)
 }
 
+// logSlow logs that upstreams took much longer for a request than expected.
+func (a *Allocator) logSlow(upstreams []string, ratio float64, expected, actual time.Duration) {
+	a.count("upstreams.slow")
+	a.deps.Log.Info().Strs("upstreams", upstreams).Float64("slowness", ratio).Dur("expected", expected).Dur("actual", actual).
+		Msg("upstreams slower than expected")
+}
+
 // policy returns the features that the settings select.
 func (a *Allocator) policy() switcher.Policy {
 	if a.deps.Policy == nil {
@@ -439,7 +446,7 @@
 	if !ok {
 		l = &ledGroup{group: g}
 		l.scheduler = scheduler.New(g.Zone, scheduler.Deps{
-			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy,
+			Tracker: a.deps.Tracker, Now: a.deps.Now, Policy: a.policy, FoundSlow: a.logSlow,
 			ColdQuota: func(upstream string, rate float64) int {
 				if a.deps.Now().Before(l.coldAllowedAt) {
 					return 0
--- a/entry/process/allocator/describe.go
+++ b/entry/process/allocator/describe.go
@@ -17,6 +17,7 @@
 		d := describer.Group{
 			Service: g.Service, Zone: g.Zone, Leads: a.isLeader(now, g),
 			Waiting: l.scheduler.Waiting(), Running: l.scheduler.Running(),
+			Details: map[string]float64{"slow upstreams": float64(l.scheduler.SlowUpstreams())},
 		}
 		loads := l.scheduler.Loads()
 		for _, u := range a.deps.Tracker.Usable(now, g.Service) {
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -5,6 +5,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
 	"github.com/heathervane/heathervane/library/describer"
 )
 
@@ -36,6 +37,10 @@
 	// class and grantedAt describe the request to operators.
 	class     describer.Class
 	grantedAt time.Time
+	// service is nil if the speed of its upstreams is not learnt, and expected is how
+	// long the request should take to its first event.
+	service  *matcher.Service
+	expected time.Duration
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -105,6 +110,9 @@
 		g.Workload.Helpers = append(g.Workload.Helpers, states[i].ID)
 		g.Workload.ReservedTokens = append(g.Workload.ReservedTokens, reserved[i])
 	}
+	if s.learnsSpeeds(w.request.Service) {
+		g.service, g.expected = w.request.Service, s.expectedTime(w.request.Service, g.Workload)
+	}
 	g.reserve()
 	s.coldLimiter(main.ID).Sent(now)
 	s.countSent(&main)
@@ -137,6 +145,9 @@
 // MarkStarted records that the first token has arrived: the prefill is complete.
 func (g *Grant) MarkStarted() {
 	g.scheduler.withLock(func() {
+		if !g.started {
+			g.scheduler.observeStart(g)
+		}
 		g.markStarted()
 		g.scheduler.dispatch()
 	})
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -70,6 +70,7 @@
 	}
 	now := s.deps.Now()
 	p := dispatchPass{blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity)}
+	s.observeOverdue(now)
 	s.sortQueue(now)
 	remaining := s.queue[:0:0]
 	for _, w := range s.queue {
@@ -202,6 +203,7 @@
 }
 
 func (s *Scheduler) candidates(now time.Time, r Request, states []tracker.State) []placer.Candidate {
+	learnsSpeeds := s.learnsSpeeds(r.Service)
 	cs := make([]placer.Candidate, 0, len(states))
 	for i := range states {
 		u := &states[i]
@@ -217,6 +219,9 @@
 		if rate := r.Service.ColdStartRate; rate > 0 && c.Cold {
 			c.Quota = s.coldLimiter(u.ID).Available(now, s.deps.ColdQuota(u.ID, rate))
 		}
+		if learnsSpeeds {
+			c.Slowness = s.speeds.Slowness(now, u.ID)
+		}
 		if u.Limit.Limited {
 			c.Quota = min(c.Quota, s.availableAt(now, u))
 		}
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/calibrator"
 	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
@@ -44,7 +45,10 @@
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
-	Now    func() time.Time
+	// FoundSlow is called when upstreams took much longer than expected for a request; it
+	// may be nil. It must not call into the Scheduler.
+	FoundSlow func(upstreams []string, ratio float64, expected, actual time.Duration)
+	Now       func() time.Time
 }
 
 // A Request asks for a slot at an upstream.
@@ -101,6 +105,11 @@
 	queue        []*waiter
 	// running are the grants that have not ended.
 	running map[*Grant]struct{}
+	// speeds is how fast upstreams are, and plainDurations how long requests of plain
+	// services usually take.
+	speeds           *calibrator.Calibrator
+	plainDurations   map[string]time.Duration
+	overdueCheckedAt time.Time
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
 	// pausedUntil is the time before which nothing is placed.
@@ -141,7 +150,7 @@
 // empty.
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
-		zone: zone, deps: d, running: make(map[*Grant]struct{}),
+		zone: zone, deps: d, running: make(map[*Grant]struct{}), speeds: calibrator.New(), plainDurations: make(map[string]time.Duration),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 	}
 }
@@ -263,12 +272,12 @@
 	return len(s.queue)
 }
 
-// Forget drops the cold-start and rate limiters of an upstream that no longer
-// exists.
+// Forget drops the limiters and the speed of an upstream that no longer exists.
 func (s *Scheduler) Forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.coldLimiters, id)
+	s.speeds.Forget(id)
 	delete(s.rateLimiters, id)
 }
 
--- /dev/null
+++ b/entry/process/scheduler/speeds.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/heathervane/heathervane/entry/process/calibrator"
+	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
+)
+
+const (
+	// overdueInterval is how often unanswered requests are compared with what was
+	// expected of them.
+	overdueInterval = 50 * time.Millisecond
+	// medianStep is the factor by which the usual duration of a plain service moves with
+	// each request, so that it follows the median.
+	medianStep = 1.05
+	// firstPlainDuration is where it begins.
+	firstPlainDuration = 20 * time.Millisecond
+)
+
+// learnsSpeeds reports whether the speed of a service's upstreams is learnt. Demand that
+// is divided by zone or by priority calls for it: an engine that is slower than its
+// figures then makes one zone's callers, or the most urgent, late.
+func (s *Scheduler) learnsSpeeds(service *matcher.Service) bool {
+	return s.policy().Speeds.Enabled(s.zone != "" || service.HasPriorities())
+}
+
+// expectedTime returns how long a request should take to its first event at upstreams as
+// fast as their figures, given the load there before it; for a plain service, how long
+// its requests usually take.
+func (s *Scheduler) expectedTime(service *matcher.Service, w Workload) time.Duration {
+	if service.Engine == nil {
+		if d, ok := s.plainDurations[service.Name]; ok {
+			return d
+		}
+		return firstPlainDuration
+	}
+	longest := 0.0
+	for _, id := range append([]string{w.Main}, w.Helpers...) {
+		load := placer.Load{}
+		if l, ok := s.loads[id]; ok {
+			load = *l
+		}
+		longest = max(longest, placer.TimeToFirstToken(service.Engine, load, w.Prefill))
+	}
+	return milliseconds(longest)
+}
+
+// observeStart learns from a request whose first event, or whose answer, has arrived.
+func (s *Scheduler) observeStart(g *Grant) {
+	if g.service == nil {
+		return
+	}
+	now := s.deps.Now()
+	actual := now.Sub(g.grantedAt)
+	ratio := calibrator.Ratio(g.expected, actual)
+	s.speeds.Observe(now, g.upstreams(), ratio)
+	if g.service.Engine == nil {
+		usual := s.expectedTime(g.service, g.Workload)
+		if actual > usual {
+			usual = time.Duration(float64(usual) * medianStep)
+		} else {
+			usual = time.Duration(float64(usual) / medianStep)
+		}
+		s.plainDurations[g.service.Name] = usual
+	}
+	if calibrator.IsSlow(ratio) && s.deps.FoundSlow != nil {
+		s.deps.FoundSlow(g.upstreams(), ratio, g.expected, actual)
+	}
+}
+
+// upstreams returns all upstreams of the grant.
+func (g *Grant) upstreams() []string { return append([]string{g.Workload.Main}, g.Workload.Helpers...) }
+
+// observeOverdue learns from requests whose first event is late.
+func (s *Scheduler) observeOverdue(now time.Time) {
+	if now.Sub(s.overdueCheckedAt) < overdueInterval {
+		return
+	}
+	s.overdueCheckedAt = now
+	for g := range s.running {
+		if !g.started && g.service != nil {
+			s.speeds.Overdue(now, g.upstreams(), calibrator.Ratio(g.expected, now.Sub(g.grantedAt)))
+		}
+	}
+}
+
+// SlowUpstreams returns the number of upstreams that are known to be slower than
+// expected.
+func (s *Scheduler) SlowUpstreams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.speeds.Slow(s.deps.Now())
+}
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -53,6 +53,7 @@
 	// Lending moves engines between the groups of a service, and Forecasts prepares for
 	// expected arrivals. A service with several groups calls for them.
 	Lending, Forecasts Mode
-	// Speeds learns how fast each upstream is. It is always called for.
+	// Speeds learns how fast each upstream is. A service with several groups, or whose
+	// requests have different priorities, calls for it.
 	Speeds Mode
 }
--- a/entry/request/placer/group.go
+++ b/entry/request/placer/group.go
@@ -165,7 +165,7 @@
 func evaluate(e *matcher.Engine, cs []Candidate, placement Placement, part float64) (interference, first float64) {
 	for _, i := range append([]int{placement.Main}, placement.Helpers...) {
 		interference += cs[i].interference(e, part)
-		first = math.Max(first, TimeToFirstToken(e, cs[i].Load, part))
+		first = math.Max(first, cs[i].slowness()*TimeToFirstToken(e, cs[i].Load, part))
 	}
 	return interference, first
 }
@@ -173,7 +173,7 @@
 // interference is the loss of an engine's streams if a part is prefilled there.
 func (c *Candidate) interference(e *matcher.Engine, part float64) float64 {
 	pass := DecodePassTime(e, c.Load.Streams, c.Load.ContextTokens) + c.Load.PendingPrefill + part
-	return lateLossShare * c.Load.PauseWeights.delayedBy(pass)
+	return lateLossShare * c.Load.PauseWeights.delayedBy(c.slowness()*pass)
 }
 
 // eligibleEngines returns the engines that may prefill a part of the given duration
@@ -195,7 +195,7 @@
 		if slices.Contains(r.Tried, c.ID) {
 			continue
 		}
-		costs[i] = c.interference(e, part) + costPerSecond*(TimeToFirstToken(e, c.Load, part)+c.penalty(r)+failureCost*c.failureRisk())/1000
+		costs[i] = c.interference(e, part) + costPerSecond*(c.slowness()*TimeToFirstToken(e, c.Load, part)+c.penalty(r)+failureCost*c.failureRisk())/1000
 		order = append(order, i)
 	}
 	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
@@ -235,7 +235,7 @@
 // long for one stream as for many, so that a stream at an engine that has none takes
 // engine time from prompts that could be prefilled there.
 func (c *Candidate) mainCost(e *matcher.Engine, r Request, part float64) float64 {
-	cost := c.interference(e, part) + costPerSecond*(TimeToFirstToken(e, c.Load, part)+c.penalty(r)+failureCost*c.failureRisk())/1000
+	cost := c.interference(e, part) + costPerSecond*(c.slowness()*TimeToFirstToken(e, c.Load, part)+c.penalty(r)+failureCost*c.failureRisk())/1000
 	if c.Load.Streams == 0 {
 		cost += costPerEngineSecond * TypicalOutputShare * float64(r.Output) * e.StepTime / 1000
 	}
--- a/entry/request/placer/placer.go
+++ b/entry/request/placer/placer.go
@@ -65,10 +65,15 @@
 	// Failed and Answered count recent requests of all VMs that failed there or
 	// were answered; older ones weigh less.
 	Failed, Answered float64
+	// Slowness is how many times longer than expected it takes; 0 is the same as 1.
+	Slowness float64
 	// SameZone says that it is in this VM's availability zone.
 	SameZone bool
 }
 
+// slowness returns the factor by which estimated times there are longer.
+func (c *Candidate) slowness() float64 { return max(1, c.Slowness) }
+
 // Request is a request to be placed.
 type Request struct {
 	// Prompt and Output are its tokens; zero for plain services.
@@ -146,7 +151,8 @@
 		if c.Quota < 1 || c.Load.Streams >= max(1, c.Slots) {
 			continue
 		}
-		cost := plainRequestCost*float64(c.Load.Streams) + plainFailureCost*c.failureRisk() + c.penalty(r)
+		// A slow upstream takes as much longer for the new request too.
+		cost := plainRequestCost*(float64(c.Load.Streams+1)*c.slowness()-1) + plainFailureCost*c.failureRisk() + c.penalty(r)
 		if cost < least {
 			best, least = i, cost
 		}
--- a/entry/request/placer/single.go
+++ b/entry/request/placer/single.go
@@ -52,7 +52,7 @@
 		if c.Quota < 1 || !c.hasSlot(u) || !c.fits(e, r.Prompt+r.Output) {
 			continue
 		}
-		cost := TimeToFirstToken(e, c.Load, prefill) + c.penalty(r) + failureCost*c.failureRisk() + slotWaitCost*float64(max(0, c.Load.Streams+1-c.Slots))
+		cost := c.slowness()*TimeToFirstToken(e, c.Load, prefill) + c.penalty(r) + failureCost*c.failureRisk() + slotWaitCost*float64(max(0, c.Load.Streams+1-c.Slots))
 		if cost > bound {
 			reason = TooLate
 			continue
