Suspect no upstream for a slow prompt that it read with others

Cause: one slow reader of a group marked up to 16 others as slow, and long prompts found no engines.

Change: a slow request of several upstreams is no observation; a fast one still clears them. An upstream counts as slow from 2.5 times the expected time on.

--- a/entry/process/allocator/allocator.go
+++ b/entry/process/allocator/allocator.go
@@ -420,11 +420,11 @@
 	return a.deps.Tracker.CountUsableByZone(service)
 }
 
-// logSlow logs that upstreams took much longer for a request than expected.
-func (a *Allocator) logSlow(upstreams []string, ratio float64, expected, actual time.Duration) {
+// logSlow logs that an upstream took much longer for a request than expected.
+func (a *Allocator) logSlow(upstream string, ratio float64, expected, actual time.Duration) {
 	a.count("upstreams.slow")
-	a.deps.Log.Info().Strs("upstreams", upstreams).Float64("slowness", ratio).Dur("expected", expected).Dur("actual", actual).
-		Msg("upstreams slower than expected")
+	a.deps.Log.Info().Str("upstream", upstream).Float64("slowness", ratio).Dur("expected", expected).Dur("actual", actual).
+		Msg("upstream slower than expected")
 }
 
 // policy returns the features that the settings select.
--- a/entry/process/calibrator/calibrator.go
+++ b/entry/process/calibrator/calibrator.go
@@ -3,18 +3,19 @@
 // while requests keep coming: published figures stand for all engines of a service, and
 // every long prompt that several engines read ends with the slowest of them.
 //
-// A request that several upstreams work on ends no sooner than its slowest part, so that
-// each of them is at most as slow as the whole. Each upstream is therefore as slow as the
-// fastest request that it has lately worked on, which also keeps a VM that is slow itself
-// from slowing every upstream that it uses.
+// An upstream is as slow as the fastest request that it has lately worked on, which keeps
+// a VM that is slow itself from slowing every upstream that it uses. A request that several
+// upstreams work on ends with its slowest part: where it is fast, none of them is slow;
+// where it is slow, it says nothing about any of them.
 package calibrator
 
 import "time"
 
 const (
 	// minSlowness is the ratio of the actual to the expected time from which an upstream
-	// counts as slow. Estimates of loaded engines are off by half at times.
-	minSlowness = 1.8
+	// counts as slow. Estimates of loaded engines are too short by half in one of ten
+	// requests, and by more at times.
+	minSlowness = 2.5
 	// maxSlowness limits what one request may say.
 	maxSlowness = 20
 	// memory is how long an observation counts. Each time an upstream is found slow
@@ -69,6 +70,9 @@
 
 // Observe records the ratio of a request that the upstreams have worked on together.
 func (c *Calibrator) Observe(now time.Time, ids []string, ratio float64) {
+	if len(ids) > 1 && IsSlow(ratio) {
+		return
+	}
 	for _, id := range ids {
 		u := c.upstream(id)
 		u.overdue = 0
@@ -82,13 +86,10 @@
 	}
 }
 
-// Overdue records that a request that the upstreams work on has already taken so much
-// longer than expected. It counts only for upstreams that have answered no other lately.
-func (c *Calibrator) Overdue(now time.Time, ids []string, ratio float64) {
-	if !IsSlow(ratio) {
-		return
-	}
-	for _, id := range ids {
+// Overdue records that a request at an upstream has already taken so much longer than
+// expected. It counts only if the upstream has answered no other lately.
+func (c *Calibrator) Overdue(now time.Time, id string, ratio float64) {
+	if IsSlow(ratio) {
 		u := c.upstream(id)
 		u.overdue, u.overdueAt = min(ratio, maxSlowness), now
 	}
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -45,9 +45,9 @@
 	// Policy returns the features that the settings select; nil leaves each to the
 	// configuration.
 	Policy func() switcher.Policy
-	// FoundSlow is called when upstreams took much longer than expected for a request; it
+	// FoundSlow is called when an upstream took much longer than expected for a request; it
 	// may be nil. It must not call into the Scheduler.
-	FoundSlow func(upstreams []string, ratio float64, expected, actual time.Duration)
+	FoundSlow func(upstream string, ratio float64, expected, actual time.Duration)
 	Now       func() time.Time
 }
 
--- a/entry/process/scheduler/speeds.go
+++ b/entry/process/scheduler/speeds.go
@@ -65,8 +65,8 @@
 		}
 		s.plainDurations[g.service.Name] = usual
 	}
-	if calibrator.IsSlow(ratio) && s.deps.FoundSlow != nil {
-		s.deps.FoundSlow(g.upstreams(), ratio, g.expected, actual)
+	if calibrator.IsSlow(ratio) && len(g.Workload.Helpers) == 0 && s.deps.FoundSlow != nil {
+		s.deps.FoundSlow(g.Workload.Main, ratio, g.expected, actual)
 	}
 }
 
@@ -80,8 +80,8 @@
 	}
 	s.overdueCheckedAt = now
 	for g := range s.running {
-		if !g.started && g.service != nil {
-			s.speeds.Overdue(now, g.upstreams(), calibrator.Ratio(g.expected, now.Sub(g.grantedAt)))
+		if !g.started && g.service != nil && len(g.Workload.Helpers) == 0 {
+			s.speeds.Overdue(now, g.Workload.Main, calibrator.Ratio(g.expected, now.Sub(g.grantedAt)))
 		}
 	}
 }
