--- a/entry/process/allocator/describe.go
+++ b/entry/process/allocator/describe.go
@@ -17,7 +17,10 @@
 		d := describer.Group{
 			Service: g.Service, Zone: g.Zone, Leads: a.isLeader(now, g),
 			Waiting: l.scheduler.Waiting(), Running: l.scheduler.Running(),
+			Details: l.scheduler.Details(),
 		}
+		d.Details["upstreams lent"] = float64(len(l.lending.lender.Lent(now)))
+		d.Details["upstreams borrowed"] = float64(len(l.lending.borrower.Held(now)))
 		loads := l.scheduler.Loads()
 		for _, u := range a.deps.Tracker.Usable(now, g.Service) {
 			if g.Zone == "" || u.Zone == g.Zone {
--- a/entry/process/allocator/describe_test.go
+++ b/entry/process/allocator/describe_test.go
@@ -31,4 +31,8 @@
 	assert.Equal(t, g.Waiting[0].Priority, 2)
 	assert.Equal(t, g.Waiting[0].Kind, describer.Short)
 	assert.Equal(t, g.Running[0].Count, 2)
+	for _, name := range []string{"claims", "slow upstreams", "upstreams lent", "upstreams borrowed"} {
+		n, ok := g.Details[name]
+		assert.Assert(t, ok && n == 0, name)
+	}
 }
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/heathervane/heathervane/entry/connection/carrier"
+	"github.com/heathervane/heathervane/entry/process/accountant"
 	"github.com/heathervane/heathervane/entry/process/pager"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 	"github.com/heathervane/heathervane/library/describer"
@@ -128,10 +129,19 @@
 // refusedPrefix begins the names of the counters of refused requests.
 const refusedPrefix = "refused."
 
+// memoryByKind returns the memory in use by what it is for.
+func (v *Process) memoryByKind() map[string]int64 {
+	all := make(map[string]int64)
+	for k, n := range v.memory.Usage("").ByKind {
+		all[accountant.Kind(k).String()] = n
+	}
+	return all
+}
+
 // serveLoad serves what this VM knows of the load, for operators.
 func (v *Process) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	data, err := json.Marshal(describer.Load{
-		VM: v.self.VM, Groups: v.allocator.Describe(), Refusals: v.meter.Counters(refusedPrefix),
+		VM: v.self.VM, Groups: v.allocator.Describe(), Refusals: v.meter.Counters(refusedPrefix), Memory: v.memoryByKind(),
 	})
 	if err != nil {
 		v.log.Error().Err(err).Msg("failed to describe the load")
--- a/entry/process/scheduler/describe.go
+++ b/entry/process/scheduler/describe.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+
 	"github.com/heathervane/heathervane/library/describer"
 )
 
@@ -27,6 +29,20 @@
 	return all.List()
 }
 
+// Details returns figures of optional features for operators.
+func (s *Scheduler) Details() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.deps.Now()
+	all := map[string]float64{
+		"claims": float64(len(s.deferrer.All(now))), "slow upstreams": float64(s.speeds.Slow(now)),
+	}
+	for key, kept := range s.keptLogged {
+		all[fmt.Sprintf("upstreams kept free from priority %d", key.priority)] = float64(kept.upstreams)
+	}
+	return all
+}
+
 // kind returns the class of a request in reports to operators.
 func (w *waiter) kind() describer.Class {
 	kind := describer.Plain
--- a/entry/process/scheduler/grant.go
+++ b/entry/process/scheduler/grant.go
@@ -6,6 +6,7 @@
 
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/placer"
+	"github.com/heathervane/heathervane/entry/version/matcher"
 	"github.com/heathervane/heathervane/library/describer"
 )
 
@@ -45,9 +46,13 @@
 	// if it was not, or if the request must keep its slot.
 	withdraw    func()
 	withdrawnAt time.Time
-	loads       []upstreamLoad
-	started     bool
-	ended       bool
+	// timed is the service if the speed of its upstreams is learnt, otherwise nil, and
+	// expected how long the request should take to its first event.
+	timed    *matcher.Service
+	expected time.Duration
+	loads    []upstreamLoad
+	started  bool
+	ended    bool
 }
 
 // A Workload is the load that a request adds to the upstreams of its grant.
@@ -117,6 +122,9 @@
 		g.Workload.Helpers = append(g.Workload.Helpers, states[i].ID)
 		g.Workload.ReservedTokens = append(g.Workload.ReservedTokens, reserved[i])
 	}
+	if s.learnsSpeeds() {
+		g.timed, g.expected = w.request.Service, s.expectedTime(w.request.Service, g.Workload)
+	}
 	g.reserve()
 	s.coldLimiter(main.ID).Sent(now)
 	s.countSent(&main)
@@ -153,6 +161,9 @@
 // MarkStarted records that the first token has arrived: the prefill is complete.
 func (g *Grant) MarkStarted() {
 	g.scheduler.withLock(func() {
+		if !g.started {
+			g.scheduler.observeStart(g)
+		}
 		g.markStarted()
 		g.scheduler.dispatch()
 	})
--- a/entry/process/scheduler/queue.go
+++ b/entry/process/scheduler/queue.go
@@ -33,6 +33,7 @@
 		blocked: make(map[class]bool), usable: make(map[string][]tracker.State), capacities: make(map[string]*rateCapacity),
 		ahead: make(map[projector.Lane]float64), kept: make(map[keptKey]map[string]bool),
 	}
+	s.observeOverdue(now)
 	s.sortQueue(now)
 	s.rankQueue()
 	remaining := s.queue[:0:0]
@@ -182,6 +183,7 @@
 }
 
 func (s *Scheduler) candidates(now time.Time, r Request, states []tracker.State) []placer.Candidate {
+	learnsSpeeds := s.learnsSpeeds()
 	cs := make([]placer.Candidate, 0, len(states))
 	unreported := 0
 	if e := r.Service.Engine; e != nil && s.policy().Memory.Enabled(true) && s.deps.Alone != nil && s.deps.Alone() {
@@ -203,6 +205,9 @@
 		if rate := r.Service.ColdStartRate; rate > 0 && c.Cold {
 			c.Quota = s.coldLimiter(u.ID).Available(now, s.deps.ColdQuota(u.ID, rate))
 		}
+		if learnsSpeeds {
+			c.Slowness = s.speeds.Slowness(now, u.ID)
+		}
 		if u.Limit.Limited {
 			c.Quota = min(c.Quota, s.availableAt(now, u))
 		}
--- a/entry/process/scheduler/scheduler.go
+++ b/entry/process/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heathervane/heathervane/entry/process/budgeter"
+	"github.com/heathervane/heathervane/entry/process/calibrator"
 	"github.com/heathervane/heathervane/entry/process/deferrer"
 	"github.com/heathervane/heathervane/entry/process/inspector"
 	"github.com/heathervane/heathervane/entry/process/projector"
@@ -132,6 +133,11 @@
 	queue        []*waiter
 	// running are the grants that have not ended.
 	running map[*Grant]struct{}
+	// speeds is how fast upstreams are, and plainDurations how long requests of plain
+	// services usually take.
+	speeds           *calibrator.Calibrator
+	plainDurations   map[string]time.Duration
+	overdueCheckedAt time.Time
 	// rankers track the usage of each service by team.
 	rankers map[string]*ranker.Ranker
 	// projector estimates when requests could begin, and deferrer holds the claims of
@@ -201,6 +207,7 @@
 func New(zone string, d Deps) *Scheduler {
 	return &Scheduler{
 		zone: zone, deps: d, running: make(map[*Grant]struct{}), projector: projector.New(), deferrer: deferrer.New(),
+		speeds: calibrator.New(), plainDurations: make(map[string]time.Duration),
 		loads: make(map[string]*placer.Load), coldLimiters: make(map[string]*budgeter.ColdLimiter), rateLimiters: make(map[string]*budgeter.RateLimiter), rankers: make(map[string]*ranker.Ranker),
 		unreported: make(map[string]inspector.Work),
 		sharers:    make(map[string]*sharer.Sharer), provisioners: make(map[string]*provisioner.Provisioner), streams: make(map[string]map[int]int), keptLogged: make(map[keptKey]keptRecord),
@@ -344,13 +351,13 @@
 	return len(s.queue)
 }
 
-// Forget drops the cold-start and rate limiters of an upstream that no longer
-// exists.
+// Forget drops the limiters and the speed of an upstream that no longer exists.
 func (s *Scheduler) Forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.unreported, id)
 	delete(s.coldLimiters, id)
+	s.speeds.Forget(id)
 	delete(s.rateLimiters, id)
 }
 
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -75,7 +75,7 @@
 	// defaults.
 	Loan        time.Duration
 	LendingPart float64
-	// Speeds learns how fast each upstream is. It is always called for.
+	// Speeds learns how fast each upstream is. Nothing but the settings calls for it.
 	Speeds Mode
 	// Inspection asks engines what they still do after most VMs have started again. A
 	// service whose engines name their usual prompts and answers calls for it.
