--- a/entry/process/allocator/lending.go
+++ b/entry/process/allocator/lending.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -355,6 +356,28 @@
 	a.reportForeignLoads(now, l)
 }
 
+// GroupLoans are the engines of a group that this VM leads that are lent or borrowed.
+type GroupLoans struct {
+	Group          Group
+	Lent, Borrowed []string
+}
+
+// Loans returns the loans of the groups that this VM leads and that have any.
+func (a *Allocator) Loans() []GroupLoans {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Now()
+	var all []GroupLoans
+	for g, l := range a.ledGroups {
+		lent := slices.Sorted(maps.Keys(l.lending.lender.Lent(now)))
+		borrowed := slices.Sorted(maps.Keys(l.lending.borrower.Held(now)))
+		if len(lent)+len(borrowed) > 0 {
+			all = append(all, GroupLoans{g, lent, borrowed})
+		}
+	}
+	return all
+}
+
 // applyLoans passes the loans of a group, and what other groups have in progress at its
 // engines, to its scheduler.
 func (a *Allocator) applyLoans(now time.Time, l *ledGroup) {
