Renew and release reservations at all engines at once

Cause: the calls went one after the other, and each to a silent engine takes 400 ms, a release three times. Evidence: TestSilentEnginesDoNotDelayTheOthers fails before (the lease of an engine that answers expires while three others are silent) and passes with the change, five times.

--- a/entry/process/reserver/reserver.go
+++ b/entry/process/reserver/reserver.go
@@ -110,11 +110,11 @@
 			return
 		case <-t.C:
 		}
-		for i, p := range res.parts {
-			if err := res.reserver.reserve(ctx, p, res.Names[i]); err != nil && ctx.Err() == nil {
-				res.reserver.log.Warn().Str("upstream", p.Address).Str("memory", res.Names[i]).Err(err).Msg("memory lease renewal failed")
+		res.forEach(func(p EngineMemory, name string) {
+			if err := res.reserver.reserve(ctx, p, name); err != nil && ctx.Err() == nil {
+				res.reserver.log.Warn().Str("upstream", p.Address).Str("memory", name).Err(err).Msg("memory lease renewal failed")
 			}
-		}
+		})
 	}
 }
 
@@ -128,9 +128,17 @@
 }
 
 func (res *Reservation) releaseAll() {
+	res.forEach(res.reserver.release)
+}
+
+// forEach calls f for all parts at once, and waits. One after the other, engines that do
+// not answer would delay the calls to those that do.
+func (res *Reservation) forEach(f func(p EngineMemory, name string)) {
+	var calls sync.WaitGroup
 	for i, p := range res.parts {
-		res.reserver.release(p, res.Names[i])
+		calls.Go(func() { f(p, res.Names[i]) })
 	}
+	calls.Wait()
 }
 
 func (r *Reserver) release(p EngineMemory, name string) {
--- a/entry/process/reserver/reserver_test.go
+++ b/entry/process/reserver/reserver_test.go
@@ -25,12 +25,19 @@
 	leases   map[string]time.Time
 	full     string
 	noReply  string
+	// silent are addresses that answer no call.
+	silent   []string
 	calls    int
 	released []string
 }
 
-func (e *fakeEngines) Reserve(_ context.Context, address, name string, _ int, lease time.Duration) error {
+func (e *fakeEngines) Reserve(ctx context.Context, address, name string, _ int, lease time.Duration) error {
 	e.mu.Lock()
+	if e.isSilent(address) {
+		e.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	defer e.mu.Unlock()
 	e.calls++
 	if address == e.full {
@@ -43,8 +50,15 @@
 	return nil
 }
 
-func (e *fakeEngines) Release(_ context.Context, _, name string) error {
+func (e *fakeEngines) isSilent(address string) bool { return slices.Contains(e.silent, address) }
+
+func (e *fakeEngines) Release(ctx context.Context, address, name string) error {
 	e.mu.Lock()
+	if e.isSilent(address) {
+		e.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	defer e.mu.Unlock()
 	delete(e.leases, name)
 	e.released = append(e.released, name)
@@ -131,3 +145,34 @@
 	res.Release()
 	e.waitUntilEmpty(t)
 }
+
+// Half of the engines that hold a prompt fall silent. Calls to them time out one after the
+// other, and must not delay those to the others, whose memory would stay reserved for
+// seconds after the request, or whose leases would expire during it.
+func TestSilentEnginesDoNotDelayTheOthers(t *testing.T) {
+	many := []reserver.EngineMemory{{Address: "s1", Tokens: 1}, {Address: "s2", Tokens: 1}, {Address: "s3", Tokens: 1}, {Address: "ok", Tokens: 1}}
+	e := &fakeEngines{leases: map[string]time.Time{}}
+	const lease = 600 * time.Millisecond
+	res, err := newReserver(e, lease).Reserve(t.Context(), "r", many)
+	assert.NilError(t, err)
+	held := res.Names[len(many)-1]
+	e.mu.Lock()
+	e.silent = []string{"s1", "s2", "s3"}
+	e.mu.Unlock()
+	for range 5 {
+		time.Sleep(lease / 2)
+		e.mu.Lock()
+		left := time.Until(e.leases[held])
+		e.mu.Unlock()
+		assert.Assert(t, left > 0, "the lease of an engine that answers has expired")
+	}
+	res.Release()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if slices.Contains(e.released, held) {
+			return poll.Success()
+		}
+		return poll.Continue("not released")
+	}, poll.WithTimeout(time.Second))
+}
