--- a/entry/process/reserver/reserver_test.go
+++ b/entry/process/reserver/reserver_test.go
@@ -21,10 +21,10 @@
 // fakeEngines hold memory until its lease expires. The engine at address full
 // refuses reservations; the one at noReply makes them, but its replies are lost.
 type fakeEngines struct {
-	mu       sync.Mutex
-	leases   map[string]time.Time
-	full     string
-	noReply  string
+	mu      sync.Mutex
+	leases  map[string]time.Time
+	full    string
+	noReply string
 	// silent are addresses that answer no call.
 	silent   []string
 	calls    int
