--- a/review/tool/client.go
+++ b/review/tool/client.go
@@ -49,7 +49,9 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
 		k.method, k.path, k.id, k.deadline.Milliseconds(), apiKey)
 	if k.tokens != "" {
-		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prompt-Prefix: 5c1e07a2:40,%x:1\r\n", k.tokens, k.id)
+		prompt := 0
+		fmt.Sscanf(k.tokens, "%d", &prompt)
+		fmt.Fprintf(&b, "X-Model: m\r\nX-Token-Usage: %s\r\nX-Prompt-Prefix: 5c1e07a2:40,%x:%d\r\n", k.tokens, k.id, prompt-40)
 	}
 	if body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	startedAt = time.Now()
 	recordMu  sync.Mutex
 	recordOut *os.File
+	fleetMu   sync.Mutex
 	fleet     []*vm
 )
 
@@ -26,7 +28,7 @@
 func note(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
-	fmt.Fprintf(recordOut, "%8.3f s  %s\n", time.Since(startedAt).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(recordOut, "%6d ms  %s\n", time.Since(startedAt).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
 // unusable ends a case that couldn't run.
@@ -36,7 +38,7 @@
 }
 
 func finish(code int) {
-	stopFleet(fleet)
+	stopFleet()
 	if os.Getenv("KEEP_LOGS") == "" {
 		os.RemoveAll(folder)
 	}
@@ -45,6 +47,9 @@
 
 var cases = map[string]func(trouble bool) (broken bool){}
 
+// The VMs end with the thread that starts them, also if this process is killed.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: tool CASE RECORD")
--- a/review/tool/runner.go
+++ b/review/tool/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,11 +15,11 @@
 
 // A runner is a stand-in of a server of a service.
 type runner struct {
-	id, service string
-	slots       int
-	store       *store
-	listener    net.Listener
-	born        int64
+	id, service, zone string
+	slots             int
+	store             *store
+	listener          net.Listener
+	born              int64
 	// answer writes the answer to a request that runs. It returns early if the caller has
 	// gone.
 	answer func(r *runner, w http.ResponseWriter, q *http.Request)
@@ -65,11 +66,13 @@
 	}
 }
 
+var zones = []string{"seoul-a", "seoul-b", "seoul-c"}
+
 const heartbeat = 1200 * time.Millisecond
 
-func newRunner(s *store, id, service string, slots int, answer func(*runner, http.ResponseWriter, *http.Request)) *runner {
+func newRunner(s *store, id string, number int, service string, slots int, answer func(*runner, http.ResponseWriter, *http.Request)) *runner {
 	r := &runner{
-		id: id, service: service, slots: slots, store: s, listener: listen(), born: time.Now().UnixMilli(), answer: answer,
+		id: id, service: service, zone: zones[number%len(zones)], slots: slots, store: s, listener: listen(), born: time.Now().UnixMilli(), answer: answer,
 		runs: make(map[string]int),
 	}
 	go http.Serve(r.listener, http.HandlerFunc(r.serve))
@@ -86,7 +89,7 @@
 	r.mu.Lock()
 	r.sequence++
 	data, err := json.Marshal(map[string]any{
-		"Service": r.service, "Address": r.listener.Addr().String(), "Zone": "seoul-a", "Version": "v1", "Slots": r.slots, "State": "ready",
+		"Service": r.service, "Address": r.listener.Addr().String(), "Zone": r.zone, "Version": "v1", "Slots": r.slots, "State": "ready",
 		"ColdLeftMs": 0, "Stage": "both", "Sequence": r.sequence, "born": r.born,
 	})
 	r.mu.Unlock()
@@ -97,9 +100,9 @@
 }
 
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
-	w.Header().Set("X-Instance-Id", r.id)
 	switch q.URL.Path {
 	case "/health":
+		w.Header().Set("X-Instance-Id", r.id)
 		return
 	case "/api/report":
 		r.mu.Lock()
@@ -112,6 +115,7 @@
 		return
 	}
 	if want := q.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
+		w.Header().Set("X-Instance-Id", r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -120,6 +124,17 @@
 		return
 	}
 	id := q.Header.Get("X-Request-Id")
+	if id == "" {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if ms, err := strconv.Atoi(q.Header.Get("X-Deadline-Ms")); err == nil {
+		// Work stops at the deadline.
+		ctx, cancel := context.WithTimeout(q.Context(), time.Duration(ms)*time.Millisecond)
+		defer cancel()
+		q = q.WithContext(ctx)
+	}
 	w.Header().Set("X-Request-Id", id)
 	r.mu.Lock()
 	full := r.running >= r.slots
@@ -230,22 +245,31 @@
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-func newEngine(s *store, id string) *runner {
+func newEngine(s *store, number int) *runner {
 	e := &engine{contexts: make(map[string]int)}
-	return newRunner(s, id, engines, 16, e.answer)
+	return newRunner(s, fmt.Sprintf("i-engine-%d", number), number, engines, 16, e.answer)
 }
 
-// An application is the state of the runners of a plain service.
-type application struct {
-	mu   sync.Mutex
-	work time.Duration
+// plain answers a request of a plain service after the given work.
+func plain(work time.Duration) func(*runner, http.ResponseWriter, *http.Request) {
+	return func(r *runner, w http.ResponseWriter, q *http.Request) {
+		if r.work(q, work) {
+			io.WriteString(w, "answer of "+q.Header.Get("X-Request-Id"))
+			return
+		}
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
 }
 
-func (a *application) answer(r *runner, w http.ResponseWriter, q *http.Request) {
-	a.mu.Lock()
-	work := a.work
-	a.mu.Unlock()
-	if r.work(q, work) {
-		io.WriteString(w, "answer of "+q.Header.Get("X-Request-Id"))
+// runnerOf returns the first of the runners that has run a request; nil if none has.
+func runnerOf(runners []*runner, id string) *runner {
+	for _, r := range runners {
+		r.mu.Lock()
+		runs := r.runs[id]
+		r.mu.Unlock()
+		if runs > 0 {
+			return r
+		}
 	}
+	return nil
 }
--- a/review/tool/store.go
+++ b/review/tool/store.go
@@ -50,7 +50,10 @@
 	mux.HandleFunc("GET /api/log-newest", s.newest)
 	mux.HandleFunc("GET /api/log-read", s.read)
 	mux.HandleFunc("POST /api/log-append", s.append)
-	go http.Serve(s.listener, mux)
+	go http.Serve(s.listener, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Store-Era", "1")
+		mux.ServeHTTP(w, q)
+	}))
 	return s
 }
 
@@ -66,8 +69,9 @@
 	return t
 }
 
-// put writes a record as operators and servers do. An empty value deletes the key.
-func (s *store) put(name, key string, value []byte) {
+// put writes a record as operators and servers do, and returns the end of the topic. An empty
+// value deletes the key.
+func (s *store) put(name, key string, value []byte) (end int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
@@ -81,6 +85,7 @@
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
+	return t.end
 }
 
 func (s *store) append(w http.ResponseWriter, q *http.Request) {
@@ -94,7 +99,7 @@
 		return
 	}
 	time.Sleep(appendTime)
-	first := int64(-1)
+	first, end := int64(-1), int64(0)
 	for len(data) >= 4 {
 		n := int(binary.BigEndian.Uint32(data))
 		if len(data) < 4+n || n < 1 || n < 1+int(data[4]) {
@@ -103,15 +108,12 @@
 		content := data[4 : 4+n]
 		data = data[4+n:]
 		k := int(content[0])
-		s.put(name, string(content[1:1+k]), content[1+k:])
+		end = s.put(name, string(content[1:1+k]), content[1+k:])
 		if first < 0 {
-			first = 0
+			first = end - 1
 		}
 	}
-	s.mu.Lock()
-	end := s.topic(name).end
-	s.mu.Unlock()
-	writeJSON(w, map[string]int64{"Offset": max(0, end-1), "EndOffset": end})
+	writeJSON(w, map[string]int64{"Offset": first, "EndOffset": end})
 }
 
 func (s *store) newest(w http.ResponseWriter, q *http.Request) {
--- a/review/tool/vm.go
+++ b/review/tool/vm.go
@@ -123,10 +123,9 @@
 
 // startFleet starts VMs in zones seoul-a, seoul-b and seoul-c in turn, and waits until all
 // are ready.
-func startFleet(s *store, n int) []*vm {
+func startFleet(s *store, n int) {
 	const portsPerVM = 6
 	first := freePorts(n * portsPerVM)
-	var vms []*vm
 	for i := range n {
 		zone := "seoul-" + string(rune('a'+i%3))
 		at := first + i*portsPerVM
@@ -144,6 +143,7 @@
 		v.command = exec.Command("target/heathervane")
 		v.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "HEATHERVANE_NODE_FILE=" + path}
 		v.command.Stdout, v.command.Stderr = out, out
+		v.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := v.command.Start(); err != nil {
 			unusable("start of %s: %v", v.name, err)
 		}
@@ -152,13 +152,14 @@
 			v.endedAt = time.Now()
 			close(v.ended)
 		}()
-		vms = append(vms, v)
+		fleetMu.Lock()
+		fleet = append(fleet, v)
+		fleetMu.Unlock()
 	}
-	for _, v := range vms {
+	for _, v := range fleet {
 		v.awaitReady()
 	}
 	note("%d VMs are ready", n)
-	return vms
 }
 
 func (v *vm) isReady() bool {
@@ -186,8 +187,10 @@
 }
 
 // stopFleet ends all VMs that still run.
-func stopFleet(vms []*vm) {
-	for _, v := range vms {
+func stopFleet() {
+	fleetMu.Lock()
+	defer fleetMu.Unlock()
+	for _, v := range fleet {
 		select {
 		case <-v.ended:
 		default:
