Log how requests at a stopping VM are judged, and how its connections end

The line of a request at a stopping VM now has the time left and the time needed; the shutdown writes a line for each set of limits.

--- a/entry/connection/acceptor/acceptor.go
+++ b/entry/connection/acceptor/acceptor.go
@@ -171,11 +171,39 @@
 	a.mu.Unlock()
 	var shutdownErrs []error
 	for _, g := range servers {
-		shutdownErrs = append(shutdownErrs, g.server.Shutdown(ctx))
+		shutdownErrs = append(shutdownErrs, a.shutDownServer(ctx, g))
 	}
 	return errors.Join(shutdownErrs...)
 }
 
+// shutDownServer closes a server's idle connections, and waits for the requests on the others.
+func (a *Acceptor) shutDownServer(ctx context.Context, g *limitedServer) error {
+	begin := a.now()
+	open, serving := a.countConns(g)
+	err := g.server.Shutdown(ctx)
+	left, _ := a.countConns(g)
+	a.log.Info().Int("open", open).Int("serving", serving).Int("left", left).Dur("took", a.now().Sub(begin)).Err(err).
+		Msg("caller connections closed")
+	return err
+}
+
+// countConns returns the number of a server's open connections, and on how many of them a
+// request is being served.
+func (a *Acceptor) countConns(g *limitedServer) (open, serving int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, h := range a.conns {
+		if h.server != g {
+			continue
+		}
+		open++
+		if h.serving {
+			serving++
+		}
+	}
+	return open, serving
+}
+
 // Accept returns the next connection passed to the server.
 func (g *limitedServer) Accept() (net.Conn, error) {
 	select {
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -301,6 +301,10 @@
 	// losses is the number of upstreams lost while running the request, as far as
 	// this VM knew after the last of them.
 	losses int
+	// leaving is set if the VM was about to stop when the request came. timeLeft is the time
+	// that was left until then, and needed the time for which the request was judged.
+	leaving          bool
+	timeLeft, needed time.Duration
 	// heldPart is the ID of the part of the prompt because of which the request is held.
 	heldPart string
 }
@@ -367,8 +371,11 @@
 	if j.forwarded && r.deps.Reachability.Confirm(j.request.Context(), j.service.Name) {
 		return unreachableRefusal()
 	}
-	if leaving, left := r.deps.ShuttingDown(); leaving && (j.forwarded || left < r.expectedDuration(j)) {
-		return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(retryAfter)
+	if leaving, left := r.deps.ShuttingDown(); leaving {
+		j.log.leaving, j.log.timeLeft, j.log.needed = true, left, r.expectedDuration(j)
+		if j.forwarded || left < j.log.needed {
+			return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(retryAfter)
+		}
 	}
 	if refusal := r.openMemory(w, j); refusal != nil {
 		return refusal
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -232,6 +232,9 @@
 			Float64("estimate", l.estimate).Int("streams", l.load.Streams).Float64("unread", l.load.PendingPrefill).
 			Int("runs", j.possibleRuns).Int("declined", j.declines)
 	}
+	if l.leaving {
+		line.Dur("left", l.timeLeft).Dur("needed", l.needed)
+	}
 	if l.leader != "" {
 		line.Str("leader", l.leader)
 	}
