Accept late requests at a stopping VM only if their deadline passes before it stops

Cause: a stopping VM judged each request by an estimate of its duration (objective and writing time of the whole answer; 1.5 s for services without engines). What a request waits for, reads behind others, or an engine's silence are in no estimate.

Change: in the first 2.95 s, while the load balancer may still send callers, all is as before. After that only a request whose deadline passes before the VM interrupts requests is accepted; others are refused at once as not run, with Retry-After 20 ms (was 300), as another VM can serve them at once. The body may come slowly, so that this is asked again once it is read. A settings file that changes after SIGTERM no longer moves the end of the grace period: the platform kills the process by the old one.

--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -209,8 +209,9 @@
 	relevantEnds map[string]*relevantEnd
 	copies       map[string]*replicator.Copy
 
-	table          atomic.Pointer[matcher.Table]
-	leavingSince   atomic.Pointer[time.Time]
+	table atomic.Pointer[matcher.Table]
+	// stop is nil until the platform requests that this VM stops.
+	stop           atomic.Pointer[plannedStop]
 	zones          map[string]bool
 	activeRequests atomic.Int64
 
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -19,6 +19,11 @@
 	// leaveAcceptPeriod is how long a leaving VM continues to accept connections: the load
 	// balancer checks once a second and sends new connections until two checks have failed.
 	leaveAcceptPeriod = 3500 * time.Millisecond
+	// estimatePeriod is how long a leaving VM accepts requests that are likely to end before it
+	// stops. The load balancer sends it no more connections then, and the requests on those
+	// that callers keep can go to another VM. The platform expects 3 s; the signal may arrive
+	// late.
+	estimatePeriod = 2950 * time.Millisecond
 	// shutdownReserve is how long before the end of the grace period the remaining
 	// requests are interrupted.
 	shutdownReserve = 400 * time.Millisecond
@@ -63,13 +68,30 @@
 	}
 }
 
-// leaving reports whether this VM is about to stop, and how much time requests have left.
-func (v *Process) leaving() (bool, time.Duration) {
-	at := v.leavingSince.Load()
-	if at == nil {
-		return false, 0
+// A plannedStop is a stop of this VM that the platform has requested. Settings that change
+// afterwards do not move it.
+type plannedStop struct {
+	// acceptsUntil is when the VM closes its listener, strictAt when it begins to accept only
+	// requests that are certain to end in time, and interruptsAt when it interrupts the others.
+	acceptsUntil, strictAt, interruptsAt time.Time
+}
+
+func newPlannedStop(now time.Time, grace time.Duration) *plannedStop {
+	return &plannedStop{
+		acceptsUntil: now.Add(min(leaveAcceptPeriod, grace/2)),
+		strictAt:     now.Add(min(estimatePeriod, grace/2)),
+		interruptsAt: now.Add(grace - shutdownReserve),
+	}
+}
+
+// leaving reports whether this VM is about to stop.
+func (v *Process) leaving() (relayer.Shutdown, bool) {
+	stop := v.stop.Load()
+	if stop == nil {
+		return relayer.Shutdown{}, false
 	}
-	return true, time.Until(at.Add(v.settings.Load().Bounds.ShutdownGrace - shutdownReserve))
+	now := time.Now()
+	return relayer.Shutdown{Left: stop.interruptsAt.Sub(now), Strict: !now.Before(stop.strictAt)}, true
 }
 
 // shutDown stops the process without interrupting requests: the readiness check fails, so
@@ -77,13 +99,13 @@
 // served; then requests in progress complete.
 func (v *Process) shutDown() {
 	now := time.Now()
-	v.leavingSince.Store(&now)
+	stop := newPlannedStop(now, v.settings.Load().Bounds.ShutdownGrace)
+	v.stop.Store(stop)
 	v.log.Info().Int64("active", v.activeRequests.Load()).Msg("leaving")
-	grace := v.settings.Load().Bounds.ShutdownGrace
 	v.gossiper.AnnounceLeaving()
-	v.allocator.Drain(now.Add(grace - shutdownReserve))
-	time.Sleep(min(leaveAcceptPeriod, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), now.Add(grace-shutdownReserve))
+	v.allocator.Drain(stop.interruptsAt)
+	time.Sleep(time.Until(stop.acceptsUntil))
+	ctx, cancel := context.WithDeadline(context.Background(), stop.interruptsAt)
 	defer cancel()
 	if err := v.acceptor.Shutdown(ctx); err != nil {
 		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("requests interrupted at the end of the grace period")
@@ -96,7 +118,7 @@
 func (v *Process) serveReadiness() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+v.settings.Load().ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		leaving, _ := v.leaving()
+		_, leaving := v.leaving()
 		if leaving || v.table.Load() == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -167,6 +167,8 @@
 	meter      *meter.Meter
 	table      *matcher.Table
 	shutdownIn atomic.Int64
+	// strict is set once a stopping VM accepts only requests that are certain to end.
+	strict atomic.Bool
 	// held makes the quarantine hold every request that has arrived.
 	held atomic.Bool
 	// configured is closed once the relayer is to see the table.
@@ -300,7 +302,10 @@
 		Quarantine:   lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
 		RetryBudget:  b.budget, Memory: b.accounts, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		VM: "me", Reachability: b, Peers: b, PeerCarrier: carrier.New(time.Now), MaxForwarded: 2,
-		ShuttingDown: func() (bool, time.Duration) { return b.shutdownIn.Load() > 0, time.Duration(b.shutdownIn.Load()) },
+		ShuttingDown: func() (relayer.Shutdown, bool) {
+			left := time.Duration(b.shutdownIn.Load())
+			return relayer.Shutdown{Left: left, Strict: b.strict.Load()}, left > 0
+		},
 	})
 	b.relayer = r
 	b.server = httptest.NewUnstartedServer(r)
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -40,6 +40,11 @@
 	// retryAfter is when a caller may retry after a refusal for a temporary
 	// reason.
 	retryAfter = 300 * time.Millisecond
+	// leavingRetryAfter is when a caller may retry after a refusal by a VM that is about to
+	// stop: another VM can serve it at once.
+	leavingRetryAfter = 20 * time.Millisecond
+	// answerMargin is the time in which a request that has reached its deadline is answered.
+	answerMargin = 100 * time.Millisecond
 	// maxBufferedBytes is the longest response body that is buffered completely
 	// before anything is sent to the caller, so that a truncated response can
 	// still be reported as an error. It also limits request bodies if the
@@ -211,8 +216,17 @@
 	PeerCarrier *carrier.Carrier
 	// MaxForwarded is the number of requests in progress that this VM takes from other VMs.
 	MaxForwarded int
-	// ShuttingDown reports whether this VM is about to stop, and the time left.
-	ShuttingDown func() (bool, time.Duration)
+	// ShuttingDown reports whether this VM is about to stop.
+	ShuttingDown func() (Shutdown, bool)
+}
+
+// A Shutdown is the state of this VM's planned stop.
+type Shutdown struct {
+	// Left is the time until the requests in progress are interrupted.
+	Left time.Duration
+	// Strict is set once a request is accepted only if its deadline passes before that.
+	// Until then it is enough that the request is likely to have ended.
+	Strict bool
 }
 
 // A Relayer forwards requests to upstreams.
@@ -316,7 +330,7 @@
 }
 
 func (r *Relayer) serve(w http.ResponseWriter, j *job) {
-	if leaving, _ := r.deps.ShuttingDown(); leaving {
+	if _, leaving := r.deps.ShuttingDown(); leaving {
 		w.Header().Set("Connection", "close")
 	}
 	defer func() {
@@ -371,11 +385,8 @@
 	if j.forwarded && r.deps.Reachability.Confirm(j.request.Context(), j.service.Name) {
 		return unreachableRefusal()
 	}
-	if leaving, left := r.deps.ShuttingDown(); leaving {
-		j.log.leaving, j.log.timeLeft, j.log.needed = true, left, r.expectedDuration(j)
-		if j.forwarded || left < j.log.needed {
-			return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(retryAfter)
-		}
+	if refusal := r.leavingRefusal(j); refusal != nil {
+		return refusal
 	}
 	if refusal := r.openMemory(w, j); refusal != nil {
 		return refusal
@@ -392,6 +403,10 @@
 		return refusal
 	}
 	j.body = body
+	// The body may have come slowly, and nothing has been sent yet.
+	if refusal := r.leavingRefusal(j); refusal != nil {
+		return refusal
+	}
 	j.fingerprint = fingerprinter.Of(&fingerprinter.Request{
 		Team: j.teamName(), Method: j.request.Method, Host: j.request.Host, Target: j.request.RequestURI, Body: body.Data,
 	})
@@ -463,6 +478,25 @@
 	return nil
 }
 
+// leavingRefusal refuses a request that this VM may be unable to finish before it stops.
+// Once the load balancer sends the VM no more callers, an estimate does not suffice: what a
+// request waits for, and the silence of an engine, are bounded by its deadline only.
+func (r *Relayer) leavingRefusal(j *job) *refuser.Refusal {
+	s, leaving := r.deps.ShuttingDown()
+	if !leaving {
+		return nil
+	}
+	needed := r.expectedDuration(j)
+	if s.Strict {
+		needed = j.deadline.Sub(r.deps.Now()) + answerMargin
+	}
+	j.log.leaving, j.log.timeLeft, j.log.needed = true, s.Left, needed
+	if !j.forwarded && needed <= s.Left {
+		return nil
+	}
+	return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(leavingRetryAfter)
+}
+
 // expectedDuration estimates the longest duration of a request, for a VM that is
 // about to stop to decide whether it can still finish it.
 func (r *Relayer) expectedDuration(j *job) time.Duration {
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/heathervane/heathervane/entry/process/tracker"
+	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
@@ -291,6 +292,64 @@
 	assert.Equal(t, len(b.requestsReceived()), 1)
 }
 
+// A VM that stops takes a request late because it usually ends in time. An engine's queue or
+// silence then keeps it until the VM cuts the answer off, so that only the request's deadline
+// may count.
+func TestStoppingVMTakesNoRequestThatItMayCutOff(t *testing.T) {
+	const left = 3 * time.Second
+	for _, c := range []struct {
+		name, target, limit string
+		strict              bool
+		want                int
+	}{
+		{"a stream in the first seconds", "/stream/x", "5s", false, http.StatusOK},
+		{"a stream", "/stream/x", "5s", true, http.StatusServiceUnavailable},
+		{"a stream that can be resumed", "/resume/x", "5s", true, http.StatusServiceUnavailable},
+		{"a stream that ends before the VM", "/stream/x", "2s", true, http.StatusOK},
+		{"a booking", "/unsafe/x", "5s", true, http.StatusServiceUnavailable},
+		{"a booking that ends before the VM", "/unsafe/x", "2s", true, http.StatusOK},
+		{"a booking that ends with the VM", "/unsafe/x", "3s", true, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHarness(t, routes())
+			b.upstream("u1", "plain", answerSealed)
+			b.upstream("u2", "model", events(3, false))
+			b.shutdownIn.Store(int64(left))
+			b.strict.Store(c.strict)
+			q := b.request(http.MethodPost, c.target, "b")
+			q.Header.Set("Limit", c.limit)
+			o := b.do(q)
+			assert.NilError(t, o.err)
+			assert.Equal(t, o.status, c.want)
+			if c.want == http.StatusOK {
+				return
+			}
+			assert.Equal(t, o.header.Get(refuser.RanHeader), string(refuser.RanNo))
+			assert.Equal(t, o.header.Get("Retry-After"), "0.02", "another VM can serve it at once")
+			assert.Equal(t, len(b.requestsReceived()), 0)
+		})
+	}
+}
+
+// The body of a request comes so slowly that the VM may no longer be able to finish it.
+func TestStoppingVMRefusesARequestWhoseBodyCameLate(t *testing.T) {
+	b := newHarness(t, routes())
+	b.upstream("u2", "model", events(3, false))
+	b.shutdownIn.Store(int64(3 * time.Second))
+	body, writer := io.Pipe()
+	go func() {
+		io.WriteString(writer, "half ")
+		time.Sleep(50 * time.Millisecond)
+		b.strict.Store(true)
+		io.WriteString(writer, "and the rest")
+		writer.Close()
+	}()
+	q := b.request(http.MethodPost, "/stream/x", "")
+	q.Body, q.ContentLength = body, int64(len("half and the rest"))
+	assert.Equal(t, b.do(q).status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(b.requestsReceived()), 0)
+}
+
 func TestStreamsPassEventByEvent(t *testing.T) {
 	b := newHarness(t, routes())
 	b.upstream("u1", "model", events(3, false))
--- a/entry/request/relayer/watch.go
+++ b/entry/request/relayer/watch.go
@@ -48,7 +48,7 @@
 	w.start(firstTimeout, func() bool {
 		// A VM that is about to stop has no time left for another attempt. Ending
 		// this one could only truncate a response that is merely slow.
-		if leaving, left := r.deps.ShuttingDown(); leaving && left < r.expectedDuration(j) {
+		if s, leaving := r.deps.ShuttingDown(); leaving && s.Left < r.expectedDuration(j) {
 			return false
 		}
 		return r.takeRetry(j)
