Close the connections of all limits at once when a VM stops

Cause: each set of limits has its own http.Server, and Acceptor.Shutdown shut them down one after the other. While it waited for the requests of the oldest one, the idle connections of the others stayed open and took requests. Evidence: the line of the older limits (2 serving, took 3,655 ms) comes before that of the newer ones, which then had 3 of 3 serving. Without an older connection in use the idle ones are closed at 3.5 s. The same list was copied before the wait, so that a server for limits that change meanwhile was never shut down: its requests were cut off with the process.

--- a/entry/connection/acceptor/acceptor.go
+++ b/entry/connection/acceptor/acceptor.go
@@ -60,9 +60,12 @@
 	connEnded chan struct{}
 	limits    matcher.Limits
 	servers   []*limitedServer
-	current   atomic.Pointer[limitedServer]
-	done      chan struct{}
-	once      sync.Once
+	// draining is set once connections are no longer kept for further requests, and the
+	// limits no longer change.
+	draining bool
+	current  atomic.Pointer[limitedServer]
+	done     chan struct{}
+	once     sync.Once
 }
 
 // A limitedServer is an http.Server with one set of limits. It implements net.Listener,
@@ -93,11 +96,12 @@
 	return a
 }
 
-// SetLimits sets the limits of connections that are accepted from now on.
+// SetLimits sets the limits of connections that are accepted from now on. It does nothing
+// after Drain: a server for new limits would miss the shutdown.
 func (a *Acceptor) SetLimits(l matcher.Limits) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if previous := a.current.Load(); previous != nil && l == a.limits {
+	if previous := a.current.Load(); previous != nil && (l == a.limits || a.draining) {
 		return
 	}
 	a.limits = l
@@ -161,18 +165,34 @@
 	}
 }
 
+// Drain closes idle connections, and each other one after its current request, so that their
+// callers open new ones to other VMs. Connections are still accepted.
+func (a *Acceptor) Drain() {
+	a.mu.Lock()
+	a.draining = true
+	servers := slices.Clone(a.servers)
+	a.mu.Unlock()
+	for _, g := range servers {
+		g.server.SetKeepAlivesEnabled(false)
+	}
+}
+
 // Shutdown closes the listener and waits until the requests in progress have completed
-// or the context has ended.
+// or the context has ended. All servers are shut down at once: one that waited for the
+// requests of another would leave its idle connections open, and take requests on them.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.once.Do(func() { close(a.done) })
 	a.listener.Close()
+	a.Drain()
 	a.mu.Lock()
 	servers := slices.Clone(a.servers)
 	a.mu.Unlock()
-	var shutdownErrs []error
-	for _, g := range servers {
-		shutdownErrs = append(shutdownErrs, a.shutDownServer(ctx, g))
+	shutdownErrs := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for i, g := range servers {
+		wg.Go(func() { shutdownErrs[i] = a.shutDownServer(ctx, g) })
 	}
+	wg.Wait()
 	return errors.Join(shutdownErrs...)
 }
 
--- a/entry/connection/acceptor/acceptor_test.go
+++ b/entry/connection/acceptor/acceptor_test.go
@@ -111,6 +111,96 @@
 	assert.Equal(t, <-statuses, http.StatusOK)
 }
 
+// hang serves requests with the header X-Wait once end is closed, and others at once.
+func hang(begun chan<- struct{}, end <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Header.Get("X-Wait") != "" {
+			begun <- struct{}{}
+			<-end
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// The limits have changed, and a request is in progress on a connection with the old ones. If
+// the idle connections with the newer ones stay open until it ends, a VM that stops takes
+// requests on them that it cannot finish.
+func TestShutdownClosesIdleConnectionsOfAllLimits(t *testing.T) {
+	begun, end := make(chan struct{}, 1), make(chan struct{})
+	a, address := start(t, hang(begun, end))
+	release := sync.OnceFunc(func() { close(end) })
+	t.Cleanup(release)
+	statuses := make(chan int, 1)
+	busy, busyReader := dial(t, address)
+	go func() { statuses <- get(t, busy, busyReader, "X-Wait: 1\r\n") }()
+	<-begun
+	var idle []net.Conn
+	for i := range 3 {
+		a.SetLimits(matcher.Limits{MaxHeaderBytes: int64(1000 + i), HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+		c, r := dial(t, address)
+		assert.Equal(t, get(t, c, r, ""), http.StatusOK)
+		idle = append(idle, c)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Shutdown(context.Background()) }()
+	for i, c := range idle {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err := c.Read(make([]byte, 1))
+		assert.Check(t, errors.Is(err, io.EOF), "idle connection %d: %v", i, err)
+	}
+	release()
+	assert.Equal(t, <-statuses, http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
+
+// The limits change while a VM stops. Requests on connections with the new ones would be cut
+// off if the shutdown did not wait for them.
+func TestShutdownWaitsForRequestsAfterAChangeOfLimits(t *testing.T) {
+	for _, drain := range []bool{false, true} {
+		t.Run(fmt.Sprintf("drained first: %t", drain), func(t *testing.T) {
+			begun, end := make(chan struct{}, 2), make(chan struct{})
+			a, address := start(t, hang(begun, end))
+			release := sync.OnceFunc(func() { close(end) })
+			t.Cleanup(release)
+			if drain {
+				a.Drain()
+			}
+			statuses := make(chan int, 2)
+			for i := range 2 {
+				a.SetLimits(matcher.Limits{MaxHeaderBytes: int64(1000 + i), HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+				c, r := dial(t, address)
+				go func() { statuses <- get(t, c, r, "X-Wait: 1\r\n") }()
+				<-begun
+			}
+			stopped := make(chan error, 1)
+			go func() { stopped <- a.Shutdown(context.Background()) }()
+			time.Sleep(50 * time.Millisecond)
+			a.SetLimits(matcher.Limits{MaxHeaderBytes: 2000, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+			assert.Equal(t, len(stopped), 0)
+			release()
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, <-statuses, http.StatusOK)
+			assert.Equal(t, <-statuses, http.StatusOK)
+		})
+	}
+}
+
+// Drain closes the connections that callers keep, so that they do not send on them, and takes
+// new ones, each for one request.
+func TestDrainKeepsNoConnection(t *testing.T) {
+	a, address := start(t, ok)
+	kept, keptReader := dial(t, address)
+	assert.Equal(t, get(t, kept, keptReader, ""), http.StatusOK)
+	a.Drain()
+	fresh, freshReader := dial(t, address)
+	assert.Equal(t, get(t, fresh, freshReader, ""), http.StatusOK)
+	for _, c := range []net.Conn{kept, fresh} {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err := c.Read(make([]byte, 1))
+		assert.Check(t, errors.Is(err, io.EOF), "%v", err)
+	}
+}
+
 // Callers open connections and leave them idle, or send an incomplete request on each.
 // Without a limit they would use up the file descriptors, and no request could be sent to
 // an upstream. The connections that have waited longest must be closed, but none that
@@ -118,13 +208,7 @@
 func TestIdleAndHalfSentConnectionsGiveWay(t *testing.T) {
 	const maxConns = 20
 	begun, end := make(chan struct{}, 1), make(chan struct{})
-	_, address := startWith(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if q.Header.Get("X-Wait") != "" {
-			begun <- struct{}{}
-			<-end
-		}
-		w.WriteHeader(http.StatusOK)
-	}), maxConns)
+	_, address := startWith(t, hang(begun, end), maxConns)
 	release := sync.OnceFunc(func() { close(end) })
 	t.Cleanup(release)
 	busy, busyReader := dial(t, address)
--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -104,6 +104,8 @@
 	v.log.Info().Int64("active", v.activeRequests.Load()).Msg("leaving")
 	v.gossiper.AnnounceLeaving()
 	v.allocator.Drain(stop.interruptsAt)
+	time.Sleep(time.Until(stop.strictAt))
+	v.acceptor.Drain()
 	time.Sleep(time.Until(stop.acceptsUntil))
 	ctx, cancel := context.WithDeadline(context.Background(), stop.interruptsAt)
 	defer cancel()
