Answer the requests in progress at the end of a shutdown

Cause: the grace period's end closed all connections with the process. Requests knew nothing of it, and wrote neither an answer nor a log line.

Change: 400 ms before the grace period ends the VM interrupts the requests in progress (Relayer.Interrupt), as at their deadline: 502 and "unknown" where an upstream may have run it, 503 and "not run" where none has it. A forwarded request that has not run is declined, so that a third VM serves it. Streams that have begun are broken off as before. Callers have 150 ms to read the answers.

--- a/entry/process/joiner/listeners.go
+++ b/entry/process/joiner/listeners.go
@@ -25,8 +25,10 @@
 	// late.
 	estimatePeriod = 2950 * time.Millisecond
 	// shutdownReserve is how long before the end of the grace period the remaining
-	// requests are interrupted.
+	// requests are interrupted, and interruptPeriod how long their callers may then take
+	// to read the answers.
 	shutdownReserve = 400 * time.Millisecond
+	interruptPeriod = 150 * time.Millisecond
 	// headerTimeout limits reading the header of a request to the readiness, records and
 	// metrics servers.
 	headerTimeout = 2 * time.Second
@@ -72,8 +74,9 @@
 // afterwards do not move it.
 type plannedStop struct {
 	// acceptsUntil is when the VM closes its listener, strictAt when it begins to accept only
-	// requests that are certain to end in time, and interruptsAt when it interrupts the others.
-	acceptsUntil, strictAt, interruptsAt time.Time
+	// requests that are certain to end in time, interruptsAt when it interrupts those that
+	// are still in progress, and endsAt when it closes their connections.
+	acceptsUntil, strictAt, interruptsAt, endsAt time.Time
 }
 
 func newPlannedStop(now time.Time, grace time.Duration) *plannedStop {
@@ -81,6 +84,7 @@
 		acceptsUntil: now.Add(min(leaveAcceptPeriod, grace/2)),
 		strictAt:     now.Add(min(estimatePeriod, grace/2)),
 		interruptsAt: now.Add(grace - shutdownReserve),
+		endsAt:       now.Add(grace - shutdownReserve + interruptPeriod),
 	}
 }
 
@@ -107,16 +111,22 @@
 	time.Sleep(time.Until(stop.strictAt))
 	v.acceptor.Drain()
 	time.Sleep(time.Until(stop.acceptsUntil))
-	ctx, cancel := context.WithDeadline(context.Background(), stop.interruptsAt)
+	ctx, cancel := context.WithDeadline(context.Background(), stop.endsAt)
 	defer cancel()
+	defer time.AfterFunc(time.Until(stop.interruptsAt), v.interruptRequests).Stop()
 	if err := v.acceptor.Shutdown(ctx); err != nil {
-		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("requests interrupted at the end of the grace period")
+		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("requests cut off at the end of the grace period")
 	}
 	if err := v.peerServer.Shutdown(ctx); err != nil {
-		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("forwarded requests interrupted at the end of the grace period")
+		v.log.Warn().Err(err).Int64("active", v.activeRequests.Load()).Msg("forwarded requests cut off at the end of the grace period")
 	}
 }
 
+func (v *Process) interruptRequests() {
+	v.log.Info().Int64("active", v.activeRequests.Load()).Msg("interrupting requests at the end of the grace period")
+	v.relayer.Interrupt()
+}
+
 func (v *Process) serveReadiness() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+v.settings.Load().ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/request/relayer/attempt.go
+++ b/entry/request/relayer/attempt.go
@@ -136,11 +136,19 @@
 			if after, held := r.deps.Quarantine.Held(j.fingerprint, j.parts...); held {
 				refusal = r.quarantineRefusal(j, after)
 			}
+			if r.running.Err() != nil {
+				refusal = stoppingRefusal()
+			}
 			return nil, j.correctRan(refusal)
 		}
 		if a == nil {
 			continue
 		}
+		if r.running.Err() != nil {
+			// The interruption of other requests has freed the place.
+			a.close()
+			return nil, j.correctRan(stoppingRefusal())
+		}
 		if r.canForward(j) || r.mustDecline(j) {
 			// The path has broken during the wait.
 			a.close()
@@ -412,7 +420,7 @@
 		// one turned out to be closed, it would be unknown whether the request ran.
 		NewConnection: !j.route.Repeatable(),
 		MaxIdle:       r.deps.MaxIdleConns(j.service.MaxConnections, a.grant.Upstream.ID),
-		MaySend:       func() bool { return len(r.unusableUpstreams(a.grant)) == 0 },
+		MaySend:       func() bool { return r.running.Err() == nil && len(r.unusableUpstreams(a.grant)) == 0 },
 	}
 	return q
 }
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/heathervane/heathervane/entry/process/allocator"
 	"github.com/heathervane/heathervane/entry/request/refuser"
@@ -320,6 +321,31 @@
 	assert.Equal(t, len(other.requestsReceived()), 2)
 }
 
+// A request was forwarded to a VM that stops before the request has a place. It has not run, so
+// that a third VM must serve it.
+func TestForwardedRequestThatWaitsAtAStoppingVMIsServedByAnother(t *testing.T) {
+	stopping, third := newHarness(t, routes()), newHarness(t, routes())
+	stopping.upstream("u1", "plain", func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() })
+	third.upstream("u1", "plain", echo)
+	b := newCutOffVM(t, stopping.servePeers(), third.servePeers())
+	var callers sync.WaitGroup
+	send := func(at *harness, want int) {
+		q := at.request(http.MethodPost, "/unsafe/x", "")
+		callers.Go(func() { assert.Check(t, is.Equal(at.do(q).status, want)) })
+	}
+	for range 4 {
+		send(stopping, http.StatusBadGateway)
+	}
+	for len(stopping.requestsReceived()) < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	send(b, http.StatusOK)
+	time.Sleep(100 * time.Millisecond)
+	stopping.relayer.Interrupt()
+	callers.Wait()
+	assert.Equal(t, len(stopping.requestsReceived()), 4)
+}
+
 // Another VM has served a request by a newer configuration than this VM has. The next
 // request must not be handled by the older one.
 func TestConfigurationDoesNotGoBackBetweenVMs(t *testing.T) {
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -234,6 +235,9 @@
 	deps      Deps
 	redialer  *redialer.Redialer
 	startedAt time.Time
+	// running is done once Interrupt has been called.
+	running   context.Context //nolint:containedctx // it ends the contexts of all requests
+	interrupt context.CancelFunc
 	// activeForwarded is the number of requests in progress that other VMs have forwarded,
 	// and peerVersion the newest version of the configuration by which another VM has
 	// served a request of this one.
@@ -241,7 +245,11 @@
 }
 
 // New returns a Relayer.
-func New(d Deps) *Relayer { return &Relayer{deps: d, redialer: redialer.New(), startedAt: d.Now()} }
+func New(d Deps) *Relayer {
+	r := &Relayer{deps: d, redialer: redialer.New(), startedAt: d.Now()}
+	r.running, r.interrupt = context.WithCancel(context.Background())
+	return r
+}
 
 // A job is the state of one request that is being forwarded.
 type job struct {
@@ -351,7 +359,7 @@
 	if err := control.SetWriteDeadline(j.deadline.Add(writeGrace)); err != nil {
 		r.deps.Log.Warn().Str("id", j.info.ID).Err(err).Msg("could not set the write deadline of the caller's connection")
 	}
-	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
+	ctx, cancel := r.requestContext(j)
 	defer cancel()
 	if j.route.Kind == matcher.Stream {
 		r.serveStream(ctx, w, j)
@@ -360,6 +368,26 @@
 	r.serveBuffered(ctx, w, j)
 }
 
+// errStopping is the cause of the end of requests that are in progress when this VM stops.
+var errStopping = errors.New("this VM stops")
+
+// requestContext returns the context of a request, which ends at its deadline, when its caller
+// disconnects, or when Interrupt is called.
+func (r *Relayer) requestContext(j *job) (context.Context, context.CancelFunc) {
+	interruptible, interrupt := context.WithCancelCause(j.request.Context())
+	unregister := context.AfterFunc(r.running, func() { interrupt(errStopping) })
+	ctx, cancel := context.WithDeadline(interruptible, j.deadline)
+	return ctx, func() {
+		cancel()
+		unregister()
+		interrupt(nil)
+	}
+}
+
+// Interrupt ends all requests in progress, because this VM stops. Those whose response has not
+// begun are answered: otherwise their callers would not learn whether they may have run.
+func (r *Relayer) Interrupt() { r.interrupt() }
+
 // accept resolves and reads a request. It returns a refusal if the request is not
 // to be forwarded.
 func (r *Relayer) accept(w http.ResponseWriter, j *job) *refuser.Refusal {
@@ -494,7 +522,14 @@
 	if !j.forwarded && needed <= s.Left {
 		return nil
 	}
-	return refuser.New(http.StatusServiceUnavailable, "leaving", "this VM is about to stop").WithRetryAfter(leavingRetryAfter)
+	return stoppingRefusal()
+}
+
+// codeLeaving is the code of refusals by a VM that is about to stop.
+const codeLeaving = "leaving"
+
+func stoppingRefusal() *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, codeLeaving, "this VM is about to stop").WithRetryAfter(leavingRetryAfter)
 }
 
 // expectedDuration estimates the longest duration of a request, for a VM that is
--- a/entry/request/relayer/relayer_test.go
+++ b/entry/request/relayer/relayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -331,6 +332,65 @@
 	}
 }
 
+// Requests are still in progress when a VM stops, because their upstreams are silent or no
+// engine has a place. Their callers must get an answer that says whether they may have run,
+// and not a closed connection, except for streams that have begun.
+func TestStoppingVMAnswersRequestsInProgress(t *testing.T) {
+	b := newHarness(t, routes())
+	hang := func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+	b.upstream("u1", "plain", hang)
+	b.upstream("u2", "model", func(w http.ResponseWriter, q *http.Request) {
+		if strings.HasPrefix(q.RequestURI, "/resume/") {
+			events(2, false)(w, q)
+		}
+		hang(w, q)
+	})
+	type answer struct {
+		target string
+		result
+	}
+	answers := make(chan answer)
+	send := func(target string) {
+		q := b.request(http.MethodPost, target, "b")
+		go func() { answers <- answer{target, b.do(q)} }()
+	}
+	targets := []string{"/unsafe/x", "/safe/x", "/resume/x", "/stream/x"}
+	for _, target := range targets {
+		send(target)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := len(b.requestsReceived()); n < len(targets) {
+			return poll.Continue("%d requests were sent", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	for i := range 4 * engine.Slots {
+		targets = append(targets, fmt.Sprintf("/stream/%d", i))
+		send(targets[len(targets)-1])
+	}
+	time.Sleep(100 * time.Millisecond)
+	sent := map[string]bool{}
+	for _, q := range b.requestsReceived() {
+		sent[q.target] = true
+	}
+	b.relayer.Interrupt()
+	for range targets {
+		a := <-answers
+		if a.target == "/resume/x" {
+			assert.Check(t, a.err != nil, "a stream that was cut off looks complete")
+			continue
+		}
+		want := http.StatusServiceUnavailable
+		if sent[a.target] {
+			want = http.StatusBadGateway
+		}
+		assert.Check(t, a.err)
+		assert.Check(t, a.status == want, "%s: %d", a.target, a.status)
+	}
+	assert.Check(t, len(sent) < len(targets), "no request waited for a place")
+	assert.Equal(t, len(b.requestsReceived()), len(sent), "a request was sent after the interruption")
+}
+
 // The body of a request comes so slowly that the VM may no longer be able to finish it.
 func TestStoppingVMRefusesARequestWhoseBodyCameLate(t *testing.T) {
 	b := newHarness(t, routes())
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -193,7 +193,7 @@
 	} else {
 		j.log.cause = f.Code + " after " + j.log.cause
 	}
-	if j.service != nil && r.mustDecline(j) {
+	if j.service != nil && (r.mustDecline(j) || (j.forwarded && f.Code == codeLeaving)) {
 		h.Set(declinedHeader, f.Code)
 	}
 	r.deps.Meter.Count("refused."+f.Code, 1)
