Leave upstreams that answer without end

Callers saw: of an answer whose body never ends the VM read 1 to 4 GB and passed them on until the deadline; the caller of a look-up, which another upstream could have served, got a broken answer. Of a stream, blank lines, comments or one event again and again were passed on just so.

Cause: nothing bounds a body. maxBufferedBytes only decides when an answer is passed on before it is read to its end, and the size of one event is bounded, not their number. Other readers (health, reports and orders of engines, the platform, pages of other VMs) read through a limit or not at all.

A stream has at most 64 MiB, and as many events as its answer may have tokens and 1,000 besides. What exceeds this has failed: it is asked for elsewhere where it may be repeated, and ends with 502 where not.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -149,6 +149,9 @@
 	complete  bool
 }
 
+// Length returns the length that the response states for its body; negative if it states none.
+func (x *Exchange) Length() int64 { return x.response.ContentLength }
+
 // IsUnframed reports whether the response has neither a length nor chunks, so that it ends with
 // its connection.
 func (x *Exchange) IsUnframed() bool {
--- a/entry/process/joiner/joiner.go
+++ b/entry/process/joiner/joiner.go
@@ -274,8 +274,8 @@
 		VM: settings.VM, Peers: peers{picker.New(), v}, PeerCarrier: v.peerCarrier, MaxForwarded: settings.Descriptors / forwardedDivisor,
 		Table: v.table.Load, Configured: v.configured, Protocol: platform, Allocator: v.allocator, Tracker: v.tracker, Carrier: v.carrier,
 		Reserver:     reserver.New(settings.VM+"-"+strconv.FormatInt(v.boot, 36)+"-", platform, v.leaseDuration, log),
-		MaxIdleConns: v.maxIdleConns,
-		Prober:       probes, RetryBudget: v.retryBudget, Quarantine: v.quarantine, Memory: v.memory, Meter: v.meter, Now: time.Now, Log: log,
+		MaxIdleConns: v.maxIdleConns, MaxOpenEnded: v.maxOpenEnded,
+		Prober: probes, RetryBudget: v.retryBudget, Quarantine: v.quarantine, Memory: v.memory, Meter: v.meter, Now: time.Now, Log: log,
 		ShuttingDown: v.leaving, Reachability: v.reachability,
 	})
 	v.acceptor = acceptor.New(v.callers, v, settings.Descriptors/callerConnsDivisor, time.Now, v.meter, log)
@@ -336,6 +336,14 @@
 	return accountant.Limits{Total: s.Memory * percent / 100}
 }
 
+// maxOpenEnded returns the length limit of responses that do not state theirs.
+func (v *Process) maxOpenEnded() int64 {
+	if n := v.settings.Load().Policy.AnswerBytes; n > 0 {
+		return n
+	}
+	return switcher.DefaultAnswerBytes
+}
+
 func (v *Process) version() int64 {
 	if t := v.table.Load(); t != nil {
 		return t.Version
--- a/entry/process/switcher/switcher.go
+++ b/entry/process/switcher/switcher.go
@@ -44,6 +44,10 @@
 // platform's records and garbage.
 const DefaultMemoryPercent = 30
 
+// DefaultAnswerBytes is far above what services answer, and little for a VM that reads from
+// some upstreams that never end.
+const DefaultAnswerBytes = 2 << 20
+
 // A Policy selects features that decide under load. Its zero value leaves each to the
 // configuration.
 type Policy struct {
@@ -66,6 +70,9 @@
 	// MemoryPercent is the part of the VM's memory that requests may use; 0 means
 	// DefaultMemoryPercent.
 	MemoryPercent int64
+	// AnswerBytes limits the answers of services that do not state their length; 0 means
+	// DefaultAnswerBytes.
+	AnswerBytes int64
 	// Lending moves engines between the groups of a service, and Forecasts lets it prepare
 	// for expected arrivals. Nothing but the settings calls for Lending; a service with
 	// several groups calls for Forecasts where there is Lending.
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/heathervane/heathervane/entry/process/prober"
 	"github.com/heathervane/heathervane/entry/process/quarantiner"
 	"github.com/heathervane/heathervane/entry/process/reserver"
+	"github.com/heathervane/heathervane/entry/process/switcher"
 	"github.com/heathervane/heathervane/entry/process/tracker"
 	"github.com/heathervane/heathervane/entry/request/relayer"
 	"github.com/heathervane/heathervane/entry/request/trimmer"
@@ -298,9 +299,9 @@
 			Tracker: b.tracker, Carrier: b.carrier, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 			Rejected: func(status int, h http.Header) bool { return headerProtocol{}.ParseResponse(status, h).NotRun },
 		}),
-		MaxIdleConns: func(int, string) int { return 0 },
-		Quarantine:   lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
-		RetryBudget:  b.budget, Memory: b.accounts, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
+		MaxIdleConns: func(int, string) int { return 0 }, MaxOpenEnded: func() int64 { return switcher.DefaultAnswerBytes },
+		Quarantine:  lateQuarantine{&b.held, quarantiner.New(quarantiner.Deps{Meter: b.meter, Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: func(quarantiner.Fingerprint) bool { return false }})},
+		RetryBudget: b.budget, Memory: b.accounts, Meter: b.meter, Now: time.Now, Log: zerolog.Nop(),
 		VM: "me", Reachability: b, Peers: b, PeerCarrier: carrier.New(time.Now), MaxForwarded: 2,
 		ShuttingDown: func() (relayer.Shutdown, bool) {
 			left := time.Duration(b.shutdownIn.Load())
--- a/entry/request/relayer/relayer.go
+++ b/entry/request/relayer/relayer.go
@@ -199,6 +199,8 @@
 	// upstream that accepts so many connections from all VMs together. The result
 	// is used as carrier.Request.MaxIdle.
 	MaxIdleConns func(connections int, upstream string) int
+	// MaxOpenEnded returns the length limit of response bodies that do not state theirs.
+	MaxOpenEnded func() int64
 	// Prober checks the health of a service's upstreams after one of them has
 	// declined to help, to find those that are leaving.
 	Prober      *prober.Prober
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -12,8 +12,13 @@
 	"github.com/heathervane/heathervane/entry/process/accountant"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxIdleEvents limits the events of a stream beyond one for each token of the longest
+	// answer, such as comments that keep the connection open.
+	maxIdleEvents = 1000
+)
 
 var (
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
@@ -87,7 +92,7 @@
 // caller that already has a part of the stream cannot get it; its connection is
 // closed instead.
 func (r *Relayer) serveErrorResponse(ctx context.Context, w http.ResponseWriter, j *job, a *attempt) {
-	res, err := readResponse(a, j.memory, r.deps.Now)
+	res, err := r.readResponse(a, j.memory)
 	if err != nil || j.headerSent {
 		a.close()
 		if j.headerSent {
@@ -127,8 +132,14 @@
 	events := bufio.NewReaderSize(a.exchange.Body, 1<<10)
 	silence := max(maxSilence, 2*j.route.GapTarget)
 	var last time.Time
+	size, count := 0, 0
 	for {
 		event, reserved, err := readEvent(events, q.growEvent)
+		size += len(event)
+		count++
+		if err == nil && (size > maxResponseBytes || (j.info.MaxOutputTokens > 0 && count > j.info.MaxOutputTokens+maxIdleEvents)) {
+			err = errTooLong
+		}
 		now := r.deps.Now()
 		if !last.IsZero() {
 			q.maxPause = max(q.maxPause, now.Sub(last))
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -18,8 +18,9 @@
 type response struct {
 	attempt *attempt
 	data    []byte
-	// partial is true if data is not the complete body.
+	// partial is true if data is not the complete body. The rest has at most maxRest bytes.
 	partial bool
+	maxRest int64
 }
 
 // serveBuffered forwards a request whose response is not a stream.
@@ -32,14 +33,14 @@
 		}
 		// The upstream has responded. A slow body does not count as silence.
 		a.watchdog.stop()
-		res, err := readResponse(a, j.memory, r.deps.Now)
+		res, err := r.readResponse(a, j.memory)
 		if err == nil {
 			r.deliver(ctx, w, j, res)
 			return
 		}
 		a.close()
 		if ctx.Err() == nil {
-			r.recordInterruption(ctx, j, a, "response interrupted", err, false)
+			r.recordInterruption(ctx, j, a, "response interrupted", err, errors.Is(err, errTooLong))
 		}
 		if !j.route.Repeatable() || !r.allowRetry(ctx, j) {
 			r.refuse(w, j, j.failureRefusal(ctx))
@@ -48,23 +49,41 @@
 	}
 }
 
+// maxResponseBytes limits the size of a response body, whatever length it states, and of a
+// stream.
+const maxResponseBytes = 64 << 20
+
+// errTooLong is a response that exceeds the limit of its size. Faulty upstreams send bytes
+// without end that are no response.
+var errTooLong = errors.New("response exceeds the size limit")
+
 // errUnsealed is a successful response that has no seal or a content encoding.
 var errUnsealed = errors.New("response is unsealed or content-encoded")
 
 // readResponse reads the body until it exceeds maxBufferedBytes or no memory is free for
-// more of it.
-func readResponse(a *attempt, memory *accountant.Holder, now func() time.Time) (response, error) {
+// more of it. A body that does not state its length is read to its end: while nothing of it
+// was sent to the caller, one that never ends can be replaced by another upstream's.
+func (r *Relayer) readResponse(a *attempt, memory *accountant.Holder) (response, error) {
 	x := a.exchange
 	if x.Status < http.StatusMultipleChoices && (!a.response.Sealed || x.Header.Get("Content-Encoding") != "") {
 		return response{}, errUnsealed
 	}
+	limit, buffered := int64(maxResponseBytes), int64(maxBufferedBytes)
+	if x.Length() < 0 {
+		limit = r.deps.MaxOpenEnded()
+		buffered = limit
+	}
+	if x.Length() > limit {
+		return response{}, errTooLong
+	}
 	data := make([]byte, 0, initialResponse)
-	for len(data) <= maxBufferedBytes {
+	for int64(len(data)) <= buffered {
 		if len(data) == cap(data) {
-			if cap(data) >= responseReserve && !memory.Grow(now(), accountant.Responses, int64(cap(data))) {
-				return response{attempt: a, data: data, partial: true}, nil
+			grown := min(2*int64(cap(data)), buffered+1)
+			if cap(data) >= responseReserve && !memory.Grow(r.deps.Now(), accountant.Responses, grown-int64(cap(data))) {
+				return response{attempt: a, data: data, partial: true, maxRest: limit - int64(len(data))}, nil
 			}
-			data = append(make([]byte, 0, 2*cap(data)), data...)
+			data = append(make([]byte, 0, grown), data...)
 		}
 		n, err := x.Body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -75,7 +94,25 @@
 			return response{}, err
 		}
 	}
-	return response{attempt: a, data: data, partial: true}, nil
+	if int64(len(data)) > limit {
+		return response{}, errTooLong
+	}
+	return response{attempt: a, data: data, partial: true, maxRest: limit - int64(len(data))}, nil
+}
+
+// A boundedReader returns errTooLong once more than left bytes have been read.
+type boundedReader struct {
+	io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if r.left -= int64(n); r.left < 0 {
+		return 0, errTooLong
+	}
+	return n, err
 }
 
 // deliver sends a response to the caller.
@@ -104,7 +141,7 @@
 	caller := callerWriter{w, j.memory, r.deps.Now}
 	_, err := caller.Write(res.data)
 	if err == nil && res.partial {
-		_, err = io.Copy(caller, x.Body)
+		_, err = io.Copy(caller, &boundedReader{x.Body, res.maxRest})
 	}
 	if err != nil {
 		r.abort(ctx, j, err)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -42,14 +42,16 @@
 	None Fault = ""
 	// Decline rejects the request as not run. Lose runs it and closes the connection,
 	// Cut closes the connection in the middle of a stream's event, Reset resets it after
-	// half of an answer or between two events, NoResponse does not respond, and Foreign
-	// responds with the ID of another request.
+	// half of an answer or between two events, NoResponse does not respond, Foreign
+	// responds with the ID of another request, and Endless responds with bytes that do not
+	// end until the caller closes the connection.
 	Decline    Fault = "decline"
 	Lose       Fault = "lose"
 	Cut        Fault = "cut"
 	Reset      Fault = "reset"
 	NoResponse Fault = "mute"
 	Foreign    Fault = "foreign"
+	Endless    Fault = "endless"
 )
 
 // Poison is the prefix of the body of a request that crashes the worker: its running
@@ -330,6 +332,10 @@
 	default:
 	}
 	w.Header().Set("X-Response-Seal", "seal-"+k.config.ID)
+	if fault == Endless {
+		writeEndlessly(w)
+		return
+	}
 	if q.Header.Get("X-Token-Usage") == "" {
 		k.work(q, k.crashing())
 		if fault == Reset {
@@ -417,6 +423,15 @@
 	c.Close()
 }
 
+// writeEndlessly writes lines until the caller closes the connection. To a caller that
+// expects a stream they are comments.
+func writeEndlessly(w http.ResponseWriter) {
+	lines := bytes.Repeat([]byte(": endless\n\n"), 4<<10)
+	for err := error(nil); err == nil; {
+		_, err = w.Write(lines)
+	}
+}
+
 // AnnounceLeaving makes responses announce that the worker is leaving. It continues to
 // serve, and its entry in the list does not change.
 func (k *Worker) AnnounceLeaving() {
