Decline forwarded requests before their deadline

Callers saw: a request that was forwarded to a VM with an older configuration, with 500 ms left or less, ended with 504, "may have run", although nobody had run it; a booking can't be sent again then.

Cause: that VM waits 500 ms for a newer configuration, whatever time is left.

Change: it waits for at most half of the time left.

Test, failing before (504 at 500 ms): relayer.TestForwardedRequestIsDeclinedBeforeItsDeadline.

--- a/entry/request/relayer/forward.go
+++ b/entry/request/relayer/forward.go
@@ -38,9 +38,12 @@
 const (
 	// configWait is how long a forwarded request waits for the version of the
 	// configuration that is in force at the VM from which it comes, and
-	// configPollInterval how often that is checked.
+	// configPollInterval how often that is checked. It waits for at most the time left to
+	// its caller divided by configWaitDivisor, so that it can still be declined in time:
+	// the caller of one that is not would be told that it may have run.
 	configWait         = 500 * time.Millisecond
 	configPollInterval = 10 * time.Millisecond
+	configWaitDivisor  = 2
 	// peerCheckInterval is after how long without a response a VM to which a request was
 	// forwarded must be live.
 	peerCheckInterval = 250 * time.Millisecond
@@ -118,7 +121,12 @@
 // another VM has applied to the request, or to an earlier one of this VM. An older one could
 // refuse it, or send it elsewhere.
 func (r *Relayer) awaitVersion(j *job, table *matcher.Table) *matcher.Table {
-	for end := r.deps.Now().Add(configWait); table != nil && table.Version < j.minVersion && r.deps.Now().Before(end); {
+	now := r.deps.Now()
+	wait := configWait
+	if j.info.Timeout > 0 {
+		wait = min(wait, j.arrivedAt.Add(j.info.Timeout).Sub(now)/configWaitDivisor)
+	}
+	for end := now.Add(wait); table != nil && table.Version < j.minVersion && r.deps.Now().Before(end); {
 		t := time.NewTimer(configPollInterval)
 		select {
 		case <-t.C:
--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -272,6 +272,26 @@
 	assert.Assert(t, b.avoided["peer-0"])
 }
 
+// A caller with little time left asks through a VM whose configuration is older. The request
+// must be declined in time: a booking that nobody ran is otherwise reported as one that may
+// have run.
+func TestForwardedRequestIsDeclinedBeforeItsDeadline(t *testing.T) {
+	older := routes()
+	older.Version = 6
+	other := newHarness(t, older)
+	other.upstream("u1", "plain", echo)
+	b := newCutOffVM(t, other.servePeers())
+	for _, limit := range []string{"500ms", "400ms", "300ms"} {
+		b.avoided = map[string]bool{}
+		q := b.request(http.MethodPost, "/unsafe/x", "")
+		q.Header.Set("Limit", limit)
+		got := b.do(q)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, limit)
+		assert.Equal(t, got.header.Get(refuser.RanHeader), string(refuser.RanNo))
+	}
+	assert.Equal(t, len(other.requestsReceived()), 0)
+}
+
 // The caller leaves while another VM serves its request. The upstream must learn of it.
 func TestForwardedRequestIsCanceledAtTheUpstream(t *testing.T) {
 	running, canceled := make(chan struct{}), make(chan struct{})
