Limit no length of answers that have no body

The answer to HEAD states the length that the body of GET would have. Since bodies are bounded, one that states more than 64 MiB was refused with 502 although it has none.

Test, failing before: relayer.TestLengthOfAMissingBodyIsNotLimited.

--- a/entry/request/relayer/endless_test.go
+++ b/entry/request/relayer/endless_test.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// The answer to HEAD states the length of a body that it does not have.
+func TestLengthOfAMissingBodyIsNotLimited(t *testing.T) {
+	b := newHarness(t, routes())
+	b.upstream("u1", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Sealed", "1")
+		w.Header().Set("Content-Length", "9000000000")
+	})
+	o := b.do(b.request(http.MethodHead, "/safe/x", ""))
+	assert.NilError(t, o.err)
+	assert.Equal(t, o.status, http.StatusOK)
+	assert.Equal(t, o.header.Get("Content-Length"), "9000000000")
+}
+
 // An answer that does not state its length may be long, and must pass whole.
 func TestLongAnswersWithoutALengthPass(t *testing.T) {
 	b := newHarness(t, routes())
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -92,7 +92,7 @@
 // caller that already has a part of the stream cannot get it; its connection is
 // closed instead.
 func (r *Relayer) serveErrorResponse(ctx context.Context, w http.ResponseWriter, j *job, a *attempt) {
-	res, err := r.readResponse(a, j.memory)
+	res, err := r.readResponse(j, a)
 	if err != nil || j.headerSent {
 		a.close()
 		if j.headerSent {
--- a/entry/request/relayer/whole.go
+++ b/entry/request/relayer/whole.go
@@ -33,7 +33,7 @@
 		}
 		// The upstream has responded. A slow body does not count as silence.
 		a.watchdog.stop()
-		res, err := r.readResponse(a, j.memory)
+		res, err := r.readResponse(j, a)
 		if err == nil {
 			r.deliver(ctx, w, j, res)
 			return
@@ -63,8 +63,8 @@
 // readResponse reads the body until it exceeds maxBufferedBytes or no memory is free for
 // more of it. A body that does not state its length is read to its end: while nothing of it
 // was sent to the caller, one that never ends can be replaced by another upstream's.
-func (r *Relayer) readResponse(a *attempt, memory *accountant.Holder) (response, error) {
-	x := a.exchange
+func (r *Relayer) readResponse(j *job, a *attempt) (response, error) {
+	x, memory := a.exchange, j.memory
 	if x.Status < http.StatusMultipleChoices && (!a.response.Sealed || x.Header.Get("Content-Encoding") != "") {
 		return response{}, errUnsealed
 	}
@@ -73,7 +73,7 @@
 		limit = r.deps.MaxOpenEnded()
 		buffered = limit
 	}
-	if x.Length() > limit {
+	if x.Length() > limit && mayHaveBody(j.request.Method, x.Status) {
 		return response{}, errTooLong
 	}
 	data := make([]byte, 0, initialResponse)
