--- a/entry/request/relayer/endless_test.go
+++ b/entry/request/relayer/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -139,6 +140,27 @@
 	assert.Equal(t, o.header.Get("Content-Length"), "9000000000")
 }
 
+// Long answers that state their length must pass whole, several at once.
+func TestLongAnswersWithALengthPass(t *testing.T) {
+	b := newHarness(t, routes())
+	long := bytes.Repeat([]byte("0123456789abcdef"), 512<<10)
+	b.upstream("u1", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Sealed", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(len(long)))
+		w.Write(long)
+	})
+	var callers sync.WaitGroup
+	for range 4 {
+		q := b.request(http.MethodPost, "/unsafe/x", "b")
+		callers.Go(func() {
+			o := b.do(q)
+			assert.Check(t, o.err)
+			assert.Check(t, o.body == string(long))
+		})
+	}
+	callers.Wait()
+}
+
 // An answer that does not state its length may be long, and must pass whole.
 func TestLongAnswersWithoutALengthPass(t *testing.T) {
 	b := newHarness(t, routes())
