--- /dev/null
+++ b/review/tool-2/stuck.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+func init() { cases["stuck"] = stuck }
+
+const idleMaxMs = 9 * time.Second
+
+// stuck: a runner hangs a part of its requests while its health check is good. Prompts that
+// are larger than a runner's memory come on a route whose streams may not be resumed.
+func stuck(trouble bool) bool {
+	const (
+		span = 6500 * time.Millisecond
+		// Clients abandon a stream after four times the objective without an event.
+		patience = 12 * time.Second
+	)
+	s := newStore()
+	log := &ticketLog{tenures: make(map[string][]*tenure), lastUse: make(map[string]time.Time)}
+	var mu sync.Mutex
+	var hangsUntil time.Time
+	hung, served, atFirst := 0, 0, 0
+	for i := range 7 {
+		k := newRunner("i-engine-"+strconv.Itoa(i+1), "pool", "bayern-"+string(rune('a'+i%3)), s, true)
+		k.mu.Lock()
+		k.work, k.events, k.onTicket = 100*time.Millisecond, 10, log.onTicket
+		k.intercept = func(w http.ResponseWriter, r *http.Request) bool {
+			id := r.Header.Get("X-Request-Id")
+			if id == "" {
+				return false
+			}
+			mu.Lock()
+			hangs := false
+			if i == 0 && time.Now().Before(hangsUntil) {
+				hangs = atFirst%3 == 0
+				atFirst++
+			}
+			if hangs {
+				hung++
+			}
+			mu.Unlock()
+			if hangs {
+				io.Copy(io.Discard, r.Body)
+				note("%s gets %s and hangs, helpers=%q", k.id, id, r.Header.Get("X-Helpers"))
+				<-r.Context().Done()
+				note("%s: the connection of %s was closed", k.id, id)
+				return true
+			}
+			names := helperTickets(r.Header.Get("X-Helpers"))
+			if len(names) == 0 {
+				return false
+			}
+			log.use(names, false)
+			defer log.use(names, true)
+			k.serveRequest(w, r)
+			return true
+		}
+		k.mu.Unlock()
+	}
+	newRunner("i-app-1", "app", "bayern-a", s, false)
+	c := newConfig()
+	c.routes[0]["Resumable"] = false
+	c.publish(s)
+	var all []*vm
+	for _, zone := range []string{"a", "b", "c"} {
+		all = append(all, newVM("front-bayern-"+zone+"-1", "bayern-"+zone, s))
+	}
+	for _, v := range all {
+		v.awaitReady()
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		mu.Lock()
+		hangsUntil = time.Now().Add(span)
+		mu.Unlock()
+		note("i-engine-1 begins to hang every third of its requests for %v", span)
+	}
+	var requests sync.WaitGroup
+	for i := range 24 {
+		requests.Add(1)
+		go func() {
+			defer requests.Done()
+			o := send(all[i%3], request{method: "POST", path: "/ask/x", key: key, prompt: 300_000, output: 400, deadline: 15 * time.Second, patience: patience, body: fmt.Sprintf("document %d", i)})
+			if o.status == http.StatusOK && o.err == nil {
+				mu.Lock()
+				served++
+				mu.Unlock()
+			}
+		}()
+		time.Sleep(350 * time.Millisecond)
+	}
+	requests.Wait()
+	time.Sleep(6 * time.Second)
+	say("%d of 24 prompts served, %d hung", served, hung)
+	if trouble && hung == 0 {
+		cannotRun("i-engine-1 got no prompt of its own")
+	}
+	n := log.unused()
+	say("%d tickets held memory for IdleMaxMs and %v more, and no request used them", n, stretchMs)
+	return n > 0
+}
