--- a/review/tool-2/stuck.go
+++ b/review/tool-2/stuck.go
@@ -25,7 +25,7 @@
 	log := &ticketLog{tenures: make(map[string][]*tenure), lastUse: make(map[string]time.Time)}
 	var mu sync.Mutex
 	var hangsUntil time.Time
-	hung, served, atFirst := 0, 0, 0
+	hung, served, arrived, inTrouble := 0, 0, 0, -1
 	for i := range 7 {
 		k := newRunner("i-engine-"+strconv.Itoa(i+1), "pool", "bayern-"+string(rune('a'+i%3)), s, true)
 		k.mu.Lock()
@@ -37,9 +37,14 @@
 			}
 			mu.Lock()
 			hangs := false
-			if i == 0 && time.Now().Before(hangsUntil) {
-				hangs = atFirst%3 == 0
-				atFirst++
+			if time.Now().Before(hangsUntil) {
+				if inTrouble < 0 {
+					inTrouble = i
+				}
+				if i == inTrouble {
+					hangs = arrived%3 == 0
+					arrived++
+				}
 			}
 			if hangs {
 				hung++
@@ -79,7 +84,7 @@
 		mu.Lock()
 		hangsUntil = time.Now().Add(span)
 		mu.Unlock()
-		note("i-engine-1 begins to hang every third of its requests for %v", span)
+		note("one runner, the first to get a prompt, hangs every third of its requests for %v", span)
 	}
 	var requests sync.WaitGroup
 	for i := range 24 {
@@ -99,7 +104,7 @@
 	time.Sleep(6 * time.Second)
 	say("%d of 24 prompts served, %d hung", served, hung)
 	if trouble && hung == 0 {
-		cannotRun("i-engine-1 got no prompt of its own")
+		cannotRun("no runner got a prompt in time")
 	}
 	n := log.unused()
 	say("%d tickets held memory for IdleMaxMs and %v more, and no request used them", n, stretchMs)
