--- a/review/tool-2/client.go
+++ b/review/tool-2/client.go
@@ -37,9 +37,9 @@
 
 func (o outcome) String() string {
 	if o.err != nil {
-		return fmt.Sprintf("status %d, %v, after %v", o.status, o.err, o.took.Round(time.Millisecond))
+		return fmt.Sprintf("status %d, %v, after %d ms", o.status, o.err, o.took.Milliseconds())
 	}
-	return fmt.Sprintf("status %d, %d bytes, after %v", o.status, len(o.body), o.took.Round(time.Millisecond))
+	return fmt.Sprintf("status %d, %d bytes, after %d ms", o.status, len(o.body), o.took.Milliseconds())
 }
 
 func newRequestID() string { return fmt.Sprintf("9c41d07b%08x", lastRequest.Add(1)) }
--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -29,7 +29,7 @@
 func note(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
-	line := fmt.Sprintf("%8.3f s  ", time.Since(startedAt).Seconds()) + fmt.Sprintf(format, args...)
+	line := fmt.Sprintf("%6d ms  ", time.Since(startedAt).Milliseconds()) + fmt.Sprintf(format, args...)
 	fmt.Fprintln(record, line)
 }
 
