--- a/review/tool-2/silence.go
+++ b/review/tool-2/silence.go
@@ -43,7 +43,7 @@
 // for a moment and goes on. All other runners are busy.
 func silence(trouble bool) bool {
 	const (
-		pause    = 1900 * time.Millisecond
+		pause    = 1500 * time.Millisecond
 		interval = 350 * time.Millisecond
 		events   = 16
 		streams  = 12
@@ -125,7 +125,7 @@
 	}
 	newRunner("i-app-1", "app", "bayern-a", s, false)
 	c := newConfig()
-	c.routes[0]["TimeoutMs"] = patience.Milliseconds()
+	c.routes[0]["TimeoutMs"], c.routes[0]["GapTargetMs"] = patience.Milliseconds(), 250
 	c.publish(s)
 	var all []*vm
 	for _, zone := range []string{"a", "b", "c"} {
