--- a/review/tool-2/stuck.go
+++ b/review/tool-2/stuck.go
@@ -26,7 +26,7 @@
 	var mu sync.Mutex
 	var hangsUntil time.Time
 	hung, served, arrived, inTrouble := 0, 0, 0, -1
-	for i := range 7 {
+	for i := range 8 {
 		k := newRunner("i-engine-"+strconv.Itoa(i+1), "pool", "bayern-"+string(rune('a'+i%3)), s, true)
 		k.mu.Lock()
 		k.work, k.events, k.onTicket = 100*time.Millisecond, 10, log.onTicket
