carrier: a reset that the writer notices interrupts the response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was written.

Cause: Linux reports the error of a socket once, to whichever of read, write and getsockopt comes first; the others see an ordinary end. The carrier writes and reads at the same time, and the result of the write only decided whether the connection could be used again. Nothing else tells the end of a response without a length from a break.

Ruled out: that the error is lost between carrier and relayer; the read itself returns io.EOF.

Change: where only the end of the connection ends a response, the end is accepted once the request is known to be written. It is so for answers from upstreams, from other VMs and to health checks, which all go through the carrier. Responses with a length or chunks are not affected, and a sound one without a length whose upload was read stays whole.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -238,13 +238,31 @@
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.exchange.response.Body.Read(p)
+	x := b.exchange
+	if x.complete {
+		return 0, io.EOF
+	}
+	n, err := x.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.exchange.complete = true
+		if x.endsWithConnection() {
+			// The kernel reports a reset once per socket. If the goroutine that writes the
+			// request was told of it, the reader sees an ordinary end.
+			writeErr := <-x.writeDone
+			x.writeDone <- writeErr
+			if writeErr != nil {
+				return n, writeErr
+			}
+		}
+		x.complete = true
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection ends the response body.
+func (x *Exchange) endsWithConnection() bool {
+	return x.IsUnframed() && x.response.Body != http.NoBody
+}
+
 // Close ends the exchange. The connection is kept only if the request is fully written,
 // the response is fully read, and nothing follows it: stray bytes would be taken for
 // the response to the next request.
--- /dev/null
+++ b/entry/connection/carrier/response_test.go
@@ -0,0 +1,112 @@
+package carrier_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/connection/carrier"
+)
+
+// uploadBytes is the length of an upload that no socket buffers hold completely.
+const uploadBytes = 16 << 20
+
+// resetConn resets a connection once what was written to it has been received.
+func resetConn(c net.Conn) {
+	time.Sleep(20 * time.Millisecond)
+	c.(*net.TCPConn).SetLinger(0) //nolint:errcheck,forcetypeassert // a TCP connection
+	c.Close()
+}
+
+// An upstream ends a response without a length before it has read the upload. Only one that it
+// still reads may be taken for complete, whoever notices the end of the connection first.
+func TestUnframedResponseDuringAnUpload(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\n\r\nhi"
+	tests := []struct {
+		name string
+		end  func(c net.Conn, q *http.Request)
+		// delay is the time before the response is read.
+		delay    time.Duration
+		complete bool
+	}{
+		{name: "reset noticed by the writer", end: func(c net.Conn, _ *http.Request) { resetConn(c) }, delay: 100 * time.Millisecond},
+		{name: "reset noticed by the reader or the writer", end: func(c net.Conn, _ *http.Request) { resetConn(c) }},
+		{name: "closed", end: func(c net.Conn, _ *http.Request) { c.Close() }, delay: 100 * time.Millisecond},
+		{name: "half-closed and reset", end: func(c net.Conn, _ *http.Request) {
+			c.(*net.TCPConn).CloseWrite() //nolint:errcheck,forcetypeassert // a TCP connection
+			resetConn(c)
+		}},
+		{name: "half-closed, upload read", complete: true, end: func(c net.Conn, q *http.Request) {
+			c.(*net.TCPConn).CloseWrite() //nolint:errcheck,forcetypeassert // a TCP connection
+			io.Copy(io.Discard, q.Body)   //nolint:errcheck // a failure shows in the response
+		}},
+		{name: "upload read, closed", complete: true, end: func(_ net.Conn, q *http.Request) {
+			io.Copy(io.Discard, q.Body) //nolint:errcheck // a failure shows in the response
+		}},
+	}
+	for _, test := range tests {
+		for _, reused := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				address, conns := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+					for {
+						q, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						if q.Method == http.MethodGet {
+							io.WriteString(c, ok) //nolint:errcheck // the test reads it
+							continue
+						}
+						io.WriteString(c, response) //nolint:errcheck // the test reads it
+						test.end(c, q)
+						return
+					}
+				})
+				c := carrier.New(time.Now)
+				if reused {
+					_, err := roundTrip(t, c, address, getRequest())
+					assert.NilError(t, err)
+				}
+				x, failure := c.Send(t.Context(), address, carrier.Request{Method: http.MethodPost, Target: "/", Host: "a", Body: make([]byte, uploadBytes)})
+				if failure != nil {
+					assert.Assert(t, !test.complete && failure.Sent, "%v", failure)
+					return
+				}
+				defer x.Close()
+				time.Sleep(test.delay)
+				data, err := io.ReadAll(x.Body)
+				assert.Equal(t, err == nil, test.complete, "%q %v", data, err)
+				if test.complete {
+					assert.Equal(t, string(data), "hi")
+				}
+				assert.Equal(t, conns.Load(), int64(1))
+			})
+		}
+	}
+}
+
+// An upstream answers with a length before it has read the upload, and closes the connection.
+// The response is complete whatever becomes of the upload.
+func TestResponseWithLengthDuringAnUpload(t *testing.T) {
+	for _, response := range []string{
+		ok,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	} {
+		address, _ := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				io.WriteString(c, response) //nolint:errcheck // the test reads it
+				resetConn(c)
+			}
+		})
+		data, err := roundTrip(t, carrier.New(time.Now), address, carrier.Request{Method: http.MethodPost, Target: "/", Host: "a", Body: make([]byte, uploadBytes)})
+		assert.NilError(t, err, "%q", response)
+		assert.Equal(t, data, "hi")
+	}
+}
--- /dev/null
+++ b/entry/request/relayer/broken_test.go
@@ -0,0 +1,179 @@
+package relayer_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/heathervane/heathervane/entry/process/tracker"
+)
+
+// A rawUpstream answers each request with the same bytes, in which ID stands for the ID of the
+// request, and closes the connection.
+type rawUpstream struct {
+	answer string
+	// early sends the answer before the upload is read.
+	early bool
+	// ran has the IDs of the requests.
+	ran sync.Map
+}
+
+func (u *rawUpstream) hasRun(id string) bool {
+	_, ok := u.ran.Load(id)
+	return ok
+}
+
+func (b *harness) rawUpstream(id, service, answer string, early bool) *rawUpstream {
+	b.t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(b.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(b.t, err)
+	u := &rawUpstream{answer: answer, early: early}
+	var connections sync.WaitGroup
+	connections.Go(func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			connections.Go(func() { u.serve(c) })
+		}
+	})
+	b.t.Cleanup(func() {
+		l.Close()
+		connections.Wait()
+	})
+	b.tracker.Put(time.Now(), tracker.Upstream{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Slots: 4})
+	return u
+}
+
+func (u *rawUpstream) serve(c net.Conn) {
+	defer c.Close()
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	u.ran.Store(q.Header.Get("Id"), true)
+	if !u.early {
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+	}
+	io.WriteString(c, strings.ReplaceAll(u.answer, "ID", q.Header.Get("Id"))) //nolint:errcheck // the caller may have left
+	if u.early {
+		// The unread upload makes the close a reset.
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// directAndForwarded runs a test with a VM whose upstreams answer requests, and with one that
+// forwards its requests to it.
+func directAndForwarded(t *testing.T, test func(t *testing.T, at, caller *harness)) {
+	t.Helper()
+	t.Run("direct", func(t *testing.T) {
+		b := newHarness(t, routes())
+		test(t, b, b)
+	})
+	t.Run("forwarded", func(t *testing.T) {
+		b := newHarness(t, routes())
+		test(t, b, newCutOffVM(t, b.servePeers()))
+	})
+}
+
+// attempts is how many requests meet a broken upstream.
+const attempts = 10
+
+// upload is a request body that the buffers of a connection do not hold completely.
+var upload = strings.Repeat("x", 900<<10)
+
+// An upstream resets the connection during the upload, after a part of an answer without a length.
+// The part must not look like a complete answer, nor the request like one that did not run.
+func TestAnswerCutOffDuringAnUpload(t *testing.T) {
+	for route, part := range map[string]string{
+		"unsafe": "part",
+		"stream": eventText(1),
+	} {
+		t.Run(route, func(t *testing.T) {
+			directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+				service := map[string]string{"unsafe": "plain", "stream": "model"}[route]
+				u := at.rawUpstream("u1", service, okHead+"\r\n"+part, true)
+				runs := 0
+				for range attempts {
+					q := caller.request(http.MethodPost, "/"+route+"/x", upload)
+					o := caller.do(q)
+					if !u.hasRun(q.Header.Get("Id")) {
+						continue
+					}
+					runs++
+					assert.Assert(t, o.err != nil || o.status == http.StatusBadGateway, "%d %q", o.status, o.body)
+				}
+				assert.Assert(t, runs > 0)
+			})
+		})
+	}
+}
+
+// The same where the request may be sent again: another upstream answers it.
+func TestAnswerCutOffDuringAnUploadIsReplaced(t *testing.T) {
+	for route, want := range map[string]string{
+		"safe":   "done",
+		"resume": eventText(3),
+	} {
+		t.Run(route, func(t *testing.T) {
+			directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+				service, part, sound := "plain", "part", http.HandlerFunc(answerSealed)
+				if route == "resume" {
+					service, part, sound = "model", eventText(1), events(3, false)
+				}
+				u := at.rawUpstream("u1", service, okHead+"\r\n"+part, true)
+				at.upstream("u2", service, sound)
+				runs := 0
+				for range attempts {
+					q := caller.request(http.MethodPost, "/"+route+"/x", upload)
+					o := caller.do(q)
+					assert.NilError(t, o.err)
+					assert.Equal(t, o.status, http.StatusOK)
+					assert.Equal(t, o.body, want)
+					if u.hasRun(q.Header.Get("Id")) {
+						runs++
+					}
+				}
+				assert.Assert(t, runs > 0)
+			})
+		})
+	}
+}
+
+// Answers that state their length, or whose upload was read, are complete. They must reach the
+// caller also if the upstream closes the connection right after them.
+func TestSoundAnswersToUploads(t *testing.T) {
+	for name, u := range map[string]struct {
+		answer string
+		early  bool
+		status int
+	}{
+		"early, with a length":            {okHead + "Content-Length: 4\r\n\r\ndone", true, http.StatusOK},
+		"early rejection with a length":   {"HTTP/1.1 413 Too Large\r\nId: ID\r\nContent-Length: 4\r\n\r\ndone", true, http.StatusRequestEntityTooLarge},
+		"without a length, upload read":   {okHead + "\r\ndone", false, http.StatusOK},
+		"rejection without a length":      {"HTTP/1.1 413 Too Large\r\nId: ID\r\n\r\ndone", false, http.StatusRequestEntityTooLarge},
+		"HTTP/1.0, upload read":           {"HTTP/1.0 200 OK\r\nSealed: 1\r\nId: ID\r\n\r\ndone", false, http.StatusOK},
+		"early, in chunks":                {okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", true, http.StatusOK},
+		"after an interim answer":         {"HTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n" + okHead + "\r\ndone", false, http.StatusOK},
+		"without a reason":                {"HTTP/1.1 200\r\nSealed: 1\r\nId: ID\r\n\r\ndone", false, http.StatusOK},
+		"lines that end with a line feed": {"HTTP/1.1 200 OK\nSealed: 1\nId: ID\n\ndone", false, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+				at.rawUpstream("u1", "plain", u.answer, u.early)
+				for range 4 {
+					o := caller.do(caller.request(http.MethodPost, "/unsafe/x", upload))
+					assert.NilError(t, o.err)
+					assert.Equal(t, o.status, u.status)
+					assert.Equal(t, o.body, "done")
+				}
+			})
+		})
+	}
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -54,6 +54,15 @@
 	Endless    Fault = "endless"
 )
 
+// A RawAnswer is sent in place of an answer. The connection is closed after it.
+type RawAnswer struct {
+	// Data is sent byte for byte, with the ID of the request in place of ID.
+	Data string
+	// Early sends it before the body of the request is read, so that closing the connection
+	// resets it.
+	Early bool
+}
+
 // Poison is the prefix of the body of a request that crashes the worker: its running
 // requests are interrupted, and it continues as a new process.
 const Poison = "poison"
@@ -84,6 +93,9 @@
 	running    int
 	fault      Fault
 	faultsLeft int
+	// raw, if not nil, is sent in place of the next rawLeft answers.
+	raw     *RawAnswer
+	rawLeft int
 	// limit is the announced rate limit in requests per second; negative if there is
 	// none.
 	limit float64
@@ -282,6 +294,23 @@
 	k.fault, k.faultsLeft = f, n
 }
 
+// SetRawAnswer sets what is sent in place of the next n answers.
+func (k *Worker) SetRawAnswer(a RawAnswer, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.raw, k.rawLeft = &a, n
+}
+
+func (k *Worker) nextRawAnswer() *RawAnswer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.rawLeft == 0 {
+		return nil
+	}
+	k.rawLeft--
+	return k.raw
+}
+
 func (k *Worker) serveSetFault(_ http.ResponseWriter, q *http.Request) {
 	n, err := strconv.Atoi(q.FormValue("n"))
 	if err != nil {
@@ -302,11 +331,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	id := q.Header.Get("X-Request-Id")
+	raw := k.nextRawAnswer()
+	if raw != nil && raw.Early {
+		if _, _, ok := k.begin(id, q, ""); ok {
+			defer k.end()
+		}
+		sendRaw(w, raw, id)
+		return
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
 	}
-	id := q.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	fault, backoff, ok := k.begin(id, q, string(body))
 	if !ok {
@@ -318,6 +355,10 @@
 		return
 	}
 	defer k.end()
+	if raw != nil {
+		sendRaw(w, raw, id)
+		return
+	}
 	if strings.HasPrefix(string(body), Poison) {
 		k.crash()
 	}
@@ -411,6 +452,16 @@
 	}
 }
 
+// sendRaw sends a raw answer to the request with the given ID, and closes its connection.
+func sendRaw(w http.ResponseWriter, a *RawAnswer, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	io.WriteString(c, strings.ReplaceAll(a.Data, "ID", id)) //nolint:errcheck // the caller may have disconnected
+	c.Close()
+}
+
 // reset resets the connection of a request after what was written to it.
 func reset(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
