passer: calls of services go through the carrier

Cause: net/http's client writes the request and reads the response at the same time too, and the reader sees an ordinary end if the writer was told of the reset.

Change: passer sends through a carrier, which also says whether a byte of the call may have been sent and never repeats a call by itself; the two HTTP clients and the trace go. A repeatable call whose reused connection turns out to be closed is now a failed attempt, which the retry budget and the quarantine see.

Not chosen: to learn of the failed write through httptrace, whose reports are not tied to one attempt where the client repeats a call by itself.

--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/connection/linker"
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/bounder"
@@ -59,6 +60,8 @@
 	requestReadTimeout = 30 * time.Second
 	// idleTimeout is how long a connection may stay open without a request.
 	idleTimeout = 2 * time.Minute
+	// idleSweepInterval is how often expired idle connections to services are closed.
+	idleSweepInterval = time.Second
 	// maxIdlePerUpstream bounds the idle connections kept to each upstream.
 	maxIdlePerUpstream = 64
 	// dialTimeout bounds connecting to an upstream. Upstreams are a few
@@ -95,6 +98,7 @@
 	fetching     atomic.Bool
 	serviceState serviceState
 	upstream     *http.Client
+	services     *carrier.Carrier
 	listeners    listeners
 }
 
@@ -106,6 +110,7 @@
 	v.meter = meter.New()
 	v.ticker = ticker.New(time.Now, tickInterval)
 	v.upstream = upstreamClient()
+	v.services = carrier.New(time.Now)
 	v.bodies = bounder.New(int64(s.Limits.Bodies))
 	if err := v.setUpTLS(s); err != nil {
 		return nil, err
@@ -158,7 +163,7 @@
 		Canceller: v.canceller, Observer: v.observer, Retrier: newRetryBudget(), Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	calls := passer.New(v.settings.ID, v.boot, passer.Deps{
-		View: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Observer: v.observer,
+		View: v.view.Load, Reader: bodies, Carrier: v.services, Acquirer: v.dispatcher, Observer: v.observer,
 		Retrier: newRetryBudget(), Deduplicator: v.deduplicator, Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	mux := http.NewServeMux()
@@ -202,6 +207,7 @@
 	v.follower.Subscribe(v.configure)
 	v.ticker.Subscribe(pumpInterval, func(time.Time) { v.dispatcher.Pump() })
 	v.ticker.Subscribe(observeInterval, v.observer.Tick)
+	v.ticker.Subscribe(idleSweepInterval, func(time.Time) { v.services.CloseExpired() })
 	v.subscribeServiceState()
 	for _, run := range []func(context.Context){
 		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.runSweeps, v.runCheckpoints, v.runOrders, v.keeper.Run,
--- a/entry/request/passer/passer.go
+++ b/entry/request/passer/passer.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/admitter"
 	"github.com/heathervane/heathervane/entry/request/authenticator"
@@ -73,6 +74,7 @@
 type Deps struct {
 	View         func() *viewer.View
 	Reader       *reader.Reader
+	Carrier      *carrier.Carrier
 	Acquirer     Acquirer
 	Observer     Observer
 	Retrier      Retrier
@@ -84,33 +86,15 @@
 
 // A Proxy forwards calls to services.
 type Proxy struct {
-	vm              string
-	boot            uint64
-	deps            Deps
-	pooledClient    *http.Client
-	singleUseClient *http.Client
-	sequence        atomic.Uint64
+	vm       string
+	boot     uint64
+	deps     Deps
+	sequence atomic.Uint64
 }
 
 // New returns a Proxy for the process with the given VM ID and boot number.
 func New(vm string, boot uint64, d Deps) *Proxy {
-	return &Proxy{vm: vm, boot: boot, deps: d, pooledClient: newClient(true), singleUseClient: newClient(false)}
-}
-
-// newClient returns an HTTP client for services. Calls that are not repeatable
-// need one without keep-alive: net/http resends a request by itself if a reused
-// connection turns out to be closed and the request is replayable, for example
-// because it has an empty body and an Idempotency-Key header. This would go
-// unnoticed until a customer is charged twice.
-func newClient(keepAlive bool) *http.Client {
-	t := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     time.Minute,
-		DisableKeepAlives:   !keepAlive,
-		DisableCompression:  true,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+	return &Proxy{vm: vm, boot: boot, deps: d}
 }
 
 // A call is the state of one call in progress.
--- a/entry/request/passer/passer_test.go
+++ b/entry/request/passer/passer_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/process/meter"
@@ -88,6 +89,11 @@
 }
 
 func newProxyWithAcquirer(t *testing.T, address string, acquirer passer.Acquirer) *httptest.Server {
+	t.Helper()
+	return newProxyWithReader(t, address, acquirer, &reader.Reader{MaxBytes: 4096, Budget: bounder.New(1 << 20), Timeout: time.Second})
+}
+
+func newProxyWithReader(t *testing.T, address string, acquirer passer.Acquirer, bodies *reader.Reader) *httptest.Server {
 	t.Helper()
 	sum := sha256.Sum256([]byte(bearer))
 	view := viewer.New(1, checker.Manifest{
@@ -100,7 +106,8 @@
 	}, func(string, string) bool { return false })
 	handler := passer.New("vm1", 3, passer.Deps{
 		View:     func() *viewer.View { return view },
-		Reader:   &reader.Reader{MaxBytes: 4096, Budget: bounder.New(1 << 20), Timeout: time.Second},
+		Reader:   bodies,
+		Carrier:  carrier.New(time.Now),
 		Acquirer: acquirer, Observer: nopObserver{}, Meter: meter.New(), Now: time.Now,
 		Retrier:    retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
 		Quarantine: quarantiner.New(quarantiner.Deps{Meter: meter.New(), Now: time.Now, Log: zerolog.Nop(), Broadcast: func() {}, MayRunTrial: neverTrial}),
--- a/entry/request/passer/send.go
+++ b/entry/request/passer/send.go
@@ -1,18 +1,16 @@
 package passer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
 	"github.com/heathervane/heathervane/entry/request/refuser"
 	"github.com/heathervane/heathervane/entry/request/retrier"
@@ -154,68 +152,53 @@
 		g.Done(dispatcher.Cancelled)
 		return nil, &failure{}
 	}
-	// Once there is a connection, bytes may have been sent, whatever the error
-	// is: even a write that failed may have reached the service.
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	q, err := c.request(httptrace.WithClientTrace(ctx, trace), part.Upstream.Address)
-	if err != nil {
-		g.Done(dispatcher.Cancelled)
-		return nil, &failure{err: err}
-	}
-	client := p.singleUseClient
-	if c.repeatable {
-		client = p.pooledClient
-	}
-	response, err := client.Do(q)
-	if err != nil {
+	x, failed := p.deps.Carrier.Send(ctx, part.Upstream.Address, c.request(part.Upstream.Address))
+	if failed != nil {
 		g.Done(dispatcher.Cut)
 		if ctx.Err() == nil {
 			p.deps.Observer.ReportCold(part.Upstream.Name, 0, "reset")
 		}
-		return nil, &failure{err: err, mayHaveRun: connected.Load()}
+		return nil, &failure{err: failed, mayHaveRun: failed.Sent}
 	}
-	defer response.Body.Close()
-	return p.receive(c, g, response)
+	defer x.Close()
+	return p.receive(c, g, x)
 }
 
-func (c *call) request(ctx context.Context, address string) (*http.Request, error) {
-	q, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, bytes.NewReader(c.body.Data))
-	if err != nil {
-		return nil, err
-	}
-	q.Header = c.header.Clone()
-	q.Header.Set(teamHeader, c.team.Name)
-	q.Header.Set(callIDHeader, c.id)
-	if !c.repeatable {
-		q.GetBody = nil
-	}
-	return q, nil
+// request returns the call as it is sent to the service at an address. A call that is not
+// repeatable gets a connection of its own: if a reused one turned out to be closed, it would be
+// unknown whether the call ran.
+func (c *call) request(address string) carrier.Request {
+	h := c.header.Clone()
+	h.Del("Content-Length")
+	h.Del("Expect")
+	h.Set(teamHeader, c.team.Name)
+	h.Set(callIDHeader, c.id)
+	return carrier.Request{Method: c.method, Target: c.path, Host: address, Header: h, Body: c.body.Data, NewConnection: !c.repeatable}
 }
 
-func (p *Proxy) receive(c *call, g *dispatcher.Grant, response *http.Response) (*serviceResponse, *failure) {
+func (p *Proxy) receive(c *call, g *dispatcher.Grant, x *carrier.Exchange) (*serviceResponse, *failure) {
 	part := g.Parts[0]
-	if response.Header.Get(ranHeader) == string(refuser.RanNo) {
+	if x.Header.Get(ranHeader) == string(refuser.RanNo) {
 		g.Done(dispatcher.Refused)
-		if response.StatusCode == http.StatusServiceUnavailable {
+		if x.Status == http.StatusServiceUnavailable {
 			p.deps.Observer.ReportCold(part.Upstream.Name, 0, "down")
 		}
 		f := &failure{retryAfter: time.Second}
-		if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		if seconds, err := strconv.Atoi(x.Header.Get("Retry-After")); err == nil {
 			f.retryAfter = time.Duration(seconds) * time.Second
 			p.deps.Acquirer.BackOff(part.Upstream.Name, f.retryAfter)
 			p.deps.Meter.Count("service.backoffs", 1)
 		}
 		return nil, f
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(x.Body, maxResponseBytes+1))
 	if err != nil || len(body) > maxResponseBytes {
 		g.Done(dispatcher.Cut)
 		return nil, &failure{err: err, mayHaveRun: true}
 	}
 	g.Done(dispatcher.Completed)
-	a := &serviceResponse{status: response.StatusCode, header: trimmer.EndToEndHeaders(response.Header), body: body, upstream: part.Upstream.Name, attempts: c.attempts}
-	a.ran = ranByStatus(response.StatusCode)
+	a := &serviceResponse{status: x.Status, header: trimmer.EndToEndHeaders(x.Header), body: body, upstream: part.Upstream.Name, attempts: c.attempts}
+	a.ran = ranByStatus(x.Status)
 	return a, nil
 }
 
