carrier: a status that HTTP does not have is no response

What callers saw: an upstream in trouble answered with status 600, which callers got as it was; with 000, 099 or +20 the handler panicked and the caller's connection was closed; 200 after two blanks was delivered as 200.

Cause: http.ReadResponse takes any three characters that make a number for a status, and skips blanks before it.

Change: what is read while a head is parsed is checked against RFC 9112 byte by byte, in the reader that already limits its size. Here the version and the status are, of interim responses too. Such a response is a failed attempt like any other that is no answer: another upstream serves what may be repeated, the caller of any other request learns that it may have run.

Ruled out: to check the parsed response, which no longer shows blanks, and what the parser joins or drops.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -124,9 +124,9 @@
 
 type conn struct {
 	net.Conn
-	headerLimit *headerLimiter
-	reader      *bufio.Reader
-	expiresAt   time.Time
+	head      *headReader
+	reader    *bufio.Reader
+	expiresAt time.Time
 }
 
 // An Exchange is a request with a response whose header has been received.
@@ -215,8 +215,8 @@
 
 // readHeader reads the response header and skips interim (1xx) responses.
 func (x *Exchange) readHeader(method string) error {
-	x.conn.headerLimit.remaining = maxHeaderSize
-	defer func() { x.conn.headerLimit.remaining = noLimit }()
+	x.conn.head.begin()
+	defer x.conn.head.end()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method}) //nolint:bodyclose // closed by Exchange.Close
 		if err != nil {
--- /dev/null
+++ b/entry/connection/carrier/head.go
@@ -0,0 +1,168 @@
+package carrier
+
+import (
+	"io"
+	"math"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrMalformed is the class of responses that are none in HTTP/1.1.
+var ErrMalformed = errs.Class("malformed response")
+
+const noLimit = math.MaxInt
+
+// A headReader limits and checks what is read while the head of a response is parsed.
+type headReader struct {
+	r io.Reader
+	// remaining is the number of bytes that may be read. An endless head from a broken
+	// upstream would exhaust the memory of a small VM.
+	remaining int
+	head      headChecker
+}
+
+// begin starts to read a head, after interim responses if there are any, and end stops.
+func (h *headReader) begin() { h.remaining, h.head = maxHeaderSize, headChecker{} }
+func (h *headReader) end()   { h.remaining = noLimit }
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.remaining <= 0 {
+		return 0, Error.New("response header exceeds %d bytes", maxHeaderSize)
+	}
+	if len(p) > h.remaining {
+		p = p[:h.remaining]
+	}
+	n, err := h.r.Read(p)
+	if h.remaining == noLimit {
+		return n, err
+	}
+	h.remaining -= n
+	if malformed := h.head.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// A headPart is a part of the head of a response.
+type headPart int
+
+const (
+	versionPart headPart = iota
+	statusPart
+	reasonPart
+	// linePart is the first byte of a line after the status line.
+	linePart
+	fieldPart
+	// lastLinePart is the line feed after a carriage return that begins a line.
+	lastLinePart
+	// bodyPart is everything after the head.
+	bodyPart
+)
+
+// version is how all heads begin, apart from the minor version and a blank.
+const version = "HTTP/1."
+
+// A headChecker checks the heads of a response, the interim ones too, as they are received. It
+// requires what RFC 9112 does, where net/http's parser does not: it takes blanks before a
+// status for none, and any number that fits for a status.
+type headChecker struct {
+	part headPart
+	// count is the number of bytes of the version or of the status so far.
+	count int
+	// interim is set if the status is that of an interim response.
+	interim bool
+}
+
+// check checks the next bytes that were received.
+func (c *headChecker) check(data []byte) error {
+	for _, b := range data {
+		if c.part == bodyPart {
+			return nil
+		}
+		part := c.part
+		if !c.accept(b) {
+			return ErrMalformed.New("byte %q in the %s", b, part)
+		}
+	}
+	return nil
+}
+
+// accept reports whether the head may go on with a byte.
+func (c *headChecker) accept(b byte) bool {
+	switch c.part {
+	case versionPart:
+		return c.acceptVersion(b)
+	case statusPart:
+		return c.acceptStatus(b)
+	case linePart:
+		return c.acceptLine(b)
+	case lastLinePart:
+		c.endHead()
+		return b == '\n'
+	default:
+		if b == '\n' {
+			c.part = linePart
+		}
+		return true
+	}
+}
+
+func (c *headChecker) acceptVersion(b byte) bool {
+	c.count++
+	switch {
+	case c.count <= len(version):
+		return b == version[c.count-1]
+	case c.count == len(version)+1:
+		return isDigit(b)
+	}
+	c.part, c.count = statusPart, 0
+	return b == ' '
+}
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+func (c *headChecker) acceptStatus(b byte) bool {
+	c.count++
+	switch {
+	case c.count == 1:
+		c.interim = b == '1'
+		return '1' <= b && b <= '5'
+	case c.count <= statusDigits:
+		return isDigit(b)
+	case b == '\n':
+		c.part = linePart
+		return true
+	}
+	c.part = reasonPart
+	return b == ' ' || b == '\r'
+}
+
+func (c *headChecker) acceptLine(b byte) bool {
+	switch b {
+	case '\r':
+		c.part = lastLinePart
+	case '\n':
+		c.endHead()
+	default:
+		c.part = fieldPart
+	}
+	return true
+}
+
+// endHead goes on to the body, or to the next head after an interim response.
+func (c *headChecker) endHead() {
+	if !c.interim {
+		c.part = bodyPart
+		return
+	}
+	*c = headChecker{}
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// String returns the name of a part in messages.
+func (p headPart) String() string {
+	return [...]string{"version", "status", "reason", "beginning of a line", "field", "line that ends the head", "body"}[p]
+}
--- a/entry/connection/carrier/pool.go
+++ b/entry/connection/carrier/pool.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,29 +11,6 @@
 	"time"
 )
 
-const noLimit = math.MaxInt
-
-// A headerLimiter limits the number of bytes read while a response header is parsed. An
-// endless header from a broken upstream would exhaust the memory of a small VM.
-type headerLimiter struct {
-	r         io.Reader
-	remaining int
-}
-
-func (l *headerLimiter) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, Error.New("response header exceeds %d bytes", maxHeaderSize)
-	}
-	if len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	if l.remaining != noLimit {
-		l.remaining -= n
-	}
-	return n, err
-}
-
 // acquire returns an idle connection or, if there is none, a new one.
 func (c *Carrier) acquire(ctx context.Context, address string, fresh bool) (n *conn, reused bool, err error) {
 	if !fresh {
@@ -61,8 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &headerLimiter{r: raw, remaining: noLimit}
-	return &conn{Conn: raw, headerLimit: l, reader: bufio.NewReaderSize(l, readBufferSize)}, nil
+	h := &headReader{r: raw, remaining: noLimit}
+	return &conn{Conn: raw, head: h, reader: bufio.NewReaderSize(h, readBufferSize)}, nil
 }
 
 // CallerListenConfig returns the configuration of a listener whose connections keep little
--- a/entry/connection/carrier/response_test.go
+++ b/entry/connection/carrier/response_test.go
@@ -110,3 +110,37 @@
 		assert.Equal(t, data, "hi")
 	}
 }
+
+// respondOnceWith returns a script that sends the same bytes to the first request on a connection,
+// and closes it.
+func respondOnceWith(response string) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, response) //nolint:errcheck // the test reads it
+		}
+	}
+}
+
+// A faulty upstream sends a status that HTTP does not have. It must not be taken for a response,
+// whose status could be passed on.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{
+		"000", "001", "099", "600", "999", "-20", "+20", "-200", "+200", "0200", "2000", "20", "2", "", "2 0", "20 0", " 200", "  200", "20x", "0x1", "２００", "2\x000", "\t200",
+	} {
+		for _, begin := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			address, _ := startUpstream(t, respondOnceWith(begin+"HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nhi"))
+			_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+			assert.Check(t, err != nil, "%q", begin+status)
+		}
+	}
+}
+
+// All statuses that HTTP has are passed on.
+func TestValidStatusIsNoError(t *testing.T) {
+	for _, status := range []string{"200 OK", "200 ", "200", "299 x", "404 Not\tFound", "500 \xe4", "599 x"} {
+		address, _ := startUpstream(t, respondOnceWith("HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nhi"))
+		data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		assert.NilError(t, err, "%q", status)
+		assert.Equal(t, data, "hi")
+	}
+}
--- a/entry/request/passer/broken_test.go
+++ b/entry/request/passer/broken_test.go
@@ -83,3 +83,16 @@
 		})
 	}
 }
+
+// A service in trouble sends a malformed answer. The caller must learn that the call may have run.
+func TestMalformedAnswersReachNoCaller(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 No\r\nContent-Length: 6\r\n\r\nbroken",
+		"HTTP/1.1 600 No\r\nContent-Length: 6\r\n\r\nbroken",
+	} {
+		s := newProxyForUploads(t, answer, false)
+		got := send(t, s, http.MethodPost, "/services/booking/seats", "x")
+		assert.Equal(t, got.status, http.StatusBadGateway, "%q: %s", answer, got.body)
+		assert.Equal(t, got.header.Get("Heathervane-Ran"), "unknown")
+	}
+}
--- a/entry/request/relayer/broken_test.go
+++ b/entry/request/relayer/broken_test.go
@@ -177,3 +177,51 @@
 		})
 	}
 }
+
+// malformed are answers that are none in HTTP/1.1.
+var malformed = map[string]string{
+	"status 000":         "HTTP/1.1 000 No\r\nSealed: 1\r\nId: ID\r\nContent-Length: 6\r\n\r\nbroken",
+	"status 099":         "HTTP/1.1 099 No\r\nSealed: 1\r\nId: ID\r\nContent-Length: 6\r\n\r\nbroken",
+	"status 600":         "HTTP/1.1 600 No\r\nSealed: 1\r\nId: ID\r\nContent-Length: 6\r\n\r\nbroken",
+	"status +20":         "HTTP/1.1 +20 No\r\nSealed: 1\r\nId: ID\r\nContent-Length: 6\r\n\r\nbroken",
+	"status after blank": "HTTP/1.1  200 OK\r\nSealed: 1\r\nId: ID\r\nContent-Length: 6\r\n\r\nbroken",
+}
+
+// An upstream in trouble sends a malformed answer. The callers of requests that may be sent again
+// get another upstream's answer; others learn that the request may have run.
+func TestMalformedAnswersReachNoCaller(t *testing.T) {
+	for name, answer := range malformed {
+		t.Run(name, func(t *testing.T) {
+			directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+				plain := at.rawUpstream("u1", "plain", answer, false)
+				model := at.rawUpstream("u2", "model", answer, false)
+				ran := 0
+				for range 3 {
+					for _, target := range []string{"/unsafe/x", "/stream/x"} {
+						q := caller.request(http.MethodPost, target, "body")
+						o := caller.do(q)
+						id := q.Header.Get("Id")
+						if !plain.hasRun(id) && !model.hasRun(id) {
+							continue
+						}
+						ran++
+						assert.NilError(t, o.err)
+						assert.Equal(t, o.status, http.StatusBadGateway, "%s %q", target, o.body)
+						assert.Equal(t, o.header.Get("Heathervane-Ran"), "unknown")
+					}
+				}
+				assert.Assert(t, ran > 0)
+				at.upstream("u3", "plain", answerSealed)
+				at.upstream("u4", "model", events(3, false))
+				for range 3 {
+					for target, want := range map[string]string{"/safe/x": "done", "/resume/x": eventText(3)} {
+						o := caller.do(caller.request(http.MethodPost, target, "body"))
+						assert.NilError(t, o.err)
+						assert.Equal(t, o.status, http.StatusOK, "%s %q", target, o.body)
+						assert.Equal(t, o.body, want)
+					}
+				}
+			})
+		})
+	}
+}
