carrier: a head that is cut off is a lost connection

What callers saw: a request that crashes upstreams while they write the head of their answer was sent to one after the other and never held, and all of them were lost.

Cause: where a connection ends within a line, the reader below http.ReadResponse returns the line and drops the error. The parser's own error follows, or an ordinary end after a reset. The quarantine and the check of the network path count lost connections only.

Ruled out: that a cut head is taken for an answer. Six heads cut after each byte, closed and reset, and chunks cut after each byte, are errors before and after; so are the cut heads of relayer.TestMalformedAnswersReachNoCaller and, on real processes, platform.TestBrokenAnswersReachNoCaller. These stay as tests.

Change: the reader of heads keeps the error with which the connection ended, and it is returned in place of the parser's.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -220,7 +220,7 @@
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method}) //nolint:bodyclose // closed by Exchange.Close
 		if err != nil {
-			return err
+			return x.conn.head.cause(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
--- a/entry/connection/carrier/head.go
+++ b/entry/connection/carrier/head.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"errors"
 	"io"
 	"math"
 	"strings"
@@ -20,24 +21,43 @@
 	// upstream would exhaust the memory of a small VM.
 	remaining int
 	head      headChecker
+	// err is why no more of the head could be read. A parser that has a part of a line may
+	// return another error.
+	err error
 }
 
 // begin starts to read a head, after interim responses if there are any, and end stops.
-func (h *headReader) begin() { h.remaining, h.head = maxHeaderSize, headChecker{} }
+func (h *headReader) begin() { h.remaining, h.head, h.err = maxHeaderSize, headChecker{}, nil }
 func (h *headReader) end()   { h.remaining = noLimit }
 
+// cause returns the cause of a parser's error.
+func (h *headReader) cause(parseErr error) error {
+	switch {
+	case h.err == nil:
+		return parseErr
+	case errors.Is(h.err, io.EOF):
+		return io.ErrUnexpectedEOF
+	}
+	return h.err
+}
+
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.remaining <= 0 {
-		return 0, Error.New("response header exceeds %d bytes", maxHeaderSize)
+	if h.remaining == noLimit {
+		return h.r.Read(p)
 	}
-	if len(p) > h.remaining {
-		p = p[:h.remaining]
+	n, err := h.readHead(p)
+	if h.err == nil {
+		h.err = err
 	}
-	n, err := h.r.Read(p)
-	if h.remaining == noLimit {
-		return n, err
+	return n, err
+}
+
+func (h *headReader) readHead(p []byte) (int, error) {
+	if h.remaining <= 0 {
+		return 0, Error.New("response header exceeds %d bytes", maxHeaderSize)
 	}
+	n, err := h.r.Read(p[:min(len(p), h.remaining)])
 	h.remaining -= n
 	if malformed := h.head.check(p[:n]); malformed != nil {
 		return 0, malformed
--- a/entry/connection/carrier/response_test.go
+++ b/entry/connection/carrier/response_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -200,3 +202,45 @@
 		assert.Check(t, err != nil, "%q", response)
 	}
 }
+
+// An upstream stops in the middle of a head, and closes or resets the connection. What came must
+// not be taken for a response, whose body would be empty or short, and the error must say that
+// the connection was lost: the upstream may have crashed.
+func TestHeadCutAfterEachByteIsALostConnection(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 204 No\r\nX-A: a\r\n\r\n",
+		"HTTP/1.1 200\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nX-A: a\r\n\r\n",
+	} {
+		for n := range len(head) {
+			for _, reset := range []bool{false, true} {
+				address, _ := startUpstream(t, func(i int, c net.Conn, r *bufio.Reader) {
+					respondOnceWith(head[:n])(i, c, r)
+					if reset {
+						resetConn(c)
+					}
+				})
+				_, failure := carrier.New(time.Now).Send(t.Context(), address, getRequest())
+				assert.Assert(t, failure != nil && failure.Sent, "%q", head[:n])
+				want := io.ErrUnexpectedEOF
+				if reset {
+					want = syscall.ECONNRESET
+				}
+				assert.Check(t, errors.Is(failure, want), "%q: %v", head[:n], failure)
+			}
+		}
+	}
+}
+
+// The same for a body in chunks and its trailer.
+func TestChunksCutAfterEachByteAreAnError(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n0\r\nX-A: a\r\n\r\n"
+	for n := range len(body) {
+		address, _ := startUpstream(t, respondOnceWith(head+body[:n]))
+		_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		assert.Check(t, err != nil, "%q", body[:n])
+	}
+}
--- a/entry/request/relayer/broken_test.go
+++ b/entry/request/relayer/broken_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,8 +23,9 @@
 	answer string
 	// early sends the answer before the upload is read.
 	early bool
-	// ran has the IDs of the requests.
-	ran sync.Map
+	// ran has the IDs of the requests, and runs is their number.
+	ran  sync.Map
+	runs atomic.Int64
 }
 
 func (u *rawUpstream) hasRun(id string) bool {
@@ -56,6 +59,7 @@
 		return
 	}
 	u.ran.Store(q.Header.Get("Id"), true)
+	u.runs.Add(1)
 	if !u.early {
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
@@ -191,6 +195,10 @@
 	"blank after chunks":  okHead + "Transfer-Encoding : chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
 	"blank before a name": okHead + "X-B: b\r\n Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
 	"interim answer":      "HTTP/1.1 103 Hints\r\nX A: a\r\n\r\n" + okHead + "Content-Length: 6\r\n\r\nbroken",
+	"cut status":          "HTTP/1.1 2",
+	"cut name":            "HTTP/1.1 200 OK\r\nSea",
+	"cut value":           okHead + "Content-Length: 1",
+	"cut end of head":     okHead + "Content-Length: 6\r\n\r",
 	"trailer":             okHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX A: a\r\n\r\n",
 }
 
@@ -232,3 +240,30 @@
 		})
 	}
 }
+
+// A request crashes each upstream that runs it, in the middle of a line of the answer's head. It
+// must be quarantined, or retries would take down one upstream after another.
+func TestRequestThatCrashesUpstreamsInAHeadIsQuarantined(t *testing.T) {
+	const poison, mostRuns = "poison", 3
+	for _, answer := range []string{"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nSea", okHead + "Content-Length: 1", okHead + "\r"} {
+		t.Run(answer, func(t *testing.T) {
+			b := newHarness(t, routes())
+			b.budget.remaining = 1000
+			var upstreams []*rawUpstream
+			for i := range 12 {
+				upstreams = append(upstreams, b.rawUpstream("u"+strconv.Itoa(i), "plain", answer, false))
+			}
+			var runs int64
+			for range 6 {
+				b.do(b.request(http.MethodPost, "/safe/x", poison))
+			}
+			for _, u := range upstreams {
+				runs += u.runs.Load()
+			}
+			assert.Assert(t, runs <= mostRuns, "the request was sent to %d upstreams", runs)
+			o := b.do(b.request(http.MethodPost, "/safe/x", poison))
+			assert.Equal(t, o.status, http.StatusServiceUnavailable)
+			assert.Equal(t, o.header.Get("Heathervane-Ran"), "no")
+		})
+	}
+}
