carrier: chunks in HTTP/1.0 are no response

What callers saw: an upstream answered in HTTP/1.0 with "Transfer-Encoding: chunked". Callers got a 200 with the sizes of the chunks in its body, or, beside a Content-Length, the first bytes of that (MIXED).

Cause: net/http ignores the field in HTTP/1.0; what is left states no framing. The header of the parsed response no longer has it.

Change: the check of heads notes the field; with a version older than 1.1 the response is malformed, as RFC 9112, section 6.1, has it.

Handled before: other codings, several codings, differing or faulty lengths, faulty sizes of chunks; a length beside chunks is not used.

Evidence, before: carrier.TestChunksInHTTP10AreAnError accepts 9 of 9; relayer.TestMalformedAnswersReachNoCaller delivers "6\r\nbroken\r\n0" as 200, direct and forwarded. After: carrier, passer and relayer once with -race, pass.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -225,6 +225,10 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
+		if x.conn.head.head.encoded && !resp.ProtoAtLeast(1, 1) {
+			// net/http ignores the field, and would take the chunks for the body.
+			return ErrMalformed.New("transfer encoding in %s", resp.Proto)
+		}
 		x.response = resp
 		x.Status, x.Header = resp.StatusCode, resp.Header
 		x.Body = &body{exchange: x}
--- a/entry/connection/carrier/head.go
+++ b/entry/connection/carrier/head.go
@@ -93,10 +93,12 @@
 // refused too, as a name with a blank before it cannot be told from a folded value.
 type headChecker struct {
 	part headPart
-	// count is the number of bytes of the version or of the status so far.
+	// count is the number of bytes of the version or of the status so far, or of the name of a
+	// field while it is like that of Transfer-Encoding; -1 once it is not.
 	count int
-	// interim is set if the status is that of an interim response.
-	interim bool
+	// interim is set if the status is that of an interim response, and encoded once the head has
+	// a field Transfer-Encoding.
+	interim, encoded bool
 }
 
 // check checks the next bytes that were received.
@@ -123,11 +125,7 @@
 	case linePart:
 		return c.acceptLine(b)
 	case namePart:
-		if b == ':' {
-			c.part = textPart
-			return true
-		}
-		return isTokenByte(b)
+		return c.acceptName(b)
 	case textPart:
 		return c.acceptText(b)
 	case textEndPart:
@@ -193,12 +191,29 @@
 	case '\n':
 		c.endHead()
 	default:
-		c.part = namePart
-		return isTokenByte(b)
+		c.part, c.count = namePart, 0
+		return b != ':' && c.acceptName(b)
 	}
 	return true
 }
 
+// transferEncoding is the name of the field that states chunks, in lower case.
+const transferEncoding = "transfer-encoding"
+
+func (c *headChecker) acceptName(b byte) bool {
+	if b == ':' {
+		c.encoded = c.encoded || c.count == len(transferEncoding)
+		c.part = textPart
+		return true
+	}
+	if c.count >= 0 && c.count < len(transferEncoding) && toLower(b) == transferEncoding[c.count] {
+		c.count++
+	} else {
+		c.count = -1
+	}
+	return isTokenByte(b)
+}
+
 // endHead goes on to the body, or to the next head after an interim response.
 func (c *headChecker) endHead() {
 	if !c.interim {
@@ -213,6 +228,13 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+func toLower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	return b
+}
+
 // isTokenByte reports whether a byte may be in the name of a field, as in RFC 9110, section 5.6.2.
 func isTokenByte(b byte) bool {
 	return isDigit(b) || ('a' <= b && b <= 'z') || ('A' <= b && b <= 'Z') || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
--- a/entry/connection/carrier/response_test.go
+++ b/entry/connection/carrier/response_test.go
@@ -244,3 +244,19 @@
 		assert.Check(t, err != nil, "%q", body[:n])
 	}
 }
+
+// An upstream of HTTP/1.0 cannot send chunks. A response that states them all the same must not be
+// taken for one that ends with its connection, with the sizes of the chunks in its body.
+func TestChunksInHTTP10AreAnError(t *testing.T) {
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
+		for _, more := range []string{"", "Content-Length: 2\r\n", "X-Transfer-Encoding: a\r\n"} {
+			address, _ := startUpstream(t, respondOnceWith("HTTP/1.0 200 OK\r\n"+name+": chunked\r\n"+more+"\r\n2\r\nhi\r\n0\r\n\r\n"))
+			data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+			assert.Check(t, err != nil, "%s %q: %q", name, more, data)
+		}
+	}
+	address, _ := startUpstream(t, respondOnceWith("HTTP/1.0 200 OK\r\nX-Transfer-Encoding: a\r\nTransfer-Encodings: b\r\nTransfer: c\r\n\r\nhi"))
+	data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+	assert.NilError(t, err)
+	assert.Equal(t, data, "hi")
+}
--- a/entry/request/relayer/broken_test.go
+++ b/entry/request/relayer/broken_test.go
@@ -164,6 +164,7 @@
 		"rejection without a length":      {"HTTP/1.1 413 Too Large\r\nId: ID\r\n\r\ndone", false, http.StatusRequestEntityTooLarge},
 		"HTTP/1.0, upload read":           {"HTTP/1.0 200 OK\r\nSealed: 1\r\nId: ID\r\n\r\ndone", false, http.StatusOK},
 		"early, in chunks":                {okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", true, http.StatusOK},
+		"length beside chunks":            {okHead + "Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", false, http.StatusOK},
 		"after an interim answer":         {"HTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n" + okHead + "\r\ndone", false, http.StatusOK},
 		"without a reason":                {"HTTP/1.1 200\r\nSealed: 1\r\nId: ID\r\n\r\ndone", false, http.StatusOK},
 		"lines that end with a line feed": {"HTTP/1.1 200 OK\nSealed: 1\nId: ID\n\ndone", false, http.StatusOK},
@@ -199,6 +200,7 @@
 	"cut name":            "HTTP/1.1 200 OK\r\nSea",
 	"cut value":           okHead + "Content-Length: 1",
 	"cut end of head":     okHead + "Content-Length: 6\r\n\r",
+	"chunks in HTTP/1.0":  "HTTP/1.0 200 OK\r\nSealed: 1\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
 	"trailer":             okHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX A: a\r\n\r\n",
 }
 
