streamer: engines are reached through the carrier

What callers saw: on the project's own interface, a stream from an engine whose answer stated its chunks as "Transfer-Encoding : chunked" ended as complete, and a refusal with status 000 or 600 was believed when it said that the job had not run.

Cause: the streamer read with net/http's client, which takes such a status and such a name. The sizes of the chunks are lines without a colon, which a stream ignores.

Change: the streamer sends through a carrier, as passer does: the checks of heads and of the end of a response hold for engines too, and it is the carrier that says whether a byte of a job may have been sent. Closing an exchange twice has no further effect now: a stream is closed once more after a resume that fails, and the connection may serve another request by then.

Evidence, before: streamer.TestBrokenResponsesAreNotComplete fails for "status 000", "status 600" and "blank before the colon", its other six cases pass; without the guard carrier.TestExchangeClosedTwiceKeepsItsConnection opens 2 connections.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -147,6 +147,7 @@
 	stop      func() bool
 	cancel    context.CancelFunc
 	complete  bool
+	closed    bool
 }
 
 // Length returns the length that the response states for its body; negative if it states none.
@@ -274,8 +275,12 @@
 
 // Close ends the exchange. The connection is kept only if the request is fully written,
 // the response is fully read, and nothing follows it: stray bytes would be taken for
-// the response to the next request.
+// the response to the next request. It may be called more than once.
 func (x *Exchange) Close() {
+	if x.closed {
+		return
+	}
+	x.closed = true
 	stopped := x.stop()
 	x.cancel()
 	if !stopped || !x.reusable() {
--- a/entry/connection/carrier/response_test.go
+++ b/entry/connection/carrier/response_test.go
@@ -260,3 +260,52 @@
 	assert.NilError(t, err)
 	assert.Equal(t, data, "hi")
 }
+
+// A connection that is kept belongs to the next request. Closing the earlier exchange again must not
+// end it.
+func TestExchangeClosedTwiceKeepsItsConnection(t *testing.T) {
+	address, conns := startUpstream(t, respondWith(ok))
+	c := carrier.New(time.Now)
+	first, failure := c.Send(t.Context(), address, getRequest())
+	assert.Assert(t, failure == nil, "%v", failure)
+	_, err := io.ReadAll(first.Body)
+	assert.NilError(t, err)
+	first.Close()
+	second, failure := c.Send(t.Context(), address, getRequest())
+	assert.Assert(t, failure == nil && second.Reused, "%v", failure)
+	first.Close()
+	data, err := io.ReadAll(second.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "hi")
+	second.Close()
+	_, err = roundTrip(t, c, address, getRequest())
+	assert.NilError(t, err)
+	assert.Equal(t, conns.Load(), int64(1))
+}
+
+// What states its framing in a way that HTTP does not have is no response either.
+func TestInvalidFramingIsAnError(t *testing.T) {
+	for _, rest := range []string{
+		"Transfer-Encoding: gzip\r\n\r\nhi",
+		"Transfer-Encoding: identity\r\n\r\nhi",
+		"Transfer-Encoding: chunked, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
+		"Content-Length: 2, 2\r\n\r\nhi",
+		"Content-Length: +2\r\n\r\nhi",
+		"Content-Length: -1\r\n\r\nhi",
+		"Content-Length: 0x2\r\n\r\nhi",
+		"Content-Length: 2 2\r\n\r\nhi",
+		"Content-Length:\r\n\r\nhi",
+		"Content-Length: 99999999999999999999\r\n\r\nhi",
+		"Transfer-Encoding: chunked\r\n\r\n2\nhi\n0\n\n",
+		"Transfer-Encoding: chunked\r\n\r\n+2\r\nhi\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nhi!\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n10000000000000002\r\nhi\r\n0\r\n\r\n",
+	} {
+		address, _ := startUpstream(t, respondOnceWith("HTTP/1.1 200 OK\r\n"+rest))
+		data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		assert.Check(t, err != nil, "%q: %q", rest, data)
+	}
+}
--- a/entry/connection/streamer/stream.go
+++ b/entry/connection/streamer/stream.go
@@ -7,8 +7,9 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
+
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 )
 
 const (
@@ -50,7 +51,7 @@
 	streamer      *Streamer
 	address       string
 	id            string
-	body          io.ReadCloser
+	exchange      *carrier.Exchange
 	reader        *bufio.Reader
 	lastDelivered uint64
 	outOfOrder    map[uint64]json.RawMessage
@@ -63,20 +64,20 @@
 	data []byte
 }
 
-func newStream(s *Streamer, address, id string, resp *http.Response) *Stream {
+func newStream(s *Streamer, address, id string, x *carrier.Exchange) *Stream {
 	t := &Stream{streamer: s, address: address, id: id, outOfOrder: make(map[uint64]json.RawMessage)}
-	t.attach(resp)
+	t.attach(x)
 	return t
 }
 
-func (t *Stream) attach(resp *http.Response) {
-	t.body = resp.Body
-	t.Boot = parseBoot(resp)
+func (t *Stream) attach(x *carrier.Exchange) {
+	t.exchange = x
+	t.Boot = parseBoot(x)
 	if t.reader == nil {
-		t.reader = bufio.NewReaderSize(resp.Body, 4<<10)
+		t.reader = bufio.NewReaderSize(x.Body, 4<<10)
 		return
 	}
-	t.reader.Reset(resp.Body)
+	t.reader.Reset(x.Body)
 }
 
 // Next returns the next token, whose text is valid until the next call. The error is
@@ -212,15 +213,15 @@
 // Resume reconnects after ErrInterrupted. It returns ErrGone if the engine no longer
 // has the stream, for example after a restart.
 func (t *Stream) Resume(ctx context.Context) error {
-	t.body.Close()
+	t.exchange.Close()
 	previousBoot := t.Boot
-	resp, err := t.streamer.resume(ctx, t.address, t.id, t.lastDelivered) //nolint:bodyclose // closed by Stream.Close
+	x, err := t.streamer.resume(ctx, t.address, t.id, t.lastDelivered)
 	if err != nil {
 		return err
 	}
 	t.summary = nil
 	clear(t.outOfOrder)
-	t.attach(resp)
+	t.attach(x)
 	if t.Boot != previousBoot {
 		// Another process at the same address cannot have this stream; what it
 		// sends belongs to another caller.
@@ -241,4 +242,4 @@
 func (t *Stream) Buffered() bool { return t.reader.Buffered() > 0 }
 
 // Close closes the connection. It does not cancel the stream on the engine.
-func (t *Stream) Close() { t.body.Close() }
+func (t *Stream) Close() { t.exchange.Close() }
--- a/entry/connection/streamer/streamer.go
+++ b/entry/connection/streamer/streamer.go
@@ -6,19 +6,18 @@
 package streamer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/zeebo/errs"
+
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 )
 
 // Headers of engines' responses.
@@ -77,93 +76,84 @@
 
 // A Streamer sends jobs to engines and opens their streams.
 type Streamer struct {
-	client *http.Client
+	carrier *carrier.Carrier
 }
 
-// New returns a Streamer that uses an HTTP client. The client must not follow
-// redirects, and must not have a timeout: a stream lasts as long as its job.
-func New(client *http.Client) *Streamer {
-	return &Streamer{client: client}
+// New returns a Streamer that sends through a carrier.
+func New(c *carrier.Carrier) *Streamer {
+	return &Streamer{carrier: c}
 }
 
 // Open sends a job to the engine at an address. If the error is not a *RefusedError,
 // the engine may have accepted the job.
 func (s *Streamer) Open(ctx context.Context, address string, job Job) (*Stream, error) {
-	resp, err := s.post(ctx, address, "/v1/generate", job) //nolint:bodyclose // closed by Stream.Close
+	x, err := s.post(ctx, address, "/v1/generate", job)
 	if err != nil {
 		return nil, err
 	}
-	return newStream(s, address, job.ID, resp), nil
+	return newStream(s, address, job.ID, x), nil
 }
 
 // PrefillPart has an engine process one part of a prompt and keep the result. It
 // returns the handle with which the group's next engine imports that result.
 func (s *Streamer) PrefillPart(ctx context.Context, address string, job Job) (string, error) {
-	resp, err := s.post(ctx, address, "/v1/parts", job)
+	x, err := s.post(ctx, address, "/v1/parts", job)
 	if err != nil {
 		return "", err
 	}
-	defer resp.Body.Close()
+	defer x.Close()
 	var p struct {
 		Handle string `json:"handle"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodySize)).Decode(&p); err != nil {
+	if err := json.NewDecoder(io.LimitReader(x.Body, maxBodySize)).Decode(&p); err != nil {
 		return "", Error.Wrap(err)
 	}
 	return p.Handle, nil
 }
 
-func (s *Streamer) post(ctx context.Context, address, path string, job Job) (*http.Response, error) {
+func (s *Streamer) post(ctx context.Context, address, path string, job Job) (*carrier.Exchange, error) {
 	body, err := json.Marshal(job)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	// A job may be reported as "not run" only if no connection was obtained for it.
-	// Once there is one, a byte may have been sent, whatever error follows.
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	u := "http://" + address + path
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, u, bytes.NewReader(body))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(req)
-	if err != nil && !connected.Load() {
-		return nil, &RefusedError{Code: "unreached", Message: err.Error()}
+	x, failed := s.carrier.Send(ctx, address, carrier.Request{
+		Method: http.MethodPost, Target: path, Host: address, Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
+	})
+	if failed != nil && !failed.Sent {
+		return nil, &RefusedError{Code: "unreached", Message: failed.Error()}
 	}
-	if err != nil {
-		return nil, Error.Wrap(err)
+	if failed != nil {
+		return nil, Error.Wrap(failed)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, newRefusedError(resp)
+	if x.Status != http.StatusOK {
+		return nil, newRefusedError(x)
 	}
-	return resp, nil
+	return x, nil
 }
 
-func newRefusedError(resp *http.Response) error {
-	defer resp.Body.Close()
+func newRefusedError(x *carrier.Exchange) error {
+	defer x.Close()
 	var envelope struct {
 		Error struct {
 			Code    string `json:"code"`
 			Message string `json:"message"`
 		} `json:"error"`
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodySize))
+	data, err := io.ReadAll(io.LimitReader(x.Body, maxBodySize))
 	if err == nil {
 		err = json.Unmarshal(data, &envelope)
 	}
-	r := &RefusedError{Status: resp.StatusCode, Code: envelope.Error.Code, Message: envelope.Error.Message}
+	r := &RefusedError{Status: x.Status, Code: envelope.Error.Code, Message: envelope.Error.Message}
 	if err != nil {
 		r.Code, r.Message = "unclear", "the refusal could not be read"
 	}
-	r.MayHaveRun = resp.Header.Get(ranHeader) != "no"
-	r.Boot = parseBoot(resp)
+	r.MayHaveRun = x.Header.Get(ranHeader) != "no"
+	r.Boot = parseBoot(x)
 	return r
 }
 
-func parseBoot(resp *http.Response) uint64 {
-	n, err := strconv.ParseUint(resp.Header.Get(bootHeader), 10, 64)
+func parseBoot(x *carrier.Exchange) uint64 {
+	n, err := strconv.ParseUint(x.Header.Get(bootHeader), 10, 64)
 	if err != nil {
 		return 0
 	}
@@ -171,20 +161,16 @@
 }
 
 // resume reopens a stream after the last token delivered.
-func (s *Streamer) resume(ctx context.Context, address, id string, from uint64) (*http.Response, error) {
-	u := "http://" + address + "/v1/streams/" + url.PathEscape(id) + "?from=" + strconv.FormatUint(from, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, http.NoBody)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return nil, Error.Wrap(err)
+func (s *Streamer) resume(ctx context.Context, address, id string, from uint64) (*carrier.Exchange, error) {
+	target := "/v1/streams/" + url.PathEscape(id) + "?from=" + strconv.FormatUint(from, 10)
+	x, failed := s.carrier.Send(ctx, address, carrier.Request{Method: http.MethodGet, Target: target, Host: address})
+	if failed != nil {
+		return nil, Error.Wrap(failed)
 	}
-	if resp.StatusCode == http.StatusOK {
-		return resp, nil
+	if x.Status == http.StatusOK {
+		return x, nil
 	}
-	err = newRefusedError(resp)
+	err := newRefusedError(x)
 	var r *RefusedError
 	if errors.As(err, &r) && r.Status == http.StatusNotFound {
 		return nil, ErrGone
--- a/entry/connection/streamer/streamer_test.go
+++ b/entry/connection/streamer/streamer_test.go
@@ -9,9 +9,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 )
 
@@ -36,7 +38,7 @@
 		io.WriteString(w, text)
 	}))
 	t.Cleanup(s.Close)
-	return strings.TrimPrefix(s.URL, "http://"), streamer.New(s.Client())
+	return strings.TrimPrefix(s.URL, "http://"), streamer.New(carrier.New(time.Now))
 }
 
 func tokenEvents(numbers ...int) string {
@@ -127,7 +129,7 @@
 				io.WriteString(w, test.body)
 			}))
 			defer s.Close()
-			_, err := streamer.New(s.Client()).Open(context.Background(), strings.TrimPrefix(s.URL, "http://"), streamer.Job{})
+			_, err := streamer.New(carrier.New(time.Now)).Open(context.Background(), strings.TrimPrefix(s.URL, "http://"), streamer.Job{})
 			var r *streamer.RefusedError
 			assert.Assert(t, errors.As(err, &r))
 			assert.Equal(t, r.MayHaveRun, test.ran)
@@ -143,7 +145,7 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer s.Close()
-	_, err := streamer.New(s.Client()).Open(context.Background(), strings.TrimPrefix(s.URL, "http://"), streamer.Job{})
+	_, err := streamer.New(carrier.New(time.Now)).Open(context.Background(), strings.TrimPrefix(s.URL, "http://"), streamer.Job{})
 	var r *streamer.RefusedError
 	assert.Assert(t, err != nil && !errors.As(err, &r), "%v", err)
 }
@@ -152,7 +154,7 @@
 	s := httptest.NewServer(http.NotFoundHandler())
 	address := strings.TrimPrefix(s.URL, "http://")
 	s.Close()
-	_, err := streamer.New(http.DefaultClient).Open(context.Background(), address, streamer.Job{})
+	_, err := streamer.New(carrier.New(time.Now)).Open(context.Background(), address, streamer.Job{})
 	var r *streamer.RefusedError
 	assert.Assert(t, errors.As(err, &r))
 	assert.Assert(t, !r.MayHaveRun)
@@ -182,3 +184,36 @@
 		}
 	})
 }
+
+// An engine in trouble sends what is no complete response in HTTP/1.1. No stream may look complete, and
+// no job like one that did not run.
+func TestBrokenResponsesAreNotComplete(t *testing.T) {
+	events := tokenEvents(1, 2) + doneEvent(2)
+	chunks := fmt.Sprintf("5\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", events[:5], len(events)-5, events[5:])
+	for name, response := range map[string]string{
+		"status 000":              "HTTP/1.1 000 No\r\nRan: no\r\n\r\n" + events,
+		"status 600":              "HTTP/1.1 600 No\r\nRan: no\r\n\r\n" + events,
+		"blank in the status":     "HTTP/1.1 20 0\r\nRan: no\r\n\r\n" + events,
+		"blank before the colon":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n" + chunks,
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01A: a\r\n\r\n" + events,
+		"head that is cut off":    "HTTP/1.1 200 OK\r\nUpstream-Boot: 7",
+		"stream without its end":  "HTTP/1.1 200 OK\r\n\r\n" + events[:len(events)-1],
+		"stream without a token":  "HTTP/1.1 200 OK\r\n\r\n" + tokenEvents(1) + doneEvent(2),
+		"stream without any byte": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			io.WriteString(c, response) //nolint:errcheck // the streamer may have left
+			c.Close()
+		}))
+		stream, err := streamer.New(carrier.New(time.Now)).Open(t.Context(), strings.TrimPrefix(s.URL, "http://"), streamer.Job{ID: "j"})
+		for err == nil {
+			_, err = stream.Next()
+		}
+		assert.Check(t, !errors.Is(err, io.EOF), name)
+		var refused *streamer.RefusedError
+		assert.Check(t, !errors.As(err, &refused) || refused.MayHaveRun, "%s: %v", name, err)
+		s.Close()
+	}
+}
--- a/entry/process/server/server.go
+++ b/entry/process/server/server.go
@@ -60,7 +60,7 @@
 	requestReadTimeout = 30 * time.Second
 	// idleTimeout is how long a connection may stay open without a request.
 	idleTimeout = 2 * time.Minute
-	// idleSweepInterval is how often expired idle connections to services are closed.
+	// idleSweepInterval is how often expired idle connections to upstreams are closed.
 	idleSweepInterval = time.Second
 	// maxIdlePerUpstream bounds the idle connections kept to each upstream.
 	maxIdlePerUpstream = 64
@@ -98,7 +98,7 @@
 	fetching     atomic.Bool
 	serviceState serviceState
 	upstream     *http.Client
-	services     *carrier.Carrier
+	carrier      *carrier.Carrier
 	listeners    listeners
 }
 
@@ -110,7 +110,7 @@
 	v.meter = meter.New()
 	v.ticker = ticker.New(time.Now, tickInterval)
 	v.upstream = upstreamClient()
-	v.services = carrier.New(time.Now)
+	v.carrier = carrier.New(time.Now)
 	v.bodies = bounder.New(int64(s.Limits.Bodies))
 	if err := v.setUpTLS(s); err != nil {
 		return nil, err
@@ -159,11 +159,11 @@
 	quarantine := quarantiner.New(quarantiner.Deps{Meter: v.meter, Now: time.Now, Log: v.log, Broadcast: v.keeper.ScheduleAppend, MayRunTrial: v.mayRunTrial})
 	v.keeper.SetQuarantine(quarantine)
 	v.chatter = chatter.New(chatter.Config{VM: v.settings.ID, Boot: v.boot}, chatter.Deps{
-		View: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Streamer: streamer.New(v.upstream),
+		View: v.view.Load, Reader: bodies, Acquirer: v.dispatcher, Streamer: streamer.New(v.carrier),
 		Canceller: v.canceller, Observer: v.observer, Retrier: newRetryBudget(), Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	calls := passer.New(v.settings.ID, v.boot, passer.Deps{
-		View: v.view.Load, Reader: bodies, Carrier: v.services, Acquirer: v.dispatcher, Observer: v.observer,
+		View: v.view.Load, Reader: bodies, Carrier: v.carrier, Acquirer: v.dispatcher, Observer: v.observer,
 		Retrier: newRetryBudget(), Deduplicator: v.deduplicator, Quarantine: quarantine, Meter: v.meter, Now: time.Now,
 	})
 	mux := http.NewServeMux()
@@ -207,7 +207,7 @@
 	v.follower.Subscribe(v.configure)
 	v.ticker.Subscribe(pumpInterval, func(time.Time) { v.dispatcher.Pump() })
 	v.ticker.Subscribe(observeInterval, v.observer.Tick)
-	v.ticker.Subscribe(idleSweepInterval, func(time.Time) { v.services.CloseExpired() })
+	v.ticker.Subscribe(idleSweepInterval, func(time.Time) { v.carrier.CloseExpired() })
 	v.subscribeServiceState()
 	for _, run := range []func(context.Context){
 		v.ticker.Run, v.follower.Run, v.pumpOnChange, v.runSweeps, v.runCheckpoints, v.runOrders, v.keeper.Run,
--- a/entry/request/chatter/fake_test.go
+++ b/entry/request/chatter/fake_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/heathervane/heathervane/entry/connection/carrier"
 	"github.com/heathervane/heathervane/entry/connection/streamer"
 	"github.com/heathervane/heathervane/entry/process/bounder"
 	"github.com/heathervane/heathervane/entry/process/dispatcher"
@@ -211,14 +212,12 @@
 func newTestServer(t *testing.T, m checker.Manifest) *testServer {
 	t.Helper()
 	r := &testServer{acquirer: &fakeAcquirer{}, canceller: &fakeCanceller{}, bodies: bounder.New(memoryBudget)}
-	upstream := &http.Transport{}
-	t.Cleanup(upstream.CloseIdleConnections)
 	view := viewer.New(1, m, func(string, string) bool { return false })
 	c := chatter.New(chatter.Config{VM: "vm1", Boot: 3}, chatter.Deps{
 		View:       func() *viewer.View { return view },
 		Reader:     &reader.Reader{MaxBytes: maxBodyBytes, Budget: r.bodies, Timeout: 200 * time.Millisecond},
 		Acquirer:   r.acquirer,
-		Streamer:   streamer.New(&http.Client{Transport: upstream}),
+		Streamer:   streamer.New(carrier.New(time.Now)),
 		Canceller:  r.canceller,
 		Observer:   nopObserver{},
 		Retrier:    retrier.New(retrier.Config{}, rand.New(rand.NewPCG(1, 2))),
