--- a/entry/process/pager/pager_test.go
+++ b/entry/process/pager/pager_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -108,6 +110,44 @@
 	assert.ErrorContains(t, err, "400")
 }
 
+// A VM in trouble sends what is no complete response. It must not be taken for records, as the first
+// response here is.
+func TestBrokenResponsesAreErrors(t *testing.T) {
+	c := newCopy()
+	c.MergeSnapshot(records(1), from(1), time.Now())
+	at, _ := serve(t, c)
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+at.String()+pager.Path+"?stream=s&from=0", http.NoBody)
+	assert.NilError(t, err)
+	whole, err := http.DefaultTransport.RoundTrip(q)
+	assert.NilError(t, err)
+	defer whole.Body.Close()
+	page, err := io.ReadAll(whole.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, whole.StatusCode, http.StatusOK)
+	var fields strings.Builder
+	assert.NilError(t, whole.Header.WriteSubset(&fields, map[string]bool{"Content-Length": true}))
+	head := " OK\r\n" + fields.String()
+	for i, response := range []string{
+		"HTTP/1.1 200" + head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(page), page),
+		"HTTP/1.1 000" + head + "\r\n" + string(page),
+		"HTTP/1.1 200" + head + "X\x01A: a\r\n\r\n" + string(page),
+		"HTTP/1.1 200" + head,
+		"HTTP/1.1 200" + head + "\r\n" + string(page[:len(page)-1]),
+		"HTTP/1.1 200" + head + "Content-Length: 9999\r\n\r\n" + string(page),
+		"HTTP/1.1 200" + head + fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(page), page),
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			io.WriteString(c, response) //nolint:errcheck // the reader may have left
+			c.Close()
+		}))
+		_, err := pager.Fetch(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), "s", from(0), time.Now)
+		assert.Check(t, (err == nil) == (i == 0), "%q: %v", response, err)
+		server.Close()
+	}
+}
+
 // BenchmarkHundredVMs measures the memory that a restart of a zone takes when a VM's
 // configuration has a few hundred kilobytes.
 func BenchmarkHundredVMs(b *testing.B) {
