carrier: plainer words for the check of heads, less repetition in tests

Cause: read again as a newcomer would. The comments said what the parser of net/http does in words of our own, a field of the connection was reached as head.head, and two tests of the relayer started the same raw upstream.

Change: comments name the sections of RFC 9112 and what differs from net/http; headReader.checker; harness.serveConnections serves both tests, receiveOnce the cases of the carrier. No check, case or bound changes.

--- a/entry/connection/carrier/carrier.go
+++ b/entry/connection/carrier/carrier.go
@@ -226,8 +226,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if x.conn.head.head.encoded && !resp.ProtoAtLeast(1, 1) {
-			// net/http ignores the field, and would take the chunks for the body.
+		if x.conn.head.checker.encoded && !resp.ProtoAtLeast(1, 1) {
+			// net/http ignores the field in HTTP/1.0 and would return the sizes of the
+			// chunks as a part of the body.
 			return ErrMalformed.New("transfer encoding in %s", resp.Proto)
 		}
 		x.response = resp
@@ -250,8 +251,8 @@
 	n, err := x.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		if x.endsWithConnection() {
-			// The kernel reports a reset once per socket. If the goroutine that writes the
-			// request was told of it, the reader sees an ordinary end.
+			// Linux reports a reset to only one of the reader and the writer of a socket. If
+			// it was the writer, the reader gets io.EOF.
 			writeErr := <-x.writeDone
 			x.writeDone <- writeErr
 			if writeErr != nil {
--- a/entry/connection/carrier/head.go
+++ b/entry/connection/carrier/head.go
@@ -9,28 +9,30 @@
 	"github.com/zeebo/errs"
 )
 
-// ErrMalformed is the class of responses that are none in HTTP/1.1.
+// ErrMalformed is the class of errors of responses that violate HTTP/1.1.
 var ErrMalformed = errs.Class("malformed response")
 
 const noLimit = math.MaxInt
 
-// A headReader limits and checks what is read while the head of a response is parsed.
+// A headReader limits and checks the bytes that are read while the head of a response is
+// parsed. It passes on those of the body as they are.
 type headReader struct {
 	r io.Reader
-	// remaining is the number of bytes that may be read. An endless head from a broken
-	// upstream would exhaust the memory of a small VM.
+	// remaining is the number of bytes that may still be read for the head. An endless head
+	// from a broken upstream would exhaust the memory of a small VM.
 	remaining int
-	head      headChecker
-	// err is why no more of the head could be read. A parser that has a part of a line may
-	// return another error.
+	checker   headChecker
+	// err is the first error while the head was read. The parser may replace it: it parses a
+	// line that the end of the connection has cut off.
 	err error
 }
 
-// begin starts to read a head, after interim responses if there are any, and end stops.
-func (h *headReader) begin() { h.remaining, h.head, h.err = maxHeaderSize, headChecker{}, nil }
+// begin starts the head of a response, including the interim responses before it, and end
+// ends it.
+func (h *headReader) begin() { h.remaining, h.checker, h.err = maxHeaderSize, headChecker{}, nil }
 func (h *headReader) end()   { h.remaining = noLimit }
 
-// cause returns the cause of a parser's error.
+// cause returns the error that has caused an error of the parser.
 func (h *headReader) cause(parseErr error) error {
 	switch {
 	case h.err == nil:
@@ -59,7 +61,7 @@
 	}
 	n, err := h.r.Read(p[:min(len(p), h.remaining)])
 	h.remaining -= n
-	if malformed := h.head.check(p[:n]); malformed != nil {
+	if malformed := h.checker.check(p[:n]); malformed != nil {
 		return 0, malformed
 	}
 	return n, err
@@ -84,20 +86,20 @@
 	bodyPart
 )
 
-// version is how all heads begin, apart from the minor version and a blank.
+// version is the beginning of a head. The minor version follows it.
 const version = "HTTP/1."
 
-// A headChecker checks the heads of a response, the interim ones too, as they are received. It
-// requires what RFC 9112 does, where net/http's parser does not: that takes any number that
-// fits for a status, and a blank for a part of a name. A line that begins with a blank is
-// refused too, as a name with a blank before it cannot be told from a folded value.
+// A headChecker checks the heads of a response and of the interim responses before it against
+// RFC 9112, sections 2.2, 4 and 5, as they are received. The parser of net/http is more
+// lenient: it accepts statuses that HTTP does not have, and spaces in the names of fields.
+// Folded values, which RFC 9112 lets a proxy refuse, cannot be told from names after a space.
 type headChecker struct {
 	part headPart
-	// count is the number of bytes of the version or of the status so far, or of the name of a
-	// field while it is like that of Transfer-Encoding; -1 once it is not.
+	// count is the number of bytes of the version or status so far. In the name of a field, it
+	// is the number of bytes that match transferEncoding, or -1 after a mismatch.
 	count int
-	// interim is set if the status is that of an interim response, and encoded once the head has
-	// a field Transfer-Encoding.
+	// interim is set if the response is an interim one, encoded if it has a field
+	// Transfer-Encoding.
 	interim, encoded bool
 }
 
@@ -115,7 +117,7 @@
 	return nil
 }
 
-// accept reports whether the head may go on with a byte.
+// accept reports whether a byte may come next, and advances past it.
 func (c *headChecker) accept(b byte) bool {
 	switch c.part {
 	case versionPart:
@@ -171,7 +173,7 @@
 	return b == '\t' || (b >= ' ' && b != del) || c.endLine(b)
 }
 
-// endLine reports whether a byte ends a line, and goes on to the next one.
+// endLine reports whether a byte ends a line, and advances past it.
 func (c *headChecker) endLine(b byte) bool {
 	switch b {
 	case '\r':
@@ -197,7 +199,7 @@
 	return true
 }
 
-// transferEncoding is the name of the field that states chunks, in lower case.
+// transferEncoding is the lower-case name of the field that states chunks.
 const transferEncoding = "transfer-encoding"
 
 func (c *headChecker) acceptName(b byte) bool {
@@ -214,7 +216,7 @@
 	return isTokenByte(b)
 }
 
-// endHead goes on to the body, or to the next head after an interim response.
+// endHead advances to the body or, after an interim response, to the next head.
 func (c *headChecker) endHead() {
 	if !c.interim {
 		c.part = bodyPart
@@ -223,7 +225,7 @@
 	*c = headChecker{}
 }
 
-// del is the control byte beyond the printable ones.
+// del is the only control byte of ASCII above the printable ones.
 const del = 0x7f
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
@@ -235,12 +237,12 @@
 	return b
 }
 
-// isTokenByte reports whether a byte may be in the name of a field, as in RFC 9110, section 5.6.2.
+// isTokenByte reports whether a byte may be part of a token, as in RFC 9110, section 5.6.2.
 func isTokenByte(b byte) bool {
 	return isDigit(b) || ('a' <= b && b <= 'z') || ('A' <= b && b <= 'Z') || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
-// isToken reports whether a string may be the name of a field.
+// isToken reports whether a string is a token, as the name of a field must be.
 func isToken(s string) bool {
 	for i := range len(s) {
 		if !isTokenByte(s[i]) {
--- a/entry/connection/carrier/response_test.go
+++ b/entry/connection/carrier/response_test.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// receiveOnce sends a request to an upstream that sends response and closes the connection. It returns
+// the body.
+func receiveOnce(t *testing.T, response string) (string, error) {
+	t.Helper()
+	address, _ := startUpstream(t, respondOnceWith(response))
+	return roundTrip(t, carrier.New(time.Now), address, getRequest())
+}
+
 // A faulty upstream sends a status that HTTP does not have. It must not be taken for a response,
 // whose status could be passed on.
 func TestInvalidStatusIsAnError(t *testing.T) {
@@ -131,8 +139,7 @@
 		"000", "001", "099", "600", "999", "-20", "+20", "-200", "+200", "0200", "2000", "20", "2", "", "2 0", "20 0", " 200", "  200", "20x", "0x1", "２００", "2\x000", "\t200",
 	} {
 		for _, begin := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
-			address, _ := startUpstream(t, respondOnceWith(begin+"HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nhi"))
-			_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+			_, err := receiveOnce(t, begin+"HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nhi")
 			assert.Check(t, err != nil, "%q", begin+status)
 		}
 	}
@@ -141,8 +148,7 @@
 // All statuses that HTTP has are passed on.
 func TestValidStatusIsNoError(t *testing.T) {
 	for _, status := range []string{"200 OK", "200 ", "200", "299 x", "404 Not\tFound", "500 \xe4", "599 x"} {
-		address, _ := startUpstream(t, respondOnceWith("HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nhi"))
-		data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		data, err := receiveOnce(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nhi")
 		assert.NilError(t, err, "%q", status)
 		assert.Equal(t, data, "hi")
 	}
@@ -165,8 +171,7 @@
 			"HTTP/1.1 200 OK\r\nX-B: b\r\n" + name + ": " + value + "\r\n\r\n" + body,
 			"HTTP/1.1 103 Hints\r\nX-B: b\r\n" + name + ": " + value + "\r\n\r\n" + ok,
 		} {
-			address, _ := startUpstream(t, respondOnceWith(response))
-			_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+			_, err := receiveOnce(t, response)
 			assert.Check(t, err != nil, "%q", response)
 		}
 	}
@@ -175,8 +180,7 @@
 // A faulty upstream sends a trailer field with an invalid name. The response must not look complete.
 func TestInvalidTrailerNameIsAnError(t *testing.T) {
 	for _, name := range []string{"X A", "X-A ", "X\x01A", "X-A\t", ""} {
-		address, _ := startUpstream(t, respondOnceWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-B: b\r\n"+name+": a\r\n\r\n"))
-		_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		_, err := receiveOnce(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-B: b\r\n"+name+": a\r\n\r\n")
 		assert.Check(t, err != nil, "%q", name)
 	}
 }
@@ -197,8 +201,7 @@
 		" HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
 		"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
 	} {
-		address, _ := startUpstream(t, respondOnceWith(response))
-		_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		_, err := receiveOnce(t, response)
 		assert.Check(t, err != nil, "%q", response)
 	}
 }
@@ -239,8 +242,7 @@
 func TestChunksCutAfterEachByteAreAnError(t *testing.T) {
 	const head, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n0\r\nX-A: a\r\n\r\n"
 	for n := range len(body) {
-		address, _ := startUpstream(t, respondOnceWith(head+body[:n]))
-		_, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		_, err := receiveOnce(t, head+body[:n])
 		assert.Check(t, err != nil, "%q", body[:n])
 	}
 }
@@ -250,13 +252,11 @@
 func TestChunksInHTTP10AreAnError(t *testing.T) {
 	for _, name := range []string{"Transfer-Encoding", "transfer-encoding", "TRANSFER-ENCODING"} {
 		for _, more := range []string{"", "Content-Length: 2\r\n", "X-Transfer-Encoding: a\r\n"} {
-			address, _ := startUpstream(t, respondOnceWith("HTTP/1.0 200 OK\r\n"+name+": chunked\r\n"+more+"\r\n2\r\nhi\r\n0\r\n\r\n"))
-			data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+			data, err := receiveOnce(t, "HTTP/1.0 200 OK\r\n"+name+": chunked\r\n"+more+"\r\n2\r\nhi\r\n0\r\n\r\n")
 			assert.Check(t, err != nil, "%s %q: %q", name, more, data)
 		}
 	}
-	address, _ := startUpstream(t, respondOnceWith("HTTP/1.0 200 OK\r\nX-Transfer-Encoding: a\r\nTransfer-Encodings: b\r\nTransfer: c\r\n\r\nhi"))
-	data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+	data, err := receiveOnce(t, "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: a\r\nTransfer-Encodings: b\r\nTransfer: c\r\n\r\nhi")
 	assert.NilError(t, err)
 	assert.Equal(t, data, "hi")
 }
@@ -304,8 +304,7 @@
 		"Transfer-Encoding: chunked\r\n\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 		"Transfer-Encoding: chunked\r\n\r\n10000000000000002\r\nhi\r\n0\r\n\r\n",
 	} {
-		address, _ := startUpstream(t, respondOnceWith("HTTP/1.1 200 OK\r\n"+rest))
-		data, err := roundTrip(t, carrier.New(time.Now), address, getRequest())
+		data, err := receiveOnce(t, "HTTP/1.1 200 OK\r\n"+rest)
 		assert.Check(t, err != nil, "%q: %q", rest, data)
 	}
 }
--- a/entry/request/relayer/broken_test.go
+++ b/entry/request/relayer/broken_test.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/heathervane/heathervane/entry/process/tracker"
 )
 
 // A rawUpstream answers each request with the same bytes, in which ID stands for the ID of the
@@ -35,20 +33,8 @@
 
 func (b *harness) rawUpstream(id, service, answer string, early bool) *rawUpstream {
 	b.t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(b.t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(b.t, err)
 	u := &rawUpstream{answer: answer, early: early}
-	var connections sync.WaitGroup
-	connections.Go(func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			connections.Go(func() { u.serve(c) })
-		}
-	})
-	b.t.Cleanup(func() {
-		l.Close()
-		connections.Wait()
-	})
-	b.tracker.Put(time.Now(), tracker.Upstream{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Slots: 4})
+	b.serveConnections(id, service, u.serve)
 	return u
 }
 
--- a/entry/request/relayer/endless_test.go
+++ b/entry/request/relayer/endless_test.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/heathervane/heathervane/entry/process/tracker"
 )
 
 // An endlessUpstream answers each request with a beginning and then with the same bytes again
@@ -28,20 +26,8 @@
 
 func (b *harness) endlessUpstream(id, service, begin, repeat string) *endlessUpstream {
 	b.t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(b.t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(b.t, err)
 	u := &endlessUpstream{begin: begin, repeat: strings.Repeat(repeat, 1+32<<10/len(repeat))}
-	var connections sync.WaitGroup
-	connections.Go(func() {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			connections.Go(func() { u.serve(c) })
-		}
-	})
-	b.t.Cleanup(func() {
-		l.Close()
-		connections.Wait()
-	})
-	b.tracker.Put(time.Now(), tracker.Upstream{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Slots: 4})
+	b.serveConnections(id, service, u.serve)
 	return u
 }
 
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -342,6 +343,24 @@
 	return server
 }
 
+// serveConnections adds an upstream of a service that runs serve on each connection.
+func (b *harness) serveConnections(id, service string, serve func(net.Conn)) {
+	b.t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(b.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(b.t, err)
+	var connections sync.WaitGroup
+	connections.Go(func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			connections.Go(func() { serve(c) })
+		}
+	})
+	b.t.Cleanup(func() {
+		l.Close()
+		connections.Wait()
+	})
+	b.tracker.Put(time.Now(), tracker.Upstream{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Slots: 4})
+}
+
 func (b *harness) requestsReceived() []upstreamRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
