passer: tests of uploads leave busy machines time

TestAnswerCutOffDuringAnUpload and TestSoundAnswersToUploads failed at times with 504 in place of the service's status: once each in 40 runs with -race beside two runs of the whole test command, and once in five runs of the whole test command, beside another one.

Cause: the calls had the default time limit of the fake service, 1 s, which covers the read of 16 MiB, the upload to the service and the answer. With -race and 13 to 28 runnable processes on 8 processors a call takes up to 1.5 s, and the 504 is true. Ruled out: a call that hangs. With a limit of 9 s all of 60 runs under the same load pass; the times are spread from 0.4 to 1.5 s, and none comes near to the limit.

Change: both tests send a time limit of 10 s, the most that the service allows. What they check is unchanged. 20 runs of both under that load pass.

--- a/entry/request/passer/broken_test.go
+++ b/entry/request/passer/broken_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/heathervane/heathervane/entry/process/bounder"
+	"github.com/heathervane/heathervane/entry/request/authenticator"
 	"github.com/heathervane/heathervane/entry/request/reader"
 )
 
@@ -50,12 +51,18 @@
 	return newProxyWithReader(t, l.Addr().String(), fakeAcquirer{}, bodies)
 }
 
+// sendUpload sends a call with a long upload, and a time limit that a busy machine does not exceed.
+func sendUpload(t *testing.T, s *httptest.Server) response {
+	t.Helper()
+	return send(t, s, http.MethodPost, "/services/booking/seats", strings.Repeat("x", uploadBytes), authenticator.TimeoutHeader, "10")
+}
+
 // A service resets the connection during the upload, after a part of an answer without a length.
 // The caller must not get the part as a complete answer.
 func TestAnswerCutOffDuringAnUpload(t *testing.T) {
 	s := newProxyForUploads(t, "HTTP/1.1 200 OK\r\n\r\npart", true)
 	for range 10 {
-		got := send(t, s, http.MethodPost, "/services/booking/seats", strings.Repeat("x", uploadBytes))
+		got := sendUpload(t, s)
 		assert.Equal(t, got.status, http.StatusBadGateway, got.body)
 		assert.Equal(t, got.header.Get("Heathervane-Ran"), "unknown")
 	}
@@ -76,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newProxyForUploads(t, service.answer, service.early)
 			for range 4 {
-				got := send(t, s, http.MethodPost, "/services/booking/seats", strings.Repeat("x", uploadBytes))
+				got := sendUpload(t, s)
 				assert.Equal(t, got.status, service.status, got.body)
 				assert.Equal(t, got.body, "done")
 			}
