relayer: tests with closed upstreams keep their ports

TestFailedConnectionsAreLimited failed once with 502 in place of 503, in one of four runs of the whole test command, two at a time.

Cause: an upstream that accepts no connections was a server that had been closed. Its port is free then, and a listener of another test may get it, which answers the request. Ruled out: the product, which passes on what it gets.

Change: the harness binds the port without listening, until the end of the test. What they check is unchanged.

--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -217,7 +217,7 @@
 	other.upstream("u1", "plain", echo)
 	b := newCutOffVM(t, other.servePeers())
 	b.unreachable = false
-	b.upstream("u1", "plain", echo).Close()
+	b.closedUpstreams("plain", "u1")
 	b.onFailure = func() { b.unreachable = true }
 	got := b.do(b.request(http.MethodPost, "/unsafe/x", ""))
 	assert.Equal(t, got.status, http.StatusOK, got.body)
@@ -233,7 +233,7 @@
 	b.peers = []allocator.Member{{VM: "peer-0", Address: netip.MustParseAddrPort(other.servePeers().Listener.Addr().String())}}
 	for _, id := range []string{"u1", "u2", "u3", "u4"} {
 		other.upstream(id, "model", events(3, false))
-		b.upstream(id, "model", events(3, false)).Close()
+		b.closedUpstreams("model", id)
 	}
 	b.memory.err = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	b.onFailure = func() { b.unreachable = true }
--- a/entry/request/relayer/harness_test.go
+++ b/entry/request/relayer/harness_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -343,6 +344,23 @@
 	return server
 }
 
+// closedUpstreams adds upstreams of a service that accept no connections. Their ports stay bound until the
+// end of the test, so that no other test can listen on them.
+func (b *harness) closedUpstreams(service string, ids ...string) {
+	b.t.Helper()
+	for _, id := range ids {
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		assert.NilError(b.t, err)
+		b.t.Cleanup(func() { syscall.Close(fd) })
+		loopback := netip.MustParseAddr("127.0.0.1")
+		assert.NilError(b.t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: loopback.As4()}))
+		name, err := syscall.Getsockname(fd)
+		assert.NilError(b.t, err)
+		port := name.(*syscall.SockaddrInet4).Port //nolint:forcetypeassert // the socket is one of IPv4
+		b.tracker.Put(time.Now(), tracker.Upstream{ID: id, Service: service, Address: netip.AddrPortFrom(loopback, uint16(port)).String(), Zone: "z", Slots: 4})
+	}
+}
+
 // serveConnections adds an upstream of a service that runs serve on each connection.
 func (b *harness) serveConnections(id, service string, serve func(net.Conn)) {
 	b.t.Helper()
--- a/entry/request/relayer/reconnect_test.go
+++ b/entry/request/relayer/reconnect_test.go
@@ -10,19 +10,12 @@
 	"github.com/heathervane/heathervane/entry/version/matcher"
 )
 
-// stopUpstreams adds upstreams of the plain service that accept no connections.
-func (b *harness) stopUpstreams(ids ...string) {
-	for _, id := range ids {
-		b.upstream(id, "plain", answerSealed).Close()
-	}
-}
-
 // Some upstreams are gone and the retry budget is used up. A request for which no connection
 // came up reached none of them, and must still be served by another.
 func TestConnectionThatNeverCameUpTakesNoRetry(t *testing.T) {
 	b := newHarness(t, routes())
 	b.budget.remaining = 0
-	b.stopUpstreams("gone-1", "gone-2")
+	b.closedUpstreams("plain", "gone-1", "gone-2")
 	b.upstream("u", "plain", answerSealed)
 	for _, target := range []string{"/safe/1", "/unsafe/1", "/safe/2", "/unsafe/2"} {
 		a := b.do(b.request(http.MethodPost, target, "x"))
@@ -37,7 +30,7 @@
 func TestLostConnectionTakesARetry(t *testing.T) {
 	b := newHarness(t, routes())
 	b.budget.remaining = 0
-	b.stopUpstreams("gone")
+	b.closedUpstreams("plain", "gone")
 	b.upstream("u", "plain", dropConnection)
 	b.upstream("v", "plain", dropConnection)
 	a := b.do(b.request(http.MethodGet, "/safe/1", ""))
@@ -52,7 +45,7 @@
 	c.Routes = []matcher.Route{c.Routes[0]}
 	b := newHarness(t, c)
 	b.budget.remaining = 0
-	b.stopUpstreams("a", "b", "c", "d", "e", "f", "g", "h")
+	b.closedUpstreams("plain", "a", "b", "c", "d", "e", "f", "g", "h")
 	const requests = 40
 	for range requests {
 		a := b.do(b.request(http.MethodGet, "/safe/1", ""))
@@ -76,10 +69,11 @@
 					b := newHarness(t, c)
 					b.budget.remaining = 1
 					for i, kind := range []string{first, second, third} {
-						u := b.upstream(strconv.Itoa(i), "plain", kinds[kind])
 						if kind == "gone" {
-							u.Close()
+							b.closedUpstreams("plain", strconv.Itoa(i))
+							continue
 						}
+						b.upstream(strconv.Itoa(i), "plain", kinds[kind])
 					}
 					b.do(b.request(http.MethodGet, "/safe/1", ""))
 					arrivals := len(b.requestsReceived())
