relayer: pass on only events that follow the ones before

Callers got the events 1, 2, 1, 2, 3 as a complete stream with status 200 where an engine broke off within an event and the one at which the stream was resumed ignored Last-Event-Id, direct and forwarded, 10 of 10; the same where the caller resumed the stream (9 of 10), and where an engine sent an event twice or an earlier one later (40 of 40).

Cause: the relayer read the IDs of events only to know where to resume, and compared nothing with what the caller had. Seen first in a run of TestBrokenAnswersReachNoCaller beside 128 busy processes, whose engines send event 1 whatever they are asked for. Ruled out: a wrong Last-Event-Id (the engines get that of the last event written), and the queue of events (it belongs to one attempt).

Change: an event whose ID is a number and not above the one before, or above the last one that the caller has, ends the attempt like a broken connection, without a loss for the quarantine. Another engine goes on where the route and the retry budget allow it; else the stream is broken off.

--- a/entry/request/relayer/ahead.go
+++ b/entry/request/relayer/ahead.go
@@ -25,7 +25,9 @@
 
 // A queuedEvent is an event that the caller does not have yet.
 type queuedEvent struct {
-	data    []byte
+	data []byte
+	// id is "" if the event has none.
+	id      string
 	arrived time.Time
 	// reserved is the memory taken for it beside eventReserve.
 	reserved int64
--- a/entry/request/relayer/broken_test.go
+++ b/entry/request/relayer/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -255,3 +256,60 @@
 		})
 	}
 }
+
+// loseResumed ends a stream within its third event, and begins it anew where it is to go on after
+// an event.
+func loseResumed(w http.ResponseWriter, q *http.Request) {
+	resumed := q.Header.Get("Last") != ""
+	q.Header.Del("Last")
+	if resumed {
+		events(3, false)(w, q)
+		return
+	}
+	events(2, true)(w, q)
+}
+
+// Engines begin a stream anew that they were to go on with. The caller must not get an event twice.
+func TestResumedStreamThatBeginsAnewIsNotDelivered(t *testing.T) {
+	directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+		for _, id := range []string{"u1", "u2", "u3"} {
+			at.upstream(id, "model", loseResumed)
+		}
+		o := caller.do(caller.request(http.MethodPost, "/resume/x", "body"))
+		assert.Assert(t, o.err != nil, "%d", o.status)
+		assert.Equal(t, o.body, eventText(2))
+		assert.Equal(t, len(at.requestsReceived()), 2)
+	})
+}
+
+// The same where the caller resumes the stream. It gets the rest from a sound engine.
+func TestStreamThatACallerResumesDoesNotBeginAnew(t *testing.T) {
+	directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+		at.upstream("u1", "model", loseResumed)
+		at.upstream("u2", "model", events(3, false))
+		q := caller.request(http.MethodPost, "/resume/x", "body")
+		q.Header.Set("Last", "2")
+		o := caller.do(q)
+		assert.NilError(t, o.err)
+		assert.Equal(t, o.status, http.StatusOK, o.body)
+		assert.Equal(t, o.body, "id: 3\ndata: 3\n\n")
+	})
+}
+
+// An engine sends events out of order. They must not be delivered, and the answer must not look
+// complete.
+func TestEventsOutOfOrderAreNotDelivered(t *testing.T) {
+	for _, ids := range [][]int{{1, 2, 2, 3}, {1, 2, 1, 2, 3}, {1, 2, 0}, {1, 10, 9}} {
+		directAndForwarded(t, func(t *testing.T, at, caller *harness) {
+			at.upstream("u1", "model", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Sealed", "1")
+				for _, id := range ids {
+					fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+				}
+			})
+			o := caller.do(caller.request(http.MethodPost, "/stream/x", "body"))
+			assert.Assert(t, o.err != nil, "%d", o.status)
+			assert.Equal(t, o.body, fmt.Sprintf("id: 1\ndata: 1\n\nid: %d\ndata: %d\n\n", ids[1], ids[1]))
+		})
+	}
+}
--- a/entry/request/relayer/stream.go
+++ b/entry/request/relayer/stream.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/heathervane/heathervane/entry/process/accountant"
@@ -24,6 +26,7 @@
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents       = errors.New("connection ended before the first event")
 	errEventTooLong   = errors.New("event exceeds the size limit")
+	errEventOrder     = errors.New("event does not follow the one before it")
 	errNoMemory       = errors.New("no memory is free for the response")
 )
 
@@ -112,7 +115,7 @@
 		return errUnsealed
 	}
 	q := newEventQueue(j.memory, r.deps.Now)
-	go r.readEvents(j, a, q)
+	go r.readEvents(j, a, q, j.lastEventID)
 	err := r.writeEvents(w, j, a, q)
 	if err != nil {
 		q.abandon()
@@ -125,8 +128,8 @@
 
 // readEvents reads the events of one upstream into a queue until its stream ends. Then it
 // closes the attempt, so that the upstream does not stay taken while the caller reads the
-// rest.
-func (r *Relayer) readEvents(j *job, a *attempt, q *eventQueue) {
+// rest. The first event must follow the one with the ID lastID.
+func (r *Relayer) readEvents(j *job, a *attempt, q *eventQueue, lastID string) {
 	defer close(q.readerDone)
 	defer a.close()
 	events := bufio.NewReaderSize(a.exchange.Body, 1<<10)
@@ -140,6 +143,11 @@
 		if err == nil && (size > maxResponseBytes || (j.info.MaxOutputTokens > 0 && count > j.info.MaxOutputTokens+maxIdleEvents)) {
 			err = errTooLong
 		}
+		id := r.deps.Protocol.EventID(event)
+		if err == nil && !follows(id, lastID) {
+			err = errEventOrder
+		}
+		lastID = cmp.Or(id, lastID)
 		now := r.deps.Now()
 		if !last.IsZero() {
 			q.maxPause = max(q.maxPause, now.Sub(last))
@@ -160,7 +168,7 @@
 			return
 		}
 		r.recordEvent(now, j, a)
-		held, ok := q.put(queuedEvent{event, now, reserved})
+		held, ok := q.put(queuedEvent{event, id, now, reserved})
 		if !ok {
 			return
 		}
@@ -193,13 +201,19 @@
 			return &callerWriteError{err}
 		}
 		j.memory.CaughtUp()
-		if id := r.deps.Protocol.EventID(event.data); id != "" {
-			j.lastEventID = id
-		}
+		j.lastEventID = cmp.Or(event.id, j.lastEventID)
 		q.removeFirst()
 	}
 }
 
+// follows reports whether the event with an ID may come after the one with the ID last. IDs increase;
+// what is no number is not compared.
+func follows(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	previous, previousErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || previousErr != nil || n > previous
+}
+
 // begunReportInterval is how often the quarantine learns that an answer goes on. A part of
 // prompts may be blamed meanwhile for a crash at another upstream.
 const begunReportInterval = 250 * time.Millisecond
