relayer: a test says why a request to a paused VM got no status

TestForwardedRequestDoesNotWaitForAPausedVM failed once with no status in place of 504, in one of six runs of the whole test command, two at a time beside further load. What failed at the client was not printed; now it is.

--- a/entry/request/relayer/forward_test.go
+++ b/entry/request/relayer/forward_test.go
@@ -181,7 +181,8 @@
 	b.avoided = map[string]bool{}
 	q := b.request(http.MethodPost, "/unsafe/x", "")
 	q.Header.Set("Limit", "1s")
-	assert.Equal(t, b.do(q).status, http.StatusGatewayTimeout)
+	got = b.do(q)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout, "%v", got.err)
 	assert.Equal(t, len(other.requestsReceived()), 1)
 }
 
